--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+PACKAGES := packages/cassiaspread-core packages/cassiaspread-daemon packages/cassiaspread-cli
+
+.PHONY: setup demo test lint format clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock $(addsuffix /pyproject.toml,$(PACKAGES))
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check --no-deps \
+		--no-build-isolation $(addprefix -e ,$(PACKAGES))
+	touch $@
+
+demo: setup
+	$(PY) -m examples.demo
+
+test: setup
+	$(PY) -m pytest
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: setup
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Runnable examples."""
--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,74 @@
+"""Three daemons in three failure domains before stand-ins: ``make demo``."""
+
+import json
+import tempfile
+from pathlib import Path
+
+from tests.fleet import Fleet, Process, bearer, request, wait_for
+
+DOMAINS = ("osorno-norte", "cautin", "llanquihue")
+N_LAYERS = 8
+CALLER = bearer("osorno-token")
+
+
+def start_fleet(fleet: Fleet) -> list[Process]:
+    """Start engines, a plain service and one daemon for each failure domain.
+
+    :param fleet: owns the processes.
+    :returns: the daemons.
+    """
+    fleet.publish_basics(N_LAYERS)
+    for domain in DOMAINS:
+        half = N_LAYERS // 2
+        fleet.start_engine(f"{domain}-low", domain, 0, half, step_ms=10)
+        fleet.start_engine(f"{domain}-high", domain, half, N_LAYERS, step_ms=10)
+    fleet.start_service("booking-1", DOMAINS[0])
+    daemons = [fleet.start_daemon(f"entry-{d}", d) for d in DOMAINS]
+    for daemon in daemons:
+        fleet.wait_ready(daemon)
+        wait_for(lambda daemon=daemon: complete(daemon, "warm-up")[0] == 200)
+    return daemons
+
+
+def complete(daemon: Process, prompt: str, *, stream: bool = False) -> tuple:
+    """Send one completion.
+
+    :param daemon: where to.
+    :param prompt: text of the prompt.
+    :param stream: whether to ask for a stream of events.
+    :returns: status, headers and body.
+    """
+    body = {"model": "draft", "prompt": prompt, "max_tokens": 8, "stream": stream}
+    return request("POST", daemon.address, "/v1/completions", body, CALLER)
+
+
+def show_requests(daemons: list[Process]) -> None:
+    """Send requests through every daemon and print the answers.
+
+    :param daemons: the daemons.
+    """
+    for daemon in daemons:
+        print(f"\n{daemon.name} at {daemon.address}")
+        status, _, body = complete(daemon, "Draft a cut sheet for twelve loins.")
+        print(f"  completion: {status} {json.loads(body)['choices'][0]['text']}")
+        status, _, body = complete(daemon, "Explain the yield.", stream=True)
+        events = body.decode().strip().split("\n\n")
+        print(f"  stream: {status}, {len(events)} events, the last {events[-1]!r}")
+        key = {"Idempotency-Key": f"slot-{daemon.name}"}
+        path = "/v1/services/booking/slots"
+        answer = request("POST", daemon.address, path, b"{}", CALLER | key)
+        print(f"  booking: {answer[0]} {answer[2].decode()}")
+
+
+def main() -> None:
+    """Start the fleet, show what it does and end it."""
+    with tempfile.TemporaryDirectory() as directory, Fleet(Path(directory)) as fleet:
+        daemons = start_fleet(fleet)
+        show_requests(daemons)
+        print("\nstopping the daemons")
+        for daemon in daemons:
+            print(f"  {daemon.name}: exit status {daemon.stop()}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
@@ -0,0 +1,41 @@
+"""Identifiers, states, units and errors that every other module shares."""
+
+from cassiaspread_core.base._errors import (
+    CassiaspreadError,
+    Finding,
+    FindingsError,
+    Refusal,
+)
+from cassiaspread_core.base._ids import (
+    DomainId,
+    IdempotencyKey,
+    Incarnation,
+    ModelId,
+    Offset,
+    OrganisationId,
+    RequestId,
+    ServiceId,
+    TargetId,
+    VmId,
+)
+from cassiaspread_core.base._states import Outcome, TargetKind, VmState
+
+__all__ = [
+    "CassiaspreadError",
+    "DomainId",
+    "Finding",
+    "FindingsError",
+    "IdempotencyKey",
+    "Incarnation",
+    "ModelId",
+    "Offset",
+    "OrganisationId",
+    "Outcome",
+    "Refusal",
+    "RequestId",
+    "ServiceId",
+    "TargetId",
+    "TargetKind",
+    "VmId",
+    "VmState",
+]
--- /dev/null
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/_ids.py
@@ -0,0 +1,18 @@
+"""Identifier types."""
+
+from typing import NewType
+
+VmId = NewType("VmId", str)
+DomainId = NewType("DomainId", str)
+TargetId = NewType("TargetId", str)
+OrganisationId = NewType("OrganisationId", str)
+ModelId = NewType("ModelId", str)
+ServiceId = NewType("ServiceId", str)
+RequestId = NewType("RequestId", str)
+IdempotencyKey = NewType("IdempotencyKey", str)
+
+# Identifies one start of one process; a restarted daemon has a new one.
+Incarnation = NewType("Incarnation", str)
+
+# Position of a record in a stream of the platform's log.
+Offset = NewType("Offset", int)
--- /dev/null
+++ b/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_sequence.py
@@ -0,0 +1,78 @@
+"""Accepts each token of a stream exactly once and in order."""
+
+import msgspec
+
+
+class TokenStep(msgspec.Struct, frozen=True):
+    """One token as an engine delivers it.
+
+    :param attempt: attempt that produced it.
+    :param position: index in the answer, from 0.
+    :param text: the token's text.
+    :param finish_reason: set on the last step only, whose text is empty.
+    """
+
+    attempt: int
+    position: int
+    text: str = ""
+    finish_reason: str | None = None
+
+
+class TokenSequence:
+    """State of one caller's stream.
+
+    :param attempt: attempt whose tokens are accepted.
+    :param position: position of the next token to deliver.
+
+    >>> sequence = TokenSequence(attempt=1)
+    >>> sequence.accept(TokenStep(1, 0, "a"))
+    True
+    >>> sequence.accept(TokenStep(1, 0, "a")), sequence.accept(TokenStep(0, 1, "b"))
+    (False, False)
+    """
+
+    def __init__(self, attempt: int, position: int = 0) -> None:
+        self._attempt = attempt
+        self._position = position
+        self._finish_reason: str | None = None
+
+    @property
+    def attempt(self) -> int:
+        """Attempt whose tokens are accepted."""
+        return self._attempt
+
+    @property
+    def position(self) -> int:
+        """Position of the next token to deliver."""
+        return self._position
+
+    @property
+    def finish_reason(self) -> str | None:
+        """Why the stream is whole, ``None`` while it is not."""
+        return self._finish_reason
+
+    def start_attempt(self, attempt: int) -> None:
+        """Accept only a later attempt from now on.
+
+        :param attempt: greater than the present attempt.
+        :raises ValueError: the attempt is not greater.
+        """
+        if attempt <= self._attempt:
+            raise ValueError(f"attempt {attempt} does not follow {self._attempt}")
+        self._attempt = attempt
+
+    def accept(self, step: TokenStep) -> bool:
+        """Decide whether a step is the next one of the stream.
+
+        :param step: what an engine delivered.
+        :returns: ``False`` for a step of another attempt or position.
+        """
+        if step.attempt != self._attempt or step.position != self._position:
+            return False
+        if self._finish_reason is not None:
+            return False
+        if step.finish_reason is not None:
+            self._finish_reason = step.finish_reason
+            return True
+        self._position += 1
+        return True
--- /dev/null
+++ b/packages/cassiaspread-core/src/cassiaspread_core/timeline/__init__.py
@@ -0,0 +1,6 @@
+"""Events of all processes in one causal order."""
+
+from cassiaspread_core.timeline._clock import HybridClock, Timestamp
+from cassiaspread_core.timeline._ring import Event, EventRing
+
+__all__ = ["Event", "EventRing", "HybridClock", "Timestamp"]
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -0,0 +1,213 @@
+"""One HTTP request over a connection of its own.
+
+A connection is never shared or used again, so that the caller knows whether any byte
+of a request can have left, and so that a silent connection harms one request only.
+"""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from cassiaspread_core.base import CassiaspreadError
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+
+
+class ConnectFailed(CassiaspreadError):
+    """No connection could be opened: no byte of the request has left."""
+
+
+class ExchangeBroken(CassiaspreadError):
+    """The connection ended or stayed silent after the request may have left."""
+
+
+class Response(NamedTuple):
+    """A whole response.
+
+    :param status: HTTP status code.
+    :param headers: response headers.
+    :param body: response body, empty when it went to a callback.
+    """
+
+    status: int
+    headers: HTTPHeaders
+    body: bytes
+
+
+class _ResponseReader(HTTPMessageDelegate):
+    def __init__(self, on_data: Callable[[bytes], None] | None) -> None:
+        self.status = 0
+        self.headers = HTTPHeaders()
+        self.chunks: list[bytes] = []
+        self.started = asyncio.get_running_loop().create_future()
+        self.finished = asyncio.get_running_loop().create_future()
+        self._on_data = on_data
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        assert isinstance(start_line, ResponseStartLine)
+        if 100 <= start_line.code < 200:
+            return
+        self.status = start_line.code
+        self.headers = headers
+        if not self.started.done():
+            self.started.set_result(None)
+
+    def data_received(self, chunk: bytes) -> None:
+        if self._on_data is not None and self.status == 200:
+            self._on_data(chunk)
+        else:
+            self.chunks.append(chunk)
+
+    def finish(self) -> None:
+        self._settle(None)
+
+    def on_connection_close(self) -> None:
+        self._settle(ExchangeBroken("connection closed before the response ended"))
+
+    def _settle(self, error: ExchangeBroken | None) -> None:
+        for future in (self.started, self.finished):
+            if future.done():
+                continue
+            if error is None:
+                future.set_result(None)
+            else:
+                future.set_exception(error)
+                future.exception()
+
+
+class Exchange:
+    """Owns the connection of one request; a context manager.
+
+    :param stream: an open connection.
+    """
+
+    def __init__(self, stream: IOStream) -> None:
+        self._stream = stream
+        self._connection = HTTP1Connection(
+            stream,
+            is_client=True,
+            params=HTTP1ConnectionParameters(
+                no_keep_alive=True, max_body_size=MAX_RESPONSE_BYTES
+            ),
+        )
+        self._reader: _ResponseReader | None = None
+        self._reading: asyncio.Task[None] | None = None
+
+    def __enter__(self) -> "Exchange":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.close()
+
+    @classmethod
+    async def open(cls, address: str, timeout_s: float) -> "Exchange":
+        """Open a connection.
+
+        :param address: ``host:port``.
+        :param timeout_s: longest wait in seconds.
+        :raises ConnectFailed: no connection was opened.
+        """
+        host, _, port = address.rpartition(":")
+        try:
+            stream = await TCPClient().connect(host, int(port), timeout=timeout_s)
+        except (OSError, StreamClosedError, TimeoutError) as error:
+            raise ConnectFailed(f"{address}: {error or type(error).__name__}") from None
+        stream.set_nodelay(True)
+        return cls(stream)
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._stream.close()
+        if self._reading is not None:
+            self._reading.cancel()
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        on_data: Callable[[bytes], None] | None = None,
+    ) -> int:
+        """Send the request and wait for the status of the response.
+
+        :param method: HTTP method.
+        :param path: path and query.
+        :param body: request body.
+        :param headers: further headers.
+        :param on_data: called with each piece of the body of a 200 response, which
+            is otherwise kept.
+        :returns: the status code.
+        :raises ExchangeBroken: the connection ended before the status.
+        """
+        self._reader = _ResponseReader(on_data)
+        all_headers = HTTPHeaders({"Host": "target", "Connection": "close"})
+        all_headers.update(headers or {})
+        all_headers["Content-Length"] = str(len(body))
+        try:
+            await self._connection.write_headers(
+                RequestStartLine(method, path, "HTTP/1.1"), all_headers, body
+            )
+            self._connection.finish()
+        except StreamClosedError:
+            raise ExchangeBroken("connection closed while sending") from None
+        self._reading = asyncio.create_task(self._read(self._reader))
+        await self._reader.started
+        return self._reader.status
+
+    async def finish(self) -> Response:
+        """Wait for the end of the response.
+
+        :returns: the whole response.
+        :raises ExchangeBroken: the connection ended before the end.
+        """
+        assert self._reader is not None
+        await self._reader.finished
+        reader = self._reader
+        return Response(reader.status, reader.headers, b"".join(reader.chunks))
+
+    async def _read(self, reader: _ResponseReader) -> None:
+        await self._connection.read_response(reader)
+        reader.on_connection_close()
+
+
+async def fetch(
+    address: str,
+    method: str,
+    path: str,
+    *,
+    body: bytes = b"",
+    headers: Mapping[str, str] | None = None,
+    connect_timeout_s: float,
+    timeout_s: float,
+) -> Response:
+    """Send one request and return the whole response.
+
+    :param address: ``host:port``.
+    :param method: HTTP method.
+    :param path: path and query.
+    :param body: request body.
+    :param headers: further headers.
+    :param connect_timeout_s: longest wait for the connection, in seconds.
+    :param timeout_s: longest wait for the response after that, in seconds.
+    :raises ConnectFailed: nothing was sent.
+    :raises ExchangeBroken: the request may have been received.
+    """
+    with await Exchange.open(address, connect_timeout_s) as exchange:
+        try:
+            async with asyncio.timeout(timeout_s):
+                await exchange.send(method, path, body, headers)
+                return await exchange.finish()
+        except TimeoutError:
+            raise ExchangeBroken(f"no response within {timeout_s:g} s") from None
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_metrics.py
@@ -0,0 +1,52 @@
+"""Metrics of one daemon."""
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from prometheus_client import REGISTRY, generate_latest
+
+
+class Metrics:
+    """Instruments of one daemon, read in Prometheus' text format.
+
+    :param domain: failure domain, an attribute of every request.
+    """
+
+    def __init__(self, domain: str) -> None:
+        self._attributes = {"domain": domain}
+        provider = MeterProvider(metric_readers=[PrometheusMetricReader()])
+        self._meter = provider.get_meter("cassiaspread")
+        self._requests = self._meter.create_counter(
+            "cassiaspread.requests", description="Requests by kind and answer."
+        )
+        self._tokens = self._meter.create_counter(
+            "cassiaspread.tokens", description="Tokens relayed to callers."
+        )
+        self._first_token = self._meter.create_histogram(
+            "cassiaspread.first_token", unit="s", description="Time to first token."
+        )
+
+    def count_request(self, kind: str, status: int) -> None:
+        """Count one answered request.
+
+        :param kind: what was asked for.
+        :param status: HTTP status of the answer.
+        """
+        self._requests.add(1, {**self._attributes, "kind": kind, "status": status})
+
+    def count_tokens(self, n_tokens: int) -> None:
+        """Count relayed tokens.
+
+        :param n_tokens: how many.
+        """
+        self._tokens.add(n_tokens, self._attributes)
+
+    def record_first_token(self, seconds: float) -> None:
+        """Record the time from a request's arrival to its first token.
+
+        :param seconds: the time in seconds.
+        """
+        self._first_token.record(seconds, self._attributes)
+
+    def render(self) -> bytes:
+        """Return all metrics in Prometheus' text format."""
+        return generate_latest(REGISTRY)
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -0,0 +1,114 @@
+"""One daemon: its parts and their lifetime."""
+
+import asyncio
+import random
+import time
+from enum import Enum
+from types import TracebackType
+from typing import Self
+
+import uuid6
+from cassiaspread_core.base import Incarnation
+from cassiaspread_core.policy import Policy
+from cassiaspread_core.timeline import EventRing
+
+from cassiaspread_daemon._metrics import Metrics
+from cassiaspread_daemon._settings import Settings
+from cassiaspread_daemon._supervisor import Supervisor
+from cassiaspread_daemon.adapters import EngineClient, LogClient, VmListClient
+from cassiaspread_daemon.fleet import PolicyFollower, TargetRegistry
+
+IDLE_POLL_S = 0.05
+MILLISECONDS_PER_SECOND = 1000
+
+
+class NodeState(Enum):
+    """Life of a daemon."""
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+class Node:
+    """Owns the parts of one daemon; an asynchronous context manager.
+
+    :param settings: checked settings.
+    :param random_state: generator for every random choice.
+    """
+
+    def __init__(self, settings: Settings, random_state: random.Random) -> None:
+        self.settings = settings
+        self.random_state = random_state
+        self.incarnation = Incarnation(str(uuid6.uuid7()))
+        self.events = EventRing(settings.vm, settings.n_events, time.time)
+        self.metrics = Metrics(settings.domain)
+        self.log = LogClient(str(settings.log))
+        self.engines = EngineClient()
+        self.policy_follower = PolicyFollower(self.log, self.events)
+        self.targets = TargetRegistry(
+            VmListClient(str(settings.vm_list)),
+            self.engines,
+            settings.poll_interval_ms / MILLISECONDS_PER_SECOND,
+        )
+        self.supervisor = Supervisor("node")
+        self._is_leaving = False
+        self._n_requests = 0
+
+    async def __aenter__(self) -> Self:
+        self.supervisor.start("policy", self.policy_follower.run)
+        self.supervisor.start("targets", self.targets.run)
+        self.events.record("node.started", incarnation=self.incarnation)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.supervisor.stop()
+
+    @property
+    def policy(self) -> Policy:
+        """The configuration in force."""
+        return self.policy_follower.policy
+
+    @property
+    def state(self) -> NodeState:
+        """Where this daemon is in its life."""
+        if self._is_leaving:
+            return NodeState.LEAVING
+        return NodeState.STARTING if self.not_ready_reasons() else NodeState.READY
+
+    def not_ready_reasons(self) -> list[str]:
+        """List why the balancer should send no requests here."""
+        reasons = []
+        if self._is_leaving:
+            reasons.append("leaving")
+        if not self.policy_follower.is_current:
+            reasons.append("the configuration was not read yet")
+        return reasons
+
+    def leave(self) -> None:
+        """Stop being ready; requests are still taken while the balancer lags."""
+        self._is_leaving = True
+        self.events.record("node.leaving")
+
+    def begin_request(self) -> None:
+        """Count a request in progress."""
+        self._n_requests += 1
+
+    def end_request(self) -> None:
+        """Count a request as ended."""
+        self._n_requests -= 1
+
+    async def drain(self) -> None:
+        """Wait until no request is in progress, or the drain timeout."""
+        timeout_s = self.settings.drain_timeout_ms / MILLISECONDS_PER_SECOND
+        try:
+            async with asyncio.timeout(timeout_s or None):
+                while self._n_requests:
+                    await asyncio.sleep(IDLE_POLL_S)
+        except TimeoutError:
+            self.events.record("node.drain_timeout", n_requests=self._n_requests)
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_settings.py
@@ -0,0 +1,203 @@
+"""Settings from flags and environment variables."""
+
+import argparse
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, NamedTuple
+
+import msgspec
+from cassiaspread_core.base import DomainId, Finding, FindingsError, VmId
+
+ENVIRONMENT_PREFIX = "CASSIASPREAD_"
+EXIT_BAD_SETTINGS = 2
+MAX_PORT = 65_535
+
+
+class Address(NamedTuple):
+    """A TCP address.
+
+    :param host: IP number.
+    :param port: TCP port.
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class Settings(msgspec.Struct, frozen=True, kw_only=True):
+    """Checked settings of one daemon; see ``--help`` for meanings and units."""
+
+    vm: VmId
+    domain: DomainId
+    region: str
+    listen: Address
+    peer_listen: Address
+    log: Address
+    vm_list: Address
+    seeds: tuple[Address, ...]
+    log_format: str
+    n_events: int
+    poll_interval_ms: int
+    drain_timeout_ms: int
+
+
+def check_address(text: str) -> Address:
+    """Read ``HOST:PORT``.
+
+    :param text: the setting's value.
+    :raises ValueError: the text is no address.
+
+    >>> check_address("127.0.0.1:80")
+    Address(host='127.0.0.1', port=80)
+    """
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or int(port) > MAX_PORT:
+        raise ValueError(f"expected HOST:PORT, got {text!r}")
+    return Address(host, int(port))
+
+
+def check_addresses(text: str) -> tuple[Address, ...]:
+    """Read a list of ``HOST:PORT`` separated by commas.
+
+    :param text: the setting's value, possibly empty.
+    :raises ValueError: a part is no address.
+    """
+    return tuple(check_address(part) for part in text.split(",") if part)
+
+
+def check_count(text: str) -> int:
+    """Read a whole number that is not negative.
+
+    :param text: the setting's value.
+    :raises ValueError: the text is no such number.
+    """
+    if not text.isdigit():
+        raise ValueError(f"expected a whole number of 0 or more, got {text!r}")
+    return int(text)
+
+
+def check_name(text: str) -> str:
+    """Read a name that is not empty.
+
+    :param text: the setting's value.
+    :raises ValueError: the text is empty.
+    """
+    if not text:
+        raise ValueError("expected a name")
+    return text
+
+
+def check_log_format(text: str) -> str:
+    """Read the format of log lines.
+
+    :param text: the setting's value.
+    :raises ValueError: the format is not known.
+    """
+    if text not in ("text", "json"):
+        raise ValueError(f"expected text or json, got {text!r}")
+    return text
+
+
+class Option(NamedTuple):
+    """One setting.
+
+    :param flag: its flag, from which its variable and field are derived.
+    :param check: reads the text, raising ``ValueError``.
+    :param default: text used when it is not set; ``None`` makes it required.
+    :param help: meaning and unit.
+    """
+
+    flag: str
+    check: Callable[[str], Any]
+    default: str | None
+    help: str
+
+    @property
+    def field(self) -> str:
+        """Name of the field in :class:`Settings`."""
+        return self.flag.removeprefix("--").replace("-", "_")
+
+    @property
+    def variable(self) -> str:
+        """Name of the environment variable."""
+        return ENVIRONMENT_PREFIX + self.field.upper()
+
+
+OPTIONS = (
+    Option("--vm", check_name, None, "name of this VM"),
+    Option("--domain", check_name, None, "failure domain of this VM"),
+    Option("--region", check_name, "default", "region of the failure domain"),
+    Option("--listen", check_address, None, "HOST:PORT for callers and operators"),
+    Option("--peer-listen", check_address, None, "HOST:PORT for other daemons"),
+    Option("--log", check_address, None, "HOST:PORT of the platform's log service"),
+    Option("--vm-list", check_address, None, "HOST:PORT of the platform's VM list"),
+    Option("--seeds", check_addresses, "", "peer HOST:PORTs, separated by commas"),
+    Option("--log-format", check_log_format, "text", "log lines as text or json"),
+    Option("--n-events", check_count, "20000", "events kept for the time line"),
+    Option(
+        "--poll-interval-ms",
+        check_count,
+        "500",
+        "interval between polls of a target, in milliseconds",
+    ),
+    Option(
+        "--drain-timeout-ms",
+        check_count,
+        "0",
+        "longest wait for requests in progress on SIGTERM, in milliseconds; "
+        "0 waits until the last one ends",
+    ),
+)
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Build the parser of the daemon's flags."""
+    parser = argparse.ArgumentParser(
+        prog="cassiaspreadd",
+        description="Routes requests to model pipelines and plain services.",
+        epilog="Each flag can also be set by the environment variable beside it; "
+        "the flag goes first.",
+    )
+    for option in OPTIONS:
+        default = "required" if option.default is None else f"default {option.default}"
+        parser.add_argument(
+            option.flag, help=f"{option.help} ({option.variable}; {default})"
+        )
+    return parser
+
+
+def read_settings(argv: Sequence[str], environment: Mapping[str, str]) -> Settings:
+    """Read and check all settings.
+
+    :param argv: arguments without the program's name.
+    :param environment: environment variables.
+    :raises FindingsError: one finding for each bad or missing setting.
+    """
+    flags = vars(build_parser().parse_args(argv))
+    findings: list[Finding] = []
+    fields: dict[str, Any] = {}
+    for option in OPTIONS:
+        text, place = _find_text(option, flags, environment)
+        if text is None:
+            findings.append(Finding(place, "is required"))
+            continue
+        try:
+            fields[option.field] = option.check(text)
+        except ValueError as error:
+            findings.append(Finding(place, str(error)))
+    if findings:
+        raise FindingsError(findings)
+    return Settings(**fields)
+
+
+def _find_text(
+    option: Option, flags: Mapping[str, str | None], environment: Mapping[str, str]
+) -> tuple[str | None, str]:
+    text = flags[option.field]
+    if text is not None:
+        return text, option.flag
+    if option.variable in environment:
+        return environment[option.variable], option.variable
+    return option.default, f"{option.flag} or {option.variable}"
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_supervisor.py
@@ -0,0 +1,93 @@
+"""Tree of supervised tasks."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from types import TracebackType
+from typing import Self
+
+from absl import logging
+
+MIN_RESTART_DELAY_S = 0.1
+MAX_RESTART_DELAY_S = 5.0
+STEADY_RUN_S = 30.0
+
+
+class Supervisor:
+    """Runs tasks, restarts those that fail and ends them all on exit.
+
+    A supervisor may have child supervisors; leaving the context ends the children
+    first, in the reverse order of their start.
+
+    :param name: name for log lines.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._children: list[Supervisor] = []
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.stop()
+
+    def add_child(self, name: str) -> "Supervisor":
+        """Create a supervisor that ends before this one.
+
+        :param name: name of the child.
+        """
+        child = Supervisor(f"{self._name}/{name}")
+        self._children.append(child)
+        return child
+
+    def start(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        """Start a task that is run again whenever it fails.
+
+        :param name: name of the task, unique in this supervisor.
+        :param run: the task; returning ends it for good.
+        """
+        if name in self._tasks and not self._tasks[name].done():
+            raise ValueError(f"task {name} is running")
+        self._tasks[name] = asyncio.create_task(self._keep_running(name, run))
+
+    async def cancel(self, name: str) -> None:
+        """End one task.
+
+        :param name: name of the task; an unknown one is ignored.
+        """
+        task = self._tasks.pop(name, None)
+        if task is not None:
+            task.cancel()
+            with suppress(asyncio.CancelledError):
+                await task
+
+    async def stop(self) -> None:
+        """End all children, then all tasks."""
+        for child in reversed(self._children):
+            await child.stop()
+        for name in reversed(list(self._tasks)):
+            await self.cancel(name)
+
+    async def _keep_running(
+        self, name: str, run: Callable[[], Awaitable[None]]
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        delay_s = MIN_RESTART_DELAY_S
+        while True:
+            started_s = loop.time()
+            try:
+                await run()
+                return
+            except Exception:
+                logging.exception("%s/%s failed; starting it again", self._name, name)
+            if loop.time() - started_s > STEADY_RUN_S:
+                delay_s = MIN_RESTART_DELAY_S
+            await asyncio.sleep(delay_s)
+            delay_s = min(2 * delay_s, MAX_RESTART_DELAY_S)
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/__init__.py
@@ -0,0 +1,27 @@
+"""Clients of the systems outside: one module for each."""
+
+from cassiaspread_daemon.adapters._engine import EngineClient, EngineRefused
+from cassiaspread_daemon.adapters._log import (
+    AppendAmbiguous,
+    AppendNotSent,
+    LogClient,
+    LogPage,
+    LogRecord,
+    LogUnavailable,
+    Truncated,
+)
+from cassiaspread_daemon.adapters._vm_list import ListedVm, VmListClient
+
+__all__ = [
+    "AppendAmbiguous",
+    "AppendNotSent",
+    "EngineClient",
+    "EngineRefused",
+    "ListedVm",
+    "LogClient",
+    "LogPage",
+    "LogRecord",
+    "LogUnavailable",
+    "Truncated",
+    "VmListClient",
+]
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_log.py
@@ -0,0 +1,144 @@
+"""Client of the platform's append-only log service."""
+
+from urllib.parse import quote
+
+import msgspec
+from cassiaspread_core.base import CassiaspreadError, Offset
+
+from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken, fetch
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class LogUnavailable(CassiaspreadError):
+    """The log could not be read."""
+
+
+class AppendNotSent(CassiaspreadError):
+    """The append did not take effect and never will."""
+
+
+class AppendAmbiguous(CassiaspreadError):
+    """The append may have taken effect, or may still."""
+
+
+class Truncated(CassiaspreadError):
+    """Records were asked for that retention has removed.
+
+    :param earliest: offset of the earliest record that is kept.
+    """
+
+    def __init__(self, earliest: Offset) -> None:
+        super().__init__(f"records before offset {earliest} are gone")
+        self.earliest = earliest
+
+
+class LogRecord(msgspec.Struct, frozen=True):
+    """One record of a stream.
+
+    :param offset: position in the stream.
+    :param time_s: when it was appended, by the log's clock.
+    :param value: the record's bytes.
+    """
+
+    offset: Offset
+    time_s: float
+    value: bytes
+
+
+class LogPage(msgspec.Struct, frozen=True):
+    """Consecutive records of a stream.
+
+    :param earliest: offset of the earliest record that is kept.
+    :param end: one past the last offset of the stream.
+    :param records: the records read.
+    """
+
+    earliest: Offset
+    end: Offset
+    records: tuple[LogRecord, ...]
+
+
+class _Appended(msgspec.Struct):
+    offset: Offset
+
+
+class LogClient:
+    """Appends to streams and reads them.
+
+    :param address: ``host:port`` of the log service.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+
+    async def append(self, stream: str, value: bytes, timeout_s: float) -> Offset:
+        """Append one record.
+
+        :param stream: name of the stream.
+        :param value: the record's bytes.
+        :param timeout_s: longest wait in seconds.
+        :returns: the record's offset.
+        :raises AppendNotSent: the record is not in the stream.
+        :raises AppendAmbiguous: the record may be in the stream, now or later.
+        """
+        path = f"/streams/{quote(stream, safe='')}"
+        try:
+            response = await fetch(
+                self._address,
+                "POST",
+                path,
+                body=value,
+                connect_timeout_s=min(timeout_s, CONNECT_TIMEOUT_S),
+                timeout_s=timeout_s,
+            )
+        except ConnectFailed as error:
+            raise AppendNotSent(str(error)) from None
+        except ExchangeBroken as error:
+            raise AppendAmbiguous(str(error)) from None
+        if response.status == 503:
+            raise AppendNotSent("the log refused the append")
+        if response.status != 200:
+            raise AppendAmbiguous(f"the log answered {response.status}")
+        return msgspec.json.decode(response.body, type=_Appended).offset
+
+    async def read(
+        self,
+        stream: str,
+        start: Offset,
+        *,
+        n_records: int = 500,
+        wait_s: float = 0.0,
+        timeout_s: float = 2.0,
+    ) -> LogPage:
+        """Read records.
+
+        :param stream: name of the stream.
+        :param start: offset of the first record wanted.
+        :param n_records: most records returned.
+        :param wait_s: how long the log may wait for a record to come, in seconds.
+        :param timeout_s: longest wait beyond that, in seconds.
+        :raises Truncated: ``start`` lies before the earliest record kept.
+        :raises LogUnavailable: the log gave no page.
+        """
+        path = (
+            f"/streams/{quote(stream, safe='')}?start={start}"
+            f"&n_records={n_records}&wait_ms={int(wait_s * 1000)}"
+        )
+        try:
+            response = await fetch(
+                self._address,
+                "GET",
+                path,
+                connect_timeout_s=CONNECT_TIMEOUT_S,
+                timeout_s=wait_s + timeout_s,
+            )
+            if response.status == 410:
+                raise Truncated(
+                    msgspec.json.decode(response.body, type=LogPage).earliest
+                )
+            if response.status != 200:
+                raise LogUnavailable(f"the log answered {response.status}")
+            return msgspec.json.decode(response.body, type=LogPage)
+        except (ConnectFailed, ExchangeBroken, msgspec.MsgspecError) as error:
+            raise LogUnavailable(str(error)) from None
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_vm_list.py
@@ -0,0 +1,61 @@
+"""Client of the platform's list of live and leaving VMs."""
+
+import msgspec
+from cassiaspread_core.base import CassiaspreadError, DomainId, VmId, VmState
+
+from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken, fetch
+
+CONNECT_TIMEOUT_S = 1.0
+TIMEOUT_S = 2.0
+
+
+class VmListUnavailable(CassiaspreadError):
+    """The list could not be read."""
+
+
+class ListedVm(msgspec.Struct, frozen=True, kw_only=True):
+    """One VM as the platform lists it.
+
+    :param vm: identifier of the VM.
+    :param role: ``engine``, ``service`` or ``daemon``.
+    :param name: target identifier of an engine, service name of a service.
+    :param address: ``host:port`` of what runs on it.
+    :param domain: failure domain.
+    :param state: whether it is leaving.
+    """
+
+    vm: VmId
+    role: str
+    name: str
+    address: str
+    domain: DomainId
+    state: VmState
+
+
+class VmListClient:
+    """Reads the list.
+
+    :param address: ``host:port`` of the platform's list.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+
+    async def read(self) -> tuple[ListedVm, ...]:
+        """Read the whole list, which lags behind the truth.
+
+        :raises VmListUnavailable: the list could not be read.
+        """
+        try:
+            response = await fetch(
+                self._address,
+                "GET",
+                "/vms",
+                connect_timeout_s=CONNECT_TIMEOUT_S,
+                timeout_s=TIMEOUT_S,
+            )
+            if response.status != 200:
+                raise VmListUnavailable(f"the VM list answered {response.status}")
+            return msgspec.json.decode(response.body, type=tuple[ListedVm, ...])
+        except (ConnectFailed, ExchangeBroken, msgspec.MsgspecError) as error:
+            raise VmListUnavailable(str(error)) from None
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
@@ -0,0 +1,38 @@
+"""Routes of the HTTP server."""
+
+from tornado.web import Application
+
+from cassiaspread_daemon._node import Node
+from cassiaspread_daemon.handlers._base import UnknownPathHandler
+from cassiaspread_daemon.handlers._completions import (
+    ChatCompletionsHandler,
+    CompletionsHandler,
+)
+from cassiaspread_daemon.handlers._operations import (
+    EventsHandler,
+    HealthHandler,
+    MetricsHandler,
+    ReadyHandler,
+)
+from cassiaspread_daemon.handlers._services import ServiceHandler
+
+
+def build_application(node: Node) -> Application:
+    """Build the application that serves callers and operators.
+
+    :param node: the daemon that it belongs to.
+    """
+    arguments = {"node": node}
+    return Application(
+        [
+            (r"/v1/completions", CompletionsHandler, arguments),
+            (r"/v1/chat/completions", ChatCompletionsHandler, arguments),
+            (r"/v1/services/([^/]+)(/.*)?", ServiceHandler, arguments),
+            (r"/healthz", HealthHandler, arguments),
+            (r"/readyz", ReadyHandler, arguments),
+            (r"/metrics", MetricsHandler, arguments),
+            (r"/operators/events", EventsHandler, arguments),
+        ],
+        default_handler_class=UnknownPathHandler,
+        default_handler_args=arguments,
+    )
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_base.py
@@ -0,0 +1,232 @@
+"""What all handlers share: identity, limits, deadlines and refusals."""
+
+import time
+from typing import Any
+
+import msgspec
+from absl import logging
+from cassiaspread_core.base import OrganisationId, Outcome, Refusal
+from cassiaspread_core.policy import Limits
+from tornado.web import RequestHandler, stream_request_body
+
+from cassiaspread_daemon._node import Node
+
+MAX_HEADER_BYTES = 32_768
+MAX_KEY_LENGTH = 128
+MILLISECONDS_PER_SECOND = 1000
+PROBLEM_CONTENT_TYPE = "application/problem+json"
+PROBLEM_TYPE_PREFIX = "urn:cassiaspread:problem:"
+
+
+class Problem(msgspec.Struct, omit_defaults=True):
+    """Problem details of a refusal (RFC 9457)."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    outcome: Outcome
+    retry_after_s: float | None = None
+
+
+def to_problem(refusal: Refusal) -> Problem:
+    """Return the problem details of a refusal.
+
+    :param refusal: the refusal.
+    """
+    return Problem(
+        type=PROBLEM_TYPE_PREFIX + refusal.code,
+        title=refusal.code.replace("-", " ").capitalize(),
+        status=refusal.status,
+        detail=refusal.detail,
+        outcome=refusal.outcome,
+        retry_after_s=refusal.retry_after_s,
+    )
+
+
+class BaseHandler(RequestHandler):
+    """Answers every failure with problem details."""
+
+    def initialize(self, node: Node) -> None:
+        """Keep the daemon.
+
+        :param node: the daemon that this handler belongs to.
+        """
+        self.node = node
+
+    def write_refusal(self, refusal: Refusal) -> None:
+        """Answer with problem details.
+
+        :param refusal: why the request is not answered.
+        """
+        self.set_status(refusal.status)
+        self.set_header("Content-Type", PROBLEM_CONTENT_TYPE)
+        if refusal.retry_after_s is not None:
+            self.set_header("Retry-After", str(max(1, round(refusal.retry_after_s))))
+        self.finish(msgspec.json.encode(to_problem(refusal)))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer an exception that a handler raised.
+
+        :param status_code: the status that tornado proposes.
+        """
+        error = kwargs.get("exc_info", (None, None, None))[1]
+        if isinstance(error, Refusal):
+            self.write_refusal(error)
+        elif status_code == 405:
+            self.write_refusal(
+                Refusal(405, "method-not-allowed", "The path has no such method.")
+            )
+        else:
+            self.write_refusal(
+                Refusal(
+                    status_code,
+                    "internal-error" if status_code >= 500 else "bad-request",
+                    "The request could not be handled.",
+                    Outcome.UNKNOWN if status_code >= 500 else Outcome.NOT_RUN,
+                )
+            )
+
+    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
+        """Log only failures that are no refusals.
+
+        :param typ: class of the exception.
+        :param value: the exception.
+        :param tb: its traceback.
+        """
+        if not isinstance(value, Refusal):
+            logging.error("request failed", exc_info=(typ, value, tb))
+
+    def bearer_token(self) -> str:
+        """Return the bearer token of the request.
+
+        :raises Refusal: there is none.
+        """
+        scheme, _, token = self.request.headers.get("Authorization", "").partition(" ")
+        if scheme.lower() != "bearer" or not token.strip():
+            raise Refusal(401, "missing-token", "Send 'Authorization: Bearer <token>'.")
+        return token.strip()
+
+
+class UnknownPathHandler(BaseHandler):
+    """Refuses paths that do not exist."""
+
+    def prepare(self) -> None:
+        """Refuse."""
+        raise Refusal(404, "unknown-path", "There is nothing at this path.")
+
+
+class OperatorHandler(BaseHandler):
+    """Base of the handlers for operators, who have tokens of their own."""
+
+    def prepare(self) -> None:
+        """Check that an operator asks."""
+        if not self.node.policy.is_operator(self.bearer_token()):
+            raise Refusal(403, "not-an-operator", "The token is no operator's.")
+
+
+@stream_request_body
+class CallerHandler(BaseHandler):
+    """Base of the handlers for callers: knows who asks, until when, with what body."""
+
+    kind = "request"
+
+    def prepare(self) -> None:
+        """Check the headers before the body is read."""
+        self.body = bytearray()
+        self.received_s = time.monotonic()
+        self.node.begin_request()
+        self.is_counted = True
+        n_header_bytes = sum(
+            len(name) + len(value) for name, value in self.request.headers.get_all()
+        )
+        if n_header_bytes > MAX_HEADER_BYTES:
+            raise Refusal(
+                431,
+                "headers-too-large",
+                f"At most {MAX_HEADER_BYTES} bytes of headers.",
+            )
+        self.organisation = self._check_organisation()
+        self.limits = self.find_limits()
+        self._check_body_size(int(self.request.headers.get("Content-Length") or 0))
+        self.timeout_s = self._check_timeout()
+
+    def find_limits(self) -> Limits:
+        """Return the limits in force for this request."""
+        return self.node.policy.limits_for(self.organisation)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take in a part of the body.
+
+        :param chunk: the part.
+        """
+        self.body += chunk
+        self._check_body_size(len(self.body))
+
+    def on_finish(self) -> None:
+        """Count the answered request."""
+        self._end_request()
+        self.node.metrics.count_request(self.kind, self.get_status())
+
+    def on_connection_close(self) -> None:
+        """Note that the caller is gone."""
+        self._end_request()
+
+    @property
+    def deadline_s(self) -> float:
+        """End of the request's time, on the monotonic clock in seconds."""
+        return self.received_s + self.timeout_s
+
+    def idempotency_key(self) -> str | None:
+        """Return the caller's idempotency key, if any.
+
+        :raises Refusal: the key is malformed.
+        """
+        key = self.request.headers.get("Idempotency-Key")
+        if key is None:
+            return None
+        if not 0 < len(key) <= MAX_KEY_LENGTH or not key.isascii() or " " in key:
+            raise Refusal(
+                400,
+                "bad-idempotency-key",
+                f"Expected 1 to {MAX_KEY_LENGTH} ASCII characters without spaces.",
+            )
+        return key
+
+    def _end_request(self) -> None:
+        if getattr(self, "is_counted", False):
+            self.is_counted = False
+            self.node.end_request()
+
+    def _check_organisation(self) -> OrganisationId:
+        organisation = self.node.policy.organisation_of(self.bearer_token())
+        if organisation is not None:
+            return organisation
+        reasons = self.node.not_ready_reasons()
+        if reasons and not self.node.policy.organisations:
+            raise Refusal(503, "not-ready", "; ".join(reasons) + ".", retry_after_s=1.0)
+        raise Refusal(401, "unknown-token", "The token is no organisation's.")
+
+    def _check_body_size(self, n_bytes: int) -> None:
+        if n_bytes > self.limits.max_body_bytes:
+            raise Refusal(
+                413,
+                "body-too-large",
+                f"At most {self.limits.max_body_bytes} bytes of body.",
+            )
+
+    def _check_timeout(self) -> float:
+        text = self.request.headers.get("X-Request-Timeout")
+        if text is None:
+            return self.limits.request_timeout_ms / MILLISECONDS_PER_SECOND
+        try:
+            timeout_s = float(text)
+        except ValueError:
+            raise Refusal(
+                400, "bad-timeout", "X-Request-Timeout takes a number of seconds."
+            ) from None
+        if not timeout_s > 0:
+            raise Refusal(400, "deadline-passed", "The deadline lies in the past.")
+        return min(
+            timeout_s, self.limits.max_request_timeout_ms / MILLISECONDS_PER_SECOND
+        )
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,239 @@
+"""Starts daemons and stand-ins as real processes on free ports of this machine."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from contextlib import suppress
+from pathlib import Path
+
+import msgspec
+from cassiaspread_core.policy import EntryKind, EntryRecord, hash_token
+
+START_TIMEOUT_S = 20.0
+POLL_S = 0.02
+ROOT = Path(__file__).resolve().parent.parent
+
+
+class PortBlocks:
+    """Hands out ports that no other test run and no outgoing connection uses.
+
+    Blocks lie below the ephemeral range; a block belongs to the process that holds
+    its first port.
+    """
+
+    FIRST_PORT, LAST_PORT, BLOCK_SIZE = 10_000, 32_000, 100
+
+    def __init__(self) -> None:
+        self._claims: list[socket.socket] = []
+        self._free: list[int] = []
+
+    def take(self) -> int:
+        if not self._free:
+            self._claim_block()
+        return self._free.pop(0)
+
+    def _claim_block(self) -> None:
+        for first in range(self.FIRST_PORT, self.LAST_PORT, self.BLOCK_SIZE):
+            claim = socket.socket()
+            try:
+                claim.bind(("127.0.0.1", first))
+            except OSError:
+                claim.close()
+                continue
+            self._claims.append(claim)
+            self._free = list(range(first + 1, first + self.BLOCK_SIZE))
+            return
+        raise RuntimeError("no free block of ports")
+
+
+free_port = PortBlocks().take
+
+
+def wait_for(condition, timeout_s: float = START_TIMEOUT_S):
+    deadline_s = time.monotonic() + timeout_s
+    while True:
+        with suppress(OSError, ValueError):
+            if value := condition():
+                return value
+        if time.monotonic() > deadline_s:
+            raise TimeoutError(f"not within {timeout_s} s: {condition}")
+        time.sleep(POLL_S)
+
+
+def request(method, address, path, body=None, headers=None, timeout_s=30.0):
+    """Return the status, the headers and the body of any answer."""
+    data = json.dumps(body).encode() if isinstance(body, (dict, list)) else body
+    call = urllib.request.Request(
+        f"http://{address}{path}", data, headers or {}, method=method
+    )
+    try:
+        with urllib.request.urlopen(call, timeout=timeout_s) as answer:
+            return answer.status, answer.headers, answer.read()
+    except urllib.error.HTTPError as error:
+        with error:
+            return error.code, error.headers, error.read()
+
+
+class Process:
+    """One process of a fleet."""
+
+    def __init__(self, name: str, address: str, argv: list[str], log: Path) -> None:
+        self.name, self.address, self.argv, self._log = name, address, argv, log
+        self.start()
+
+    def start(self) -> None:
+        with self._log.open("ab") as log:
+            self.popen = subprocess.Popen(
+                self.argv, cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
+
+    def signal(self, number: int) -> None:
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End it as a crash would."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def stop(self, timeout_s: float = 10.0) -> int:
+        """End it gracefully and return its exit status."""
+        if self.popen.poll() is None:
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGTERM)
+            try:
+                self.popen.wait(timeout_s)
+            except subprocess.TimeoutExpired:
+                self.kill()
+        return self.popen.returncode
+
+    def control(self, **fields: object) -> None:
+        """Set a stand-in's faults."""
+        request("POST", self.address, "/control", fields)
+
+    def answers(self) -> bool:
+        path = "/control" if "standins" in str(self.argv) else "/healthz"
+        return request("GET", self.address, path, timeout_s=1.0)[0] > 0
+
+
+class Fleet:
+    """Owns the processes of one test; a context manager."""
+
+    def __init__(self, directory: Path) -> None:
+        self.directory = directory
+        self.processes: dict[str, Process] = {}
+        self._vms: list[dict] = []
+        self._n_records = 0
+        self.log = self.start_standin("log")
+        self.vm_list = self.start_standin("vm_list")
+        for process in (self.log, self.vm_list):
+            wait_for(process.answers)
+
+    def __enter__(self) -> "Fleet":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for process in reversed(self.processes.values()):
+            if process.popen.poll() is None:
+                process.popen.kill()
+        for process in self.processes.values():
+            process.popen.wait()
+
+    def history(self, name: str) -> list[dict]:
+        """Read the history that a stand-in wrote."""
+        path = self.directory / f"{name}.history"
+        return [json.loads(line) for line in path.read_text().splitlines()]
+
+    def start(self, name: str, address: str, argv: list[str]) -> Process:
+        process = Process(name, address, argv, self.directory / f"{name}.log")
+        self.processes[name] = process
+        return process
+
+    def start_standin(self, module: str, name: str | None = None, **flags) -> Process:
+        port = free_port()
+        name = name or module
+        argv = [sys.executable, "-m", f"tests.standins.{module}", f"--port={port}"]
+        argv.append(f"--name={name}")
+        argv.append(f"--history={self.directory / name}.history")
+        argv += [
+            f"--{flag.replace('_', '-')}={value}"
+            for flag, value in flags.items()
+            if value is not None
+        ]
+        return self.start(name, f"127.0.0.1:{port}", argv)
+
+    def start_engine(self, name: str, domain: str, begin: int, end: int, **flags):
+        flags = {"model": "draft", "link_port": free_port()} | flags
+        engine = self.start_standin(
+            "engine", name, domain=domain, begin=begin, end=end, **flags
+        )
+        self.list_vm(name, "engine", name, engine.address, domain)
+        return engine
+
+    def start_service(self, name: str, domain: str, service: str = "booking"):
+        process = self.start_standin("service", name)
+        self.list_vm(name, "service", service, process.address, domain)
+        return process
+
+    def list_vm(self, vm, role, name, address, domain, state="live") -> None:
+        """Add or replace a VM in the platform's list."""
+        self._vms = [entry for entry in self._vms if entry["vm"] != vm]
+        self._vms.append(
+            {
+                "vm": vm,
+                "role": role,
+                "name": name,
+                "address": address,
+                "domain": domain,
+                "state": state,
+            }
+        )
+        request("PUT", self.vm_list.address, "/vms", self._vms)
+
+    def start_daemon(self, name: str, domain: str, **flags: object) -> Process:
+        port, peer_port = free_port(), free_port()
+        flags = {
+            "vm": name,
+            "domain": domain,
+            "listen": f"127.0.0.1:{port}",
+            "peer_listen": f"127.0.0.1:{peer_port}",
+            "log": self.log.address,
+            "vm_list": self.vm_list.address,
+            "poll_interval_ms": 100,
+        } | flags
+        argv = [str(Path(sys.executable).parent / "cassiaspreadd")]
+        argv += [f"--{flag.replace('_', '-')}={value}" for flag, value in flags.items()]
+        return self.start(name, f"127.0.0.1:{port}", argv)
+
+    def publish(self, kind: EntryKind, name: str, value: dict) -> int:
+        """Publish a new entry of the configuration."""
+        record = EntryRecord(
+            kind=kind, name=name, replaces=None, value=value, author="test"
+        )
+        body = msgspec.json.encode(record)
+        answer = request("POST", self.log.address, "/streams/policy", body)[2]
+        return json.loads(answer)["offset"]
+
+    def publish_basics(self, n_layers: int = 8) -> None:
+        """Publish one model, one service, one organisation and one operator."""
+        self.publish(EntryKind.MODEL, "draft", {"n_layers": n_layers})
+        self.publish(EntryKind.SERVICE, "booking", {})
+        for organisation in ("osorno", "savinja"):
+            tokens = [hash_token(f"{organisation}-token")]
+            value = {"token_sha256": tokens}
+            self.publish(EntryKind.ORGANISATION, organisation, value)
+        tokens = [hash_token("operator-token")]
+        self.publish(EntryKind.OPERATOR, "ana", {"token_sha256": tokens})
+
+    def wait_ready(self, daemon: Process) -> None:
+        """Wait until a daemon is ready and knows the basics' model and engines."""
+        wait_for(lambda: request("GET", daemon.address, "/readyz")[0] == 200)
+
+
+def bearer(token: str, **headers: str) -> dict[str, str]:
+    """Return the headers of a caller or operator."""
+    return {"Authorization": f"Bearer {token}"} | headers
--- /dev/null
+++ b/tests/standins/_server.py
@@ -0,0 +1,51 @@
+"""Runs one stand-in: flags, server, shutdown."""
+
+import argparse
+import asyncio
+import json
+import signal
+from pathlib import Path
+
+from tornado.web import Application, RequestHandler
+
+
+class History:
+    """Appends one JSON object a line, kept when the process is killed."""
+
+    def __init__(self, path: str | None) -> None:
+        self._file = Path(path).open("a", buffering=1) if path else None  # noqa: SIM115
+
+    def write(self, **fields: object) -> None:
+        if self._file is not None:
+            self._file.write(json.dumps(fields) + "\n")
+
+
+class JsonHandler(RequestHandler):
+    def initialize(self, standin) -> None:
+        self.standin = standin
+
+    def body(self) -> dict:
+        return json.loads(self.request.body)
+
+    def reply(self, value: object, status: int = 200) -> None:
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(value))
+
+
+def parser() -> argparse.ArgumentParser:
+    result = argparse.ArgumentParser()
+    result.add_argument("--port", type=int, required=True)
+    result.add_argument("--name", required=True)
+    result.add_argument("--history")
+    return result
+
+
+async def serve(routes, standin, port: int) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    application = Application([(path, h, {"standin": standin}) for path, h in routes])
+    server = application.listen(port, "127.0.0.1")
+    await stop.wait()
+    server.stop()
--- /dev/null
+++ b/tests/standins/service.py
@@ -0,0 +1,61 @@
+"""A plain service without deduplication: each call that it receives is run.
+
+The history gets one line when a call is run. ``POST /control`` sets ``delay_s``
+(before the answer) and ``lose_answers`` (the call runs, the connection closes).
+"""
+
+import asyncio
+import time
+
+from tests.standins._server import History, JsonHandler, parser, serve
+
+
+class Service:
+    def __init__(self, name: str, history: History) -> None:
+        self.name = name
+        self.history = history
+        self.delay_s = 0.0
+        self.lose_answers = False
+        self.n_runs = 0
+
+
+class CallHandler(JsonHandler):
+    standin: Service
+
+    async def run(self, path: str) -> None:
+        service = self.standin
+        service.n_runs += 1
+        key = self.request.headers.get("Idempotency-Key")
+        service.history.write(
+            key=key,
+            method=self.request.method,
+            path=path,
+            body=self.request.body.decode(),
+            time_s=time.time(),
+        )
+        confirmation = f"{service.name}-{service.n_runs}"
+        await asyncio.sleep(service.delay_s)
+        if service.lose_answers:
+            self.request.connection.stream.close()
+            return
+        self.reply({"confirmation": confirmation, "path": path, "key": key})
+
+    get = post = put = patch = delete = run
+
+
+class ControlHandler(JsonHandler):
+    def post(self) -> None:
+        for name, value in self.body().items():
+            setattr(self.standin, name, value)
+        self.reply({})
+
+
+def main() -> None:
+    arguments = parser().parse_args()
+    service = Service(arguments.name, History(arguments.history))
+    routes = [(r"/control", ControlHandler), (r"(/.*)", CallHandler)]
+    asyncio.run(serve(routes, service, arguments.port))
+
+
+if __name__ == "__main__":
+    main()
