Messages between daemons and a fault-injecting proxy for tests

Ruled out the test's client: the reset comes from the server's close. Change: refusals found in the headers wait for the end of a body of at most 16 MiB; larger ones are answered at once. Conclusion: header checks collect a refusal, one place answers it.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -17,6 +17,7 @@
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.adapters import EngineClient, LogClient, VmListClient
 from cassiaspread_daemon.fleet import PolicyFollower, TargetRegistry
+from cassiaspread_daemon.mesh import Mesh, Sender
 
 IDLE_POLL_S = 0.05
 MILLISECONDS_PER_SECOND = 1000
@@ -52,10 +53,22 @@
             settings.poll_interval_ms / MILLISECONDS_PER_SECOND,
         )
         self.supervisor = Supervisor("node")
+        self.mesh = Mesh(
+            Sender(
+                settings.vm,
+                settings.domain,
+                self.incarnation,
+                str(settings.peer_listen),
+            ),
+            self.events,
+            self.supervisor.add_child("mesh"),
+            self._daemon_addresses,
+        )
         self._is_leaving = False
         self._n_requests = 0
 
     async def __aenter__(self) -> Self:
+        await self.mesh.__aenter__()
         self.supervisor.start("policy", self.policy_follower.run)
         self.supervisor.start("targets", self.targets.run)
         self.events.record("node.started", incarnation=self.incarnation)
@@ -68,6 +81,7 @@
         traceback: TracebackType | None,
     ) -> None:
         await self.supervisor.stop()
+        await self.mesh.__aexit__(exc_type, exc, traceback)
 
     @property
     def policy(self) -> Policy:
@@ -90,6 +104,10 @@
             reasons.append("the configuration was not read yet")
         return reasons
 
+    def _daemon_addresses(self) -> set[str]:
+        seeds = {str(seed) for seed in self.settings.seeds}
+        return seeds | self.targets.daemon_addresses()
+
     def leave(self) -> None:
         """Stop being ready; requests are still taken while the balancer lags."""
         self._is_leaving = True
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_targets.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_targets.py
@@ -55,6 +55,10 @@
             if vm.role == "service" and vm.name == service and vm.state is VmState.LIVE
         ]
 
+    def daemon_addresses(self) -> set[str]:
+        """Return where the listed daemons take messages."""
+        return {vm.address for vm in self._listed if vm.role == "daemon"}
+
     def n_in_flight(self, target: TargetId) -> int:
         """Count the requests that this daemon has on a target.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_base.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_base.py
@@ -13,6 +13,7 @@
 
 MAX_HEADER_BYTES = 32_768
 MAX_KEY_LENGTH = 128
+MAX_DISCARDED_BYTES = 16_777_216
 MILLISECONDS_PER_SECOND = 1000
 PROBLEM_CONTENT_TYPE = "application/problem+json"
 PROBLEM_TYPE_PREFIX = "urn:cassiaspread:problem:"
@@ -132,24 +133,40 @@
     kind = "request"
 
     def prepare(self) -> None:
-        """Check the headers before the body is read."""
+        """Check the headers; a refusal waits for the end of a small body.
+
+        A server that answers and closes before it has read the body resets the
+        connection, and the caller may lose the answer.
+        """
         self.body = bytearray()
+        self.refusal: Refusal | None = None
         self.received_s = time.monotonic()
         self.node.begin_request()
         self.is_counted = True
-        n_header_bytes = sum(
-            len(name) + len(value) for name, value in self.request.headers.get_all()
-        )
-        if n_header_bytes > MAX_HEADER_BYTES:
-            raise Refusal(
-                431,
-                "headers-too-large",
-                f"At most {MAX_HEADER_BYTES} bytes of headers.",
-            )
-        self.organisation = self._check_organisation()
-        self.limits = self.find_limits()
-        self._check_body_size(int(self.request.headers.get("Content-Length") or 0))
-        self.timeout_s = self._check_timeout()
+        try:
+            self._check_headers()
+        except Refusal as refusal:
+            n_bytes = int(self.request.headers.get("Content-Length") or 0)
+            if n_bytes > MAX_DISCARDED_BYTES:
+                raise
+            self.refusal = refusal
+
+    async def handle(self, *arguments: str | None) -> None:
+        """Answer the request, whatever its method.
+
+        :param arguments: parts of the path.
+        :raises Refusal: the request is refused.
+        """
+        if self.refusal is not None:
+            raise self.refusal
+        await self.answer(*arguments)
+
+    async def answer(self, *arguments: Any) -> None:
+        """Answer a request that passed the checks of its headers and body size.
+
+        :param arguments: parts of the path.
+        """
+        raise NotImplementedError
 
     def find_limits(self) -> Limits:
         """Return the limits in force for this request."""
@@ -160,8 +177,13 @@
 
         :param chunk: the part.
         """
+        if self.refusal is not None:
+            return
         self.body += chunk
-        self._check_body_size(len(self.body))
+        try:
+            self._check_body_size(len(self.body))
+        except Refusal as refusal:
+            self.refusal = refusal
 
     def on_finish(self) -> None:
         """Count the answered request."""
@@ -198,6 +220,21 @@
             self.is_counted = False
             self.node.end_request()
 
+    def _check_headers(self) -> None:
+        n_bytes = sum(
+            len(name) + len(value) for name, value in self.request.headers.get_all()
+        )
+        if n_bytes > MAX_HEADER_BYTES:
+            raise Refusal(
+                431,
+                "headers-too-large",
+                f"At most {MAX_HEADER_BYTES} bytes of headers.",
+            )
+        self.organisation = self._check_organisation()
+        self.limits = self.find_limits()
+        self._check_body_size(int(self.request.headers.get("Content-Length") or 0))
+        self.timeout_s = self._check_timeout()
+
     def _check_organisation(self) -> OrganisationId:
         organisation = self.node.policy.organisation_of(self.bearer_token())
         if organisation is not None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
@@ -49,6 +49,10 @@
     body_type: type[CompletionBody] | type[ChatBody]
 
     async def post(self) -> None:
+        """Answer whole or as a stream of events."""
+        await self.handle()
+
+    async def answer(self) -> None:
         """Answer whole or as a stream of events."""
         body = self._check_body()
         generation = Generation(
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_services.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_services.py
@@ -26,7 +26,7 @@
         "OPTIONS",
     )
 
-    async def get(self, service: str, path: str | None) -> None:
+    async def answer(self, service: str, path: str | None) -> None:
         """Forward the call.
 
         :param service: name of the service.
@@ -46,7 +46,7 @@
             )
         await self._forward(ServiceId(service), path or "/", key)
 
-    head = post = put = patch = delete = options = get
+    get = head = post = put = patch = delete = options = CallerHandler.handle
 
     async def _forward(self, service: ServiceId, path: str, key: str | None) -> None:
         targets = self.node.targets.services(service)
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_message.py
@@ -0,0 +1,40 @@
+"""Envelope of every message between daemons."""
+
+import msgspec
+from cassiaspread_core.base import DomainId, Incarnation, VmId
+
+
+class Sender(msgspec.Struct, frozen=True):
+    """Who sent a message.
+
+    :param vm: VM of the sender.
+    :param domain: its failure domain.
+    :param incarnation: this start of its daemon.
+    :param address: ``host:port`` where it takes messages.
+    """
+
+    vm: VmId
+    domain: DomainId
+    incarnation: Incarnation
+    address: str
+
+
+class Envelope(msgspec.Struct, frozen=True):
+    """One message.
+
+    :param sender: who sent it.
+    :param stamp: the sender's hybrid logical clock.
+    :param kind: which handler it is for.
+    :param body: the encoded body.
+    :param error: set on a reply only: why there is no body.
+    """
+
+    sender: Sender
+    stamp: str
+    kind: str
+    body: msgspec.Raw = msgspec.Raw(b"\xc0")
+    error: str | None = None
+
+
+class Empty(msgspec.Struct, frozen=True):
+    """Body without content."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -120,6 +120,21 @@
         return request("GET", self.address, path, timeout_s=1.0)[0] > 0
 
 
+class Route:
+    """One route of the fault-injecting proxy, see its modes there."""
+
+    def __init__(self, control: str, name: str, upstream: str) -> None:
+        self._control, self._path = control, f"/routes/{name}"
+        port = free_port()
+        self.address = f"127.0.0.1:{port}"
+        body = {"listen": port, "upstream": upstream}
+        request("POST", self._control, self._path, body)
+
+    def set(self, mode: str, delay_s: float = 0.0) -> None:
+        body = {"mode": mode, "delay_s": delay_s}
+        request("POST", self._control, self._path, body)
+
+
 class Fleet:
     """Owns the processes of one test; a context manager."""
 
@@ -166,6 +181,12 @@
         ]
         return self.start(name, f"127.0.0.1:{port}", argv)
 
+    def start_proxy(self, name: str, upstream: str) -> "Route":
+        """Put a fault-injecting proxy before an address."""
+        if "fault_proxy" not in self.processes:
+            wait_for(self.start_standin("fault_proxy").answers)
+        return Route(self.processes["fault_proxy"].address, name, upstream)
+
     def start_engine(self, name: str, domain: str, begin: int, end: int, **flags):
         flags = {"model": "draft", "link_port": free_port()} | flags
         engine = self.start_standin(
@@ -207,6 +228,7 @@
         } | flags
         argv = [str(Path(sys.executable).parent / "cassiaspreadd")]
         argv += [f"--{flag.replace('_', '-')}={value}" for flag, value in flags.items()]
+        self.list_vm(name, "daemon", name, str(flags["peer_listen"]), domain)
         return self.start(name, f"127.0.0.1:{port}", argv)
 
     def publish(self, kind: EntryKind, name: str, value: dict) -> int:
