--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 PACKAGES := packages/cassiaspread-core packages/cassiaspread-daemon packages/cassiaspread-cli
 
-.PHONY: setup demo test lint format clean
+.PHONY: setup demo test lint format docs clean
 
 setup: $(VENV)/.installed
 
@@ -27,5 +27,8 @@
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
+docs: setup
+	$(PY) -m cassiaspread_daemon.settings_reference > docs/operators/settings.md
+
 clean:
 	rm -rf $(VENV)
