--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 PACKAGES := packages/cassiaspread-core packages/cassiaspread-daemon packages/cassiaspread-cli
 
-.PHONY: setup demo test lint format docs clean
+.PHONY: setup demo serve test lint format docs clean
 
 setup: $(VENV)/.installed
 
@@ -16,6 +16,9 @@
 demo: setup
 	$(PY) -m examples.demo
 
+serve: setup
+	$(PY) -m examples.demo --serve
+
 test: setup
 	$(PY) -m pytest
 
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -1,9 +1,18 @@
-"""Three daemons in three failure domains before stand-ins: ``make demo``."""
+"""Three daemons in three failure domains before stand-ins: ``make demo``.
 
+With ``--serve`` the fleet stays up until it is interrupted, for trying out requests
+by hand.
+"""
+
+import argparse
 import json
+import signal
 import tempfile
+from contextlib import suppress
 from pathlib import Path
 
+import uuid6
+
 from tests.fleet import Fleet, Process, bearer, request, wait_for
 
 DOMAINS = ("osorno-norte", "cautin", "llanquihue")
@@ -60,11 +69,35 @@
         print(f"  booking: {answer[0]} {answer[2].decode()}")
 
 
+def show_commands(daemon: Process) -> None:
+    """Print requests to try by hand.
+
+    :param daemon: where they go.
+    """
+    curl = 'curl -s -H "Authorization: Bearer osorno-token"'
+    url = f"http://{daemon.address}"
+    body = {"model": "draft", "prompt": "Draft a cut sheet.", "max_tokens": 4}
+    for arguments in (body, body | {"stream": True}):
+        print(f"{curl} -N {url}/v1/completions -d '{json.dumps(arguments)}'")
+    print(
+        f"{curl} -H 'Idempotency-Key: {uuid6.uuid7()}' "
+        f"{url}/v1/services/booking/slots -d '{json.dumps({'slot': 7})}'"
+    )
+
+
 def main() -> None:
     """Start the fleet, show what it does and end it."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--serve", action="store_true", help="stay up until SIGINT")
+    arguments = parser.parse_args()
     with tempfile.TemporaryDirectory() as directory, Fleet(Path(directory)) as fleet:
         daemons = start_fleet(fleet)
-        show_requests(daemons)
+        if arguments.serve:
+            show_commands(daemons[0])
+            with suppress(KeyboardInterrupt):
+                signal.pause()
+        else:
+            show_requests(daemons)
         print("\nstopping the daemons")
         for daemon in daemons:
             print(f"  {daemon.name}: exit status {daemon.stop()}")
