--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -10,9 +10,11 @@
 import urllib.request
 from contextlib import suppress
 from pathlib import Path
+from typing import ClassVar
 
 import msgspec
 from cassiaspread_core.policy import EntryKind, EntryRecord, hash_token
+from cassiaspread_core.timeline import Event, merge_events
 
 START_TIMEOUT_S = 20.0
 POLL_S = 0.02
@@ -138,7 +140,10 @@
 class Fleet:
     """Owns the processes of one test; a context manager."""
 
+    running: ClassVar[list["Fleet"]] = []
+
     def __init__(self, directory: Path) -> None:
+        self.running.append(self)
         self.directory = directory
         self.processes: dict[str, Process] = {}
         self._vms: list[dict] = []
@@ -152,12 +157,36 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
+        self.running.remove(self)
         for process in reversed(self.processes.values()):
             if process.popen.poll() is None:
                 process.popen.kill()
         for process in self.processes.values():
             process.popen.wait()
 
+    def events(self, request_id: str = "") -> list[Event]:
+        """Read the time line of all daemons that answer."""
+        path = f"/operators/events?request={request_id}" if request_id else ""
+        events: list[Event] = []
+        for process in self.processes.values():
+            with suppress(OSError, msgspec.MsgspecError):
+                answer = request(
+                    "GET",
+                    process.address,
+                    path or "/operators/events",
+                    headers=bearer("operator-token"),
+                    timeout_s=1.0,
+                )
+                events += msgspec.json.decode(answer[2], type=list[Event])
+        return merge_events(events)
+
+    def render_timeline(self, n_events: int = 80) -> str:
+        """Return the latest events of all daemons as text."""
+        return "\n".join(
+            f"{e.timestamp} {e.process} {e.kind} {e.request} {e.fields}"
+            for e in self.events()[-n_events:]
+        )
+
     def history(self, name: str) -> list[dict]:
         """Read the history that a stand-in wrote."""
         path = self.directory / f"{name}.history"
