Fold of the policy stream: verdicts, rules versions, exceptions, checkpoints, files

Change: core/policy folds pages into a state covered up to an offset, judges values by rules versions, splits and assembles checkpoints, checks TOML files.

--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/__init__.py
@@ -1,29 +1,69 @@
 """Configuration that operators publish: its entries and what is in force."""
 
+from cassiaspread_core.policy._change import Change, plan_changes, to_record
+from cassiaspread_core.policy._checkpoint import (
+    CheckpointAssembler,
+    CheckpointSchedule,
+    Snapshot,
+    split_snapshot,
+)
+from cassiaspread_core.policy._file import read_policy_file
 from cassiaspread_core.policy._model import (
     Limits,
+    LimitsException,
     Model,
     Operator,
     Organisation,
-    Policy,
     Service,
     TargetPolicy,
     hash_token,
 )
-from cassiaspread_core.policy._record import EntryKind, EntryRecord
-from cassiaspread_core.policy._state import EntryKey, PolicyState
+from cassiaspread_core.policy._policy import Policy
+from cassiaspread_core.policy._record import (
+    BadRecord,
+    CheckpointPart,
+    Entry,
+    EntryKind,
+    EntryRecord,
+    RulesRecord,
+    decode_record,
+)
+from cassiaspread_core.policy._rules import LATEST_RULES, InvalidEntry, check_entry
+from cassiaspread_core.policy._state import EntryKey, Folded, PolicyState, Verdict
+from cassiaspread_core.policy._status import PolicyStatus, RejectedRecord
 
 __all__ = [
+    "LATEST_RULES",
+    "BadRecord",
+    "Change",
+    "CheckpointAssembler",
+    "CheckpointPart",
+    "CheckpointSchedule",
+    "Entry",
     "EntryKey",
     "EntryKind",
     "EntryRecord",
+    "Folded",
+    "InvalidEntry",
     "Limits",
+    "LimitsException",
     "Model",
     "Operator",
     "Organisation",
     "Policy",
     "PolicyState",
+    "PolicyStatus",
+    "RejectedRecord",
+    "RulesRecord",
     "Service",
+    "Snapshot",
     "TargetPolicy",
+    "Verdict",
+    "check_entry",
+    "decode_record",
     "hash_token",
+    "plan_changes",
+    "read_policy_file",
+    "split_snapshot",
+    "to_record",
 ]
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
@@ -1,10 +1,18 @@
-"""Typed configuration."""
+"""Entries of the configuration."""
 
 import hashlib
+from typing import Annotated
 
 import msgspec
 
-from cassiaspread_core.base import ModelId, OrganisationId, ServiceId, TargetId
+from cassiaspread_core.base import ModelId, OrganisationId, ServiceId
+
+Positive = Annotated[int, msgspec.Meta(ge=1)]
+Ratio = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Weight = Annotated[float, msgspec.Meta(gt=0)]
+TokenHash = Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
+Method = Annotated[str, msgspec.Meta(pattern="^[A-Z]+$")]
+Text = Annotated[str, msgspec.Meta(pattern=r"\S", max_length=2000)]
 
 
 def hash_token(token: str) -> str:
@@ -33,16 +41,16 @@
     :param priority: engine priority, higher goes first.
     """
 
-    request_timeout_ms: int = 30_000
-    max_request_timeout_ms: int = 600_000
-    max_tokens: int = 4096
-    max_body_bytes: int = 1_048_576
-    engine_silence_ms: int = 1_000
-    connect_timeout_ms: int = 1_000
-    n_attempts: int = 3
-    retry_ratio: float = 0.1
-    claim_timeout_ms: int = 2_000
-    dedupe_window_s: int = 86_400
+    request_timeout_ms: Positive = 30_000
+    max_request_timeout_ms: Positive = 600_000
+    max_tokens: Positive = 4096
+    max_body_bytes: Positive = 1_048_576
+    engine_silence_ms: Positive = 1_000
+    connect_timeout_ms: Positive = 1_000
+    n_attempts: Positive = 3
+    retry_ratio: Ratio = 0.1
+    claim_timeout_ms: Positive = 2_000
+    dedupe_window_s: Positive = 86_400
     priority: int = 0
 
 
@@ -55,8 +63,8 @@
     :param weight: its share of capacity relative to other organisations.
     """
 
-    token_sha256: tuple[str, ...]
-    weight: float = 1.0
+    token_sha256: tuple[TokenHash, ...]
+    weight: Weight = 1.0
 
 
 class Operator(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -65,7 +73,7 @@
     :param token_sha256: hashes of the bearer tokens for the operators' interface.
     """
 
-    token_sha256: tuple[str, ...]
+    token_sha256: tuple[TokenHash, ...]
 
 
 class Model(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -74,7 +82,7 @@
     :param n_layers: layers that a plan has to cover.
     """
 
-    n_layers: int
+    n_layers: Positive
 
 
 class Service(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -84,7 +92,7 @@
         method runs at most once and needs an idempotency key.
     """
 
-    idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
+    idempotent_methods: tuple[Method, ...] = ("GET", "HEAD", "OPTIONS")
 
 
 class TargetPolicy(
@@ -98,53 +106,51 @@
     checks_fencing: bool = False
 
 
-class Policy(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """The configuration in force.
-
-    :param limits: the fleet-wide default.
-    :param organisations: organisations of callers.
-    :param operators: operators of the fleet.
-    :param models: models that may be asked for.
-    :param services: plain services that may be asked for.
-    :param targets: what operators say of single targets.
+class LimitsException(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """One exception from the fleet-wide limits, for the requests that it selects.
+
+    :param reason: why it exists; stays attached to it.
+    :param author: who answers for it.
+    :param limits: fields of :class:`Limits` that differ.
+    :param organisation: only requests of this organisation.
+    :param model: only requests for this model.
+    :param service: only requests for this service.
+    :param expires_s: end of its force in seconds since the epoch, ``None`` for none.
     """
 
-    limits: Limits = Limits()
-    organisations: dict[OrganisationId, Organisation] = {}
-    operators: dict[str, Operator] = {}
-    models: dict[ModelId, Model] = {}
-    services: dict[ServiceId, Service] = {}
-    targets: dict[TargetId, TargetPolicy] = {}
-
-    def limits_for(
+    reason: Text
+    author: Text
+    limits: Annotated[dict[str, int | float], msgspec.Meta(min_length=1)]
+    organisation: OrganisationId | None = None
+    model: ModelId | None = None
+    service: ServiceId | None = None
+    expires_s: float | None = None
+
+    @property
+    def n_selectors(self) -> int:
+        """How many properties of a request it names."""
+        selectors = (self.organisation, self.model, self.service)
+        return sum(selector is not None for selector in selectors)
+
+    def selects(
         self,
         organisation: OrganisationId,
-        model: ModelId | None = None,
-        service: ServiceId | None = None,
-    ) -> Limits:
-        """Return the limits in force for a request.
+        model: ModelId | None,
+        service: ServiceId | None,
+        now_s: float,
+    ) -> bool:
+        """Tell whether it holds for a request.
 
         :param organisation: who asks.
         :param model: model asked for, if any.
         :param service: service asked for, if any.
+        :param now_s: present time in seconds since the epoch.
         """
-        return self.limits
-
-    def organisation_of(self, token: str) -> OrganisationId | None:
-        """Find whose bearer token this is.
-
-        :param token: the secret as the caller sent it.
-        """
-        digest = hash_token(token)
-        for organisation_id, organisation in self.organisations.items():
-            if digest in organisation.token_sha256:
-                return organisation_id
-        return None
-
-    def is_operator(self, token: str) -> bool:
-        """Tell whether a bearer token belongs to an operator.
-
-        :param token: the secret as it was sent.
-        """
-        digest = hash_token(token)
-        return any(digest in o.token_sha256 for o in self.operators.values())
+        return (
+            self.organisation in (None, organisation)
+            and self.model in (None, model)
+            and self.service in (None, service)
+            and (self.expires_s is None or now_s < self.expires_s)
+        )
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_state.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_state.py
@@ -1,35 +1,39 @@
 """Folds the records of the policy stream into the configuration in force."""
 
+from collections.abc import Iterable
+from enum import Enum
 from typing import NamedTuple
 
 import msgspec
+import xxhash
 
 from cassiaspread_core.base import Offset
-from cassiaspread_core.policy._model import (
-    Limits,
-    Model,
-    Operator,
-    Organisation,
-    Policy,
-    Service,
-    TargetPolicy,
+from cassiaspread_core.policy._checkpoint import Snapshot
+from cassiaspread_core.policy._policy import Policy
+from cassiaspread_core.policy._record import (
+    BadRecord,
+    CheckpointPart,
+    Entry,
+    EntryKind,
+    EntryRecord,
+    Record,
+    RulesRecord,
+    decode_record,
 )
-from cassiaspread_core.policy._record import EntryKind, EntryRecord
-
-_ENTRY_TYPES = {
-    EntryKind.LIMITS: Limits,
-    EntryKind.ORGANISATION: Organisation,
-    EntryKind.OPERATOR: Operator,
-    EntryKind.MODEL: Model,
-    EntryKind.SERVICE: Service,
-    EntryKind.TARGET: TargetPolicy,
-}
+from cassiaspread_core.policy._rules import (
+    LATEST_RULES,
+    EntryValue,
+    InvalidEntry,
+    check_entry,
+)
+
 _POLICY_FIELDS = {
     EntryKind.ORGANISATION: "organisations",
     EntryKind.OPERATOR: "operators",
     EntryKind.MODEL: "models",
     EntryKind.SERVICE: "services",
     EntryKind.TARGET: "targets",
+    EntryKind.EXCEPTION: "exceptions",
 }
 
 
@@ -39,18 +43,63 @@
     kind: EntryKind
     name: str
 
+    def __str__(self) -> str:
+        return f"{self.kind.value} {self.name}".strip()
+
+
+class Verdict(Enum):
+    """What the fold made of a record."""
+
+    ACCEPTED = "accepted"
+    REJECTED = "rejected"
+    SKIPPED = "skipped"
+    CHECKPOINT = "checkpoint"
+    HALTED = "halted"
+
+
+class Folded(NamedTuple):
+    """One record and its verdict.
+
+    :param offset: position of the record.
+    :param verdict: what the fold made of it.
+    :param reason: why it was not accepted.
+    :param record: the decoded record, ``None`` for bytes that are none.
+    """
+
+    offset: Offset
+    verdict: Verdict
+    reason: str = ""
+    record: Record | None = None
+
 
 class PolicyState:
-    """The accepted entries, each with the offset of its record."""
+    """The accepted entries, each with the offset of its record.
+
+    The state is a function of the records before :attr:`next_offset` alone. It is
+    taken over from elsewhere only as a whole and only forwards.
+
+    :param latest_rules: latest version of the rules that this reader knows.
+    """
 
-    def __init__(self) -> None:
-        self._entries: dict[EntryKey, tuple[Offset, EntryRecord]] = {}
+    def __init__(self, latest_rules: int = LATEST_RULES) -> None:
+        self._latest_rules = latest_rules
         self._next = Offset(0)
+        self._halt: str | None = None
+        self._reset(1)
+
+    def _reset(self, rules: int) -> None:
+        self._rules = rules
+        self._entries: dict[EntryKey, Entry] = {}
+        self._values: dict[EntryKind, dict[str, EntryValue]] = {
+            k: {} for k in EntryKind
+        }
+        self._owners: dict[str, EntryKey] = {}
+        self._digest = 0
         self._policy = Policy()
 
     @property
     def next_offset(self) -> Offset:
-        """Offset of the first record not yet read."""
+        """Offset up to which, exclusively, the state is complete."""
         return self._next
 
     @property
@@ -58,38 +107,205 @@
         """The configuration in force."""
         return self._policy
 
-    def apply(self, offset: Offset, value: bytes) -> bool:
-        """Take in the next record of the stream.
+    @property
+    def rules(self) -> int:
+        """Version of the rules in force."""
+        return self._rules
+
+    @property
+    def halt(self) -> str | None:
+        """Why no further record can be read, ``None`` while they can."""
+        return self._halt
+
+    @property
+    def entries(self) -> dict[EntryKey, Entry]:
+        """The accepted entries, removed ones too."""
+        return self._entries
+
+    @property
+    def digest(self) -> str:
+        """Equal for two readers of one stream that accepted the same records."""
+        return f"{self._digest:016x}"
+
+    @property
+    def last_accepted(self) -> Offset | None:
+        """Offset of the latest accepted entry, if any."""
+        return max((entry.offset for entry in self._entries.values()), default=None)
+
+    def snapshot(self) -> Snapshot:
+        """Return the whole state, for a checkpoint or a peer."""
+        entries = tuple(self._entries.values())
+        return Snapshot(covered=self._next, rules=self._rules, entries=entries)
+
+    def fold(
+        self, start: Offset, records: Iterable[tuple[Offset, bytes]]
+    ) -> list[Folded]:
+        """Take in consecutive records of the stream; known ones are left out.
 
-        :param offset: position of the record.
-        :param value: the record as it lies in the log.
-        :returns: whether the record was accepted.
+        :param start: offset at which the records begin.
+        :param records: offset and bytes of each record, in order.
+        :returns: the records that were new, with their verdicts.
+        :raises ValueError: records between the state and ``start`` are missing.
         """
-        if offset < self._next:
+        if start > self._next:
+            raise ValueError(f"records {self._next} to {start - 1} are missing")
+        folded: list[Folded] = []
+        changed: set[EntryKind] = set()
+        for offset, value in records:
+            if offset < self._next or self._halt is not None:
+                continue
+            result = self._apply(offset, value)
+            folded.append(result)
+            if result.verdict is Verdict.HALTED:
+                break
+            self._next = Offset(offset + 1)
+            if result.verdict is Verdict.ACCEPTED and isinstance(
+                result.record, EntryRecord
+            ):
+                changed.add(result.record.kind)
+        self._rebuild(changed)
+        return folded
+
+    def take_over(self, snapshot: Snapshot) -> bool:
+        """Replace the state by one that covers more of the same stream.
+
+        :param snapshot: a checkpoint's or a peer's state.
+        :returns: whether it was taken over.
+        :raises InvalidEntry: an entry of the snapshot breaks the rules.
+        """
+        if snapshot.covered <= self._next or self._halt is not None:
             return False
-        self._next = Offset(offset + 1)
-        try:
-            record = msgspec.json.decode(value, type=EntryRecord)
-            if record.value is not None:
-                msgspec.convert(record.value, _ENTRY_TYPES[record.kind])
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        if snapshot.rules > self._latest_rules:
+            self._halt = self._describe_halt(snapshot.covered, snapshot.rules)
             return False
+        checked = [
+            (entry, _check_in_snapshot(entry, snapshot)) for entry in snapshot.entries
+        ]
+        self._reset(snapshot.rules)
+        for entry, value in checked:
+            self._set(EntryKey(entry.kind, entry.name), entry, value)
+        self._next = snapshot.covered
+        self._rebuild(set(EntryKind))
+        return True
+
+    def _apply(self, offset: Offset, value: bytes) -> Folded:
+        try:
+            record = decode_record(value)
+        except BadRecord as error:
+            return Folded(offset, Verdict.SKIPPED, str(error))
+        if isinstance(record, CheckpointPart):
+            if record.covered > offset:
+                reason = "the checkpoint covers records after its own"
+                return Folded(offset, Verdict.REJECTED, reason, record)
+            return Folded(offset, Verdict.CHECKPOINT, record=record)
+        if isinstance(record, RulesRecord):
+            return self._apply_rules(offset, record)
+        return self._apply_entry(offset, record)
+
+    def _apply_rules(self, offset: Offset, record: RulesRecord) -> Folded:
+        if record.version != self._rules + 1:
+            reason = f"version {self._rules} of the rules is in force"
+            return Folded(offset, Verdict.REJECTED, reason, record)
+        if record.version > self._latest_rules:
+            self._halt = self._describe_halt(offset, record.version)
+            return Folded(offset, Verdict.HALTED, self._halt, record)
+        self._rules = record.version
+        return Folded(offset, Verdict.ACCEPTED, record=record)
+
+    def _describe_halt(self, offset: Offset, version: int) -> str:
+        return (
+            f"from offset {offset} on, the configuration needs version {version} of "
+            f"the rules, this release knows {self._latest_rules}"
+        )
+
+    def _apply_entry(self, offset: Offset, record: EntryRecord) -> Folded:
         key = EntryKey(record.kind, record.name)
         present = self._entries.get(key)
-        if record.replaces != (present[0] if present else None):
-            return False
-        self._entries[key] = (offset, record)
-        self._policy = self._build()
-        return True
+        reason = self._find_conflict(key, record, present)
+        if reason is None and record.value is None and present is not None:
+            value = present.value
+        else:
+            value = record.value or {}
+        try:
+            checked = check_entry(record.kind, record.name, value, self._rules)
+        except InvalidEntry as error:
+            reason = reason or str(error)
+        if reason is not None:
+            return Folded(offset, Verdict.REJECTED, reason, record)
+        entry = Entry(
+            kind=record.kind,
+            name=record.name,
+            offset=offset,
+            value=value,
+            author=record.author,
+            change=record.change,
+            is_removed=record.value is None,
+        )
+        self._set(key, entry, checked)
+        return Folded(offset, Verdict.ACCEPTED, record=record)
 
-    def _build(self) -> Policy:
-        fields: dict = {field: {} for field in _POLICY_FIELDS.values()}
-        for key, (_, record) in self._entries.items():
-            if record.value is None:
-                continue
-            entry = msgspec.convert(record.value, _ENTRY_TYPES[key.kind])
-            if key.kind is EntryKind.LIMITS:
-                fields["limits"] = entry
-            else:
-                fields[_POLICY_FIELDS[key.kind]][key.name] = entry
-        return Policy(**fields)
+    def _find_conflict(
+        self, key: EntryKey, record: EntryRecord, present: Entry | None
+    ) -> str | None:
+        if record.replaces != (present.offset if present else None):
+            if present is None:
+                return f"there is no {key} to replace"
+            return f"{present.author} changed {key} at offset {present.offset}"
+        if record.value is None and (present is None or present.is_removed):
+            return f"there is no {key} to remove"
+        for token in _tokens(record.value):
+            owner = self._owners.get(token, key)
+            if owner != key:
+                return f"a token of {key} belongs to {owner}"
+        return None
+
+    def _set(self, key: EntryKey, entry: Entry, value: EntryValue) -> None:
+        present = self._entries.get(key)
+        if present is not None:
+            self._digest ^= _hash(present)
+            for token in _tokens(present.value):
+                self._owners.pop(token, None)
+        self._entries[key] = entry
+        self._digest ^= _hash(entry)
+        if entry.is_removed:
+            self._values[key.kind].pop(key.name, None)
+            return
+        self._values[key.kind][key.name] = value
+        for token in _tokens(entry.value):
+            self._owners[token] = key
+
+    def _rebuild(self, changed: set[EntryKind]) -> None:
+        if not changed:
+            return
+        fields: dict = {
+            field: dict(self._values[kind])
+            for kind, field in _POLICY_FIELDS.items()
+            if kind in changed
+        }
+        if EntryKind.LIMITS in changed:
+            fields["limits"] = self._values[EntryKind.LIMITS].get("", Policy().limits)
+        if EntryKind.ORGANISATION in changed:
+            fields["token_owners"] = {
+                token: key.name
+                for token, key in self._owners.items()
+                if key.kind is EntryKind.ORGANISATION
+            }
+        self._policy = msgspec.structs.replace(self._policy, **fields)
+
+
+def _check_in_snapshot(entry: Entry, snapshot: Snapshot) -> EntryValue:
+    if entry.offset >= snapshot.covered:
+        raise InvalidEntry(f"offset {entry.offset} lies past what the snapshot covers")
+    return check_entry(entry.kind, entry.name, entry.value, snapshot.rules)
+
+
+def _tokens(value: dict | None) -> tuple[str, ...]:
+    tokens = (value or {}).get("token_sha256", ())
+    if not isinstance(tokens, (list, tuple)):
+        return ()
+    return tuple(token for token in tokens if isinstance(token, str))
+
+
+def _hash(entry: Entry) -> int:
+    text = f"{entry.kind.value}\n{entry.name}\n{entry.offset}"
+    return xxhash.xxh3_64_intdigest(text.encode())
