Daemon follows the configuration by log, checkpoint and peer; operators' reports

Cause: a daemon could only read the log from offset 0; one that was cut off, or started after a truncation, had no configuration. Change: PolicyFollower recovers from checkpoints, PolicyPeers takes records or the state from a peer that has more, PolicyCheckpointer appends checkpoints; status, targets and policy reports; limits by organisation, model and service.

--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_checkpoint.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_checkpoint.py
@@ -6,7 +6,12 @@
 import msgspec
 
 from cassiaspread_core.base import Offset
-from cassiaspread_core.policy._record import CheckpointPart, Entry
+from cassiaspread_core.policy._record import (
+    BadRecord,
+    CheckpointPart,
+    Entry,
+    decode_record,
+)
 
 MAX_PART_BYTES = 262_144
 MAX_OPEN_CHECKPOINTS = 16
@@ -94,6 +99,21 @@
         entries = [e for index in range(part.n_parts) for e in parts[index].entries]
         return Snapshot(covered=part.covered, rules=part.rules, entries=tuple(entries))
 
+    def add_record(self, offset: Offset, value: bytes) -> Snapshot | None:
+        """Take in any record of the stream.
+
+        :param offset: position of the record.
+        :param value: the record as it lies in the log.
+        :returns: the whole state once the last part of a checkpoint came.
+        """
+        try:
+            record = decode_record(value)
+        except BadRecord:
+            return None
+        if not isinstance(record, CheckpointPart) or record.covered > offset:
+            return None
+        return self.add(record)
+
 
 class CheckpointSchedule:
     """Says when the next checkpoint has to be appended.
@@ -108,29 +128,35 @@
     def __init__(self, retention_s: float, random_state: random.Random) -> None:
         self._retention_s = retention_s
         self._random_state = random_state
+        self._checkpoint_s: float | None = None
         self._due_s: float | None = None
 
     @property
-    def due_s(self) -> float | None:
-        """When it is due, in seconds since the epoch; ``None`` before any record."""
-        return self._due_s
+    def checkpoint_s(self) -> float | None:
+        """When the last known checkpoint was appended, in seconds since the epoch."""
+        return self._checkpoint_s
 
     def note_record(self, time_s: float) -> None:
-        """Take in that the stream has a record; only the first one matters.
+        """Take in a record; the first one counts as long as there is no checkpoint.
 
         :param time_s: when it was appended, in seconds since the epoch.
         """
         if self._due_s is None:
-            self.note_checkpoint(time_s)
+            self._due_s = self._draw_due(time_s)
 
     def note_checkpoint(self, time_s: float) -> None:
         """Take in that a whole checkpoint lies in the stream.
 
         :param time_s: when it was appended, in seconds since the epoch.
         """
+        if self._checkpoint_s is None or time_s > self._checkpoint_s:
+            self._checkpoint_s = time_s
+            self._due_s = self._draw_due(time_s)
+
+    def _draw_due(self, time_s: float) -> float:
         wait_s = self._retention_s * DUE_SHARE
         jitter_s = self._random_state.uniform(0, self._retention_s * JITTER_SHARE)
-        self._due_s = max(self._due_s or 0.0, time_s + wait_s + jitter_s)
+        return time_s + wait_s + jitter_s
 
     def is_due(self, now_s: float) -> bool:
         """Tell whether to append a checkpoint now.
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_state.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_state.py
@@ -107,6 +107,11 @@
         """The configuration in force."""
         return self._policy
 
+    @property
+    def latest_rules(self) -> int:
+        """Latest version of the rules that this reader knows."""
+        return self._latest_rules
+
     @property
     def rules(self) -> int:
         """Version of the rules in force."""
@@ -188,6 +193,17 @@
         self._rebuild(set(EntryKind))
         return True
 
+    def contradicts(self, snapshot: Snapshot) -> bool:
+        """Tell whether a state of the same stream can't be right, given this one.
+
+        :param snapshot: a state that covers no more than this one.
+        """
+        theirs = {EntryKey(e.kind, e.name): e for e in snapshot.entries}
+        for key, entry in self._entries.items():
+            if entry.offset < snapshot.covered and theirs.get(key) != entry:
+                return True
+        return not theirs.keys() <= self._entries.keys()
+
     def _apply(self, offset: Offset, value: bytes) -> Folded:
         try:
             record = decode_record(value)
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_status.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_status.py
@@ -28,6 +28,7 @@
     :param is_current: whether it once had all that was published.
     :param source: where its latest records came from: ``log``, ``peer`` or
         ``checkpoint``; empty before the first.
+    :param log_error: why the log could not be read last, empty while it can.
     :param reasons: why it is not ready, as far as the configuration goes.
     :param n_accepted: records accepted since its start.
     :param n_rejected: valid records that lost or broke the rules, since its start.
@@ -43,6 +44,7 @@
     known_rules: int
     is_current: bool
     source: str
+    log_error: str
     reasons: tuple[str, ...]
     n_accepted: int
     n_rejected: int
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -9,14 +9,19 @@
 
 import uuid6
 from cassiaspread_core.base import Incarnation
-from cassiaspread_core.policy import Policy
+from cassiaspread_core.policy import CheckpointSchedule, Policy
 from cassiaspread_core.timeline import EventRing
 
 from cassiaspread_daemon._metrics import Metrics
 from cassiaspread_daemon._settings import Settings
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.adapters import EngineClient, LogClient, VmListClient
-from cassiaspread_daemon.fleet import PolicyFollower, TargetRegistry
+from cassiaspread_daemon.fleet import (
+    PolicyCheckpointer,
+    PolicyFollower,
+    PolicyPeers,
+    TargetRegistry,
+)
 from cassiaspread_daemon.mesh import Mesh, Sender
 
 IDLE_POLL_S = 0.05
@@ -46,7 +51,11 @@
         self.metrics = Metrics(settings.domain)
         self.log = LogClient(str(settings.log))
         self.engines = EngineClient()
-        self.policy_follower = PolicyFollower(self.log, self.events)
+        schedule = CheckpointSchedule(settings.log_retention_s, random_state)
+        self.policy_follower = PolicyFollower(self.log, self.events, schedule)
+        self._policy_checkpointer = PolicyCheckpointer(
+            self.log, self.policy_follower, schedule, self.events
+        )
         self.targets = TargetRegistry(
             VmListClient(str(settings.vm_list)),
             self.engines,
@@ -64,12 +73,17 @@
             self.supervisor.add_child("mesh"),
             self._daemon_addresses,
         )
+        self._policy_peers = PolicyPeers(
+            self.policy_follower, self.mesh, schedule, self.events, random_state
+        )
         self._is_leaving = False
         self._n_requests = 0
 
     async def __aenter__(self) -> Self:
         await self.mesh.__aenter__()
         self.supervisor.start("policy", self.policy_follower.run)
+        self.supervisor.start("policy-peers", self._policy_peers.run)
+        self.supervisor.start("policy-checkpoints", self._policy_checkpointer.run)
         self.supervisor.start("targets", self.targets.run)
         self.events.record("node.started", incarnation=self.incarnation)
         return self
@@ -95,14 +109,17 @@
             return NodeState.LEAVING
         return NodeState.STARTING if self.not_ready_reasons() else NodeState.READY
 
+    @property
+    def n_requests(self) -> int:
+        """Requests in progress."""
+        return self._n_requests
+
     def not_ready_reasons(self) -> list[str]:
         """List why the balancer should send no requests here."""
         reasons = []
         if self._is_leaving:
             reasons.append("leaving")
-        if not self.policy_follower.is_current:
-            reasons.append("the configuration was not read yet")
-        return reasons
+        return reasons + self.policy_follower.not_ready_reasons()
 
     def _daemon_addresses(self) -> set[str]:
         seeds = {str(seed) for seed in self.settings.seeds}
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_settings.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_settings.py
@@ -41,6 +41,7 @@
     n_events: int
     poll_interval_ms: int
     drain_timeout_ms: int
+    log_retention_s: int
 
 
 def check_address(text: str) -> Address:
@@ -78,6 +79,18 @@
     return int(text)
 
 
+def check_positive(text: str) -> int:
+    """Read a whole number above 0.
+
+    :param text: the setting's value.
+    :raises ValueError: the text is no such number.
+    """
+    number = check_count(text)
+    if not number:
+        raise ValueError("expected a whole number above 0")
+    return number
+
+
 def check_name(text: str) -> str:
     """Read a name that is not empty.
 
@@ -149,6 +162,12 @@
         "longest wait for requests in progress on SIGTERM, in milliseconds; "
         "0 waits until the last one ends",
     ),
+    Option(
+        "--log-retention-s",
+        check_positive,
+        "604800",
+        "how long the log keeps a record, in seconds",
+    ),
 )
 
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
@@ -12,7 +12,10 @@
     EventsHandler,
     HealthHandler,
     MetricsHandler,
+    PolicyHandler,
     ReadyHandler,
+    StatusHandler,
+    TargetsHandler,
 )
 from cassiaspread_daemon.handlers._services import ServiceHandler
 
@@ -32,6 +35,9 @@
             (r"/readyz", ReadyHandler, arguments),
             (r"/metrics", MetricsHandler, arguments),
             (r"/operators/events", EventsHandler, arguments),
+            (r"/operators/status", StatusHandler, arguments),
+            (r"/operators/targets", TargetsHandler, arguments),
+            (r"/operators/policy", PolicyHandler, arguments),
         ],
         default_handler_class=UnknownPathHandler,
         default_handler_args=arguments,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_base.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_base.py
@@ -5,7 +5,13 @@
 
 import msgspec
 from absl import logging
-from cassiaspread_core.base import OrganisationId, Outcome, Refusal
+from cassiaspread_core.base import (
+    ModelId,
+    OrganisationId,
+    Outcome,
+    Refusal,
+    ServiceId,
+)
 from cassiaspread_core.policy import Limits
 from tornado.web import RequestHandler, stream_request_body
 
@@ -168,9 +174,17 @@
         """
         raise NotImplementedError
 
-    def find_limits(self) -> Limits:
-        """Return the limits in force for this request."""
-        return self.node.policy.limits_for(self.organisation)
+    def find_limits(
+        self, model: ModelId | None = None, service: ServiceId | None = None
+    ) -> Limits:
+        """Return the limits in force for this request.
+
+        :param model: model asked for, if known.
+        :param service: service asked for, if known.
+        """
+        return self.node.policy.limits_for(
+            self.organisation, model, service, now_s=time.time()
+        )
 
     def data_received(self, chunk: bytes) -> None:
         """Take in a part of the body.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
@@ -105,6 +105,7 @@
             raise Refusal(
                 404, "unknown-model", f"No model {body.model!r} is configured."
             )
+        self.limits = self.find_limits(model=ModelId(body.model))
         if body.max_tokens > self.limits.max_tokens:
             raise Refusal(
                 400, "too-many-tokens", f"At most {self.limits.max_tokens} tokens."
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_services.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_services.py
@@ -37,6 +37,7 @@
             raise Refusal(
                 404, "unknown-service", f"No service {service!r} is configured."
             )
+        self.limits = self.find_limits(service=ServiceId(service))
         key = self.idempotency_key()
         if self.request.method not in policy.idempotent_methods and key is None:
             raise Refusal(
