Operators' command line; property test of the fold

Cause: operators had no way to publish, and publishing by hand could not tell who won. A peer's or a checkpoint's state must equal the log's own. Found: EventRing.record got a field named kind, the follower's task failed after the fold and was restarted by its supervisor; the field is now entry. Change: cassiaspread policy check, diff, apply, show, history; status, targets, timeline, hash-token; tests of fold, checkpoints and files. Before: without the covered-offset guard of take_over, or without the check of replaces, test_policy_state fails. After: all tests pass.

--- /dev/null
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_hash_token.py
@@ -0,0 +1,43 @@
+"""``hash-token``."""
+
+import argparse
+import getpass
+import sys
+
+import msgspec
+from cassiaspread_core.policy import hash_token
+
+from cassiaspread_cli._context import CommandError, Context, ExitStatus
+from cassiaspread_cli._output import print_json
+
+
+class HashedToken(msgspec.Struct, frozen=True):
+    """Hash of a token.
+
+    :param token_sha256: the hash as configuration files take it.
+    """
+
+    token_sha256: str
+
+
+async def print_hash(context: Context, arguments: argparse.Namespace) -> ExitStatus:
+    """Read a token from standard input, without its line end, and print its hash.
+
+    :param context: the shared options.
+    :param arguments: the command's arguments.
+    """
+    is_terminal = sys.stdin.isatty()
+    token = getpass.getpass("Token: ") if is_terminal else sys.stdin.read()
+    token = token.strip()
+    if not token or any(letter.isspace() for letter in token):
+        raise CommandError(
+            ExitStatus.BAD_INPUT,
+            "standard input is no token",
+            'Give one word, for example: printf %s "$TOKEN" | cassiaspread hash-token',
+        )
+    hashed = HashedToken(hash_token(token))
+    if context.is_json:
+        print_json(hashed)
+    else:
+        print(hashed.token_sha256)
+    return ExitStatus.DONE
--- /dev/null
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_timeline.py
@@ -0,0 +1,36 @@
+"""``timeline``."""
+
+import argparse
+from urllib.parse import urlencode
+
+import msgspec
+from cassiaspread_core.timeline import Event, merge_events
+
+from cassiaspread_cli._context import Context, ExitStatus
+from cassiaspread_cli._daemons import ask_all, split_answers
+from cassiaspread_cli._output import print_json, warn
+
+
+async def timeline(context: Context, arguments: argparse.Namespace) -> ExitStatus:
+    """Show the events of all daemons in causal order.
+
+    :param context: the shared options.
+    :param arguments: the command's arguments.
+    """
+    query = f"?{urlencode({'request': arguments.request})}" if arguments.request else ""
+    answers = await ask_all(context, "/operators/events" + query, list[Event])
+    reached, failed = split_answers(answers)
+    events = merge_events(event for answer in reached for event in answer.value)
+    if context.is_json:
+        print_json(events)
+    else:
+        for event in events:
+            print(_format(event))
+    for answer in failed:
+        warn(f"no answer from {answer.daemon}: {answer.error}")
+    return ExitStatus.PARTIAL if failed else ExitStatus.DONE
+
+
+def _format(event: Event) -> str:
+    fields = msgspec.json.encode(event.fields).decode()
+    return f"{event.timestamp} {event.process} {event.kind} {event.request} {fields}"
--- a/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
@@ -18,6 +18,7 @@
     TargetId,
     VmId,
 )
+from cassiaspread_core.base._log import LogPage, LogRecord
 from cassiaspread_core.base._states import Outcome, TargetKind, VmState
 
 __all__ = [
@@ -27,6 +28,8 @@
     "FindingsError",
     "IdempotencyKey",
     "Incarnation",
+    "LogPage",
+    "LogRecord",
     "ModelId",
     "Offset",
     "OrganisationId",
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/__init__.py
@@ -28,7 +28,12 @@
     RulesRecord,
     decode_record,
 )
-from cassiaspread_core.policy._rules import LATEST_RULES, InvalidEntry, check_entry
+from cassiaspread_core.policy._rules import (
+    LATEST_RULES,
+    EntryValue,
+    InvalidEntry,
+    check_entry,
+)
 from cassiaspread_core.policy._state import EntryKey, Folded, PolicyState, Verdict
 from cassiaspread_core.policy._status import PolicyStatus, RejectedRecord
 
@@ -43,6 +48,7 @@
     "EntryKey",
     "EntryKind",
     "EntryRecord",
+    "EntryValue",
     "Folded",
     "InvalidEntry",
     "Limits",
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_change.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_change.py
@@ -50,7 +50,7 @@
                 Change(key=key, before=entry.value, after=None, replaces=entry.offset)
             )
     for key, value in wanted.items():
-        after = msgspec.to_builtins(value)
+        after = _to_dict(value)
         present = state.entries.get(key)
         before = None
         if present is not None and not present.is_removed:
@@ -81,5 +81,10 @@
     )
 
 
+def _to_dict(value: EntryValue) -> dict:
+    fields = msgspec.to_builtins(value)
+    return {name: field for name, field in fields.items() if field is not None}
+
+
 def _is_equal(kind: EntryKind, before: dict, value: EntryValue) -> bool:
     return msgspec.convert(before, type(value)) == value
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_file.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_file.py
@@ -2,6 +2,7 @@
 
 import re
 import tomllib
+from collections.abc import Iterable
 from datetime import datetime
 from typing import Any
 
@@ -30,11 +31,14 @@
 Entries = dict[EntryKey, EntryValue]
 
 
-def read_policy_file(text: str, file: str) -> Entries:
+def read_policy_file(
+    text: str, file: str, in_force: Iterable[EntryKey] = ()
+) -> Entries:
     r"""Read and check a configuration file.
 
     :param text: content of the file.
     :param file: name of the file, a part of each finding's place.
+    :param in_force: further entries that an exception may name.
     :returns: the entries that it describes.
     :raises FindingsError: one finding for each fault.
 
@@ -49,7 +53,7 @@
         document = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise FindingsError([Finding(file, str(error))]) from None
-    reader = _Reader(file)
+    reader = _Reader(file, in_force)
     reader.read(document)
     if reader.findings:
         raise FindingsError(reader.findings)
@@ -57,12 +61,15 @@
 
 
 class _Reader:
-    def __init__(self, file: str) -> None:
+    def __init__(self, file: str, in_force: Iterable[EntryKey]) -> None:
         self.entries: Entries = {}
         self.findings: list[Finding] = []
         self._file = file
         self._names: dict[EntryKind, set[str]] = {kind: set() for kind in EntryKind}
+        for key in in_force:
+            self._names[key.kind].add(key.name)
         self._token_places: dict[str, str] = {}
+        self._exceptions: dict[str, dict[str, Any]] = {}
 
     def read(self, document: dict[str, Any]) -> None:
         for section, table in document.items():
@@ -84,7 +91,7 @@
             self._report(section, "expected a table of entries by name")
             return
         kind = SECTIONS[section]
-        self._names[kind] = set(table)
+        self._names[kind] |= set(table)
         for name, value in table.items():
             path = f"{section}.{name}"
             if not 0 < len(name) <= MAX_NAME_LENGTH:
@@ -98,6 +105,7 @@
             return
         n_findings = len(self.findings)
         if kind is EntryKind.EXCEPTION:
+            self._exceptions[path] = table
             table = self._read_expiry(path, table)
         fields = self._read_fields(ENTRY_TYPES[kind], path, table)
         if kind is EntryKind.EXCEPTION and isinstance(table.get("limits"), dict):
@@ -188,19 +196,17 @@
             )
 
     def _check_selectors(self) -> None:
-        for key, entry in self.entries.items():
-            if not isinstance(entry, LimitsException):
-                continue
-            path = f"exceptions.{key.name}"
-            selectors = (
-                ("organisation", entry.organisation, EntryKind.ORGANISATION),
-                ("model", entry.model, EntryKind.MODEL),
-                ("service", entry.service, EntryKind.SERVICE),
-            )
-            if not entry.n_selectors:
+        selectors = (
+            ("organisation", EntryKind.ORGANISATION),
+            ("model", EntryKind.MODEL),
+            ("service", EntryKind.SERVICE),
+        )
+        for path, table in self._exceptions.items():
+            if not any(field in table for field, _ in selectors):
                 self._report(
-                    path, "selects nothing; name organisation, model or service"
+                    path, "selects nothing; name an organisation, model or service"
                 )
-            for field, name, kind in selectors:
-                if name is not None and name not in self._names[kind]:
-                    self._report(f"{path}.{field}", f"no {field} {name!r} in this file")
+            for field, kind in selectors:
+                name = table.get(field)
+                if isinstance(name, str) and name not in self._names[kind]:
+                    self._report(f"{path}.{field}", f"no {field} {name!r} is known")
--- /dev/null
+++ b/packages/cassiaspread-core/tests/test_policy_checkpoint.py
@@ -0,0 +1,89 @@
+"""Checkpoints: when they are due and which ones a reader believes."""
+
+import random
+
+import msgspec
+import pytest
+from cassiaspread_core.policy import (
+    CheckpointAssembler,
+    CheckpointPart,
+    CheckpointSchedule,
+    Entry,
+    EntryKind,
+    InvalidEntry,
+    PolicyState,
+    Snapshot,
+)
+
+RETENTION_S = 160.0
+MODEL = Entry(
+    kind=EntryKind.MODEL, name="draft", offset=3, value={"n_layers": 8}, author="ana"
+)
+
+
+def test_due_after_half_of_the_retention_and_not_on_all_daemons_at_once():
+    schedules = [
+        CheckpointSchedule(RETENTION_S, random.Random(seed)) for seed in range(20)
+    ]
+    assert not any(s.is_due(10**9) for s in schedules)
+    for schedule in schedules:
+        schedule.note_record(100.0)
+        schedule.note_record(150.0)
+    assert not any(s.is_due(180.0) for s in schedules)
+    assert 0 < sum(s.is_due(185.0) for s in schedules) < 20
+    assert all(s.is_due(190.0) for s in schedules)
+    schedules[0].note_checkpoint(185.0)
+    schedules[0].note_checkpoint(120.0)
+    assert not schedules[0].is_due(260.0)
+    assert schedules[0].is_due(280.0)
+
+
+BAD_PARTS = [
+    b'{"type":"checkpoint","checkpoint":"c","index":0,"n_parts":0,"covered":1,'
+    b'"rules":1,"entries":[]}',
+    b'{"type":"checkpoint","checkpoint":"c","index":0,"n_parts":1,"covered":99,'
+    b'"rules":1,"entries":[]}',
+    b'{"type":"checkpoint"}',
+    b"\xff",
+]
+
+
+@pytest.mark.parametrize("value", BAD_PARTS)
+def test_impossible_parts_are_ignored(value):
+    assert CheckpointAssembler().add_record(5, value) is None
+
+
+def test_parts_of_different_states_are_not_mixed():
+    assembler = CheckpointAssembler()
+    for index, covered in ((0, 4), (1, 5)):
+        part = CheckpointPart(
+            checkpoint="c",
+            index=index,
+            n_parts=2,
+            covered=covered,
+            rules=1,
+            entries=(),
+        )
+        assert assembler.add(part) is None
+
+
+@pytest.mark.parametrize(
+    "changes", [{"offset": 9}, {"value": {"n_layers": -1}}], ids=["offset", "value"]
+)
+def test_impossible_states_are_not_taken_over(changes):
+    entry = msgspec.structs.replace(MODEL, **changes)
+    state = PolicyState()
+    with pytest.raises(InvalidEntry):
+        state.take_over(Snapshot(covered=5, rules=1, entries=(entry,)))
+    assert (state.next_offset, state.entries) == (0, {})
+
+
+def test_contradicting_state_is_noticed():
+    state = PolicyState()
+    state.take_over(Snapshot(covered=5, rules=1, entries=(MODEL,)))
+    other = msgspec.structs.replace(MODEL, value={"n_layers": 9})
+    verdicts = [
+        state.contradicts(Snapshot(covered=covered, rules=1, entries=entries))
+        for covered, entries in ((5, (MODEL,)), (3, ()), (5, ()), (5, (other,)))
+    ]
+    assert verdicts == [False, False, True, True]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/__init__.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/__init__.py
@@ -1,12 +1,12 @@
 """Clients of the systems outside: one module for each."""
 
+from cassiaspread_core.base import LogPage, LogRecord
+
 from cassiaspread_daemon.adapters._engine import EngineClient, EngineRefused
 from cassiaspread_daemon.adapters._log import (
     AppendAmbiguous,
     AppendNotSent,
     LogClient,
-    LogPage,
-    LogRecord,
     LogUnavailable,
     Truncated,
 )
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_policy.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_policy.py
@@ -10,6 +10,7 @@
     CheckpointAssembler,
     CheckpointPart,
     CheckpointSchedule,
+    EntryKey,
     EntryRecord,
     Folded,
     InvalidEntry,
@@ -271,8 +272,7 @@
             return
         fields: dict[str, str | int] = {"offset": result.offset, "source": source}
         if isinstance(result.record, EntryRecord):
-            fields["kind"] = result.record.kind.value
-            fields["name"] = result.record.name
+            fields["entry"] = str(EntryKey(result.record.kind, result.record.name))
             fields["author"] = result.record.author
             fields["change"] = result.record.change
         if result.verdict is not Verdict.ACCEPTED:
