A daemon that leaves cuts nothing that is in progress

Cause: SIGTERM slept for a constant second, then polled a counter, then closed the listening socket and every connection, also those that had just been accepted by the kernel and those whose next request was on its way. Ruled out: closing the listening socket at once (a balancer that lags gets refused connections); a polling loop over the counter. Conclusion: what remains is a connection completed between the last accept and the close of the socket, some microseconds.

--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_listener.py
@@ -0,0 +1,73 @@
+"""Listening sockets of the HTTP server, which close without losing a connection."""
+
+import socket
+from collections.abc import Callable
+from types import TracebackType
+from typing import Self
+
+from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
+from tornado.netutil import add_accept_handler, bind_sockets
+
+
+class Listener:
+    """Owns the listening sockets of one server; a context manager.
+
+    Closing a listening socket resets the connections that the kernel has completed
+    and the process has not yet accepted. :meth:`stop` therefore accepts them first.
+
+    :param server: serves the connections.
+    :param host: IP number to listen on.
+    :param port: TCP port to listen on.
+    """
+
+    def __init__(self, server: HTTPServer, host: str, port: int) -> None:
+        self._server = server
+        self._sockets = bind_sockets(port, host)
+        self._removals: list[Callable[[], None]] = []
+
+    def __enter__(self) -> Self:
+        for listening in self._sockets:
+            self._removals.append(add_accept_handler(listening, self._serve))
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.stop()
+
+    @property
+    def addresses(self) -> list[tuple]:
+        """Where it listens."""
+        return [listening.getsockname() for listening in self._sockets]
+
+    def announce_close(self) -> None:
+        """Close each connection after its next answer, which says so."""
+        self._server.conn_params.no_keep_alive = True
+
+    def stop(self) -> None:
+        """Accept what waits, then close the listening sockets."""
+        for remove in self._removals:
+            remove()
+        self._removals.clear()
+        for listening in self._sockets:
+            self._accept_waiting(listening)
+            listening.close()
+        self._sockets.clear()
+
+    def _accept_waiting(self, listening: socket.socket) -> None:
+        while True:
+            try:
+                connection, address = listening.accept()
+            except BlockingIOError:
+                return
+            except ConnectionAbortedError:
+                continue
+            self._serve(connection, address)
+
+    def _serve(self, connection: socket.socket, address: tuple) -> None:
+        connection.setblocking(False)
+        self._server.handle_stream(IOStream(connection), address)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_main.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_main.py
@@ -10,8 +10,9 @@
 from cassiaspread_core.base import FindingsError
 from tornado.httpserver import HTTPServer
 
+from cassiaspread_daemon._listener import Listener
 from cassiaspread_daemon._logs import configure_logs
-from cassiaspread_daemon._node import Node
+from cassiaspread_daemon._node import MILLISECONDS_PER_SECOND, Node
 from cassiaspread_daemon._settings import (
     EXIT_BAD_SETTINGS,
     Settings,
@@ -19,8 +20,6 @@
 )
 from cassiaspread_daemon.handlers import build_application
 
-BALANCER_LAG_S = 1.0
-
 # Beyond these the connection is closed; smaller excess gets a 4xx answer.
 MAX_READ_HEADER_BYTES = 1_048_576
 MAX_READ_BODY_BYTES = 1_073_741_824
@@ -41,16 +40,28 @@
             max_header_size=MAX_READ_HEADER_BYTES,
             max_body_size=MAX_READ_BODY_BYTES,
         )
-        server.listen(settings.listen.port, settings.listen.host)
-        logging.info("listening on %s", settings.listen)
-        await stop.wait()
-        node.leave()
-        await asyncio.sleep(BALANCER_LAG_S)
-        await node.drain()
-        server.stop()
+        with Listener(server, settings.listen.host, settings.listen.port) as listener:
+            logging.info("listening on %s", settings.listen)
+            await stop.wait()
+            await leave(node, listener)
         await server.close_all_connections()
 
 
+async def leave(node: Node, listener: Listener) -> None:
+    """Hand the daemon's work over and finish what is in progress.
+
+    :param node: the daemon.
+    :param listener: its listening sockets.
+    """
+    node.leave()
+    listener.announce_close()
+    await asyncio.sleep(node.settings.balancer_lag_ms / MILLISECONDS_PER_SECOND)
+    listener.stop()
+    await node.drain()
+    await node.settle()
+    logging.info("left")
+
+
 def main() -> None:
     """Read the settings and serve; exit 2 when a setting is bad."""
     try:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -3,23 +3,27 @@
 import asyncio
 import random
 import time
+from collections.abc import Awaitable, Callable
 from enum import Enum
 from types import TracebackType
 from typing import Self
 
 import uuid6
+from absl import logging
 from cassiaspread_core.base import Incarnation
 from cassiaspread_core.policy import Policy
 from cassiaspread_core.timeline import EventRing
 
 from cassiaspread_daemon._metrics import Metrics
+from cassiaspread_daemon._requests import RequestCount
 from cassiaspread_daemon._settings import Settings
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.adapters import EngineClient, LogClient, VmListClient
 from cassiaspread_daemon.fleet import PolicyFollower, TargetRegistry
 from cassiaspread_daemon.mesh import Mesh, Sender
 
-IDLE_POLL_S = 0.05
+# A connection without a request for this long counts as idle.
+QUIET_S = 1.0
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -58,14 +62,16 @@
                 settings.vm,
                 settings.domain,
                 self.incarnation,
-                str(settings.peer_listen),
+                str(settings.advertise or settings.peer_listen),
             ),
             self.events,
             self.supervisor.add_child("mesh"),
             self._daemon_addresses,
+            str(settings.peer_listen),
         )
         self._is_leaving = False
-        self._n_requests = 0
+        self._requests = RequestCount()
+        self.settle_callbacks: list[Callable[[], Awaitable[None]]] = []
 
     async def __aenter__(self) -> Self:
         await self.mesh.__aenter__()
@@ -111,22 +117,41 @@
     def leave(self) -> None:
         """Stop being ready; requests are still taken while the balancer lags."""
         self._is_leaving = True
+        self.mesh.leave()
         self.events.record("node.leaving")
 
     def begin_request(self) -> None:
         """Count a request in progress."""
-        self._n_requests += 1
+        self._requests.begin()
 
     def end_request(self) -> None:
         """Count a request as ended."""
-        self._n_requests -= 1
+        self._requests.end()
 
     async def drain(self) -> None:
         """Wait until no request is in progress, or the drain timeout."""
         timeout_s = self.settings.drain_timeout_ms / MILLISECONDS_PER_SECOND
         try:
             async with asyncio.timeout(timeout_s or None):
-                while self._n_requests:
-                    await asyncio.sleep(IDLE_POLL_S)
+                await self._requests.wait_quiet(QUIET_S)
         except TimeoutError:
-            self.events.record("node.drain_timeout", n_requests=self._n_requests)
+            n_requests = self._requests.n_requests
+            logging.warning("drain timeout with %d requests in progress", n_requests)
+            self.events.record("node.drain_timeout", n_requests=n_requests)
+
+    async def settle(self) -> None:
+        """Run the callbacks in :attr:`settle_callbacks`, side by side.
+
+        One that fails or exceeds the settle timeout does not keep the others from
+        ending.
+        """
+        timeout_s = self.settings.settle_timeout_ms / MILLISECONDS_PER_SECOND
+        results = await asyncio.gather(
+            *(asyncio.wait_for(call(), timeout_s) for call in self.settle_callbacks),
+            return_exceptions=True,
+        )
+        for result in results:
+            if isinstance(result, Exception):
+                logging.error("settling failed", exc_info=result)
+                self.events.record("node.settle_failed", error=type(result).__name__)
+        self.events.record("node.settled", n_callbacks=len(results))
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_settings.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_settings.py
@@ -41,6 +41,9 @@
     n_events: int
     poll_interval_ms: int
     drain_timeout_ms: int
+    balancer_lag_ms: int
+    settle_timeout_ms: int
+    advertise: Address | None
 
 
 def check_address(text: str) -> Address:
@@ -58,6 +61,15 @@
     return Address(host, int(port))
 
 
+def check_optional_address(text: str) -> Address | None:
+    """Read ``HOST:PORT`` or nothing.
+
+    :param text: the setting's value, possibly empty.
+    :raises ValueError: the text is neither empty nor an address.
+    """
+    return check_address(text) if text else None
+
+
 def check_addresses(text: str) -> tuple[Address, ...]:
     """Read a list of ``HOST:PORT`` separated by commas.
 
@@ -149,6 +161,26 @@
         "longest wait for requests in progress on SIGTERM, in milliseconds; "
         "0 waits until the last one ends",
     ),
+    Option(
+        "--balancer-lag-ms",
+        check_count,
+        "5000",
+        "how long new connections are taken after SIGTERM, in milliseconds; at "
+        "least the time that the balancer takes to notice",
+    ),
+    Option(
+        "--settle-timeout-ms",
+        check_count,
+        "30000",
+        "longest wait after the last request for what it leaves to be written to "
+        "the log, in milliseconds",
+    ),
+    Option(
+        "--advertise",
+        check_optional_address,
+        "",
+        "HOST:PORT at which other daemons reach this one, if not --peer-listen",
+    ),
 )
 
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
@@ -8,6 +8,7 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable, Iterable
+from contextlib import suppress
 from typing import Any, TypeVar
 
 import msgspec
@@ -53,6 +54,7 @@
     :param events: the time line, whose clock every message carries.
     :param supervisor: runs the tasks.
     :param addresses: returns the ``host:port`` of every daemon to talk to.
+    :param listen: ``host:port`` to listen on.
     """
 
     def __init__(
@@ -61,11 +63,14 @@
         events: EventRing,
         supervisor: Supervisor,
         addresses: Callable[[], Iterable[str]],
+        listen: str,
     ) -> None:
         self._sender = sender
         self._events = events
         self._supervisor = supervisor
         self._addresses = addresses
+        self._listen = listen
+        self._hurry = asyncio.Event()
         self._handlers: dict[str, tuple[type, Handler]] = {}
         self._topics: dict[str, tuple[Callable, type, Callable]] = {}
         self._requesters: dict[str, pynng.Req0] = {}
@@ -73,7 +78,7 @@
         self.register(GOSSIP_KIND, Topics, self._answer_gossip)
 
     async def __aenter__(self) -> "Mesh":
-        self._replier = pynng.Rep0(listen=f"tcp://{self._sender.address}")
+        self._replier = pynng.Rep0(listen=f"tcp://{self._listen}")
         for index in range(N_REPLY_CONTEXTS):
             self._supervisor.start(f"reply-{index}", self._reply)
         self._supervisor.start("gossip", self._gossip)
@@ -90,6 +95,15 @@
         """Who this daemon is to its peers."""
         return self._sender
 
+    def leave(self) -> None:
+        """Tell the peers at once that this daemon takes no new work."""
+        self._sender = msgspec.structs.replace(self._sender, is_leaving=True)
+        self.hurry()
+
+    def hurry(self) -> None:
+        """Gossip now instead of within a second."""
+        self._hurry.set()
+
     def peers(self) -> list[Peer]:
         """List the daemons that answered lately, this one not among them."""
         now_s = time.monotonic()
@@ -215,9 +229,11 @@
 
     async def _gossip(self) -> None:
         while True:
+            self._hurry.clear()
             addresses = set(self._addresses()) - {self._sender.address}
             await asyncio.gather(*(self._gossip_with(a) for a in addresses))
-            await asyncio.sleep(GOSSIP_INTERVAL_S)
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._hurry.wait(), GOSSIP_INTERVAL_S)
 
     async def _gossip_with(self, address: str) -> None:
         envelope = self._envelope(GOSSIP_KIND, self._produce_topics())
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_message.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_message.py
@@ -11,12 +11,14 @@
     :param domain: its failure domain.
     :param incarnation: this start of its daemon.
     :param address: ``host:port`` where it takes messages.
+    :param is_leaving: whether it takes no new work.
     """
 
     vm: VmId
     domain: DomainId
     incarnation: Incarnation
     address: str
+    is_leaving: bool = False
 
 
 class Envelope(msgspec.Struct, frozen=True):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -225,6 +225,7 @@
             "log": self.log.address,
             "vm_list": self.vm_list.address,
             "poll_interval_ms": 100,
+            "balancer_lag_ms": 100,
         } | flags
         argv = [str(Path(sys.executable).parent / "cassiaspreadd")]
         argv += [f"--{flag.replace('_', '-')}={value}" for flag, value in flags.items()]
