--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_settings.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_settings.py
@@ -42,6 +42,9 @@
     poll_interval_ms: int
     drain_timeout_ms: int
     log_retention_s: int
+    balancer_lag_ms: int
+    settle_timeout_ms: int
+    advertise: Address | None
 
 
 def check_address(text: str) -> Address:
@@ -59,6 +62,15 @@
     return Address(host, int(port))
 
 
+def check_optional_address(text: str) -> Address | None:
+    """Read ``HOST:PORT`` or nothing.
+
+    :param text: the setting's value, possibly empty.
+    :raises ValueError: the text is neither empty nor an address.
+    """
+    return check_address(text) if text else None
+
+
 def check_addresses(text: str) -> tuple[Address, ...]:
     """Read a list of ``HOST:PORT`` separated by commas.
 
@@ -168,6 +180,26 @@
         "604800",
         "how long the log keeps a record, in seconds",
     ),
+    Option(
+        "--balancer-lag-ms",
+        check_count,
+        "5000",
+        "how long new connections are taken after SIGTERM, in milliseconds; at "
+        "least the time that the balancer takes to notice",
+    ),
+    Option(
+        "--settle-timeout-ms",
+        check_count,
+        "30000",
+        "longest wait after the last request for what it leaves to be written to "
+        "the log, in milliseconds",
+    ),
+    Option(
+        "--advertise",
+        check_optional_address,
+        "",
+        "HOST:PORT at which other daemons reach this one, if not --peer-listen",
+    ),
 )
 
 
