Quarantine of requests that crash their target: decisions and service

Cause: nothing kept a request that crashes each engine it runs on from being retried and sent again until no engine is left. Ruled out: a verdict by count alone (an engine that dies by itself makes all its requests suspects, a second coincidence would refuse innocents); a trial coordinator per domain (state to hand over when it leaves); counting lost connections (link faults). Change: cassiaspread_core.quarantine: records of losses that merge in any order, a verdict from the point of the answer at which targets died, claims to run alone agreed by stamp. Daemon: records shared with the peers before a retry, verdicts on the log stream 'quarantine', probes over new connections, refutation of losses of targets that live, GET /operators/quarantine and POST .../release.

--- a/packages/cassiaspread-core/src/cassiaspread_core/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/__init__.py
@@ -6,8 +6,9 @@
 
 Subpackages: :mod:`cassiaspread_core.base` (identifiers, states, errors),
 :mod:`cassiaspread_core.pipeline` (plans over layer ranges and token order),
-:mod:`cassiaspread_core.policy` (configuration and its merge rules) and
+:mod:`cassiaspread_core.policy` (configuration and its merge rules),
+:mod:`cassiaspread_core.quarantine` (requests that crash their target) and
 :mod:`cassiaspread_core.timeline` (events ordered by a hybrid logical clock).
 """
 
-__all__ = ["base", "pipeline", "policy", "timeline"]
+__all__ = ["base", "pipeline", "policy", "quarantine", "timeline"]
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
@@ -31,6 +31,7 @@
     :param dedupe_window_s: age up to which an idempotency key is accepted;
         shorter than the retention of the log.
     :param priority: engine priority, higher goes first.
+    :param quarantine_s: how long the loss of a target counts against a request.
     """
 
     request_timeout_ms: int = 30_000
@@ -44,6 +45,7 @@
     claim_timeout_ms: int = 2_000
     dedupe_window_s: int = 86_400
     priority: int = 0
+    quarantine_s: int = 3_600
 
 
 class Organisation(
--- /dev/null
+++ b/packages/cassiaspread-core/src/cassiaspread_core/quarantine/__init__.py
@@ -0,0 +1,24 @@
+"""Requests that crash their target: suspicion, retries alone, quarantine."""
+
+from cassiaspread_core.quarantine._book import SuspectBook
+from cassiaspread_core.quarantine._record import (
+    MAX_UNSEEN_TOKENS,
+    Fingerprint,
+    Loss,
+    SuspectRecord,
+    fingerprint_of,
+    merge_records,
+)
+from cassiaspread_core.quarantine._trial import TrialBook, TrialClaim
+
+__all__ = [
+    "MAX_UNSEEN_TOKENS",
+    "Fingerprint",
+    "Loss",
+    "SuspectBook",
+    "SuspectRecord",
+    "TrialBook",
+    "TrialClaim",
+    "fingerprint_of",
+    "merge_records",
+]
--- /dev/null
+++ b/packages/cassiaspread-core/tests/test_quarantine.py
@@ -0,0 +1,160 @@
+import random
+from functools import reduce
+
+import pytest
+from cassiaspread_core.quarantine import (
+    MAX_UNSEEN_TOKENS,
+    Loss,
+    SuspectBook,
+    SuspectRecord,
+    TrialBook,
+    TrialClaim,
+    merge_records,
+)
+from cassiaspread_core.timeline import Timestamp
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+FAR = MAX_UNSEEN_TOKENS + 1
+
+losses = st.builds(
+    Loss,
+    st.sampled_from(["e1", "e2", "e3"]),
+    st.sampled_from(["i1", "i2"]),
+    st.integers(0, 20),
+    st.integers(1, 9).map(float),
+    st.booleans(),
+)
+records = st.builds(
+    lambda found, cleared_s: reduce(
+        merge_records,
+        [record_of(loss) for loss in found],
+        record_of(cleared_s=cleared_s),
+    ),
+    st.lists(losses, max_size=3),
+    st.integers(0, 9).map(float),
+)
+
+
+def record_of(*found, cleared_s=0.0):
+    return SuspectRecord(
+        fingerprint="f",
+        organisation="osorno",
+        subject="draft",
+        losses=found,
+        cleared_s=cleared_s,
+    )
+
+
+@settings(derandomize=True)
+@given(records, records, records)
+def test_merging_is_a_join(a, b, c):
+    assert merge_records(a, b) == merge_records(b, a)
+    assert merge_records(a, merge_records(b, c)) == merge_records(
+        merge_records(a, b), c
+    )
+    assert merge_records(a, a) == a
+
+
+VERDICTS = [
+    pytest.param([("e1", "i1", 0)], False, id="one-loss"),
+    pytest.param([("e1", "i1", 0), ("e2", "i2", 0)], True, id="two-targets"),
+    pytest.param([("e1", "i1", 0), ("e1", "i1", 3)], False, id="same-loss-twice"),
+    pytest.param([("e1", "i1", 0), ("e1", "i9", 0)], True, id="restarted-target"),
+    pytest.param(
+        [("e1", "i1", 7), ("e2", "i2", 7 + MAX_UNSEEN_TOKENS)], True, id="same-point"
+    ),
+    pytest.param([("e1", "i1", 7), ("e2", "i2", 7 + FAR)], False, id="coincidence"),
+    pytest.param(
+        [("e1", "i1", 0), ("e2", "i2", FAR), ("e3", "i3", 99)], True, id="three"
+    ),
+]
+
+
+@pytest.mark.parametrize(("found", "expected"), VERDICTS)
+def test_verdict(found, expected):
+    book = SuspectBook()
+    for at_s, loss in enumerate(found, 1):
+        book.note_loss("f", "osorno", "draft", Loss(*loss, at_s=float(at_s)))
+    assert book.is_suspect("f")
+    assert book.is_quarantined("f") is expected
+
+
+def quarantined_book():
+    book = SuspectBook()
+    book.note_loss("f", "osorno", "draft", Loss("e1", "i1", 0, 1.0))
+    book.note_loss("f", "osorno", "draft", Loss("e2", "i2", 0, 2.0))
+    return book
+
+
+def test_stale_record_does_not_undo_a_release():
+    book = quarantined_book()
+    stale = book.find("f")
+    # The operator's daemon has a slower clock than the one that saw the loss.
+    book.clear("f", now_s=1.5)
+    assert not book.merge(stale)
+    assert not book.is_suspect("f")
+
+
+def test_target_seen_alive_counts_no_more():
+    book = quarantined_book()
+    book.refute([("e2", "i2")])
+    assert book.is_suspect("f")
+    assert not book.is_quarantined("f")
+    assert book.targets_lost("f") == {"e1"}
+
+
+def test_records_expire_and_are_bounded():
+    book = SuspectBook(n_records=5)
+    for number in range(10):
+        loss = Loss("e1", f"i{number}", 0, float(number))
+        book.note_loss(f"f{number}", "osorno", "draft", loss)
+    assert {r.fingerprint for r in book.suspects()} == {f"f{n}" for n in range(5, 10)}
+    assert [r.fingerprint for r in book.expire(10.0, lifetime_s=3.5)] == ["f5", "f6"]
+
+
+def claim(stamp, owner, fingerprint, *targets):
+    return TrialClaim(Timestamp(stamp, 0), owner, fingerprint, targets)
+
+
+BLOCKED = [
+    pytest.param(claim(2, "b", "g", "e1"), True, id="same-target"),
+    pytest.param(claim(2, "b", "f", "e9"), True, id="same-suspect"),
+    pytest.param(claim(2, "b", "g", "e9"), False, id="apart"),
+    pytest.param(claim(0, "b", "g", "e1"), False, id="earlier"),
+]
+
+
+@pytest.mark.parametrize(("other", "is_blocked"), BLOCKED)
+def test_pending_claim_blocks_later_ones(other, is_blocked):
+    trials = TrialBook()
+    assert trials.propose(claim(1, "a", "f", "e1", "e2"))
+    assert bool(trials.blockers(other)) is is_blocked
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_claims_in_conflict_never_run_together(seed):
+    """Daemons propose, ask in any order of delivery, and start when unopposed."""
+    random_state = random.Random(seed)
+    owners = ["a", "b", "c"]
+    books = {owner: TrialBook() for owner in owners}
+    clocks = dict.fromkeys(owners, 0)
+    asked = []
+    claims = {}
+    for owner in random_state.sample(owners, 3):
+        clocks[owner] += random_state.randrange(1, 3)
+        claims[owner] = claim(clocks[owner], owner, owner, "e1")
+        books[owner].propose(claims[owner])
+        asked += [(owner, peer) for peer in owners if peer != owner]
+    opposed = set()
+    random_state.shuffle(asked)
+    for owner, peer in asked:
+        clocks[peer] = max(clocks[peer], clocks[owner]) + 1
+        if books[peer].blockers(claims[owner]):
+            opposed.add(owner)
+        if not any(o == owner for o, _ in asked[asked.index((owner, peer)) + 1 :]):
+            if owner in opposed:
+                books[owner].withdraw(claims[owner])
+            else:
+                books[owner].start(claims[owner])
+    assert sum(bool(book.running) for book in books.values()) <= 1
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -17,6 +17,7 @@
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.adapters import EngineClient, LogClient, VmListClient
 from cassiaspread_daemon.fleet import PolicyFollower, TargetRegistry
+from cassiaspread_daemon.load import Quarantine, SuspectExchange, TargetProbe
 from cassiaspread_daemon.mesh import Mesh, Sender
 
 IDLE_POLL_S = 0.05
@@ -64,6 +65,14 @@
             self.supervisor.add_child("mesh"),
             self._daemon_addresses,
         )
+        self.quarantine = Quarantine(
+            SuspectExchange(
+                self.mesh, self.log, self.events, lambda: self.policy.limits
+            ),
+            TargetProbe(self.engines),
+            self.events,
+            self.incarnation,
+        )
         self._is_leaving = False
         self._n_requests = 0
 
@@ -71,6 +80,7 @@
         await self.mesh.__aenter__()
         self.supervisor.start("policy", self.policy_follower.run)
         self.supervisor.start("targets", self.targets.run)
+        self.quarantine.start(self.supervisor)
         self.events.record("node.started", incarnation=self.incarnation)
         return self
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
@@ -14,6 +14,10 @@
     MetricsHandler,
     ReadyHandler,
 )
+from cassiaspread_daemon.handlers._quarantine import (
+    QuarantineHandler,
+    ReleaseHandler,
+)
 from cassiaspread_daemon.handlers._services import ServiceHandler
 
 
@@ -32,6 +36,8 @@
             (r"/readyz", ReadyHandler, arguments),
             (r"/metrics", MetricsHandler, arguments),
             (r"/operators/events", EventsHandler, arguments),
+            (r"/operators/quarantine", QuarantineHandler, arguments),
+            (r"/operators/quarantine/release", ReleaseHandler, arguments),
         ],
         default_handler_class=UnknownPathHandler,
         default_handler_args=arguments,
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_quarantine.py
@@ -0,0 +1,51 @@
+"""The operators' view of quarantined requests."""
+
+import msgspec
+from cassiaspread_core.base import Refusal
+from cassiaspread_core.quarantine import Fingerprint
+
+from cassiaspread_daemon.handlers._base import OperatorHandler
+
+
+class ReleaseBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a release."""
+
+    fingerprint: str
+
+
+class QuarantineHandler(OperatorHandler):
+    """``GET /operators/quarantine``: suspects and refused fingerprints."""
+
+    def get(self) -> None:
+        """Answer with the records that count, refused ones first."""
+        records = [
+            record
+            for record in self.node.quarantine.exchange.book.suspects()
+            if record.is_suspect
+        ]
+        records.sort(key=lambda record: (not record.is_quarantined, -record.last_s))
+        listing = {
+            "quarantined": [r for r in records if r.is_quarantined],
+            "suspects": [r for r in records if not r.is_quarantined],
+        }
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(listing))
+
+
+class ReleaseHandler(OperatorHandler):
+    """``POST /operators/quarantine/release``: let a fingerprint run again."""
+
+    async def post(self) -> None:
+        """Release on every daemon and answer with the record."""
+        try:
+            body = msgspec.json.decode(self.request.body, type=ReleaseBody)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            raise Refusal(400, "bad-body", f"{error}.") from None
+        fingerprint = Fingerprint(body.fingerprint)
+        record = await self.node.quarantine.release(fingerprint)
+        if record is None:
+            raise Refusal(
+                404, "unknown-fingerprint", "The fingerprint is not under suspicion."
+            )
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(record))
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/__init__.py
@@ -0,0 +1,7 @@
+"""Quarantine, admission and shares of one daemon."""
+
+from cassiaspread_daemon.load._probe import TargetProbe
+from cassiaspread_daemon.load._quarantine import Quarantine, Watch
+from cassiaspread_daemon.load._suspects import SuspectExchange
+
+__all__ = ["Quarantine", "SuspectExchange", "TargetProbe", "Watch"]
