Generation: suspects retried alone, quarantined requests refused

Cause: with the old relay one poisonous body sent through three daemons takes every head engine. Ruled out: judging by the loss of a connection (a probe over a new connection decides). Change: a watch around the attempts of a generation; completions are refused while quarantined. Before/After: tests/test_quarantine.py. Conclusion: at most two engines are lost to a body that crashes at one point.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
@@ -8,8 +8,10 @@
 import xxhash
 from cassiaspread_core.base import ModelId, Refusal, RequestId
 from cassiaspread_core.pipeline import TokenStep
+from cassiaspread_core.quarantine import fingerprint_of
 
 from cassiaspread_daemon.handlers._base import CallerHandler, to_problem
+from cassiaspread_daemon.load import Watch
 from cassiaspread_daemon.relay import Generation, GenerationRequest
 
 DEFAULT_MAX_TOKENS = 16
@@ -55,13 +57,17 @@
     async def answer(self) -> None:
         """Answer whole or as a stream of events."""
         body = self._check_body()
+        request = self._check_request(body)
+        watch = self._watch(request)
+        watch.check()
         generation = Generation(
-            self._check_request(body),
+            request,
             self.limits,
             self.node.engines,
             self.node.targets,
             self.node.settings.domain,
             self.node.events,
+            watch,
         )
         self.model = body.model
         if body.stream:
@@ -120,6 +126,14 @@
             deadline_s=self.deadline_s,
         )
 
+    def _watch(self, request: GenerationRequest) -> Watch:
+        fingerprint = fingerprint_of(
+            request.organisation, request.model, request.prompt.encode()
+        )
+        return self.node.quarantine.watch(
+            fingerprint, request.organisation, request.model, request.request
+        )
+
     def _request_id(self) -> RequestId:
         key = self.idempotency_key()
         if key is None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
@@ -33,6 +33,7 @@
     to_step,
 )
 from cassiaspread_daemon.fleet import TargetRegistry
+from cassiaspread_daemon.load import Watch
 
 LOCAL_LINK_COST_MS = 0.1
 REMOTE_LINK_COST_MS = 1.0
@@ -71,6 +72,7 @@
     :param targets: known targets.
     :param domain: failure domain of this daemon.
     :param events: the time line.
+    :param watch: keeps the request off targets if it crashes them.
     """
 
     def __init__(
@@ -81,7 +83,9 @@
         targets: TargetRegistry,
         domain: DomainId,
         events: EventRing,
+        watch: Watch,
     ) -> None:
+        self._watch = watch
         self._request = request
         self._limits = limits
         self._engines = engines
@@ -96,9 +100,14 @@
 
         :raises Refusal: the answer can't be completed.
         """
+        with self._watch:
+            async for step in self._run_attempts():
+                yield step
+
+    async def _run_attempts(self) -> AsyncIterator[TokenStep]:
         failure = ""
         for attempt in range(1, self._limits.n_attempts + 1):
-            plan = self._choose_plan()
+            plan = await self._watch.choose(self._choose_plan, self._request.deadline_s)
             if plan is None:
                 raise self._refuse_without_plan()
             self._sequence.start_attempt(attempt)
@@ -111,14 +120,19 @@
             try:
                 with self._targets.in_flight([stage.engine for stage in plan]):
                     async for step in self._run_attempt(plan, attempt):
+                        self._watch.progress(step.position)
                         yield step
+                self._watch.complete()
                 return
-            except (ConnectFailed, ExchangeBroken, EngineRefused) as error:
+            except (ConnectFailed, EngineRefused) as error:
                 failure = str(error)
                 self._targets.forget(plan[0].engine)
+            except ExchangeBroken as error:
+                failure = str(error)
+                await self._judge(plan, plan[0].engine)
             except EngineFailed as error:
                 failure = str(error)
-                self._targets.forget(error.engine)
+                await self._judge(plan, error.engine)
             self._events.record(
                 "stream.failed", self._request.request, attempt=attempt, error=failure
             )
@@ -129,6 +143,17 @@
             Outcome.UNKNOWN,
         )
 
+    async def _judge(self, plan: Plan, engine: TargetId) -> None:
+        self._targets.forget(engine)
+        for stage in plan:
+            if stage.engine == engine:
+                await self._watch.judge(
+                    engine,
+                    stage.address,
+                    self._incarnations.get(engine, ""),
+                    self._sequence.position,
+                )
+
     async def _run_attempt(self, plan: Plan, attempt: int) -> AsyncIterator[TokenStep]:
         queue: asyncio.Queue[StreamEvent | None] = asyncio.Queue()
         order = GenerateOrder(
@@ -169,9 +194,11 @@
                 504, "deadline", "The deadline passed.", Outcome.UNKNOWN
             ) from None
 
-    def _choose_plan(self) -> Plan | None:
+    def _choose_plan(self, avoid: frozenset[TargetId]) -> Plan | None:
+        engines = self._targets.engines(self._request.model)
+        self._incarnations = {e.target: e.incarnation for e in engines}
         plan = choose_plan(
-            self._targets.engines(self._request.model),
+            [engine for engine in engines if engine.target not in avoid],
             self._request.n_layers,
             self._stage_cost,
             self._link_cost,
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,204 @@
+"""Requests that crash their engines, among ordinary load, through all daemons."""
+
+import json
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from tests.fleet import Fleet, bearer, request, wait_for
+from tests.standins.engine import expected_token
+
+CALLER = bearer("osorno-token")
+OTHER = bearer("savinja-token")
+OPERATOR = bearer("operator-token")
+POISON = "poison"
+N_TOKENS = 8
+N_LONG = 150
+N_HEADS, N_TAILS = 5, 2
+GOSSIP_INTERVAL_S = 1.0
+FLEET_TIMEOUT_S = 10.0
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    with Fleet(tmp_path) as fleet:
+        fleet.publish_basics()
+        for index in range(N_HEADS):
+            fleet.start_engine(f"h{index}", "cautin", 0, 4, step_ms=10)
+        for index in range(N_TAILS):
+            fleet.start_engine(f"t{index}", "cautin", 4, 8, step_ms=10)
+        daemons = [fleet.start_daemon(f"d{i}", "cautin") for i in range(3)]
+        for daemon in daemons:
+            fleet.wait_ready(daemon)
+            wait_for(lambda d=daemon: complete(d, f"warm {d.name}")[0] == 200)
+        # The daemons find each other in the second round of their gossip.
+        time.sleep(2 * GOSSIP_INTERVAL_S)
+        yield fleet
+
+
+def daemons_of(fleet):
+    return [fleet.processes[f"d{i}"] for i in range(3)]
+
+
+def heads_of(fleet):
+    return [fleet.processes[f"h{i}"] for i in range(N_HEADS)]
+
+
+def complete(daemon, prompt, caller=CALLER, n_tokens=N_TOKENS):
+    body = {"model": "draft", "prompt": prompt, "max_tokens": n_tokens}
+    status, headers, answer = request(
+        "POST", daemon.address, "/v1/completions", body, caller
+    )
+    return status, headers, json.loads(answer)
+
+
+def is_whole(answer, prompt, n_tokens=N_TOKENS):
+    status, _, body = answer
+    expected = "".join(expected_token(prompt, i) for i in range(n_tokens))
+    return status == 200 and body["choices"][0]["text"] == expected
+
+
+def n_lost(fleet):
+    return sum(engine.popen.poll() is not None for engine in heads_of(fleet))
+
+
+def listing(daemon):
+    answer = request("GET", daemon.address, "/operators/quarantine", headers=OPERATOR)
+    return json.loads(answer[2])
+
+
+def suspects(fleet, kind):
+    """Return the fields of all daemons' events of a kind."""
+    found = []
+    for daemon in daemons_of(fleet):
+        path = "/operators/events"
+        answer = request("GET", daemon.address, path, headers=OPERATOR)
+        found += [e["fields"] for e in json.loads(answer[2]) if e["kind"] == kind]
+    return found
+
+
+def release(daemon, fingerprint):
+    path, body = "/operators/quarantine/release", {"fingerprint": fingerprint}
+    return request("POST", daemon.address, path, body, OPERATOR)[0]
+
+
+class Load:
+    """Ordinary requests through all daemons until the context ends."""
+
+    def __init__(self, fleet, n_threads=6):
+        self._daemons = daemons_of(fleet)
+        self._stop = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(n,)) for n in range(n_threads)
+        ]
+        self.lost = []
+        self.n_whole = 0
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, number):
+        turn = 0
+        while not self._stop.is_set():
+            prompt = f"load {number} {turn}"
+            daemon = self._daemons[(number + turn) % len(self._daemons)]
+            answer = complete(daemon, prompt, OTHER)
+            if is_whole(answer, prompt):
+                self.n_whole += 1
+            else:
+                self.lost.append(answer)
+            turn += 1
+
+
+def test_poison_costs_at_most_two_engines(fleet):
+    for engine in heads_of(fleet):
+        engine.control(crash_on=POISON)
+    with Load(fleet) as load:
+        answers = []
+        for _ in range(4):
+            for daemon in daemons_of(fleet):
+                started_s = time.monotonic()
+                answers.append(
+                    (*complete(daemon, POISON), time.monotonic() - started_s)
+                )
+        wait_for(lambda: load.n_whole > 30)
+    assert n_lost(fleet) == 2
+    assert load.lost == []
+    first, *later = answers
+    assert first[2]["type"].endswith(":quarantined")
+    assert first[2]["outcome"] == "unknown"
+    for status, _, problem, _ in later:
+        assert (status, problem["outcome"]) == (422, "not-run")
+        assert problem["type"].endswith(":quarantined")
+    noted = suspects(fleet, "suspect.noted")
+    assert len({e["target"] for e in noted}) == 2
+
+
+def test_verdict_reaches_newcomers_and_release_reaches_all(fleet):
+    for engine in heads_of(fleet):
+        engine.control(crash_on=POISON)
+    complete(daemons_of(fleet)[0], POISON)
+    [record] = listing(daemons_of(fleet)[1])["quarantined"]
+    # A newcomer of another domain that knows no peer learns it from the log.
+    fleet.list_vm("d0", "daemon", "d0", "127.0.0.1:1", "cautin")
+    newcomer = fleet.start_daemon("d9", "llanquihue")
+    fleet.wait_ready(newcomer)
+    wait_for(lambda: listing(newcomer)["quarantined"], FLEET_TIMEOUT_S)
+    assert complete(newcomer, POISON)[0] == 422
+    for engine in heads_of(fleet):
+        if engine.popen.poll() is None:
+            engine.control(crash_on="")
+    assert release(daemons_of(fleet)[1], record["fingerprint"]) == 200
+    for daemon in [*daemons_of(fleet), newcomer]:
+        wait_for(lambda d=daemon: complete(d, POISON)[0] == 200, FLEET_TIMEOUT_S)
+    assert release(newcomer, record["fingerprint"]) == 404
+
+
+def test_coincidence_quarantines_nobody(fleet):
+    prompts = [f"innocent {n}" for n in range(10)]
+    daemons = daemons_of(fleet)
+    earlier = set(progress(fleet))
+    with ThreadPoolExecutor(len(prompts)) as pool:
+        answers = [
+            pool.submit(complete, daemons[n % 3], prompt, CALLER, N_LONG)
+            for n, prompt in enumerate(prompts)
+        ]
+        wait_for(lambda: n_beyond(fleet, earlier, 20) == len(prompts))
+        fleet.processes["h0"].kill()
+        wait_for(lambda: n_beyond(fleet, earlier, 60) == len(prompts))
+        # The next engine to die has taken over a request from the first.
+        second = suspects(fleet, "suspect.alone")[0]["targets"].split(",")[0]
+        fleet.processes[second].kill()
+        for prompt, answer in zip(prompts, answers, strict=True):
+            assert is_whole(answer.result(), prompt, N_LONG)
+    for daemon in daemons:
+        assert listing(daemon)["quarantined"] == []
+    noted = suspects(fleet, "suspect.noted")
+    assert {e["target"] for e in noted} == {"h0", second}
+    assert any(e["n_losses"] == 2 for e in noted)
+    for daemon in daemons:
+        wait_for(lambda d=daemon: not listing(d)["suspects"], FLEET_TIMEOUT_S)
+
+
+def progress(fleet):
+    """Return the position that each request has reached."""
+    reached = {}
+    for index in range(N_TAILS):
+        for step in fleet.history(f"t{index}"):
+            position = max(reached.get(step["request"], 0), step["position"])
+            reached[step["request"]] = position
+    return reached
+
+
+def n_beyond(fleet, earlier, position):
+    reached = progress(fleet)
+    return sum(reached[r] > position for r in reached.keys() - earlier)
