--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -25,6 +25,7 @@
     PolicyPeers,
     TargetRegistry,
 )
+from cassiaspread_daemon.load import Quarantine, SuspectExchange, TargetProbe
 from cassiaspread_daemon.mesh import Mesh, Sender
 
 # A connection without a request for this long counts as idle.
@@ -81,6 +82,14 @@
         self._policy_peers = PolicyPeers(
             self.policy_follower, self.mesh, schedule, self.events, random_state
         )
+        self.quarantine = Quarantine(
+            SuspectExchange(
+                self.mesh, self.log, self.events, lambda: self.policy.limits
+            ),
+            TargetProbe(self.engines),
+            self.events,
+            self.incarnation,
+        )
         self._is_leaving = False
         self._requests = RequestCount()
         self.settle_callbacks: list[Callable[[], Awaitable[None]]] = []
@@ -91,6 +100,7 @@
         self.supervisor.start("policy-peers", self._policy_peers.run)
         self.supervisor.start("policy-checkpoints", self._policy_checkpointer.run)
         self.supervisor.start("targets", self.targets.run)
+        self.quarantine.start(self.supervisor)
         self.events.record("node.started", incarnation=self.incarnation)
         return self
 
