--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_main.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_main.py
@@ -5,6 +5,7 @@
 import os
 import sys
 from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
 
 import msgspec
 from cassiaspread_core.base import CassiaspreadError, FindingsError
@@ -64,6 +65,9 @@
         commands, "timeline", "show events in causal order", _timeline.timeline
     )
     timeline.add_argument("--request", help="only the events of this request")
+    timeline.add_argument(
+        "--html", type=Path, metavar="FILE", help="write a page with a lane a process"
+    )
     _add(
         commands,
         "hash-token",
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_timeline.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_timeline.py
@@ -1,14 +1,16 @@
 """``timeline``."""
 
 import argparse
+from pathlib import Path
 from urllib.parse import urlencode
 
 import msgspec
 from cassiaspread_core.timeline import Event, merge_events
 
-from cassiaspread_cli._context import Context, ExitStatus
+from cassiaspread_cli._context import CommandError, Context, ExitStatus
 from cassiaspread_cli._daemons import ask_all, split_answers
 from cassiaspread_cli._output import print_json, warn
+from cassiaspread_cli._timeline_page import render_page
 
 
 async def timeline(context: Context, arguments: argparse.Namespace) -> ExitStatus:
@@ -21,7 +23,10 @@
     answers = await ask_all(context, "/operators/events" + query, list[Event])
     reached, failed = split_answers(answers)
     events = merge_events(event for answer in reached for event in answer.value)
-    if context.is_json:
+    if arguments.html is not None:
+        title = f"request {arguments.request}" if arguments.request else "time line"
+        _write_page(arguments.html, render_page(events, title))
+    elif context.is_json:
         print_json(events)
     else:
         for event in events:
@@ -31,6 +36,18 @@
     return ExitStatus.PARTIAL if failed else ExitStatus.DONE
 
 
+def _write_page(path: Path, page: str) -> None:
+    try:
+        path.write_text(page)
+    except OSError as error:
+        raise CommandError(
+            ExitStatus.BAD_INPUT,
+            f"{path} can't be written: {error.strerror}",
+            "Name a file in a directory that exists.",
+        ) from None
+    print(f"wrote {path}")
+
+
 def _format(event: Event) -> str:
     fields = msgspec.json.encode(event.fields).decode()
     return f"{event.timestamp} {event.process} {event.kind} {event.request} {fields}"
