--- a/packages/cassiaspread-core/src/cassiaspread_core/pipeline/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/pipeline/__init__.py
@@ -1,5 +1,7 @@
-"""Plans over layer ranges and the order of tokens."""
+"""Plans over layer ranges, the order of tokens and the recovery of streams."""
 
+from cassiaspread_core.pipeline._attempt import AttemptBudget, next_attempt
+from cassiaspread_core.pipeline._keeper import rank_keepers
 from cassiaspread_core.pipeline._plan import (
     EngineReport,
     Plan,
@@ -7,14 +9,47 @@
     check_plan,
     choose_plan,
 )
+from cassiaspread_core.pipeline._restore import (
+    Restore,
+    RestoreMode,
+    StageRestore,
+    choose_restore,
+    find_holders,
+    prefer_holders,
+)
 from cassiaspread_core.pipeline._sequence import TokenSequence, TokenStep
+from cassiaspread_core.pipeline._silence import SilenceMonitor
+from cassiaspread_core.pipeline._verdict import (
+    Phase,
+    StageState,
+    States,
+    Verdict,
+    find_lost,
+    judge_interruption,
+)
 
 __all__ = [
+    "AttemptBudget",
     "EngineReport",
+    "Phase",
     "Plan",
+    "Restore",
+    "RestoreMode",
+    "SilenceMonitor",
     "Stage",
+    "StageRestore",
+    "StageState",
+    "States",
     "TokenSequence",
     "TokenStep",
+    "Verdict",
     "check_plan",
     "choose_plan",
+    "choose_restore",
+    "find_holders",
+    "find_lost",
+    "judge_interruption",
+    "next_attempt",
+    "prefer_holders",
+    "rank_keepers",
 ]
--- /dev/null
+++ b/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_attempt.py
@@ -0,0 +1,54 @@
+"""Numbers of attempts, and how many of them a request may take."""
+
+OWNER_BITS = 16
+OWNER_MASK = (1 << OWNER_BITS) - 1
+
+
+def next_attempt(seen: int, owner: int) -> int:
+    """Return the attempt number that follows another.
+
+    The low bits name the daemon, so that two daemons that follow the same number
+    never choose the same one.
+
+    :param seen: highest number seen for the request, 0 for none.
+    :param owner: number of the daemon, of which the low 16 bits are used.
+
+    >>> next_attempt(0, owner=7) < next_attempt(next_attempt(0, owner=9), owner=7)
+    True
+    >>> next_attempt(0, owner=7) == next_attempt(0, owner=9)
+    False
+    """
+    return ((seen >> OWNER_BITS) + 1) << OWNER_BITS | (owner & OWNER_MASK)
+
+
+class AttemptBudget:
+    """Ends a request whose attempts fail one after the other without a token.
+
+    :param n_attempts: attempts in a row that may bring nothing.
+
+    >>> budget = AttemptBudget(n_attempts=2)
+    >>> budget.fail(position=0), budget.fail(position=5), budget.fail(position=5)
+    (True, True, False)
+    """
+
+    def __init__(self, n_attempts: int) -> None:
+        self._n_attempts = n_attempts
+        self._n_fruitless = 0
+        self._position = 0
+
+    @property
+    def n_fruitless(self) -> int:
+        """Failed attempts since the last one that brought a token."""
+        return self._n_fruitless
+
+    def fail(self, position: int) -> bool:
+        """Count a failed attempt.
+
+        :param position: position of the next token when it failed.
+        :returns: whether another attempt may follow.
+        """
+        if position > self._position:
+            self._n_fruitless = 0
+            self._position = position
+        self._n_fruitless += 1
+        return self._n_fruitless < self._n_attempts
--- /dev/null
+++ b/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_keeper.py
@@ -0,0 +1,26 @@
+"""Which daemons keep the trace of a request."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from cassiaspread_core.base import RequestId
+
+
+def rank_keepers(request: RequestId, daemons: Iterable[str]) -> list[str]:
+    """Order daemons by rendezvous hash, so that all agree on who keeps a trace.
+
+    :param request: the request.
+    :param daemons: addresses of live daemons.
+
+    >>> ranked = rank_keepers("r", ["a", "b", "c"])
+    >>> ranked == rank_keepers("r", ["c", "b", "a"])
+    True
+    >>> [d for d in ranked if d != "b"] == rank_keepers("r", ["a", "c"])
+    True
+    """
+    return sorted(
+        daemons,
+        key=lambda daemon: xxhash.xxh3_64_intdigest(f"{request}\n{daemon}".encode()),
+        reverse=True,
+    )
--- a/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_sequence.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_sequence.py
@@ -3,7 +3,7 @@
 import msgspec
 
 
-class TokenStep(msgspec.Struct, frozen=True):
+class TokenStep(msgspec.Struct, frozen=True, gc=False):
     """One token as an engine delivers it.
 
     :param attempt: attempt that produced it.
@@ -12,8 +12,8 @@
     :param finish_reason: set on the last step only, whose text is empty.
     """
 
-    attempt: int
-    position: int
+    attempt: int = 0
+    position: int = 0
     text: str = ""
     finish_reason: str | None = None
 
--- /dev/null
+++ b/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_silence.py
@@ -0,0 +1,83 @@
+"""Decides when a token stream has been silent for longer than is usual."""
+
+MEAN_GAIN = 1 / 8
+DEVIATION_GAIN = 1 / 4
+N_DEVIATIONS = 4
+MAX_BACKOFF = 8.0
+
+
+class SilenceMonitor:
+    """Estimates the time between tokens as TCP estimates its retransmission timeout.
+
+    The bound is the smoothed interval plus four smoothed deviations, held between a
+    lowest and a highest bound. Before the first token, which takes a prefill, it is
+    the highest. An engine that a probe found to be slow doubles it.
+
+    :param expected_s: predicted interval between tokens in seconds.
+    :param min_silence_s: lowest bound in seconds.
+    :param max_silence_s: highest bound in seconds, before it is doubled.
+    :param now_s: present time in seconds.
+
+    >>> monitor = SilenceMonitor(0.03, 0.2, 1.0, now_s=10.0)
+    >>> monitor.note_tokens(1, now_s=10.0)
+    >>> monitor.is_silent(10.1), monitor.is_silent(10.2)
+    (False, True)
+    """
+
+    def __init__(
+        self,
+        expected_s: float,
+        min_silence_s: float,
+        max_silence_s: float,
+        now_s: float,
+    ) -> None:
+        self._mean_s = expected_s
+        self._deviation_s = expected_s / 2
+        self._min_silence_s = min_silence_s
+        self._max_silence_s = max(min_silence_s, max_silence_s)
+        self._backoff = 1.0
+        self._heard_s = now_s
+        self._has_begun = False
+
+    @property
+    def bound_s(self) -> float:
+        """Longest silence in seconds that is not probed."""
+        usual_s = self._mean_s + N_DEVIATIONS * self._deviation_s
+        if not self._has_begun:
+            return self._max_silence_s * self._backoff
+        bound_s = min(max(usual_s, self._min_silence_s), self._max_silence_s)
+        return bound_s * self._backoff
+
+    @property
+    def deadline_s(self) -> float:
+        """Time at which the stream becomes silent unless a token comes."""
+        return self._heard_s + self.bound_s
+
+    def is_silent(self, now_s: float) -> bool:
+        """Tell whether the bound has passed.
+
+        :param now_s: present time in seconds.
+        """
+        return now_s >= self.deadline_s
+
+    def note_tokens(self, n_tokens: int, now_s: float) -> None:
+        """Take in that tokens came.
+
+        :param n_tokens: how many came at once.
+        :param now_s: present time in seconds.
+        """
+        if self._has_begun:
+            error_s = (now_s - self._heard_s) / n_tokens - self._mean_s
+            self._mean_s += MEAN_GAIN * error_s
+            self._deviation_s += DEVIATION_GAIN * (abs(error_s) - self._deviation_s)
+        self._has_begun = True
+        self._backoff = 1.0
+        self._heard_s = now_s
+
+    def note_slow(self, now_s: float) -> None:
+        """Take in that a probe found the engines at work.
+
+        :param now_s: present time in seconds.
+        """
+        self._heard_s = now_s
+        self._backoff = min(2 * self._backoff, MAX_BACKOFF)
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
@@ -23,9 +23,13 @@
     :param max_request_timeout_ms: longest deadline that a caller may ask for.
     :param max_tokens: most tokens of one answer.
     :param max_body_bytes: largest request body.
-    :param engine_silence_ms: longest silence of a token stream before it is probed.
+    :param engine_silence_ms: longest silence of a token stream before it is probed,
+        however slow its engines usually are.
+    :param min_engine_silence_ms: silence that is not probed, however fast they are.
+    :param probe_timeout_ms: longest wait for an engine's state of a request.
+    :param replan_timeout_ms: longest wait for engines that replace lost stages.
     :param connect_timeout_ms: longest time to open a connection to a target.
-    :param n_attempts: attempts of one request on engines.
+    :param n_attempts: attempts of one request in a row that may bring no token.
     :param retry_ratio: retries allowed per request that succeeded.
     :param claim_timeout_ms: longest wait for a claim to be seen in the log.
     :param dedupe_window_s: age up to which an idempotency key is accepted;
@@ -38,6 +42,9 @@
     max_tokens: int = 4096
     max_body_bytes: int = 1_048_576
     engine_silence_ms: int = 1_000
+    min_engine_silence_ms: int = 200
+    probe_timeout_ms: int = 300
+    replan_timeout_ms: int = 2_000
     connect_timeout_ms: int = 1_000
     n_attempts: int = 3
     retry_ratio: float = 0.1
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_metrics.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_metrics.py
@@ -1,6 +1,9 @@
 """Metrics of one daemon."""
 
+from collections.abc import Iterable
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import REGISTRY, generate_latest
 
@@ -18,8 +21,11 @@
         self._requests = self._meter.create_counter(
             "cassiaspread.requests", description="Requests by kind and answer."
         )
-        self._tokens = self._meter.create_counter(
-            "cassiaspread.tokens", description="Tokens relayed to callers."
+        self._n_tokens = 0
+        self._meter.create_observable_counter(
+            "cassiaspread.tokens",
+            [self._observe_tokens],
+            description="Tokens relayed to callers.",
         )
         self._first_token = self._meter.create_histogram(
             "cassiaspread.first_token", unit="s", description="Time to first token."
@@ -38,7 +44,7 @@
 
         :param n_tokens: how many.
         """
-        self._tokens.add(n_tokens, self._attributes)
+        self._n_tokens += n_tokens
 
     def record_first_token(self, seconds: float) -> None:
         """Record the time from a request's arrival to its first token.
@@ -47,6 +53,9 @@
         """
         self._first_token.record(seconds, self._attributes)
 
+    def _observe_tokens(self, options: CallbackOptions) -> Iterable[Observation]:
+        return [Observation(self._n_tokens, self._attributes)]
+
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
         return generate_latest(REGISTRY)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -18,6 +18,7 @@
 from cassiaspread_daemon.adapters import EngineClient, LogClient, VmListClient
 from cassiaspread_daemon.fleet import PolicyFollower, TargetRegistry
 from cassiaspread_daemon.mesh import Mesh, Sender
+from cassiaspread_daemon.relay import RelayServices
 
 IDLE_POLL_S = 0.05
 MILLISECONDS_PER_SECOND = 1000
@@ -64,6 +65,14 @@
             self.supervisor.add_child("mesh"),
             self._daemon_addresses,
         )
+        self.relay = RelayServices(
+            self.engines,
+            self.targets,
+            self.mesh,
+            settings.domain,
+            self.events,
+            random_state,
+        )
         self._is_leaving = False
         self._n_requests = 0
 
@@ -71,6 +80,7 @@
         await self.mesh.__aenter__()
         self.supervisor.start("policy", self.policy_follower.run)
         self.supervisor.start("targets", self.targets.run)
+        self.relay.start(self.supervisor)
         self.events.record("node.started", incarnation=self.incarnation)
         return self
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/__init__.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/__init__.py
@@ -1,6 +1,14 @@
 """Clients of the systems outside: one module for each."""
 
-from cassiaspread_daemon.adapters._engine import EngineClient, EngineRefused
+from cassiaspread_daemon.adapters._engine import (
+    AttemptRefused,
+    CancelOrder,
+    EngineClient,
+    EngineRefused,
+    GenerateOrder,
+    ResumeOrder,
+    StreamEvent,
+)
 from cassiaspread_daemon.adapters._log import (
     AppendAmbiguous,
     AppendNotSent,
@@ -15,13 +23,18 @@
 __all__ = [
     "AppendAmbiguous",
     "AppendNotSent",
+    "AttemptRefused",
+    "CancelOrder",
     "EngineClient",
     "EngineRefused",
+    "GenerateOrder",
     "ListedVm",
     "LogClient",
     "LogPage",
     "LogRecord",
     "LogUnavailable",
+    "ResumeOrder",
+    "StreamEvent",
     "Truncated",
     "VmListClient",
 ]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_engine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_engine.py
@@ -4,12 +4,19 @@
 
 import msgspec
 from cassiaspread_core.base import CassiaspreadError, ModelId, RequestId, TargetId
-from cassiaspread_core.pipeline import EngineReport, Plan, Stage, TokenStep
+from cassiaspread_core.pipeline import (
+    EngineReport,
+    Plan,
+    Restore,
+    StageState,
+    TokenStep,
+)
 
 from cassiaspread_daemon._exchange import Exchange, fetch
 
 EVENT_PREFIX = b"data: "
 EVENT_END = b"\n\n"
+N_PREFIX_BYTES = len(EVENT_PREFIX)
 
 
 class GenerateOrder(msgspec.Struct, frozen=True, kw_only=True):
@@ -24,6 +31,8 @@
     :param max_tokens: most tokens of the whole answer.
     :param priority: higher goes first.
     :param plan: stages in order.
+    :param restore: how each stage gets its KV cache.
+    :param fingerprint: hash of the request's content.
     """
 
     request: RequestId
@@ -35,30 +44,49 @@
     max_tokens: int
     priority: int
     plan: Plan
+    restore: Restore
+    fingerprint: str
 
 
-class EngineError(msgspec.Struct, frozen=True):
-    """Failure that an engine reports inside a stream.
+class ResumeOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks the head of a running request for its tokens from a position on.
 
-    :param error: short name of the reason.
-    :param engine: the engine that is at fault.
+    :param request: identity of the request.
+    :param attempt: attempt that the tokens carry from now on.
+    :param start: position of the first token wanted.
     """
 
-    error: str
-    engine: TargetId
+    request: RequestId
+    attempt: int
+    start: int
 
 
-class StreamEvent(msgspec.Struct, frozen=True):
-    """One event of an engine's token stream: a token, the end or an error."""
+class CancelOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks an engine to stop a request.
+
+    :param request: identity of the request.
+    :param attempt: the last attempt to stop.
+    """
+
+    request: RequestId
+    attempt: int
+
+
+class StreamEvent(TokenStep, frozen=True, gc=False):
+    """One event of an engine's token stream: a token, the end or an error.
+
+    :param error: short name of the reason of a failure.
+    :param engine: the engine at fault.
+    """
 
-    attempt: int = 0
-    position: int = 0
-    text: str = ""
-    finish_reason: str | None = None
     error: str | None = None
     engine: TargetId | None = None
 
 
+class _Conflict(msgspec.Struct, frozen=True):
+    attempt: int = 0
+
+
 class EngineRefused(CassiaspreadError):
     """An engine answered a request for tokens with an error status.
 
@@ -72,15 +100,15 @@
         self.body = body
 
 
-class EngineFailed(CassiaspreadError):
-    """An engine reported a failure inside a stream.
+class AttemptRefused(EngineRefused):
+    """An engine has seen a higher attempt of the request.
 
-    :param engine: the engine at fault.
+    :param body: the engine's explanation.
     """
 
-    def __init__(self, error: str, engine: TargetId) -> None:
-        super().__init__(f"{engine}: {error}")
-        self.engine = engine
+    def __init__(self, body: bytes) -> None:
+        super().__init__(409, body)
+        self.seen = msgspec.json.decode(body, type=_Conflict).attempt
 
 
 class EngineClient:
@@ -111,58 +139,82 @@
         )
         return msgspec.json.decode(response.body, type=EngineReport)
 
+    async def request_state(
+        self, address: str, request: RequestId, timeout_s: float
+    ) -> StageState:
+        """Ask an engine, over a new connection, what it knows of a request.
+
+        :param address: ``host:port`` of the engine.
+        :param request: the request.
+        :param timeout_s: longest wait in seconds.
+        :raises ConnectFailed: no connection was opened.
+        :raises ExchangeBroken: no answer came.
+        :raises msgspec.MsgspecError: the answer is malformed.
+        """
+        response = await fetch(
+            address,
+            "GET",
+            f"/engine/requests/{request}",
+            connect_timeout_s=timeout_s,
+            timeout_s=timeout_s,
+        )
+        return msgspec.json.decode(response.body, type=StageState)
+
     async def open_stream(
         self,
-        head: Stage,
-        order: GenerateOrder,
-        on_event: Callable[[StreamEvent], None],
+        address: str,
+        order: GenerateOrder | ResumeOrder,
+        on_events: Callable[[list[StreamEvent]], None],
     ) -> Exchange:
-        """Start generating; events arrive through the callback.
+        """Start or resume generating; events arrive through the callback.
 
-        :param head: first stage of the plan.
-        :param order: what to generate.
-        :param on_event: called with each event in the order of arrival.
+        :param address: ``host:port`` of the head of the plan.
+        :param order: what to generate or to resume.
+        :param on_events: called with the events that arrived together, in order.
         :returns: the exchange, to be finished or closed by the caller.
         :raises ConnectFailed: the engine got nothing.
         :raises ExchangeBroken: the engine may have got the order.
+        :raises AttemptRefused: the engine has seen a higher attempt.
         :raises EngineRefused: the engine refused the order.
         """
-        exchange = await Exchange.open(head.address, self._connect_timeout_s)
+        is_resume = isinstance(order, ResumeOrder)
+        exchange = await Exchange.open(address, self._connect_timeout_s)
         try:
             status = await exchange.send(
                 "POST",
-                "/engine/generate",
+                "/engine/resume" if is_resume else "/engine/generate",
                 msgspec.json.encode(order),
-                on_data=self._split_events(on_event),
+                on_data=self._split_events(on_events),
             )
             if status != 200:
                 response = await exchange.finish()
+                if status == 409:
+                    raise AttemptRefused(response.body)
                 raise EngineRefused(status, response.body)
         except BaseException:
             exchange.close()
             raise
         return exchange
 
-    async def cancel(self, head: Stage, request: RequestId, attempt: int) -> None:
+    async def cancel(self, address: str, order: CancelOrder) -> None:
         """Stop generating for a request.
 
-        :param head: first stage of its plan.
-        :param request: the request.
-        :param attempt: the last attempt to stop.
+        :param address: ``host:port`` of the head of its plan.
+        :param order: what to stop.
         :raises ConnectFailed: the engine got nothing.
         :raises ExchangeBroken: no answer came.
         """
         await fetch(
-            head.address,
+            address,
             "POST",
             "/engine/cancel",
-            body=msgspec.json.encode({"request": request, "attempt": attempt}),
+            body=msgspec.json.encode(order),
             connect_timeout_s=self._connect_timeout_s,
             timeout_s=self._connect_timeout_s,
         )
 
     def _split_events(
-        self, on_event: Callable[[StreamEvent], None]
+        self, on_events: Callable[[list[StreamEvent]], None]
     ) -> Callable[[bytes], None]:
         rest = b""
         decode = self._decoder.decode
@@ -170,15 +222,6 @@
         def on_data(chunk: bytes) -> None:
             nonlocal rest
             *events, rest = (rest + chunk).split(EVENT_END)
-            for event in events:
-                on_event(decode(event[len(EVENT_PREFIX) :]))
+            on_events([decode(event[N_PREFIX_BYTES:]) for event in events])
 
         return on_data
-
-
-def to_step(event: StreamEvent) -> TokenStep:
-    """Return the token step that an event carries.
-
-    :param event: an event without an error.
-    """
-    return TokenStep(event.attempt, event.position, event.text, event.finish_reason)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
@@ -1,52 +1,49 @@
 """Completions in the form that OpenAI's interface has made usual."""
 
+import asyncio
 import time
-from typing import Annotated, Any
+from collections.abc import Callable
 
-import msgspec
 import uuid6
 import xxhash
-from cassiaspread_core.base import ModelId, Refusal, RequestId
+from cassiaspread_core.base import ModelId, Outcome, Refusal, RequestId
 from cassiaspread_core.pipeline import TokenStep
 
-from cassiaspread_daemon.handlers._base import CallerHandler, to_problem
+from cassiaspread_daemon.handlers._base import CallerHandler
+from cassiaspread_daemon.handlers._completion_body import (
+    AnyBody,
+    ChatBody,
+    CompletionBody,
+    check_body,
+    check_event_id,
+)
+from cassiaspread_daemon.handlers._completion_format import (
+    STREAM_END,
+    ToChoice,
+    build_event_formatter,
+    format_answer,
+    format_error,
+    to_delta_choice,
+    to_message_choice,
+    to_text_choice,
+)
 from cassiaspread_daemon.relay import Generation, GenerationRequest
 
-DEFAULT_MAX_TOKENS = 16
-STREAM_END = b"data: [DONE]\n\n"
-
-
-class CompletionBody(msgspec.Struct):
-    """Body of a completion request; unknown fields are ignored."""
-
-    model: str
-    prompt: str
-    max_tokens: Annotated[int, msgspec.Meta(ge=1)] = DEFAULT_MAX_TOKENS
-    stream: bool = False
-
-
-class ChatMessage(msgspec.Struct):
-    """One message of a chat."""
-
-    role: str
-    content: str
-
-
-class ChatBody(msgspec.Struct):
-    """Body of a chat completion request; unknown fields are ignored."""
-
-    model: str
-    messages: Annotated[list[ChatMessage], msgspec.Meta(min_length=1)]
-    max_tokens: Annotated[int, msgspec.Meta(ge=1)] = DEFAULT_MAX_TOKENS
-    stream: bool = False
+Deliver = Callable[[list[TokenStep]], None]
 
 
 class GenerationHandler(CallerHandler):
     """Base of both kinds of completion."""
 
     kind = "completion"
-    object_name = ""
-    body_type: type[CompletionBody] | type[ChatBody]
+    body_type: type[AnyBody]
+    answer_name: str
+    event_name: str
+    to_answer_choice: ToChoice
+    to_event_choice: ToChoice
+
+    _running: asyncio.Future[None] | None = None
+    _has_first_step = False
 
     async def post(self) -> None:
         """Answer whole or as a stream of events."""
@@ -54,52 +51,28 @@
 
     async def answer(self) -> None:
         """Answer whole or as a stream of events."""
-        body = self._check_body()
-        generation = Generation(
-            self._check_request(body),
-            self.limits,
-            self.node.engines,
-            self.node.targets,
-            self.node.settings.domain,
-            self.node.events,
+        body = check_body(bytes(self.body), self.body_type)
+        request = self._check_request(body)
+        self.node.events.record(
+            "answer.began", request.request, model=body.model, start=request.start
         )
-        self.model = body.model
-        if body.stream:
-            await self._answer_stream(generation)
-        else:
-            await self._answer_whole(generation)
-
-    def prompt_of(self, body: Any) -> str:
-        """Return the text that the engines get.
-
-        :param body: the checked body.
-        """
-        raise NotImplementedError
-
-    def whole_choice(self, text: str, finish_reason: str) -> dict:
-        """Return the choice of a whole answer.
-
-        :param text: the answer's text.
-        :param finish_reason: why it ended.
-        """
-        raise NotImplementedError
-
-    def stream_choice(self, step: TokenStep) -> dict:
-        """Return the choice of one event.
-
-        :param step: the token or the end.
-        """
-        raise NotImplementedError
-
-    def _check_body(self) -> Any:
+        outcome = "failed"
         try:
-            return msgspec.json.decode(bytes(self.body), type=self.body_type)
-        except msgspec.ValidationError as error:
-            raise Refusal(400, "bad-body", f"{error}.") from None
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            raise Refusal(400, "bad-json", f"The body is no JSON: {error}.") from None
-
-    def _check_request(self, body: Any) -> GenerationRequest:
+            if body.stream:
+                await self._answer_stream(request)
+            else:
+                await self._answer_whole(request)
+            outcome = "ended"
+        finally:
+            self.node.events.record("answer.ended", request.request, outcome=outcome)
+
+    def on_connection_close(self) -> None:
+        """Stop generating for a caller who is gone."""
+        super().on_connection_close()
+        if self._running is not None:
+            self._running.cancel()
+
+    def _check_request(self, body: AnyBody) -> GenerationRequest:
         model = self.node.policy.models.get(ModelId(body.model))
         if model is None:
             raise Refusal(
@@ -114,9 +87,9 @@
             organisation=self.organisation,
             model=ModelId(body.model),
             n_layers=model.n_layers,
-            prompt=self.prompt_of(body),
+            prompt=body.to_prompt(),
             max_tokens=body.max_tokens,
-            start=self._check_start(),
+            start=self._check_start(body),
             deadline_s=self.deadline_s,
         )
 
@@ -128,106 +101,83 @@
             xxhash.xxh3_128_hexdigest(f"{self.organisation}\n{key}".encode())
         )
 
-    def _check_start(self) -> int:
-        text = self.request.headers.get("Last-Event-ID")
-        if text is None:
-            return 0
-        if not text.isdigit():
-            raise Refusal(400, "bad-event-id", "Last-Event-ID takes a position.")
-        return int(text) + 1
-
-    async def _answer_whole(self, generation: Generation) -> None:
-        texts: list[str] = []
-        finish_reason = ""
-        async for step in generation.steps():
-            self._note_step(step)
-            texts.append(step.text)
-            finish_reason = step.finish_reason or ""
-        choice = self.whole_choice("".join(texts), finish_reason)
-        n_tokens = len(texts) - 1
+    def _check_start(self, body: AnyBody) -> int:
+        start = check_event_id(self.request.headers.get("Last-Event-ID"))
+        if start and (not body.stream or self.idempotency_key() is None):
+            raise Refusal(
+                400,
+                "bad-event-id",
+                "Last-Event-ID needs a stream and the request's Idempotency-Key.",
+            )
+        return start
+
+    async def _answer_whole(self, request: GenerationRequest) -> None:
+        steps: list[TokenStep] = []
+        await self._generate(request, steps.extend)
         self.set_header("Content-Type", "application/json")
-        answer = {
-            **self._envelope(choice),
-            "usage": {"completion_tokens": n_tokens},
-        }
-        self.finish(msgspec.json.encode(answer))
+        answer = format_answer(
+            self.answer_name, request.model, self.to_answer_choice, steps
+        )
+        self.finish(answer)
+
+    async def _answer_stream(self, request: GenerationRequest) -> None:
+        format_event = build_event_formatter(
+            self.event_name, request.model, self.to_event_choice
+        )
+        self.set_header("Content-Type", "text/event-stream")
+        self.set_header("Cache-Control", "no-store")
+
+        def write_steps(steps: list[TokenStep]) -> None:
+            self.write(b"".join([format_event(step) for step in steps]))
+            self.flush()
 
-    async def _answer_stream(self, generation: Generation) -> None:
         try:
-            async for step in generation.steps():
-                self._note_step(step)
-                self._write_step(step)
+            await self._generate(request, write_steps)
+            end = STREAM_END
         except Refusal as refusal:
             if not self._headers_written:
+                self.clear()
                 raise
-            self.write(
-                b"event: error\ndata: "
-                + msgspec.json.encode(to_problem(refusal))
-                + b"\n\n"
-            )
-        else:
-            self.write(STREAM_END)
-        await self.finish()
-
-    def _write_step(self, step: TokenStep) -> None:
-        if not self._headers_written:
-            self.set_header("Content-Type", "text/event-stream")
-            self.set_header("Cache-Control", "no-store")
-        payload = msgspec.json.encode(self._envelope(self.stream_choice(step)))
-        self.write(b"id: %d\ndata: %b\n\n" % (step.position, payload))
-        self.flush()
-
-    def _note_step(self, step: TokenStep) -> None:
-        if step.finish_reason is None:
-            self.node.metrics.count_tokens(1)
-        if not hasattr(self, "first_step_s"):
-            self.first_step_s = time.monotonic()
-            self.node.metrics.record_first_token(self.first_step_s - self.received_s)
-
-    def _envelope(self, choice: dict) -> dict:
-        return {
-            "object": self.object_name,
-            "model": self.model,
-            "choices": [{"index": 0, **choice}],
-        }
+            end = format_error(refusal)
+        await self.finish(end)
 
+    async def _generate(self, request: GenerationRequest, deliver: Deliver) -> None:
+        def take(steps: list[TokenStep]) -> None:
+            self._note_steps(steps)
+            deliver(steps)
 
-class CompletionsHandler(GenerationHandler):
-    """``POST /v1/completions``."""
+        generation = Generation(request, self.limits, self.node.relay, take)
+        self._running = asyncio.ensure_future(generation.run())
+        try:
+            await self._running
+        except asyncio.CancelledError:
+            raise Refusal(
+                499, "caller-gone", "The caller left.", Outcome.UNKNOWN
+            ) from None
 
-    object_name = "text_completion"
-    body_type = CompletionBody
+    def _note_steps(self, steps: list[TokenStep]) -> None:
+        n_ends = steps[-1].finish_reason is not None
+        self.node.metrics.count_tokens(len(steps) - n_ends)
+        if not self._has_first_step:
+            self._has_first_step = True
+            waited_s = time.monotonic() - self.received_s
+            self.node.metrics.record_first_token(waited_s)
 
-    def prompt_of(self, body: CompletionBody) -> str:
-        """Return the prompt as it came."""
-        return body.prompt
 
-    def whole_choice(self, text: str, finish_reason: str) -> dict:
-        """Return the text."""
-        return {"text": text, "finish_reason": finish_reason}
+class CompletionsHandler(GenerationHandler):
+    """``POST /v1/completions``."""
 
-    def stream_choice(self, step: TokenStep) -> dict:
-        """Return the token's text."""
-        return {"text": step.text, "finish_reason": step.finish_reason}
+    body_type = CompletionBody
+    answer_name = event_name = "text_completion"
+    to_answer_choice = staticmethod(to_text_choice)
+    to_event_choice = staticmethod(to_text_choice)
 
 
 class ChatCompletionsHandler(GenerationHandler):
     """``POST /v1/chat/completions``."""
 
-    object_name = "chat.completion"
     body_type = ChatBody
-
-    def prompt_of(self, body: ChatBody) -> str:
-        """Join the messages, each behind its role."""
-        return "\n".join(f"{m.role}: {m.content}" for m in body.messages)
-
-    def whole_choice(self, text: str, finish_reason: str) -> dict:
-        """Return the text as the assistant's message."""
-        return {
-            "message": {"role": "assistant", "content": text},
-            "finish_reason": finish_reason,
-        }
-
-    def stream_choice(self, step: TokenStep) -> dict:
-        """Return the token's text as a difference."""
-        return {"delta": {"content": step.text}, "finish_reason": step.finish_reason}
+    answer_name = "chat.completion"
+    event_name = "chat.completion.chunk"
+    to_answer_choice = staticmethod(to_message_choice)
+    to_event_choice = staticmethod(to_delta_choice)
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_attempt.py
@@ -0,0 +1,188 @@
+"""One attempt of a request: one token stream from the head of a plan."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from enum import Enum
+
+import msgspec
+from cassiaspread_core.base import TargetId
+from cassiaspread_core.pipeline import SilenceMonitor, TokenSequence, TokenStep
+from cassiaspread_core.policy import Limits
+
+from cassiaspread_daemon._exchange import ConnectFailed, Exchange, ExchangeBroken
+from cassiaspread_daemon.adapters import (
+    AttemptRefused,
+    EngineClient,
+    EngineRefused,
+    GenerateOrder,
+    ResumeOrder,
+    StreamEvent,
+)
+from cassiaspread_daemon.relay._planner import PlannedChain
+
+MILLISECONDS_PER_SECOND = 1000
+STALE_ATTEMPT = "stale-attempt"
+SUPERSEDED = "superseded"
+
+Deliver = Callable[[list[TokenStep]], None]
+
+
+class EndKind(Enum):
+    """How an attempt ended."""
+
+    FINISHED = "finished"
+    # The connection could not be opened or was closed too early.
+    CLOSED = "closed"
+    SILENT = "silent"
+    # An engine reported a failure, its own or that of another engine.
+    FAILED = "failed"
+    # An engine has seen a higher attempt.
+    STALE = "stale"
+    # The head serves the stream to another daemon.
+    SUPERSEDED = "superseded"
+
+
+class AttemptEnd(msgspec.Struct, frozen=True, kw_only=True):
+    """How an attempt ended and why.
+
+    :param kind: how.
+    :param reason: short explanation.
+    :param engine: the engine that is named at fault, if any.
+    :param seen: highest attempt that an engine told of.
+    """
+
+    kind: EndKind
+    reason: str = ""
+    engine: TargetId | None = None
+    seen: int = 0
+
+
+class Attempt:
+    """Runs one token stream; a context manager that closes its connection.
+
+    :param engines: client of the engines.
+    :param chain: the plan and what is known of it.
+    :param sequence: decides which tokens are taken.
+    :param limits: limits in force for the request.
+    :param deliver: called with each batch of tokens taken.
+    """
+
+    def __init__(
+        self,
+        engines: EngineClient,
+        chain: PlannedChain,
+        sequence: TokenSequence,
+        limits: Limits,
+        deliver: Deliver,
+    ) -> None:
+        self._engines = engines
+        self._chain = chain
+        self._sequence = sequence
+        self._deliver = deliver
+        self._exchange: Exchange | None = None
+        self._end: asyncio.Future[AttemptEnd] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._monitor = SilenceMonitor(
+            chain.step_s,
+            limits.min_engine_silence_ms / MILLISECONDS_PER_SECOND,
+            limits.engine_silence_ms / MILLISECONDS_PER_SECOND,
+            time.monotonic(),
+        )
+        self._may_have_run = False
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def __enter__(self) -> "Attempt":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        if self._exchange is not None:
+            self._exchange.close()
+
+    @property
+    def chain(self) -> PlannedChain:
+        """The plan and what is known of it."""
+        return self._chain
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an engine may have begun with the order."""
+        return self._may_have_run
+
+    def start(self, order: GenerateOrder | ResumeOrder) -> None:
+        """Send the order; what comes of it is told by :meth:`wait`.
+
+        :param order: what to generate or to resume.
+        """
+        self._tasks.append(asyncio.create_task(self._run(order)))
+
+    async def wait(self) -> AttemptEnd:
+        """Wait for the end of the stream or for its silence."""
+        while not self._end.done():
+            now_s = time.monotonic()
+            if self._monitor.is_silent(now_s):
+                return AttemptEnd(kind=EndKind.SILENT, reason="silent")
+            await asyncio.wait((self._end,), timeout=self._monitor.deadline_s - now_s)
+        return self._end.result()
+
+    def note_slow(self) -> None:
+        """Take in that the engines were found at work."""
+        self._monitor.note_slow(time.monotonic())
+
+    async def _run(self, order: GenerateOrder | ResumeOrder) -> None:
+        address = self._chain.plan[0].address
+        self._may_have_run = True
+        try:
+            self._exchange = await self._engines.open_stream(
+                address, order, self._take_events
+            )
+            await self._exchange.finish()
+            self._close("the stream ended before its last token")
+        except ConnectFailed as error:
+            self._may_have_run = False
+            self._close(str(error))
+        except ExchangeBroken as error:
+            self._close(str(error))
+        except AttemptRefused as error:
+            self._may_have_run = False
+            self._settle(EndKind.STALE, str(error), seen=error.seen)
+        except EngineRefused as error:
+            self._may_have_run = False
+            head = self._chain.plan[0].engine
+            self._settle(EndKind.FAILED, str(error), engine=head)
+
+    def _take_events(self, events: list[StreamEvent]) -> None:
+        accept = self._sequence.accept
+        steps: list[TokenStep] = [
+            event for event in events if event.error is None and accept(event)
+        ]
+        if steps:
+            self._monitor.note_tokens(len(steps), time.monotonic())
+            self._deliver(steps)
+        if self._sequence.finish_reason is not None:
+            self._settle(EndKind.FINISHED)
+        elif events and events[-1].error is not None:
+            self._take_error(events[-1])
+
+    def _take_error(self, event: StreamEvent) -> None:
+        kinds = {STALE_ATTEMPT: EndKind.STALE, SUPERSEDED: EndKind.SUPERSEDED}
+        kind = kinds.get(event.error or "", EndKind.FAILED)
+        reason = f"{event.engine or self._chain.plan[0].engine}: {event.error}"
+        self._settle(kind, reason, event.engine, event.attempt)
+
+    def _close(self, reason: str) -> None:
+        self._settle(EndKind.CLOSED, reason, self._chain.plan[0].engine)
+
+    def _settle(
+        self,
+        kind: EndKind,
+        reason: str = "",
+        engine: TargetId | None = None,
+        seen: int = 0,
+    ) -> None:
+        if not self._end.done():
+            end = AttemptEnd(kind=kind, reason=reason, engine=engine, seen=seen)
+            self._end.set_result(end)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
@@ -1,65 +1,46 @@
 """One request's tokens, over as many attempts as it takes."""
 
 import asyncio
-from collections.abc import AsyncIterator
 
 import msgspec
-from cassiaspread_core.base import (
-    DomainId,
-    ModelId,
-    OrganisationId,
-    Outcome,
-    Refusal,
-    RequestId,
-    TargetId,
-)
+from cassiaspread_core.base import Outcome, Refusal
 from cassiaspread_core.pipeline import (
-    EngineReport,
-    Plan,
+    AttemptBudget,
+    Stage,
     TokenSequence,
     TokenStep,
-    check_plan,
-    choose_plan,
+    Verdict,
+    choose_restore,
+    next_attempt,
 )
 from cassiaspread_core.policy import Limits
-from cassiaspread_core.timeline import EventRing
-
-from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken
-from cassiaspread_daemon.adapters import EngineClient, EngineRefused
-from cassiaspread_daemon.adapters._engine import (
-    EngineFailed,
-    GenerateOrder,
-    StreamEvent,
-    to_step,
+
+from cassiaspread_daemon.adapters import GenerateOrder, ResumeOrder
+from cassiaspread_daemon.relay._attempt import (
+    Attempt,
+    AttemptEnd,
+    Deliver,
+    EndKind,
 )
-from cassiaspread_daemon.fleet import TargetRegistry
+from cassiaspread_daemon.relay._judge import Diagnosis, diagnose
+from cassiaspread_daemon.relay._planner import EngineStart, PlannedChain
+from cassiaspread_daemon.relay._request import GenerationRequest
+from cassiaspread_daemon.relay._services import RelayServices
 
-LOCAL_LINK_COST_MS = 0.1
-REMOTE_LINK_COST_MS = 1.0
+REPLAN_POLL_S = 0.02
 NO_ENGINE_RETRY_S = 1.0
+MILLISECONDS_PER_SECOND = 1000
 
 
-class GenerationRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """What a caller asked for, checked.
+class NextAttempt(msgspec.Struct, frozen=True):
+    """What the next attempt does.
 
-    :param request: identity of the request.
-    :param organisation: who asks.
-    :param model: model to run.
-    :param n_layers: layers of the model.
-    :param prompt: text of the prompt.
-    :param max_tokens: most tokens of the answer.
-    :param start: position of the first token that the caller still lacks.
-    :param deadline_s: end of its time, on the loop's clock.
+    :param chain: the plan and what is known of it.
+    :param order: what its head is asked for.
     """
 
-    request: RequestId
-    organisation: OrganisationId
-    model: ModelId
-    n_layers: int
-    prompt: str
-    max_tokens: int
-    start: int
-    deadline_s: float
+    chain: PlannedChain
+    order: GenerateOrder | ResumeOrder
 
 
 class Generation:
@@ -67,134 +48,284 @@
 
     :param request: what to run.
     :param limits: limits in force for it.
-    :param engines: client of the engines.
-    :param targets: known targets.
-    :param domain: failure domain of this daemon.
-    :param events: the time line.
+    :param services: what all requests of the daemon share.
+    :param deliver: called with each batch of the caller's tokens, in order and each
+        token once, and with the end as last step.
     """
 
     def __init__(
         self,
         request: GenerationRequest,
         limits: Limits,
-        engines: EngineClient,
-        targets: TargetRegistry,
-        domain: DomainId,
-        events: EventRing,
+        services: RelayServices,
+        deliver: Deliver,
     ) -> None:
         self._request = request
         self._limits = limits
-        self._engines = engines
-        self._targets = targets
-        self._domain = domain
-        self._events = events
-        self._sequence = TokenSequence(attempt=0, position=request.start)
-        self._delivered: list[str] = []
+        self._services = services
+        self._deliver = deliver
+        self._sequence = TokenSequence(attempt=0)
+        self._budget = AttemptBudget(limits.n_attempts)
+        self._texts: list[str] = []
+        self._seen = 0
+        self._may_have_run = request.start > 0
+        self._avoided: set[EngineStart] = set()
+        self._attempt: Attempt | None = None
+
+    async def run(self) -> None:
+        """Deliver the whole answer.
 
-    async def steps(self) -> AsyncIterator[TokenStep]:
-        """Yield the caller's tokens in order, each once, and last the end.
+        Whatever ends it early, the engines are told to stop.
 
         :raises Refusal: the answer can't be completed.
         """
-        failure = ""
-        for attempt in range(1, self._limits.n_attempts + 1):
-            plan = self._choose_plan()
-            if plan is None:
-                raise self._refuse_without_plan()
-            self._sequence.start_attempt(attempt)
-            self._events.record(
-                "stream.planned",
-                self._request.request,
-                attempt=attempt,
-                engines=",".join(stage.engine for stage in plan),
+        try:
+            async with asyncio.timeout_at(self._request.deadline_s):
+                await self._run_attempts()
+        except TimeoutError:
+            raise self._refuse(504, "deadline", "The deadline passed.") from None
+        finally:
+            if self._sequence.finish_reason is None:
+                self._cancel()
+
+    async def _run_attempts(self) -> None:
+        following = await self._first_attempt()
+        while True:
+            attempt = Attempt(
+                self._services.engines,
+                following.chain,
+                self._sequence,
+                self._limits,
+                self._take,
             )
-            try:
-                with self._targets.in_flight([stage.engine for stage in plan]):
-                    async for step in self._run_attempt(plan, attempt):
-                        yield step
+            self._attempt = attempt
+            with (
+                attempt,
+                self._services.targets.in_flight(
+                    [stage.engine for stage in following.chain.plan]
+                ),
+            ):
+                diagnosis = await self._run_attempt(attempt, following.order)
+            if diagnosis is None:
                 return
-            except (ConnectFailed, ExchangeBroken, EngineRefused) as error:
-                failure = str(error)
-                self._targets.forget(plan[0].engine)
-            except EngineFailed as error:
-                failure = str(error)
-                self._targets.forget(error.engine)
-            self._events.record(
-                "stream.failed", self._request.request, attempt=attempt, error=failure
+            following = await self._recover(attempt.chain, diagnosis)
+
+    async def _run_attempt(
+        self, attempt: Attempt, order: GenerateOrder | ResumeOrder
+    ) -> Diagnosis | None:
+        self._sequence.start_attempt(order.attempt)
+        self._services.traces.note_head(
+            self._request.request, attempt.chain.plan[0].address
+        )
+        self._record(
+            "stream.started",
+            way="resume" if isinstance(order, ResumeOrder) else "generate",
+            engines=",".join(stage.engine for stage in attempt.chain.plan),
+        )
+        attempt.start(order)
+        try:
+            return await self._wait(attempt)
+        finally:
+            self._may_have_run |= attempt.may_have_run
+
+    async def _wait(self, attempt: Attempt) -> Diagnosis | None:
+        while True:
+            end = await attempt.wait()
+            if end.kind is EndKind.FINISHED:
+                return None
+            if end.kind in (EndKind.STALE, EndKind.SUPERSEDED):
+                return Diagnosis(end=end, verdict=Verdict.SUPERSEDED)
+            diagnosis = await diagnose(
+                self._services.engines,
+                self._request.request,
+                attempt.chain.plan,
+                self._sequence,
+                end,
+                self._limits.probe_timeout_ms / MILLISECONDS_PER_SECOND,
+            )
+            self._record_end(diagnosis)
+            if diagnosis.verdict is not Verdict.SLOW:
+                return diagnosis
+            attempt.note_slow()
+
+    async def _first_attempt(self) -> NextAttempt:
+        if self._request.start:
+            return await self._take_over()
+        chain = self._services.planner.choose(self._request)
+        if chain is None:
+            raise self._refuse_without_engines()
+        return self._generate(chain, [])
+
+    async def _take_over(self) -> NextAttempt:
+        trace = await self._services.traces.find(self._request)
+        if trace is None:
+            raise self._refuse_lost_stream()
+        if trace.state.fingerprint != self._request.fingerprint():
+            raise Refusal(
+                422,
+                "key-reused",
+                "The idempotency key was used for another request.",
+                Outcome.UNKNOWN,
             )
-        raise Refusal(
-            502,
-            "engines-failed",
-            f"{self._limits.n_attempts} attempts failed, the last with: {failure}",
-            Outcome.UNKNOWN,
+        self._seen = trace.state.attempt
+        plan = trace.state.plan
+        return self._resume(
+            self._services.planner.describe_running(self._request, plan)
         )
 
-    async def _run_attempt(self, plan: Plan, attempt: int) -> AsyncIterator[TokenStep]:
-        queue: asyncio.Queue[StreamEvent | None] = asyncio.Queue()
+    async def _recover(self, chain: PlannedChain, diagnosis: Diagnosis) -> NextAttempt:
+        end = diagnosis.end
+        if diagnosis.verdict is Verdict.SUPERSEDED:
+            self._check_not_superseded(end)
+        self._note_suspects(chain, diagnosis)
+        if not self._budget.fail(self._sequence.position):
+            raise self._refuse(
+                502,
+                "engines-failed",
+                f"{self._limits.n_attempts} attempts brought nothing, the last "
+                f"failed with: {end.reason}.",
+            )
+        if diagnosis.verdict is Verdict.PATH_DEAD:
+            return self._resume(chain)
+        if self._sequence.position < self._request.start:
+            raise self._refuse_lost_stream()
+        holders = diagnosis.find_holders(chain.plan, self._sequence.position)
+        if diagnosis.is_cache_missing:
+            holders = []
+        replanned = await self._replan(holders)
+        if replanned.plan[0] != chain.plan[0]:
+            self._cancel_at(chain)
+        return self._generate(replanned, holders)
+
+    def _note_suspects(self, chain: PlannedChain, diagnosis: Diagnosis) -> None:
+        """Avoid the engines at fault; the one place where engines are found lost."""
+        for engine in diagnosis.lost:
+            self._services.targets.forget(engine)
+        suspects = set(diagnosis.unanswered)
+        if diagnosis.end.engine is not None and self._budget.n_fruitless:
+            suspects.add(diagnosis.end.engine)
+        self._avoided |= {(engine, chain.starts.get(engine, "")) for engine in suspects}
+
+    async def _replan(self, holders: list[Stage]) -> PlannedChain:
+        """Choose a new chain, waiting a while for engines that fill the gap."""
+        loop = asyncio.get_running_loop()
+        timeout_s = self._limits.replan_timeout_ms / MILLISECONDS_PER_SECOND
+        began_s = loop.time()
+        while (waited_s := loop.time() - began_s) < timeout_s:
+            avoided = self._avoided if waited_s < timeout_s / 2 else set()
+            chain = self._services.planner.choose(self._request, holders, avoided)
+            if chain is not None:
+                return chain
+            await asyncio.sleep(REPLAN_POLL_S)
+        raise self._refuse_without_engines()
+
+    def _generate(self, chain: PlannedChain, holders: list[Stage]) -> NextAttempt:
+        restore = choose_restore(chain.plan, holders)
+        self._record(
+            "stream.planned",
+            engines=",".join(stage.engine for stage in chain.plan),
+            restore=",".join(stage.mode.value for stage in restore),
+        )
         order = GenerateOrder(
             request=self._request.request,
-            attempt=attempt,
+            attempt=self._next_attempt(),
             model=self._request.model,
             prompt=self._request.prompt,
-            prefix=tuple(self._delivered),
+            prefix=tuple(self._texts),
             start=self._sequence.position,
             max_tokens=self._request.max_tokens,
             priority=self._limits.priority,
-            plan=plan,
+            plan=chain.plan,
+            restore=restore,
+            fingerprint=self._request.fingerprint(),
         )
-        with await self._engines.open_stream(
-            plan[0], order, queue.put_nowait
-        ) as stream:
-            finishing = asyncio.ensure_future(stream.finish())
-            finishing.add_done_callback(lambda _: queue.put_nowait(None))
-            while self._sequence.finish_reason is None:
-                event = await self._next_event(queue)
-                if event is None:
-                    raise ExchangeBroken("the stream ended before its last token")
-                if event.error is not None:
-                    raise EngineFailed(event.error, event.engine or plan[0].engine)
-                step = to_step(event)
-                if self._sequence.accept(step):
-                    self._delivered.append(step.text)
-                    yield step
-
-    async def _next_event(
-        self, queue: "asyncio.Queue[StreamEvent | None]"
-    ) -> StreamEvent | None:
-        try:
-            async with asyncio.timeout_at(self._request.deadline_s):
-                return await queue.get()
-        except TimeoutError:
-            raise Refusal(
-                504, "deadline", "The deadline passed.", Outcome.UNKNOWN
-            ) from None
-
-    def _choose_plan(self) -> Plan | None:
-        plan = choose_plan(
-            self._targets.engines(self._request.model),
-            self._request.n_layers,
-            self._stage_cost,
-            self._link_cost,
+        return NextAttempt(chain, order)
+
+    def _resume(self, chain: PlannedChain) -> NextAttempt:
+        order = ResumeOrder(
+            request=self._request.request,
+            attempt=self._next_attempt(),
+            start=self._sequence.position,
+        )
+        return NextAttempt(chain, order)
+
+    def _next_attempt(self) -> int:
+        seen = max(self._seen, self._sequence.attempt)
+        return next_attempt(seen, self._services.owner)
+
+    def _take(self, steps: list[TokenStep]) -> None:
+        for step in steps:
+            if step.finish_reason is None:
+                self._texts.append(step.text)
+        start = self._request.start
+        if start and steps[0].position < start:
+            steps = [
+                step for step in steps if step.position >= start or step.finish_reason
+            ]
+        if steps:
+            self._deliver(steps)
+
+    def _check_not_superseded(self, end: AttemptEnd) -> None:
+        """Go above the attempts that others made before, but not after, our first."""
+        if end.kind is EndKind.STALE and not self._sequence.position:
+            self._seen = max(self._seen, end.seen)
+            return
+        raise self._refuse(
+            409, "superseded", "The request was repeated at another daemon."
         )
-        if plan is not None:
-            check_plan(plan, self._request.n_layers)
-        return plan
-
-    def _stage_cost(self, engine: EngineReport) -> float:
-        n_ahead = self._targets.n_in_flight(TargetId(engine.target))
-        return engine.step_ms * (1 + n_ahead / engine.n_slots)
-
-    def _link_cost(self, before: EngineReport, after: EngineReport) -> float:
-        if before.domain == after.domain:
-            return LOCAL_LINK_COST_MS
-        return REMOTE_LINK_COST_MS
-
-    def _refuse_without_plan(self) -> Refusal:
-        outcome = Outcome.UNKNOWN if self._sequence.attempt else Outcome.NOT_RUN
-        return Refusal(
+
+    def _cancel(self) -> None:
+        if self._attempt is None or not self._may_have_run:
+            return
+        self._record("stream.cancelled")
+        self._cancel_at(self._attempt.chain)
+
+    def _cancel_at(self, chain: PlannedChain) -> None:
+        self._services.canceller.cancel(
+            chain.plan[0].address,
+            self._request.request,
+            self._sequence.attempt,
+        )
+
+    def _record(self, kind: str, **fields: str | int) -> None:
+        self._services.events.record(
+            kind,
+            self._request.request,
+            attempt=self._sequence.attempt,
+            position=self._sequence.position,
+            **fields,
+        )
+
+    def _record_end(self, diagnosis: Diagnosis) -> None:
+        self._record(
+            "stream.interrupted",
+            end=diagnosis.end.kind.value,
+            reason=diagnosis.end.reason,
+            verdict=diagnosis.verdict.value,
+            unanswered=",".join(diagnosis.unanswered),
+        )
+
+    def _refuse(
+        self,
+        status: int,
+        code: str,
+        detail: str,
+        retry_after_s: float | None = None,
+    ) -> Refusal:
+        outcome = Outcome.UNKNOWN if self._may_have_run else Outcome.NOT_RUN
+        return Refusal(status, code, detail, outcome, retry_after_s)
+
+    def _refuse_without_engines(self) -> Refusal:
+        return self._refuse(
             503,
             "no-engines",
             f"No engines cover all layers of model {self._request.model!r}.",
-            outcome,
             retry_after_s=NO_ENGINE_RETRY_S,
         )
+
+    def _refuse_lost_stream(self) -> Refusal:
+        return self._refuse(
+            409,
+            "stream-lost",
+            "The stream can't be continued: no engine keeps its former tokens.",
+        )
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_planner.py
@@ -0,0 +1,109 @@
+"""Chooses the engines of a request: the one place where a plan is made."""
+
+from collections.abc import Collection
+
+import msgspec
+from cassiaspread_core.base import DomainId, TargetId
+from cassiaspread_core.pipeline import (
+    EngineReport,
+    Plan,
+    Stage,
+    check_plan,
+    choose_plan,
+    prefer_holders,
+)
+
+from cassiaspread_daemon.fleet import TargetRegistry
+from cassiaspread_daemon.relay._request import GenerationRequest
+
+LOCAL_LINK_COST_MS = 0.1
+REMOTE_LINK_COST_MS = 1.0
+MILLISECONDS_PER_SECOND = 1000
+
+# An engine and its start: one that restarted is another one.
+EngineStart = tuple[TargetId, str]
+
+
+class PlannedChain(msgspec.Struct, frozen=True):
+    """A plan and what was known of its engines.
+
+    :param plan: stages in order.
+    :param starts: the starts of the engines that were planned on.
+    :param step_s: predicted time of one token in seconds.
+    """
+
+    plan: Plan
+    starts: dict[TargetId, str]
+    step_s: float
+
+
+class Planner:
+    """Chooses plans.
+
+    :param targets: known targets.
+    :param domain: failure domain of this daemon.
+    """
+
+    def __init__(self, targets: TargetRegistry, domain: DomainId) -> None:
+        self._targets = targets
+        self._domain = domain
+
+    def choose(
+        self,
+        request: GenerationRequest,
+        holders: Collection[Stage] = (),
+        avoided: Collection[EngineStart] = (),
+    ) -> PlannedChain | None:
+        """Choose the chain of engines with the lowest predicted cost.
+
+        :param request: what is to be run.
+        :param holders: stages that hold the request's KV cache, which are kept.
+        :param avoided: starts of engines that may not be used.
+        :returns: the chain, or ``None`` when no chain covers the model.
+        """
+        engines = {
+            engine.target: engine
+            for engine in self._targets.engines(request.model)
+            if (engine.target, engine.incarnation) not in avoided
+        }
+        plan = choose_plan(
+            engines.values(),
+            request.n_layers,
+            prefer_holders(self._stage_cost, holders),
+            self._link_cost,
+        )
+        if plan is None:
+            return None
+        check_plan(plan, request.n_layers)
+        return self.describe(plan, engines)
+
+    def describe(
+        self, plan: Plan, engines: dict[TargetId, EngineReport]
+    ) -> PlannedChain:
+        """Add to a plan what is known of its engines.
+
+        :param plan: stages in order.
+        :param engines: reports by engine; one without a report is left out.
+        """
+        known = [engines[s.engine] for s in plan if s.engine in engines]
+        step_ms = sum(engine.step_ms for engine in known)
+        starts = {engine.target: engine.incarnation for engine in known}
+        return PlannedChain(plan, starts, step_ms / MILLISECONDS_PER_SECOND)
+
+    def describe_running(self, request: GenerationRequest, plan: Plan) -> PlannedChain:
+        """Describe the plan of a request that runs already.
+
+        :param request: what is run.
+        :param plan: stages in order.
+        """
+        engines = {e.target: e for e in self._targets.engines(request.model)}
+        return self.describe(plan, engines)
+
+    def _stage_cost(self, engine: EngineReport) -> float:
+        n_ahead = self._targets.n_in_flight(engine.target)
+        return engine.step_ms * (1 + n_ahead / engine.n_slots)
+
+    def _link_cost(self, before: EngineReport, after: EngineReport) -> float:
+        if before.domain == after.domain:
+            return LOCAL_LINK_COST_MS
+        return REMOTE_LINK_COST_MS
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_services.py
@@ -0,0 +1,53 @@
+"""What all requests of a daemon share on their way to the engines."""
+
+import random
+
+from cassiaspread_core.base import DomainId
+from cassiaspread_core.timeline import EventRing
+
+from cassiaspread_daemon._supervisor import Supervisor
+from cassiaspread_daemon.adapters import EngineClient
+from cassiaspread_daemon.fleet import TargetRegistry
+from cassiaspread_daemon.mesh import Mesh
+from cassiaspread_daemon.relay._cancel import Canceller
+from cassiaspread_daemon.relay._planner import Planner
+from cassiaspread_daemon.relay._trace import TraceFinder
+
+N_OWNERS = 1 << 16
+
+
+class RelayServices:
+    """Owns the parts that all requests share.
+
+    :param engines: client of the engines.
+    :param targets: known targets.
+    :param mesh: the other daemons.
+    :param domain: failure domain of this daemon.
+    :param events: the time line.
+    :param random_state: chooses the number that marks this daemon's attempts.
+    """
+
+    def __init__(
+        self,
+        engines: EngineClient,
+        targets: TargetRegistry,
+        mesh: Mesh,
+        domain: DomainId,
+        events: EventRing,
+        random_state: random.Random,
+    ) -> None:
+        self.engines = engines
+        self.targets = targets
+        self.events = events
+        self.owner = random_state.randrange(N_OWNERS)
+        self.planner = Planner(targets, domain)
+        self.traces = TraceFinder(engines, targets, mesh, domain, events)
+        self.canceller = Canceller(engines)
+
+    def start(self, supervisor: Supervisor) -> None:
+        """Start the background tasks.
+
+        :param supervisor: runs them.
+        """
+        supervisor.start("traces", self.traces.run)
+        supervisor.start("canceller", self.canceller.run)
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_trace.py
@@ -0,0 +1,209 @@
+"""Finds a request that runs already, for a caller who repeats it at another daemon.
+
+A daemon tells a neighbour, chosen by rendezvous hash, which engine is the head of
+each of its requests. Whoever gets the repeated request asks the neighbours that the
+hash names, and if none knows, the engines that can be the head.
+"""
+
+import asyncio
+from collections.abc import Iterable
+from contextlib import suppress
+
+import msgspec
+from cassiaspread_core.base import DomainId, RequestId
+from cassiaspread_core.pipeline import StageState, rank_keepers
+from cassiaspread_core.timeline import EventRing
+
+from cassiaspread_daemon.adapters import EngineClient
+from cassiaspread_daemon.fleet import TargetRegistry
+from cassiaspread_daemon.mesh import Mesh, PeerUnreachable, Sender
+from cassiaspread_daemon.relay._probe import probe_stage
+from cassiaspread_daemon.relay._request import GenerationRequest
+
+HINT_INTERVAL_S = 0.2
+ASK_TIMEOUT_S = 0.3
+N_KEEPERS_ASKED = 3
+N_ENGINES_ASKED_AT_ONCE = 16
+MAX_HINTS = 50_000
+HINTS_KIND = "streams.hints"
+FIND_KIND = "streams.find"
+
+
+class Hint(msgspec.Struct, frozen=True, array_like=True):
+    """Where a request runs.
+
+    :param request: identity of the request.
+    :param head: ``host:port`` of the head of its plan, empty when unknown.
+    """
+
+    request: RequestId
+    head: str = ""
+
+
+class Trace(msgspec.Struct, frozen=True):
+    """A request that runs already.
+
+    :param head: ``host:port`` of the head of its plan.
+    :param state: what the head says of it.
+    """
+
+    head: str
+    state: StageState
+
+
+class HintTable:
+    """The latest hints, the oldest dropped first.
+
+    :param n_hints: how many are kept.
+
+    >>> table = HintTable(n_hints=1)
+    >>> table.add([Hint("r1", "h1"), Hint("r2", "h2")])
+    >>> table.find("r1").head, table.find("r2").head
+    ('', 'h2')
+    """
+
+    def __init__(self, n_hints: int) -> None:
+        self._n_hints = n_hints
+        self._heads: dict[RequestId, str] = {}
+
+    def __len__(self) -> int:
+        return len(self._heads)
+
+    def add(self, hints: Iterable[Hint]) -> None:
+        """Keep hints; a later one of the same request replaces the earlier.
+
+        :param hints: what to keep.
+        """
+        for hint in hints:
+            self._heads.pop(hint.request, None)
+            self._heads[hint.request] = hint.head
+        while len(self._heads) > self._n_hints:
+            del self._heads[next(iter(self._heads))]
+
+    def find(self, request: RequestId) -> Hint:
+        """Return the hint of a request, with an empty head when there is none.
+
+        :param request: the request.
+        """
+        return Hint(request, self._heads.get(request, ""))
+
+
+class TraceFinder:
+    """Tells neighbours of this daemon's requests and finds those of others.
+
+    :param engines: client of the engines.
+    :param targets: known targets.
+    :param mesh: the other daemons.
+    :param domain: failure domain of this daemon.
+    :param events: the time line.
+    """
+
+    def __init__(
+        self,
+        engines: EngineClient,
+        targets: TargetRegistry,
+        mesh: Mesh,
+        domain: DomainId,
+        events: EventRing,
+    ) -> None:
+        self._engines = engines
+        self._targets = targets
+        self._mesh = mesh
+        self._domain = domain
+        self._events = events
+        self._hints = HintTable(MAX_HINTS)
+        self._unsent: dict[RequestId, Hint] = {}
+        mesh.register(HINTS_KIND, tuple[Hint, ...], self._take_hints)
+        mesh.register(FIND_KIND, Hint, self._answer_find)
+
+    def note_head(self, request: RequestId, head: str) -> None:
+        """Remember where a request runs, and tell a neighbour soon.
+
+        :param request: the request.
+        :param head: ``host:port`` of the head of its plan.
+        """
+        hint = Hint(request, head)
+        self._hints.add([hint])
+        self._unsent[request] = hint
+
+    async def run(self) -> None:
+        """Send the hints in batches until cancelled."""
+        while True:
+            await asyncio.sleep(HINT_INTERVAL_S)
+            hints, self._unsent = list(self._unsent.values()), {}
+            batches: dict[str, list[Hint]] = {}
+            addresses = self._neighbours()
+            for hint in hints if addresses else ():
+                keeper = rank_keepers(hint.request, addresses)[0]
+                batches.setdefault(keeper, []).append(hint)
+            await asyncio.gather(*(self._send(a, h) for a, h in batches.items()))
+
+    async def find(self, request: GenerationRequest) -> Trace | None:
+        """Find where a request runs or ran.
+
+        :param request: the repeated request.
+        :returns: its trace, ``None`` when there is none.
+        """
+        heads = [self._hints.find(request.request).head]
+        heads += await self._ask_neighbours(request.request)
+        for head in dict.fromkeys(heads):
+            if head and (state := await self._ask_head(head, request.request)):
+                return self._found(request, head, state, "hint")
+        return await self._ask_engines(request)
+
+    def _found(
+        self, request: GenerationRequest, head: str, state: StageState, way: str
+    ) -> Trace:
+        self._events.record("stream.found", request.request, head=head, way=way)
+        return Trace(head, state)
+
+    def _neighbours(self) -> list[str]:
+        return [
+            peer.sender.address
+            for peer in self._mesh.peers()
+            if peer.sender.domain == self._domain
+        ]
+
+    async def _ask_neighbours(self, request: RequestId) -> list[str]:
+        keepers = rank_keepers(request, self._neighbours())[:N_KEEPERS_ASKED]
+        return await asyncio.gather(*(self._ask_keeper(k, request) for k in keepers))
+
+    async def _ask_keeper(self, address: str, request: RequestId) -> str:
+        try:
+            hint = await self._mesh.ask(
+                address, FIND_KIND, Hint(request), Hint, ASK_TIMEOUT_S
+            )
+        except PeerUnreachable:
+            return ""
+        return hint.head
+
+    async def _ask_head(self, head: str, request: RequestId) -> StageState | None:
+        state = await probe_stage(self._engines, head, request, ASK_TIMEOUT_S)
+        return state if state is not None and state.plan else None
+
+    async def _ask_engines(self, request: GenerationRequest) -> Trace | None:
+        heads = [e.address for e in self._targets.engines(request.model) if not e.begin]
+        limit = asyncio.Semaphore(N_ENGINES_ASKED_AT_ONCE)
+
+        async def ask(head: str) -> Trace | None:
+            async with limit:
+                state = await self._ask_head(head, request.request)
+            return Trace(head, state) if state is not None else None
+
+        traces = await asyncio.gather(*(ask(head) for head in heads))
+        found = [trace for trace in traces if trace is not None]
+        if not found:
+            return None
+        latest = max(found, key=lambda trace: trace.state.attempt)
+        return self._found(request, latest.head, latest.state, "engines")
+
+    async def _send(self, address: str, hints: list[Hint]) -> None:
+        with suppress(PeerUnreachable):
+            await self._mesh.ask(address, HINTS_KIND, tuple(hints), int, ASK_TIMEOUT_S)
+
+    async def _take_hints(self, hints: tuple[Hint, ...], sender: Sender) -> int:
+        self._hints.add(hints)
+        return len(hints)
+
+    async def _answer_find(self, hint: Hint, sender: Sender) -> Hint:
+        return self._hints.find(hint.request)
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -5,251 +5,169 @@
 the tail's token comes back up. A stage refuses attempts lower than it has seen, and
 steps for which its KV cache does not hold exactly the positions before.
 
-Each step is written to the history: request, attempt, position and layers.
-``POST /control`` sets ``step_ms``, ``state`` and ``crash_on`` (a text in the prompt
+The head goes on without a reader for a while, keeps the tokens, and hands them out
+again to whoever resumes the stream under a higher attempt.
+
+Each step is written to the history: request, attempt, position and layers. A second
+history, ``NAME-notes``, tells of restored caches, cancelled requests and what the head
+sent, with the attempt that ran it. ``POST /control`` sets fields
+of the engine such as ``step_ms``, ``state`` and ``crash_on`` (a text in the prompt
 that ends the process, as a fault of the engine would).
 """
 
 import asyncio
-import contextlib
 import json
-import os
-import uuid
-from dataclasses import dataclass
 
-import xxhash
 from tornado.iostream import StreamClosedError
 
-from tests.standins._server import History, JsonHandler, parser, serve
-
-WORDS = [
-    "cut",
-    "loin",
-    "rack",
-    "shank",
-    "rib",
-    "brisket",
-    "chuck",
-    "flank",
-    "round",
-    "plate",
-    "hip",
-    "neck",
-]
-KEPT_REQUESTS = 10_000
+from tests.standins._server import JsonHandler, parser, serve
+from tests.standins._stage import KvCache, StageError, StageRunner, expected_token
 
+__all__ = ["expected_token"]
+LINGER_S = 10.0
 
-def expected_token(prompt: str, position: int) -> str:
-    digest = xxhash.xxh3_64_intdigest(f"{prompt}\n{position}".encode())
-    return f"{WORDS[digest % len(WORDS)]}{position} "
 
+class HeadRun:
+    """A request of which this engine is the head; runs without a reader too."""
 
-class StageError(Exception):
-    """Names the reason and the engine at fault."""
+    def __init__(self, engine: StageRunner, order: dict) -> None:
+        self.engine, self.order = engine, order
+        self.tokens = [(0, text) for text in order["prefix"]]
+        self.end: dict | None = None
+        self.n_readers = 0
+        self.changed = asyncio.Event()
+        self.task = asyncio.create_task(self.run())
 
-    def __init__(self, reason: str, engine: str) -> None:
-        super().__init__(reason)
-        self.reason = reason
-        self.engine = engine
+    @property
+    def attempt(self) -> int:
+        return self.order["attempt"]
 
+    def note(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
 
-@dataclass
-class KvCache:
-    """Positions that a stage holds for one request."""
+    def finish(self, **event: object) -> None:
+        if self.end is None:
+            self.end = event
+        self.note()
 
-    attempt: int = 0
-    length: int = 0
+    def supersede(self, attempt: int) -> None:
+        self.order = self.order | {"attempt": attempt}
+        self.note()
 
+    def cancel(self) -> None:
+        self.task.cancel()
+        self.engine.set_phase(self.order, "ended")
+        self.finish(error="cancelled", engine=self.engine.name)
 
-class Link:
-    """Connection to the next stage for one request."""
+    def close_reader(self) -> None:
+        self.n_readers -= 1
+        asyncio.get_running_loop().call_later(LINGER_S, self.cancel_unread)
 
-    def __init__(self, reader, writer, engine: str) -> None:
-        self.reader, self.writer, self.engine = reader, writer, engine
-
-    @classmethod
-    async def open(cls, stage: dict) -> "Link":
-        host, port = stage["link"].rsplit(":", 1)
-        try:
-            reader, writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            raise StageError("unreachable", stage["engine"]) from None
-        return cls(reader, writer, stage["engine"])
+    def cancel_unread(self) -> None:
+        if self.n_readers == 0:
+            self.cancel()
 
-    async def ask(self, message: dict) -> dict:
-        try:
-            self.writer.write(json.dumps(message).encode() + b"\n")
-            await self.writer.drain()
-            line = await self.reader.readline()
-        except OSError:
-            line = b""
-        if not line:
-            raise StageError("link-lost", self.engine)
-        reply = json.loads(line)
-        if "error" in reply:
-            raise StageError(reply["error"], reply["engine"])
-        return reply
-
-    def close(self) -> None:
-        self.writer.close()
-
-
-class Engine:
-    def __init__(self, arguments) -> None:
-        self.arguments = arguments
-        self.name = arguments.name
-        self.step_ms = arguments.step_ms
-        self.prefill_ms = arguments.prefill_ms
-        self.state = "live"
-        self.crash_on = ""
-        self.incarnation = str(uuid.uuid4())
-        self.history = History(arguments.history)
-        self.caches: dict[str, KvCache] = {}
-        self.n_running = 0
-
-    def report(self) -> dict:
-        a = self.arguments
-        return {
-            "target": a.name,
-            "address": a.advertise or f"127.0.0.1:{a.port}",
-            "link": a.advertise_link or f"127.0.0.1:{a.link_port}",
-            "domain": a.domain,
-            "model": a.model,
-            "begin": a.begin,
-            "end": a.end,
-            "accelerator": a.accelerator,
-            "step_ms": self.step_ms,
-            "n_slots": a.n_slots,
-            "n_running": min(self.n_running, a.n_slots),
-            "n_queued": max(0, self.n_running - a.n_slots),
-            "state": self.state,
-            "incarnation": self.incarnation,
-        }
-
-    def cache(self, request: str, attempt: int) -> KvCache:
-        cache = self.caches.setdefault(request, KvCache())
-        if attempt < cache.attempt:
-            raise StageError("stale-attempt", self.name)
-        cache.attempt = attempt
-        if len(self.caches) > KEPT_REQUESTS:
-            del self.caches[next(iter(self.caches))]
-        return cache
-
-    async def prefill(self, order: dict) -> None:
-        """Bring the KV cache to exactly ``start`` positions."""
-        if self.crash_on and self.crash_on in order["prompt"]:
-            os._exit(70)
-        cache = self.cache(order["request"], order["attempt"])
-        if cache.length < order["start"] or order["start"] == 0:
-            n_tokens = len(order["prompt"].split()) + order["start"]
-            await asyncio.sleep(n_tokens * self.prefill_ms / 1000)
-        cache.length = order["start"]
-
-    async def step(self, request: str, attempt: int, position: int) -> None:
-        cache = self.cache(request, attempt)
-        if cache.length != position:
-            raise StageError("kv-missing", self.name)
-        slowdown = max(1.0, self.n_running / self.arguments.n_slots)
-        if self.step_ms:
-            await asyncio.sleep(self.step_ms * slowdown / 1000)
-        if self.cache(request, attempt).length != position:
-            raise StageError("kv-missing", self.name)
-        cache.length = position + 1
-        self.history.write(
-            request=request,
-            attempt=attempt,
-            position=position,
-            begin=self.arguments.begin,
-            end=self.arguments.end,
-            engine=self.name,
-        )
-
-    async def run_link(self, reader, writer) -> None:
-        """Serve one request as a stage that is not the head."""
-        following: Link | None = None
-        counted = False
-        try:
-            order = json.loads(await reader.readline())
-            self.n_running += 1
-            counted = True
-            try:
-                following = await self.open_following(order)
-                writer.write(b"{}\n")
-                while line := await reader.readline():
-                    position = json.loads(line)["position"]
-                    reply = await self.advance(order, position, following)
-                    writer.write(json.dumps(reply).encode() + b"\n")
-                    await writer.drain()
-            except StageError as error:
-                reply = {"error": error.reason, "engine": error.engine}
-                writer.write(json.dumps(reply).encode() + b"\n")
-        except (OSError, ValueError):
-            pass
-        finally:
-            self.n_running -= counted
-            if following is not None:
-                following.close()
-            writer.close()
-
-    async def open_following(self, order: dict) -> Link | None:
-        await self.prefill(order)
-        index = [stage["engine"] for stage in order["plan"]].index(self.name)
-        if index + 1 == len(order["plan"]):
-            return None
-        following = await Link.open(order["plan"][index + 1])
-        try:
-            await following.ask(order)
-        except StageError:
-            following.close()
-            raise
-        return following
-
-    async def advance(self, order: dict, position: int, following) -> dict:
-        await self.step(order["request"], order["attempt"], position)
-        if following is not None:
-            return await following.ask({"position": position})
-        return {"text": expected_token(order["prompt"], position)}
-
-    async def tokens(self, order: dict):
-        """Yield the events of a request of which this engine is the head."""
-        attempt = order["attempt"]
+    async def run(self) -> None:
         following = None
-        self.n_running += 1
+        self.engine.n_running += 1
         try:
-            following = await self.open_following(order)
-            for position in range(order["start"], order["max_tokens"]):
-                reply = await self.advance(order, position, following)
-                yield {"attempt": attempt, "position": position, "text": reply["text"]}
-            yield {
-                "attempt": attempt,
-                "position": order["max_tokens"],
-                "finish_reason": "length",
-            }
+            following = await self.engine.open_following(self.order)
+            for position in range(len(self.tokens), self.order["max_tokens"]):
+                order = self.order
+                reply = await self.engine.advance(order, position, following)
+                self.tokens.append((order["attempt"], reply["text"]))
+                self.note()
+            self.finish(finish_reason="length")
         except StageError as error:
-            yield {"error": error.reason, "engine": error.engine}
+            self.finish(**error.event())
         finally:
-            self.n_running -= 1
+            self.engine.set_phase(self.order, "ended")
+            self.engine.n_running -= 1
             if following is not None:
                 following.close()
 
+    async def events(self, attempt: int, position: int):
+        """Yield the events for a reader until another one takes over."""
+        while self.attempt == attempt:
+            changed = self.changed
+            while position < len(self.tokens):
+                ran, text = self.tokens[position]
+                sent = {"attempt": attempt, "position": position}
+                fields = {"request": self.order["request"], "ran": ran}
+                self.engine.notes.write(sent=True, **fields, **sent)
+                yield sent | {"text": text}
+                position += 1
+            if self.end is not None:
+                yield {"attempt": attempt, "position": position} | self.end
+                return
+            await changed.wait()
+        yield {"error": "superseded", "attempt": self.attempt}
+
+
+class Engine(StageRunner):
+    def __init__(self, arguments) -> None:
+        super().__init__(arguments)
+        self.runs: dict[str, HeadRun] = {}
+
+    def begin(self, order: dict) -> HeadRun:
+        former = self.runs.pop(order["request"], None)
+        if former is not None:
+            former.supersede(order["attempt"])
+            former.cancel()
+        run = self.runs[order["request"]] = HeadRun(self, order)
+        return run
+
+    def seen_attempt(self, request: str) -> int:
+        run = self.runs.get(request)
+        cache = self.caches.get(request, KvCache())
+        return max(cache.attempt, run.attempt if run else 0)
+
+    def request_state(self, request: str) -> dict:
+        cache, run = self.caches.get(request, KvCache()), self.runs.get(request)
+        return {
+            "attempt": self.seen_attempt(request),
+            "n_positions": cache.length,
+            "phase": cache.phase,
+            "n_tokens": len(run.tokens) if run else 0,
+            "plan": run.order["plan"] if run else [],
+            "fingerprint": run.order["fingerprint"] if run else "",
+        }
 
-class GenerateHandler(JsonHandler):
+
+class StreamHandler(JsonHandler):
     standin: Engine
 
     async def post(self) -> None:
         order = self.body()
-        seen = self.standin.caches.get(order["request"], KvCache()).attempt
-        if order["attempt"] < seen:
+        request, attempt = order["request"], order["attempt"]
+        seen = self.standin.seen_attempt(request)
+        run = self.standin.runs.get(request)
+        if attempt <= seen:
             self.reply({"attempt": seen}, 409)
             return
+        if "plan" not in order and run is None:
+            self.reply({"attempt": seen}, 404)
+            return
+        if "plan" in order:
+            self.standin.cache(request, attempt)
+            run = self.standin.begin(order)
+        else:
+            run.supersede(attempt)
+        await self.send(run, attempt, order["start"])
+
+    async def send(self, run: HeadRun, attempt: int, position: int) -> None:
         self.set_header("Content-Type", "text/event-stream")
-        await self.flush()
+        run.n_readers += 1
         try:
-            async for event in self.standin.tokens(order):
+            await self.flush()
+            async for event in run.events(attempt, position):
                 self.write(b"data: " + json.dumps(event).encode() + b"\n\n")
                 await self.flush()
         except StreamClosedError:
             return
+        finally:
+            run.close_reader()
 
 
 class CancelHandler(JsonHandler):
@@ -257,11 +175,30 @@
 
     def post(self) -> None:
         body = self.body()
-        with contextlib.suppress(StageError):
-            self.standin.cache(body["request"], body["attempt"] + 1)
+        seen = self.standin.seen_attempt(body["request"])
+        if body["attempt"] < seen:
+            self.reply({"attempt": seen}, 409)
+            return
+        self.standin.cache(body["request"], body["attempt"])
+        run = self.standin.runs.get(body["request"])
+        if run is not None:
+            run.cancel()
+        self.standin.notes.write(cancelled=body["request"])
         self.reply({})
 
 
+class RequestStateHandler(JsonHandler):
+    def get(self, request: str) -> None:
+        self.reply(self.standin.request_state(request))
+
+
+class KvHandler(JsonHandler):
+    def get(self, request: str) -> None:
+        length = self.standin.caches.get(request, KvCache()).length
+        is_held = length >= int(self.get_query_argument("position"))
+        self.reply({"n_positions": length}, 200 if is_held else 404)
+
+
 class StatusHandler(JsonHandler):
     def get(self) -> None:
         self.reply(self.standin.report())
@@ -276,10 +213,14 @@
 
 async def run(arguments) -> None:
     engine = Engine(arguments)
-    await asyncio.start_server(engine.run_link, "127.0.0.1", arguments.link_port)
+    await asyncio.start_server(
+        engine.run_link, "127.0.0.1", arguments.link_port, limit=2**24
+    )
     routes = [
-        (r"/engine/generate", GenerateHandler),
+        (r"/engine/(?:generate|resume)", StreamHandler),
         (r"/engine/cancel", CancelHandler),
+        (r"/engine/requests/([^/]+)", RequestStateHandler),
+        (r"/engine/kv/([^/]+)", KvHandler),
         (r"/engine/status", StatusHandler),
         (r"/control", ControlHandler),
     ]
--- /dev/null
+++ b/tests/streams.py
@@ -0,0 +1,144 @@
+"""A caller of streams, and checks of what it got and of what the engines did."""
+
+import http.client
+import json
+import threading
+import time
+from collections import defaultdict
+
+from tests.fleet import Fleet, Process, bearer, request, wait_for
+from tests.standins.engine import expected_token
+
+N_LAYERS = 9
+STAGES = ((0, 3), (3, 6), (6, 9))
+
+
+class StreamCaller(threading.Thread):
+    """Sends one streamed completion and notes each event as it comes."""
+
+    def __init__(self, daemon: Process, prompt: str, n_tokens: int, **headers) -> None:
+        super().__init__(daemon=True)
+        self.prompt, self.n_tokens = prompt, n_tokens
+        self.tokens: list[tuple[int, str]] = []
+        self.times_s: list[float] = []
+        self.problem: dict | None = None
+        self.is_whole = False
+        self._headers = bearer("osorno-token", **headers)
+        self._connection = http.client.HTTPConnection(daemon.address, timeout=30)
+        self.start()
+
+    def run(self) -> None:
+        body = {"model": "draft", "prompt": self.prompt, "max_tokens": self.n_tokens}
+        data = json.dumps(body | {"stream": True})
+        try:
+            self._connection.request("POST", "/v1/completions", data, self._headers)
+            answer = self._connection.getresponse()
+            if answer.status != 200:
+                self.problem = json.loads(answer.read())
+                return
+            self._read_events(answer)
+        except (OSError, http.client.HTTPException, ValueError, AttributeError):
+            return
+
+    def _read_events(self, answer) -> None:
+        event: dict[str, str] = {}
+        while line := answer.readline():
+            name, _, value = line.decode().strip().partition(": ")
+            if name:
+                event[name] = value
+                continue
+            self._take(event)
+            event = {}
+
+    def _take(self, event: dict[str, str]) -> None:
+        if event["data"] == "[DONE]":
+            self.is_whole = True
+        elif event.get("event") == "error":
+            self.problem = json.loads(event["data"])
+        else:
+            text = json.loads(event["data"])["choices"][0]["text"]
+            self.times_s.append(time.monotonic())
+            self.tokens.append((int(event["id"]), text))
+
+    def wait_for_tokens(self, n_tokens: int) -> None:
+        wait_for(lambda: len(self.tokens) >= n_tokens or not self.is_alive())
+
+    def finish(self, timeout_s: float = 20.0) -> None:
+        self.join(timeout_s)
+        assert not self.is_alive(), "the stream did not end"
+
+    def hang_up(self) -> None:
+        self._connection.sock.shutdown(2)
+
+    def check_whole(self, start: int = 0) -> None:
+        """Check that each token came once, in order, and then the end."""
+        self.finish()
+        expected = [
+            (i, expected_token(self.prompt, i)) for i in range(start, self.n_tokens)
+        ]
+        assert self.problem is None
+        assert self.is_whole
+        assert self.tokens == [*expected, (self.n_tokens, "")]
+
+
+def start_stages(fleet: Fleet, n_replicas: int = 2, **flags) -> list[Process]:
+    """Start replicas of each of three stages."""
+    fleet.publish_basics(N_LAYERS)
+    return [
+        fleet.start_engine(f"{'hmt'[i]}{k}", "cautin", *layers, **flags)
+        for i, layers in enumerate(STAGES)
+        for k in range(n_replicas)
+    ]
+
+
+def start_ready_daemon(fleet: Fleet, name: str, n_engines: int, **flags) -> Process:
+    """Start a daemon and wait until it can use every engine."""
+    daemon = fleet.start_daemon(name, "cautin", **flags)
+    fleet.wait_ready(daemon)
+    wait_for(lambda: request("GET", daemon.address, "/readyz")[0] == 200)
+    body = {"model": "draft", "prompt": "warm-up", "max_tokens": 1}
+    path, caller = "/v1/completions", bearer("osorno-token")
+    wait_for(lambda: request("POST", daemon.address, path, body, caller)[0] == 200)
+    time.sleep(0.3)
+    return daemon
+
+
+def read_events(daemon: Process) -> list[dict]:
+    """Read a daemon's part of the time line."""
+    caller = bearer("operator-token")
+    answer = request("GET", daemon.address, "/operators/events", None, caller)
+    return json.loads(answer[2])
+
+
+def last_plan(daemon: Process) -> list[str]:
+    """Return the engines of the plan that was made last."""
+    plans = [e for e in read_events(daemon) if e["kind"] == "stream.planned"]
+    return plans[-1]["fields"]["engines"].split(",")
+
+
+def engine_names(fleet: Fleet) -> list[str]:
+    return [name for name in fleet.processes if name[0] in "hmt" and name[1].isdigit()]
+
+
+def check_layers(fleet: Fleet) -> int:
+    """Check the engines' histories; return how many sent tokens were checked.
+
+    No attempt runs a layer of a position twice or out of order, and the attempt that
+    ran a token which was sent has run each layer exactly once.
+    """
+    runs: dict[tuple, list[dict]] = defaultdict(list)
+    sent: set[tuple] = set()
+    for name in engine_names(fleet):
+        for step in fleet.history(name):
+            key = step["request"], step["attempt"], step["position"]
+            runs[key].append(step)
+        for note in fleet.history(f"{name}-notes"):
+            if note.get("sent") and note["ran"]:
+                sent.add((note["request"], note["ran"], note["position"]))
+    for steps in runs.values():
+        steps.sort(key=lambda step: step["time_ns"])
+        layers = [x for s in steps for x in range(s["begin"], s["end"])]
+        assert layers == list(range(len(layers))), steps
+    for key in sent:
+        assert runs[key][-1]["end"] == N_LAYERS, (key, runs[key])
+    return len(sent)
