--- /dev/null
+++ b/packages/cassiaspread-core/tests/test_membership.py
@@ -0,0 +1,166 @@
+"""Verdicts on daemons, merging of records, rendezvous choices and change logs."""
+
+import pytest
+from cassiaspread_core.membership import (
+    ChangeCursor,
+    ChangeLog,
+    Member,
+    MemberRecord,
+    MembershipView,
+    MemberState,
+    choose_contacts,
+    choose_delegates,
+    merge_records,
+    rank_members,
+)
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+
+def member(name, domain="celje", address=None):
+    return Member(f"i-{name}", f"entry-{name}", domain, address or f"{name}:1")
+
+
+OWN = member("own")
+PEER = member("peer")
+FAR = member("far", "zalec")
+
+
+def state_of(view, who, now_s):
+    view.tick(now_s)
+    return view.state(who.incarnation, now_s)
+
+
+@pytest.mark.parametrize(
+    ("calls", "now_s", "expected"),
+    [
+        ([], 0.0, MemberState.LOST),
+        ([("learn", 0.0)], 1.0, MemberState.SUSPECT),
+        ([("learn", 0.0)], 3.0, MemberState.LOST),
+        ([("answer", 0.0)], 2.0, MemberState.ALIVE),
+        ([("answer", 0.0)], 3.0, MemberState.LOST),
+        ([("answer", 0.0), ("hear", 4.0)], 5.0, MemberState.SUSPECT),
+        ([("answer", 0.0), ("leave", 1.0)], 2.0, MemberState.LEAVING),
+        ([("leave", 0.0), ("answer", 1.0)], 2.0, MemberState.LEAVING),
+        ([("leave", 0.0)], 3.0, MemberState.LOST),
+        ([("answer", 0.0), ("replaced", 1.0)], 1.0, MemberState.LOST),
+    ],
+)
+def test_verdict(calls, now_s, expected):
+    view = MembershipView(OWN)
+    for call, at_s in calls:
+        record = MemberRecord(PEER, is_leaving=call == "leave")
+        if call == "learn":
+            view.learn(record, at_s)
+        elif call == "answer":
+            view.hear_answer(PEER.address, record, at_s)
+        elif call == "replaced":
+            successor = MemberRecord(member("new", address=PEER.address))
+            view.hear_answer(PEER.address, successor, at_s)
+        else:
+            view.hear(record, at_s)
+    assert view.state(PEER.incarnation, now_s) is expected
+
+
+def test_own_pause_is_no_silence_of_the_peers():
+    view = MembershipView(OWN)
+    view.tick(0.0)
+    view.hear_answer(PEER.address, MemberRecord(PEER), 0.0)
+    assert state_of(view, PEER, 30.0) is MemberState.ALIVE
+    for now_s in (31.0, 32.0, 33.0):
+        state = state_of(view, PEER, now_s)
+    assert state is MemberState.LOST
+
+
+def test_far_daemons_are_judged_by_their_domain():
+    view = MembershipView(OWN)
+    view.learn(MemberRecord(FAR, stamp_ms=1), 0.0)
+    view.hear_domain("zalec", 0.0, now_s=0.0)
+    assert view.state(FAR.incarnation, 5.0) is MemberState.ALIVE
+    assert view.state(FAR.incarnation, 9.0) is MemberState.SUSPECT
+    view.learn(MemberRecord(FAR, is_lost=True, stamp_ms=2), 9.0)
+    assert view.state(FAR.incarnation, 9.0) is MemberState.LOST
+    view.hear_domain("zalec", 0.0, now_s=10.0)
+    view.learn(MemberRecord(FAR, stamp_ms=3), 10.0)
+    assert view.state(FAR.incarnation, 10.0) is MemberState.ALIVE
+
+
+def test_a_peer_cannot_declare_a_near_daemon_lost():
+    view = MembershipView(OWN)
+    view.hear_answer(PEER.address, MemberRecord(PEER), 0.0)
+    view.learn(MemberRecord(PEER, is_lost=True, stamp_ms=9), 0.0)
+    assert view.state(PEER.incarnation, 1.0) is MemberState.ALIVE
+
+
+RECORDS = st.builds(
+    MemberRecord, st.just(PEER), st.booleans(), st.booleans(), st.integers(0, 3)
+)
+
+
+@settings(derandomize=True)
+@given(RECORDS, RECORDS, RECORDS)
+def test_merge_of_records_is_a_semilattice(a, b, c):
+    assert merge_records(a, a) == a
+    assert merge_records(a, b) == merge_records(b, a)
+    left = merge_records(merge_records(a, b), c)
+    assert left == merge_records(a, merge_records(b, c))
+
+
+def test_loss_of_one_changes_only_its_choices():
+    members = [member(str(i)) for i in range(9)]
+    gone = members[4]
+    rest = [m for m in members if m != gone]
+    for key in map(str, range(200)):
+        before, after = rank_members(key, members)[:2], rank_members(key, rest)[:2]
+        assert [m for m in before if m != gone] == [m for m in after if m in before]
+
+
+def test_work_between_domains_is_spread_over_the_daemons():
+    members = [member(f"{d}-{i}", f"d{d}") for d in range(14) for i in range(29)]
+    counts = []
+    for own in members[:29]:
+        far = choose_contacts(own, members, {}, 0).far
+        counts.append(len(far))
+        assert len(choose_contacts(own, members, {}, 0).near) == 28
+    assert sum(counts) == 13 * 2 * 2
+    assert max(counts) <= 8
+
+
+@pytest.mark.parametrize("n_round", range(4))
+def test_unknown_domains_are_probed_in_turn(n_round):
+    hints = {f"h{i}:1": "zalec" for i in range(4)} | {"seed:1": None}
+    plan = choose_contacts(OWN, [PEER], hints, n_round)
+    assert OWN in choose_delegates([OWN, PEER], "celje", "zalec")
+    first = 2 * n_round % 4
+    assert plan.far == {f"h{first}:1", f"h{first + 1}:1"}
+    assert plan.near == {PEER.address, "seed:1"}
+
+
+OPERATIONS = st.lists(
+    st.tuples(
+        st.sampled_from(["put", "partial", "send", "lose", "restart"]),
+        st.integers(0, 3),
+    ),
+    max_size=40,
+)
+
+
+@settings(derandomize=True)
+@given(OPERATIONS)
+def test_peer_has_every_entry_after_one_message_that_arrives(operations):
+    """The state of a receiver follows whatever was lost, and whoever started anew."""
+    log, sent, received, copy = ChangeLog(), ChangeCursor(), ChangeCursor(), {}
+    for n, (operation, key) in enumerate([*operations, ("send", 0), ("send", 0)]):
+        if operation in ("put", "partial"):
+            log.put(key, (key, n), is_partial=operation == "partial")
+        elif operation == "restart":
+            received, copy = ChangeCursor(), {}
+        else:
+            changes = log.changes(sent.confirmed)
+            if operation == "send":
+                if received.accept(changes.since, changes.until):
+                    assert all(value[0] in copy for value in changes.partial)
+                    copy |= {v[0]: v for v in [*changes.full, *changes.partial]}
+                sent.confirm(received.received)
+    assert copy == {key: log.get(key) for key in copy}
+    assert len(copy) == len(log)
--- /dev/null
+++ b/packages/cassiaspread-core/tests/test_observations.py
@@ -0,0 +1,151 @@
+"""Merging of observations and the verdict on targets."""
+
+import pytest
+from cassiaspread_core.base import VmState
+from cassiaspread_core.membership import Member
+from cassiaspread_core.observations import (
+    LeavingMark,
+    LeavingMarks,
+    Observation,
+    ObservationBoard,
+    choose_pollers,
+    is_load_change,
+    is_worth_telling,
+    merge_observations,
+    to_load_update,
+)
+from cassiaspread_core.pipeline import EngineReport
+from cassiaspread_core.timeline import Timestamp
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+
+def report(incarnation="i1", **fields):
+    values = {"target": "e1", "address": "a:1", "link": "a:2", "domain": "celje"}
+    values |= {"model": "m", "begin": 0, "end": 4, "n_slots": 8, "step_ms": 10.0}
+    return EngineReport(**(values | {"incarnation": incarnation} | fields))
+
+
+def seen(at, poller="p1", incarnation="i1", **fields):
+    engine = report(incarnation, **fields) if incarnation else None
+    return Observation("e1", poller, Timestamp(at, 0), incarnation, engine)
+
+
+def board_of(*observations, failed_at=None):
+    board = ObservationBoard("own")
+    for observation in observations:
+        board.add(observation)
+    if failed_at is not None:
+        board.fail("e1", Timestamp(failed_at, 0))
+    return board
+
+
+OBSERVATIONS = st.builds(
+    seen,
+    st.integers(0, 3),
+    incarnation=st.sampled_from(["", "i1", "i2"]),
+    n_running=st.integers(0, 2),
+)
+
+
+@settings(derandomize=True)
+@given(OBSERVATIONS, OBSERVATIONS, OBSERVATIONS)
+def test_merge_of_observations_is_a_semilattice(a, b, c):
+    assert merge_observations(a, a) == a
+    assert merge_observations(a, b) == merge_observations(b, a)
+    left = merge_observations(merge_observations(a, b), c)
+    assert left == merge_observations(a, merge_observations(b, c))
+
+
+@settings(derandomize=True)
+@given(st.permutations([seen(t, p) for t in range(3) for p in ("p1", "p2")]))
+def test_verdict_does_not_depend_on_the_order_of_arrival(observations):
+    board = board_of(*observations)
+    assert board.judge("e1", ("p1", "p2")).stamp == Timestamp(2, 0)
+
+
+@pytest.mark.parametrize(
+    ("observations", "failed_at", "expected"),
+    [
+        pytest.param([], None, None, id="never seen"),
+        pytest.param([seen(1), seen(2, "p2", "")], None, "i1", id="one reaches it"),
+        pytest.param([seen(1, incarnation=""), seen(2, "p2", "")], None, None, id="no"),
+        pytest.param([seen(2), seen(1)], None, "i1", id="older comes late"),
+        pytest.param([seen(1), seen(2, "p2", "i2")], None, "i2", id="new start"),
+        pytest.param([seen(5)], 2, None, id="heard after own failure"),
+        pytest.param([seen(5), seen(1, "own")], 2, None, id="seen before own failure"),
+        pytest.param([seen(3, "own")], 2, "i1", id="seen after own failure"),
+        pytest.param([seen(1, "old")], None, "i1", id="former poller"),
+        pytest.param(
+            [seen(9, "old"), seen(1, incarnation="")],
+            None,
+            None,
+            id="poller goes first",
+        ),
+    ],
+)
+def test_verdict_on_target(observations, failed_at, expected):
+    judged = board_of(*observations, failed_at=failed_at).judge("e1", ("p1", "p2"))
+    assert (judged.incarnation if judged else None) == expected
+
+
+def test_own_poll_ends_a_failure_and_heard_ones_count_again():
+    board = board_of(seen(1), failed_at=2)
+    board.add(seen(3, "own"))
+    board.add(seen(4))
+    assert board.judge("e1", ("p1", "p2")).stamp == Timestamp(4, 0)
+
+
+def test_load_update_of_another_start_is_ignored():
+    board = board_of(seen(1))
+    assert board.add_load(to_load_update(seen(2, n_running=3))) is not None
+    assert board.add_load(to_load_update(seen(3, incarnation="i2"))) is None
+    assert board.judge("e1", ("p1",)).report.n_running == 3
+
+
+def test_forgetting_a_poller_keeps_the_last_observation():
+    board = board_of(seen(1), seen(2, "p2"))
+    assert board.drop_poller("p1") == ["e1"]
+    assert board.drop_poller("p2") == []
+    assert board.judge("e1", ("p3",)) == seen(2, "p2")
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "listed_vm", "expected"),
+    [("i1", "v1", True), ("i1", None, True), ("i1", "v2", False), ("i2", "v1", False)],
+)
+def test_mark_from_the_list_holds_for_its_vm_and_start(
+    incarnation, listed_vm, expected
+):
+    marks = LeavingMarks()
+    marks.add(LeavingMark("e1", "i1", "v1", "list"))
+    assert marks.is_leaving("e1", incarnation, listed_vm) is expected
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "is_told", "is_partial"),
+    [
+        ({}, {}, False, True),
+        ({}, {"n_running": 1}, False, True),
+        ({}, {"n_running": 2}, True, True),
+        ({}, {"step_ms": 11.0}, False, True),
+        ({}, {"step_ms": 13.0}, True, True),
+        ({}, {"state": VmState.LEAVING}, True, False),
+        ({}, {"incarnation": "i2"}, True, False),
+        ({}, {"incarnation": ""}, True, False),
+        ({"incarnation": ""}, {"incarnation": ""}, False, True),
+    ],
+)
+def test_what_is_told(before, after, is_told, is_partial):
+    told, new = seen(1, **before), seen(2, **after)
+    assert is_worth_telling(told, new) is is_told
+    assert is_load_change(told, new) is is_partial
+
+
+def test_pollers_are_of_the_targets_domain_while_it_has_daemons():
+    near = [Member(f"n{i}", f"n{i}", "celje", "") for i in range(4)]
+    far = [Member(f"f{i}", f"f{i}", "zalec", "") for i in range(4)]
+    chosen = choose_pollers("e1", "zalec", near[0], near + far)
+    assert len(chosen) == 2
+    assert set(chosen) <= set(far)
+    assert set(choose_pollers("e1", "zalec", near[0], near)) <= set(near)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -10,7 +10,8 @@
 
 import uuid6
 from absl import logging
-from cassiaspread_core.base import Incarnation
+from cassiaspread_core.base import DomainId, Incarnation
+from cassiaspread_core.membership import Member
 from cassiaspread_core.policy import Policy
 from cassiaspread_core.timeline import EventRing
 
@@ -19,8 +20,14 @@
 from cassiaspread_daemon._settings import Settings
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.adapters import EngineClient, LogClient, VmListClient
-from cassiaspread_daemon.fleet import PolicyFollower, TargetRegistry
-from cassiaspread_daemon.mesh import Mesh, Sender
+from cassiaspread_daemon.fleet import (
+    ObservationSpread,
+    PolicyFollower,
+    Poller,
+    TargetRegistry,
+    VmListReader,
+)
+from cassiaspread_daemon.mesh import Mesh, Sender, to_member
 
 # A connection without a request for this long counts as idle.
 QUIET_S = 1.0
@@ -51,32 +58,48 @@
         self.log = LogClient(str(settings.log))
         self.engines = EngineClient()
         self.policy_follower = PolicyFollower(self.log, self.events)
-        self.targets = TargetRegistry(
-            VmListClient(str(settings.vm_list)),
-            self.engines,
-            settings.poll_interval_ms / MILLISECONDS_PER_SECOND,
-        )
+        self.targets = TargetRegistry(settings.vm, self.events)
         self.supervisor = Supervisor("node")
+        sender = Sender(
+            settings.vm,
+            settings.domain,
+            self.incarnation,
+            str(settings.advertise or settings.peer_listen),
+        )
         self.mesh = Mesh(
-            Sender(
-                settings.vm,
-                settings.domain,
-                self.incarnation,
-                str(settings.advertise or settings.peer_listen),
-            ),
+            sender,
             self.events,
             self.supervisor.add_child("mesh"),
             self._daemon_addresses,
             str(settings.peer_listen),
         )
+        self._observe_targets(to_member(sender))
         self._is_leaving = False
         self._requests = RequestCount()
         self.settle_callbacks: list[Callable[[], Awaitable[None]]] = []
 
+    def _observe_targets(self, own: Member) -> None:
+        interval_s = self.settings.poll_interval_ms / MILLISECONDS_PER_SECOND
+        vm_list = VmListClient(str(self.settings.vm_list))
+        self.list_reader = VmListReader(vm_list, self.targets, interval_s)
+        spread = ObservationSpread(own, self.targets, self.mesh)
+        self.poller = Poller(
+            own,
+            self.targets,
+            self.engines,
+            self.mesh.pollers,
+            self.supervisor.add_child("polls"),
+            interval_s,
+            self.random_state,
+        )
+        self.poller.observation_callbacks.append(spread.tell)
+        self.poller.release_callbacks.append(spread.stop_telling)
+
     async def __aenter__(self) -> Self:
         await self.mesh.__aenter__()
         self.supervisor.start("policy", self.policy_follower.run)
-        self.supervisor.start("targets", self.targets.run)
+        self.supervisor.start("vm-list", self.list_reader.run)
+        self.supervisor.start("poller", self.poller.run)
         self.events.record("node.started", incarnation=self.incarnation)
         return self
 
@@ -110,8 +133,8 @@
             reasons.append("the configuration was not read yet")
         return reasons
 
-    def _daemon_addresses(self) -> set[str]:
-        seeds = {str(seed) for seed in self.settings.seeds}
+    def _daemon_addresses(self) -> dict[str, DomainId | None]:
+        seeds = dict.fromkeys(map(str, self.settings.seeds))
         return seeds | self.targets.daemon_addresses()
 
     def leave(self) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_supervisor.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_supervisor.py
@@ -57,6 +57,17 @@
             raise ValueError(f"task {name} is running")
         self._tasks[name] = asyncio.create_task(self._keep_running(name, run))
 
+    def start_once(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        """Start a task unless it still runs; a failure is logged and ends it.
+
+        :param name: name of the task, unique in this supervisor.
+        :param run: the task.
+        """
+        if name not in self._tasks:
+            task = asyncio.create_task(self._run_once(name, run))
+            self._tasks[name] = task
+            task.add_done_callback(lambda _: self._tasks.pop(name, None))
+
     async def cancel(self, name: str) -> None:
         """End one task.
 
@@ -75,6 +86,12 @@
         for name in reversed(list(self._tasks)):
             await self.cancel(name)
 
+    async def _run_once(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        try:
+            await run()
+        except Exception:
+            logging.exception("%s/%s failed", self._name, name)
+
     async def _keep_running(
         self, name: str, run: Callable[[], Awaitable[None]]
     ) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_vm_list.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_vm_list.py
@@ -7,6 +7,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 TIMEOUT_S = 2.0
+NOT_MODIFIED = 304
 
 
 class VmListUnavailable(CassiaspreadError):
@@ -40,10 +41,12 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
+        self._etag = ""
 
-    async def read(self) -> tuple[ListedVm, ...]:
+    async def read(self) -> tuple[ListedVm, ...] | None:
         """Read the whole list, which lags behind the truth.
 
+        :returns: ``None`` if the list is the same as at the last read.
         :raises VmListUnavailable: the list could not be read.
         """
         try:
@@ -51,11 +54,16 @@
                 self._address,
                 "GET",
                 "/vms",
+                headers={"If-None-Match": self._etag} if self._etag else None,
                 connect_timeout_s=CONNECT_TIMEOUT_S,
                 timeout_s=TIMEOUT_S,
             )
+            if response.status == NOT_MODIFIED:
+                return None
             if response.status != 200:
                 raise VmListUnavailable(f"the VM list answered {response.status}")
-            return msgspec.json.decode(response.body, type=tuple[ListedVm, ...])
+            listed = msgspec.json.decode(response.body, type=tuple[ListedVm, ...])
+            self._etag = response.headers.get("Etag", "")
+            return listed
         except (ConnectFailed, ExchangeBroken, msgspec.MsgspecError) as error:
             raise VmListUnavailable(str(error)) from None
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_poller.py
@@ -0,0 +1,140 @@
+"""Polls the targets that fall to this daemon."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from cassiaspread_core.base import TargetId, TargetKind, VmId
+from cassiaspread_core.membership import Member
+from cassiaspread_core.observations import Observation, choose_pollers, poll_interval_s
+
+from cassiaspread_daemon._exchange import ConnectFailed, Exchange, ExchangeBroken
+from cassiaspread_daemon._supervisor import Supervisor
+from cassiaspread_daemon.adapters import EngineClient
+from cassiaspread_daemon.fleet._known import KnownTarget
+from cassiaspread_daemon.fleet._targets import TargetRegistry
+
+REPORT_TIMEOUT_S = 1.0
+MAX_WAIT_S = 1.0
+# Share of the interval by which polls are moved, so that two pollers don't coincide.
+JITTER = 0.1
+
+
+class Poller:
+    """Polls what rendezvous hashing assigns, and what this daemon saw failing.
+
+    :param own: this daemon.
+    :param targets: gets the observations.
+    :param engines: client of the engines.
+    :param running: returns the daemons that take work.
+    :param supervisor: runs the polls.
+    :param min_interval_s: shortest time between two polls of a target, in seconds.
+    :param random_state: generator for the jitter.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        targets: TargetRegistry,
+        engines: EngineClient,
+        running: Callable[[], list[Member]],
+        supervisor: Supervisor,
+        min_interval_s: float,
+        random_state: random.Random,
+    ) -> None:
+        self._own = own
+        self._targets = targets
+        self._engines = engines
+        self._running = running
+        self._supervisor = supervisor
+        self._min_interval_s = min_interval_s
+        self._random_state = random_state
+        self._pollers: dict[KnownTarget, tuple[VmId, ...]] = {}
+        self._chosen_from: list[Member] = []
+        self._due_s: dict[TargetId, float] = {}
+        self.observation_callbacks: list[Callable[[Observation], None]] = []
+        self.release_callbacks: list[Callable[[TargetId], None]] = []
+        targets.pollers_of = self.pollers_of
+
+    def pollers_of(self, known: KnownTarget) -> tuple[VmId, ...]:
+        """Return the VMs of those who poll a target.
+
+        :param known: the target.
+        """
+        pollers = self._pollers.get(known)
+        if pollers is None:
+            members = choose_pollers(
+                known.target, known.domain, self._own, self._chosen_from
+            )
+            pollers = self._pollers[known] = tuple(member.vm for member in members)
+        return pollers
+
+    def update_members(self) -> None:
+        """Choose the pollers anew if other daemons run than before."""
+        running = sorted(self._running())
+        if running != self._chosen_from:
+            self._chosen_from = running
+            self._pollers.clear()
+            for known in self._targets.known():
+                self._targets.refresh(known.target)
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            self.update_members()
+            assigned = self._assigned()
+            interval_s = poll_interval_s(len(assigned), self._min_interval_s)
+            now_s = loop.time()
+            for known in assigned:
+                if self._due_s.setdefault(known.target, now_s) <= now_s:
+                    self._due_s[known.target] = now_s + self._jitter(interval_s)
+                    self._supervisor.start_once(known.target, self._poll_task(known))
+            self._forget_others(assigned)
+            next_s = min(self._due_s.values(), default=now_s + MAX_WAIT_S)
+            wait_s = min(next_s - now_s, self._min_interval_s, MAX_WAIT_S)
+            await asyncio.sleep(max(0.01, wait_s))
+
+    def _assigned(self) -> list[KnownTarget]:
+        return [
+            known
+            for known in self._targets.known()
+            if self._own.vm in self.pollers_of(known)
+            or self._targets.board.failure(known.target) is not None
+        ]
+
+    def _forget_others(self, assigned: list[KnownTarget]) -> None:
+        kept = {known.target for known in assigned}
+        for target in self._due_s.keys() - kept:
+            del self._due_s[target]
+            for callback in self.release_callbacks:
+                callback(target)
+
+    def _jitter(self, interval_s: float) -> float:
+        return interval_s * self._random_state.uniform(1 - JITTER, 1 + JITTER)
+
+    def _poll_task(self, known: KnownTarget) -> Callable[[], Awaitable[None]]:
+        async def poll() -> None:
+            for observation in await self._poll(known):
+                self._targets.observe(observation)
+                for callback in self.observation_callbacks:
+                    callback(observation)
+
+        return poll
+
+    async def _poll(self, known: KnownTarget) -> list[Observation]:
+        # The stamp precedes the poll: what follows it may already be outdated.
+        stamp = self._targets.stamp()
+        lost = Observation(known.target, self._own.vm, stamp)
+        try:
+            if known.kind is TargetKind.SERVICE:
+                with await Exchange.open(known.address, REPORT_TIMEOUT_S):
+                    return [msgspec.structs.replace(lost, incarnation=known.target)]
+            report = await self._engines.report(known.address, REPORT_TIMEOUT_S)
+        except (ConnectFailed, ExchangeBroken, msgspec.MsgspecError):
+            return [lost]
+        incarnation = report.incarnation or report.target
+        seen = Observation(report.target, self._own.vm, stamp, incarnation, report)
+        # Another engine may have taken the address over.
+        return [seen] if report.target == known.target else [lost, seen]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_targets.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_targets.py
@@ -1,37 +1,60 @@
-"""Targets that the daemon knows, with their last report."""
+"""Targets that the daemon knows, and those of them that take new work."""
 
-import asyncio
-from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
 
-import msgspec
-from cassiaspread_core.base import ModelId, ServiceId, TargetId, VmState
+from cassiaspread_core.base import (
+    CassiaspreadError,
+    DomainId,
+    ModelId,
+    ServiceId,
+    TargetId,
+    TargetKind,
+    VmId,
+    VmState,
+)
+from cassiaspread_core.observations import (
+    LeavingMark,
+    LoadUpdate,
+    Observation,
+    ObservationBoard,
+)
 from cassiaspread_core.pipeline import EngineReport
+from cassiaspread_core.timeline import EventRing, Timestamp
 
-from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken
-from cassiaspread_daemon.adapters import EngineClient, ListedVm, VmListClient
-from cassiaspread_daemon.adapters._vm_list import VmListUnavailable
+from cassiaspread_daemon.adapters import ListedVm
+from cassiaspread_daemon.fleet._known import KnownTarget, from_list, from_report
 
-REPORT_TIMEOUT_S = 1.0
+TARGET_ROLES = tuple(kind.value for kind in TargetKind)
+
+
+class UnknownTarget(CassiaspreadError):
+    """No start of a target was ever seen."""
 
 
 class TargetRegistry:
-    """Reads the VM list, polls the engines on it and counts work in flight.
+    """Joins own sight, what peers tell and the VM list; counts work in flight.
 
-    :param vm_list: client of the platform's list.
-    :param engines: client of the engines.
-    :param poll_interval_s: interval between polls, in seconds.
+    :param own: VM of this daemon.
+    :param events: the time line.
     """
 
-    def __init__(
-        self, vm_list: VmListClient, engines: EngineClient, poll_interval_s: float
-    ) -> None:
-        self._vm_list = vm_list
-        self._engines = engines
-        self._poll_interval_s = poll_interval_s
+    def __init__(self, own: VmId, events: EventRing) -> None:
+        self._events = events
+        self._board = ObservationBoard(own)
         self._listed: tuple[ListedVm, ...] = ()
-        self._reports: dict[TargetId, EngineReport] = {}
+        self._known: dict[TargetId, KnownTarget] = {}
+        self._usable: dict[TargetId, Observation] = {}
         self._in_flight: dict[TargetId, int] = {}
+        self.pollers_of: Callable[[KnownTarget], Iterable[VmId]] = lambda _: ()
+        self.change_callbacks: list[Callable[[TargetId], None]] = []
+        self.mark_callbacks: list[Callable[[LeavingMark], None]] = []
+        self.failure_callbacks: list[Callable[[TargetId], None]] = []
+
+    @property
+    def board(self) -> ObservationBoard:
+        """All that is known of targets."""
+        return self._board
 
     def engines(self, model: ModelId) -> list[EngineReport]:
         """List the engines of a model that take new work.
@@ -39,25 +62,54 @@
         :param model: the model.
         """
         return [
-            report
-            for report in self._reports.values()
-            if report.model == model and report.state is VmState.LIVE
+            seen.report
+            for seen in self._usable.values()
+            if seen.report is not None and seen.report.model == model
         ]
 
     def services(self, service: ServiceId) -> list[ListedVm]:
         """List the targets of a plain service that take new work.
 
+        A target that nobody has polled yet is used on the list's word.
+
         :param service: the service.
         """
         return [
             vm
             for vm in self._listed
-            if vm.role == "service" and vm.name == service and vm.state is VmState.LIVE
+            if vm.role == TargetKind.SERVICE.value
+            and vm.name == service
+            and self._is_service_usable(TargetId(vm.vm))
         ]
 
-    def daemon_addresses(self) -> set[str]:
-        """Return where the listed daemons take messages."""
-        return {vm.address for vm in self._listed if vm.role == "daemon"}
+    def is_usable(self, target: TargetId) -> bool:
+        """Tell whether a target is up and takes new work.
+
+        :param target: the target.
+        """
+        return target in self._usable
+
+    def usable(self, target: TargetId) -> Observation | None:
+        """Return the observation by which a target is used, if it is.
+
+        :param target: the target.
+        """
+        return self._usable.get(target)
+
+    def known(self) -> list[KnownTarget]:
+        """List all targets that are listed or up."""
+        return list(self._known.values())
+
+    def find(self, target: TargetId) -> KnownTarget | None:
+        """Return a target, if it is known.
+
+        :param target: the target.
+        """
+        return self._known.get(target)
+
+    def daemon_addresses(self) -> dict[str, DomainId]:
+        """Return where the listed daemons take messages, with their domains."""
+        return {vm.address: vm.domain for vm in self._listed if vm.role == "daemon"}
 
     def n_in_flight(self, target: TargetId) -> int:
         """Count the requests that this daemon has on a target.
@@ -79,31 +131,149 @@
         finally:
             for target in targets:
                 self._in_flight[target] -= 1
+                if not self._in_flight[target]:
+                    del self._in_flight[target]
 
     def forget(self, target: TargetId) -> None:
-        """Stop using an engine until it reports again.
+        """Stop using a target until this daemon has polled it again.
 
-        :param target: an engine that this daemon saw failing.
+        :param target: a target that this daemon saw failing.
         """
-        self._reports.pop(target, None)
-
-    async def run(self) -> None:
-        """Read the list and poll until cancelled."""
-        while True:
-            with suppress(VmListUnavailable):
-                self._listed = await self._vm_list.read()
-            await asyncio.gather(
-                *(self._poll(vm) for vm in self._listed if vm.role == "engine")
-            )
-            await asyncio.sleep(self._poll_interval_s)
+        self._board.fail(target, self.stamp())
+        self._events.record("target.failed", target=target)
+        self.refresh(target)
+        for callback in self.failure_callbacks:
+            callback(target)
 
-    async def _poll(self, vm: ListedVm) -> None:
-        target = TargetId(vm.name)
-        try:
-            report = await self._engines.report(vm.address, REPORT_TIMEOUT_S)
-        except (ConnectFailed, ExchangeBroken, msgspec.MsgspecError):
-            self._reports.pop(target, None)
+    def stamp(self) -> Timestamp:
+        """Return the present time on the hybrid logical clock."""
+        return Timestamp.parse(self._events.stamp())
+
+    def observe(self, observation: Observation) -> None:
+        """Take in what this daemon or a peer saw.
+
+        :param observation: what was seen.
+        """
+        report = observation.report
+        if report is not None:
+            self._known.setdefault(observation.target, from_report(report))
+        if not self._board.add(observation):
+            return
+        if report is not None and report.state is VmState.LEAVING:
+            self.mark_leaving(LeavingMark(report.target, observation.incarnation))
+        self.refresh(observation.target)
+
+    def observe_load(self, update: LoadUpdate) -> None:
+        """Take in a peer's update of an engine's load.
+
+        :param update: the update.
+        """
+        if self._board.add_load(update) is not None:
+            self.refresh(update.target)
+
+    def drain(self, target: TargetId) -> LeavingMark:
+        """Give a target no new work, on the word of an operator.
+
+        :param target: the target; its next start is used again.
+        :returns: the mark that peers get.
+        :raises UnknownTarget: nobody has seen the target.
+        """
+        incarnation = self._board.last_incarnation(target)
+        if not incarnation:
+            raise UnknownTarget(f"no daemon has seen target {target!r} yet")
+        mark = LeavingMark(target, incarnation, source="operator")
+        self.mark_leaving(mark)
+        return mark
+
+    def mark_leaving(self, mark: LeavingMark) -> None:
+        """Take in a mark from any source.
+
+        :param mark: the mark.
+        """
+        if not self._board.mark_leaving(mark):
+            return
+        self._events.record("target.leaving", target=mark.target, source=mark.source)
+        self.refresh(mark.target)
+        for callback in self.mark_callbacks:
+            callback(mark)
+
+    def apply_list(self, listed: tuple[ListedVm, ...]) -> None:
+        """Take in the platform's list.
+
+        :param listed: the list, which lags behind the truth.
+        """
+        if listed == self._listed:
             return
-        if vm.state is VmState.LEAVING:
-            report = msgspec.structs.replace(report, state=VmState.LEAVING)
-        self._reports[target] = report
+        self._listed = listed
+        targets = [from_list(vm) for vm in listed if vm.role in TARGET_ROLES]
+        former, self._known = self._known, {t.target: t for t in targets}
+        for target, known in former.items():
+            if target not in self._known and target in self._usable:
+                self._known[target] = known._replace(vm=None, is_listed_leaving=False)
+        for target in former.keys() - self._known.keys():
+            self._drop(target)
+        for target in list(self._known):
+            self.refresh(target)
+
+    def refresh(self, target: TargetId) -> None:
+        """Judge a target anew.
+
+        :param target: the target.
+        """
+        known = self._known.get(target)
+        if known is None:
+            self._use(target, None)
+            return
+        self._mark_listed(known)
+        seen = self._board.judge(target, tuple(self.pollers_of(known)))
+        if seen is not None and self._board.is_leaving(seen, known.vm):
+            seen = None
+        self._use(target, seen)
+        if seen is None and known.vm is None and not self._is_up(known):
+            self._drop(target)
+
+    def _is_up(self, known: KnownTarget) -> bool:
+        pollers = tuple(self.pollers_of(known))
+        return (
+            self._board.judge(known.target, pollers) is not None
+            or self._board.failure(known.target) is not None
+        )
+
+    def _use(self, target: TargetId, seen: Observation | None) -> None:
+        was_usable = target in self._usable
+        if seen is None:
+            self._usable.pop(target, None)
+        else:
+            self._usable[target] = seen
+        if was_usable != (seen is not None):
+            kind = "target.unusable" if was_usable else "target.usable"
+            self._events.record(kind, target=target)
+        for callback in self.change_callbacks:
+            callback(target)
+
+    def _mark_listed(self, known: KnownTarget) -> None:
+        """Bind the list's word to the start that runs when it is first heard."""
+        incarnation = self._board.last_incarnation(known.target)
+        if known.kind is TargetKind.SERVICE:
+            incarnation = str(known.target)
+        if not known.is_listed_leaving or not incarnation:
+            return
+        if not self._board.marks.has_listed(known.target, known.vm):
+            mark = LeavingMark(known.target, incarnation, known.vm, "list")
+            self._board.mark_leaving(mark)
+            self._events.record(
+                "target.leaving", target=known.target, source=mark.source
+            )
+            for callback in self.mark_callbacks:
+                callback(mark)
+
+    def _drop(self, target: TargetId) -> None:
+        self._known.pop(target, None)
+        self._use(target, None)
+        self._board.forget(target)
+
+    def _is_service_usable(self, target: TargetId) -> bool:
+        if target in self._usable:
+            return True
+        is_leaving = self._board.marks.is_leaving(target, str(target))
+        return not is_leaving and not self._board.is_observed(target)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
@@ -8,6 +8,11 @@
     ChatCompletionsHandler,
     CompletionsHandler,
 )
+from cassiaspread_daemon.handlers._drain import (
+    DrainHandler,
+    MembersHandler,
+    TargetsHandler,
+)
 from cassiaspread_daemon.handlers._operations import (
     EventsHandler,
     HealthHandler,
@@ -32,6 +37,9 @@
             (r"/readyz", ReadyHandler, arguments),
             (r"/metrics", MetricsHandler, arguments),
             (r"/operators/events", EventsHandler, arguments),
+            (r"/operators/drain", DrainHandler, arguments),
+            (r"/operators/members", MembersHandler, arguments),
+            (r"/operators/targets", TargetsHandler, arguments),
         ],
         default_handler_class=UnknownPathHandler,
         default_handler_args=arguments,
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_drain.py
@@ -0,0 +1,121 @@
+"""Operators' requests about targets and daemons."""
+
+import msgspec
+from cassiaspread_core.base import DomainId, Incarnation, Refusal, TargetId, VmId
+from cassiaspread_core.membership import MemberState
+
+from cassiaspread_daemon.fleet import UnknownTarget
+from cassiaspread_daemon.handlers._base import OperatorHandler
+
+
+class DrainBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /operators/drain``.
+
+    :param target: target identifier of an engine, VM of a plain service.
+    """
+
+    target: TargetId
+
+
+class DrainAnswer(msgspec.Struct, frozen=True):
+    """Answer to ``POST /operators/drain``.
+
+    :param target: the target.
+    :param incarnation: its start that gets no new work.
+    :param n_in_flight: requests that this daemon still has on it.
+    """
+
+    target: TargetId
+    incarnation: str
+    n_in_flight: int
+
+
+class MemberAnswer(msgspec.Struct, frozen=True):
+    """One daemon in the answer to ``GET /operators/members``.
+
+    :param vm: its VM.
+    :param domain: its failure domain.
+    :param incarnation: its start.
+    :param address: ``host:port`` where it takes messages.
+    :param state: the verdict of the daemon that answers.
+    """
+
+    vm: VmId
+    domain: DomainId
+    incarnation: Incarnation
+    address: str
+    state: MemberState
+
+
+class TargetAnswer(msgspec.Struct, frozen=True):
+    """One target in the answer to ``GET /operators/targets``.
+
+    :param target: the target.
+    :param domain: its failure domain.
+    :param is_usable: whether it gets new work from the daemon that answers.
+    :param incarnation: the start that is used, empty for none.
+    :param pollers: VMs of the daemons that poll it.
+    :param n_in_flight: requests that the daemon that answers has on it.
+    """
+
+    target: TargetId
+    domain: DomainId
+    is_usable: bool
+    incarnation: str
+    pollers: tuple[VmId, ...]
+    n_in_flight: int
+
+
+class DrainHandler(OperatorHandler):
+    """``POST /operators/drain``: a target gets no new work from any daemon."""
+
+    def post(self) -> None:
+        """Mark the target's present start as leaving."""
+        try:
+            body = msgspec.json.decode(self.request.body, type=DrainBody)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            raise Refusal(400, "bad-body", f"{error}.") from None
+        try:
+            mark = self.node.targets.drain(body.target)
+        except UnknownTarget as error:
+            raise Refusal(404, "unknown-target", f"{error}.") from None
+        n_in_flight = self.node.targets.n_in_flight(mark.target)
+        answer = DrainAnswer(mark.target, mark.incarnation, n_in_flight)
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(answer))
+
+
+class MembersHandler(OperatorHandler):
+    """``GET /operators/members``: the daemons, as this one sees them."""
+
+    def get(self) -> None:
+        """Answer with every known daemon but this one."""
+        members = [
+            MemberAnswer(m.vm, m.domain, m.incarnation, m.address, state)
+            for m, state in self.node.mesh.states()
+        ]
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(members))
+
+
+class TargetsHandler(OperatorHandler):
+    """``GET /operators/targets``: the targets, as this daemon sees them."""
+
+    def get(self) -> None:
+        """Answer with every target that is listed or up."""
+        targets = self.node.targets
+        answer = []
+        for known in targets.known():
+            seen = targets.usable(known.target)
+            answer.append(
+                TargetAnswer(
+                    known.target,
+                    known.domain,
+                    seen is not None,
+                    seen.incarnation if seen else "",
+                    tuple(targets.pollers_of(known)),
+                    targets.n_in_flight(known.target),
+                )
+            )
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(answer))
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/__init__.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/__init__.py
@@ -1,6 +1,17 @@
-"""Messages between daemons."""
+"""Messages between daemons, and which daemons there are."""
 
-from cassiaspread_daemon.mesh._mesh import Mesh, Peer, PeerUnreachable
+from cassiaspread_daemon.mesh._deltas import DeltaTopic
+from cassiaspread_daemon.mesh._members import to_member
+from cassiaspread_daemon.mesh._mesh import Mesh, Peer
 from cassiaspread_daemon.mesh._message import Empty, Sender
+from cassiaspread_daemon.mesh._transport import PeerUnreachable
 
-__all__ = ["Empty", "Mesh", "Peer", "PeerUnreachable", "Sender"]
+__all__ = [
+    "DeltaTopic",
+    "Empty",
+    "Mesh",
+    "Peer",
+    "PeerUnreachable",
+    "Sender",
+    "to_member",
+]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
@@ -1,46 +1,50 @@
-"""Requests and gossip between daemons over pynng.
+"""Requests and gossip between daemons, and which daemons there are.
 
-Each daemon listens on one reply socket, served by several contexts, and keeps one
-request socket for each peer. A request that times out closes its socket, so that the
-next one opens a new connection.
+Peers gossip with each other every second, either side asking; a side that was not
+asked for a while asks, so that each learns whether it can reach the other.
 """
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
-from typing import Any, TypeVar
+from types import TracebackType
+from typing import Any, Self, TypeVar
 
 import msgspec
-import pynng
 from absl import logging
-from cassiaspread_core.base import CassiaspreadError, Incarnation
+from cassiaspread_core.base import DomainId, Incarnation
+from cassiaspread_core.membership import (
+    Member,
+    MemberState,
+    Transition,
+    choose_contacts,
+)
 from cassiaspread_core.timeline import EventRing
 
 from cassiaspread_daemon._supervisor import Supervisor
+from cassiaspread_daemon.mesh._contacts import Contacts
+from cassiaspread_daemon.mesh._deltas import DeltaTopic
+from cassiaspread_daemon.mesh._gossip import Gossip, Topic, Topics
+from cassiaspread_daemon.mesh._members import Members, to_member
 from cassiaspread_daemon.mesh._message import Envelope, Sender
+from cassiaspread_daemon.mesh._transport import PeerUnreachable, Traffic, Transport
 
-N_REPLY_CONTEXTS = 16
 GOSSIP_INTERVAL_S = 1.0
-GOSSIP_TIMEOUT_S = 1.0
-PEER_LIFETIME_S = 3.0
+GOSSIP_TIMEOUT_S = 0.5
+N_GOSSIP_TRIES = 2
+HURRY_DELAY_S = 0.1
 GOSSIP_KIND = "gossip"
-MILLISECONDS_PER_SECOND = 1000
 
 Body = TypeVar("Body")
 Handler = Callable[[Any, Sender], Awaitable[Any]]
-Topics = dict[str, msgspec.Raw]
-
-
-class PeerUnreachable(CassiaspreadError):
-    """A peer gave no answer; the request may have reached it."""
 
 
 class Peer(msgspec.Struct, frozen=True):
-    """A daemon that answered lately.
+    """A daemon that takes work and can be asked.
 
     :param sender: who it is.
-    :param heard_s: when it last answered, on the monotonic clock in seconds.
+    :param heard_s: when it was last known to run, on the monotonic clock in seconds.
     """
 
     sender: Sender
@@ -53,7 +57,8 @@
     :param sender: who this daemon is.
     :param events: the time line, whose clock every message carries.
     :param supervisor: runs the tasks.
-    :param addresses: returns the ``host:port`` of every daemon to talk to.
+    :param hints: returns ``host:port`` of each listed or configured daemon, with its
+        domain if that is known.
     :param listen: ``host:port`` to listen on.
     """
 
@@ -62,67 +67,96 @@
         sender: Sender,
         events: EventRing,
         supervisor: Supervisor,
-        addresses: Callable[[], Iterable[str]],
+        hints: Callable[[], Mapping[str, DomainId | None]],
         listen: str,
     ) -> None:
         self._sender = sender
         self._events = events
         self._supervisor = supervisor
-        self._addresses = addresses
-        self._listen = listen
+        self._hints = hints
+        self._transport = Transport(listen, self._answer, supervisor)
+        self._handlers: dict[str, tuple[Any, Handler]] = {}
+        self._topics = Topics()
+        self._members = Members(to_member(sender), events)
+        self._topics.add_delta("members", self._members.topic)
+        self._contacts = Contacts()
         self._hurry = asyncio.Event()
-        self._handlers: dict[str, tuple[type, Handler]] = {}
-        self._topics: dict[str, tuple[Callable, type, Callable]] = {}
-        self._requesters: dict[str, pynng.Req0] = {}
-        self._peers: dict[str, Peer] = {}
-        self.register(GOSSIP_KIND, Topics, self._answer_gossip)
-
-    async def __aenter__(self) -> "Mesh":
-        self._replier = pynng.Rep0(listen=f"tcp://{self._listen}")
-        for index in range(N_REPLY_CONTEXTS):
-            self._supervisor.start(f"reply-{index}", self._reply)
+        self._n_round = 0
+        self.transition_callbacks: list[Callable[[Transition], None]] = []
+        self.register(GOSSIP_KIND, Gossip, self._answer_gossip)
+
+    async def __aenter__(self) -> Self:
+        await self._transport.__aenter__()
         self._supervisor.start("gossip", self._gossip)
         return self
 
-    async def __aexit__(self, *exc_info: object) -> None:
-        await self._supervisor.stop()
-        for requester in self._requesters.values():
-            requester.close()
-        self._replier.close()
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self._transport.__aexit__(exc_type, exc, traceback)
 
     @property
     def sender(self) -> Sender:
         """Who this daemon is to its peers."""
         return self._sender
 
+    @property
+    def traffic(self) -> Traffic:
+        """What was sent and received since the start."""
+        return self._transport.traffic
+
     def leave(self) -> None:
         """Tell the peers at once that this daemon takes no new work."""
         self._sender = msgspec.structs.replace(self._sender, is_leaving=True)
+        self._members.leave()
         self.hurry()
 
     def hurry(self) -> None:
         """Gossip now instead of within a second."""
+        self._topics.expire()
         self._hurry.set()
 
     def peers(self) -> list[Peer]:
-        """List the daemons that answered lately, this one not among them."""
-        now_s = time.monotonic()
-        return [
-            peer
-            for peer in self._peers.values()
-            if now_s - peer.heard_s < PEER_LIFETIME_S
-        ]
+        """List the daemons that take work and can be asked, of all domains."""
+        view, now_s = self._members.view, time.monotonic()
+        return [self._peer(m) for m in view.members(now_s, MemberState.ALIVE)]
 
     def find_peer(self, incarnation: Incarnation) -> Peer | None:
-        """Return the live peer of an incarnation, if any.
+        """Return a daemon that can be asked, if it can; also one that leaves.
 
         :param incarnation: the start of a daemon.
         """
-        for peer in self.peers():
-            if peer.sender.incarnation == incarnation:
-                return peer
+        view, now_s = self._members.view, time.monotonic()
+        for member in view.members(now_s, MemberState.ALIVE, MemberState.LEAVING):
+            if member.incarnation == incarnation:
+                return self._peer(member)
         return None
 
+    def running(self) -> list[Member]:
+        """List the daemons that take work, this one included unless it leaves."""
+        running = self._members.view.running(time.monotonic())
+        return running[1:] if self._sender.is_leaving else running
+
+    def pollers(self) -> list[Member]:
+        """List the daemons that share the polls.
+
+        Those of other domains count only while their domain is reached: otherwise
+        this domain polls that one's targets itself, as far as it can.
+        """
+        own = self._sender.domain
+        view, now_s = self._members.view, time.monotonic()
+        alive = set(view.members(now_s, MemberState.ALIVE))
+        return [m for m in self.running() if m.domain == own or m in alive]
+
+    def states(self) -> list[tuple[Member, MemberState]]:
+        """List every daemon that is known, with the verdict on it."""
+        view, now_s = self._members.view, time.monotonic()
+        members = view.members(now_s, *MemberState)
+        return [(m, view.state(m.incarnation, now_s)) for m in members]
+
     def register(self, kind: str, body_type: Any, handler: Handler) -> None:
         """Answer one kind of request.
 
@@ -146,7 +180,15 @@
         :param body_type: type of what is sent.
         :param consume: gets what a peer sent.
         """
-        self._topics[name] = (produce, body_type, consume)
+        self._topics.add(name, Topic(produce, body_type, consume))
+
+    def add_delta_topic(self, name: str, topic: DeltaTopic) -> None:
+        """Add a part of which each peer gets only what it lacks.
+
+        :param name: name of the topic, unique in the daemon.
+        :param topic: the topic.
+        """
+        self._topics.add_delta(name, topic)
 
     async def ask(
         self,
@@ -173,43 +215,28 @@
     async def _exchange(
         self, address: str, envelope: Envelope, timeout_s: float
     ) -> Envelope:
-        requester = self._requesters.get(address)
-        if requester is None:
-            requester = pynng.Req0(resend_time=-1)
-            requester.dial(f"tcp://{address}", block=False)
-            self._requesters[address] = requester
+        data = msgspec.msgpack.encode(envelope)
         try:
-            with requester.new_context() as context:
-                async with asyncio.timeout(timeout_s):
-                    await context.asend(msgspec.msgpack.encode(envelope))
-                    reply = msgspec.msgpack.decode(await context.arecv(), type=Envelope)
-        except (TimeoutError, pynng.NNGException, msgspec.MsgspecError) as error:
-            self._drop_requester(address, requester)
-            reason = str(error) or "no reply in time"
-            raise PeerUnreachable(f"{address}: {reason}") from None
-        self._note(reply)
+            answer = await self._transport.exchange(address, data, timeout_s)
+            reply = msgspec.msgpack.decode(answer, type=Envelope)
+        except msgspec.MsgspecError as error:
+            raise PeerUnreachable(f"{address}: {error}") from None
+        self._note(reply, address)
         return reply
 
-    def _drop_requester(self, address: str, requester: pynng.Req0) -> None:
-        if self._requesters.get(address) is requester:
-            del self._requesters[address]
-        requester.close()
-
     def _envelope(self, kind: str, body: Any) -> Envelope:
         encoded = msgspec.Raw(msgspec.msgpack.encode(body))
         return Envelope(self._sender, self._events.stamp(), kind, encoded)
 
-    def _note(self, envelope: Envelope) -> None:
+    def _note(self, envelope: Envelope, address: str | None = None) -> None:
         self._events.receive(envelope.stamp)
-        sender = envelope.sender
-        if sender.incarnation != self._sender.incarnation:
-            self._peers[sender.address] = Peer(sender, time.monotonic())
+        now_s = time.monotonic()
+        if self._members.hear(envelope.sender, now_s, address):
+            self.hurry()
+        self._contacts.note(envelope.sender, now_s, address)
 
-    async def _reply(self) -> None:
-        with self._replier.new_context() as context:
-            while True:
-                reply = await self._handle(await context.arecv())
-                await context.asend(msgspec.msgpack.encode(reply))
+    async def _answer(self, data: bytes) -> bytes:
+        return msgspec.msgpack.encode(await self._handle(data))
 
     async def _handle(self, data: bytes) -> Envelope:
         kind = ""
@@ -229,40 +256,85 @@
 
     async def _gossip(self) -> None:
         while True:
+            is_hurry = self._hurry.is_set()
             self._hurry.clear()
-            addresses = set(self._addresses()) - {self._sender.address}
-            await asyncio.gather(*(self._gossip_with(a) for a in addresses))
+            self._tick()
+            addresses = self._choose_addresses(is_hurry)
+            for address in addresses:
+                self._supervisor.start_once(f"gossip-{address}", self._round(address))
             with suppress(TimeoutError):
                 await asyncio.wait_for(self._hurry.wait(), GOSSIP_INTERVAL_S)
+                await asyncio.sleep(HURRY_DELAY_S)
+
+    def _tick(self) -> None:
+        for transition in self._members.tick(time.monotonic()):
+            if transition.state is MemberState.LOST:
+                self._topics.forget(transition.member.incarnation)
+            for callback in self.transition_callbacks:
+                callback(transition)
+
+    def _choose_addresses(self, is_hurry: bool) -> list[str]:
+        now_s = time.monotonic()
+        view = self._members.view
+        lost = view.members(now_s, MemberState.LOST)
+        hints = dict(self._hints())
+        hints |= {m.address: m.domain for m in lost}
+        for address in hints:
+            hints[address] = self._contacts.domain(address) or hints[address]
+        self._n_round += 1
+        known = view.members(now_s)
+        plan = choose_contacts(view.own, known, hints, self._n_round)
+        addresses = plan.near | plan.far
+        return [a for a in addresses if self._contacts.is_due(a, now_s, is_hurry)]
+
+    def _round(self, address: str) -> Callable[[], Awaitable[None]]:
+        async def run() -> None:
+            await self._gossip_with(address)
+
+        return run
 
     async def _gossip_with(self, address: str) -> None:
-        envelope = self._envelope(GOSSIP_KIND, self._produce_topics())
-        try:
-            reply = await self._exchange(address, envelope, GOSSIP_TIMEOUT_S)
-        except PeerUnreachable:
-            return
-        if reply.error is None:
-            topics = msgspec.msgpack.decode(reply.body, type=Topics)
-            self._consume_topics(topics, reply.sender)
-
-    async def _answer_gossip(self, topics: Topics, sender: Sender) -> Topics:
-        self._consume_topics(topics, sender)
-        return self._produce_topics()
-
-    def _produce_topics(self) -> Topics:
-        topics: Topics = {}
-        for name, (produce, _, _) in self._topics.items():
-            body = produce()
-            if body is not None:
-                topics[name] = msgspec.Raw(msgspec.msgpack.encode(body))
-        return topics
-
-    def _consume_topics(self, topics: Topics, sender: Sender) -> None:
-        for name, raw in topics.items():
-            if name not in self._topics:
-                continue
-            _, body_type, consume = self._topics[name]
-            try:
-                consume(msgspec.msgpack.decode(raw, type=body_type), sender)
-            except msgspec.MsgspecError as error:
-                logging.error("topic %s from %s: %s", name, sender.vm, error)
+        peer = self._contacts.sender(address)
+        envelope = self._envelope(GOSSIP_KIND, self._produce(peer))
+        reply = await self._try_gossip(address, envelope)
+        if reply is None:
+            self._contacts.miss(address, time.monotonic())
+        elif (
+            reply.error is None and reply.sender.incarnation != self._sender.incarnation
+        ):
+            self._consume(msgspec.msgpack.decode(reply.body, type=Gossip), reply.sender)
+
+    async def _try_gossip(self, address: str, envelope: Envelope) -> Envelope | None:
+        """Try again over a new connection if the one in use may have gone silent."""
+        for _ in range(N_GOSSIP_TRIES):
+            with suppress(PeerUnreachable):
+                return await self._exchange(address, envelope, GOSSIP_TIMEOUT_S)
+            if not self._contacts.answered_lately(address, time.monotonic()):
+                break
+        return None
+
+    async def _answer_gossip(self, gossip: Gossip, sender: Sender) -> Gossip:
+        self._consume(gossip, sender)
+        return self._produce(sender)
+
+    def _produce(self, peer: Sender | None) -> Gossip:
+        now_s = time.monotonic()
+        is_far = peer is not None and peer.domain != self._sender.domain
+        ages_s = {} if is_far else self._contacts.far_ages(self._sender.domain, now_s)
+        incarnation = None if peer is None else peer.incarnation
+        return self._topics.produce(incarnation, is_far, ages_s, now_s)
+
+    def _consume(self, gossip: Gossip, sender: Sender) -> None:
+        now_s = time.monotonic()
+        for domain, age_ms in gossip.domain_ages_ms.items():
+            self._members.view.hear_domain(domain, age_ms / 1000, now_s)
+        self._topics.consume(gossip, sender)
+
+    def _peer(self, member: Member) -> Peer:
+        view = self._members.view
+        record = view.record(member.incarnation)
+        is_leaving = record is not None and record.is_leaving
+        sender = Sender(
+            member.vm, member.domain, member.incarnation, member.address, is_leaving
+        )
+        return Peer(sender, view.heard_s(member.incarnation))
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_message.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_message.py
@@ -4,7 +4,7 @@
 from cassiaspread_core.base import DomainId, Incarnation, VmId
 
 
-class Sender(msgspec.Struct, frozen=True):
+class Sender(msgspec.Struct, frozen=True, array_like=True):
     """Who sent a message.
 
     :param vm: VM of the sender.
@@ -21,7 +21,7 @@
     is_leaving: bool = False
 
 
-class Envelope(msgspec.Struct, frozen=True):
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
     """One message.
 
     :param sender: who sent it.
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_transport.py
@@ -0,0 +1,144 @@
+"""Requests and replies over pynng.
+
+A daemon listens on one reply socket, served by several contexts, and keeps one
+request socket for each address. A request that times out closes its socket, so that
+the next one opens a new connection: one that went silent is never used again.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from types import TracebackType
+from typing import Self
+
+import pynng
+from cassiaspread_core.base import CassiaspreadError
+
+from cassiaspread_daemon._supervisor import Supervisor
+
+# Handlers may wait for other systems; enough must stay free for gossip.
+N_REPLY_CONTEXTS = 64
+IDLE_SOCKET_S = 60.0
+
+
+class PeerUnreachable(CassiaspreadError):
+    """A peer gave no answer; the request may have reached it."""
+
+
+class Traffic:
+    """Bytes of all messages since the start."""
+
+    def __init__(self) -> None:
+        self.n_messages = 0
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    def add(self, sent_bytes: int, received_bytes: int) -> None:
+        """Count one request with its reply.
+
+        :param sent_bytes: bytes sent.
+        :param received_bytes: bytes received.
+        """
+        self.n_messages += 1
+        self.sent_bytes += sent_bytes
+        self.received_bytes += received_bytes
+
+
+class _Requester:
+    def __init__(self, address: str, now_s: float) -> None:
+        self.socket = pynng.Req0(resend_time=-1)
+        self.socket.dial(f"tcp://{address}", block=False)
+        self.used_s = now_s
+
+
+class Transport:
+    """Owns the sockets; an asynchronous context manager.
+
+    :param listen: ``host:port`` to listen on.
+    :param answer: gets a request, returns the reply.
+    :param supervisor: runs the tasks.
+    """
+
+    def __init__(
+        self,
+        listen: str,
+        answer: Callable[[bytes], Awaitable[bytes]],
+        supervisor: Supervisor,
+    ) -> None:
+        self._listen = listen
+        self._answer = answer
+        self._supervisor = supervisor
+        self._requesters: dict[str, _Requester] = {}
+        self._traffic = Traffic()
+
+    async def __aenter__(self) -> Self:
+        self._replier = pynng.Rep0(listen=f"tcp://{self._listen}")
+        for index in range(N_REPLY_CONTEXTS):
+            self._supervisor.start(f"reply-{index}", self._reply)
+        self._supervisor.start("close-idle", self._close_idle)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self._supervisor.stop()
+        for requester in self._requesters.values():
+            requester.socket.close()
+        self._replier.close()
+
+    @property
+    def traffic(self) -> Traffic:
+        """What was sent and received."""
+        return self._traffic
+
+    async def exchange(self, address: str, request: bytes, timeout_s: float) -> bytes:
+        """Send a request and return the reply.
+
+        :param address: ``host:port`` of the peer.
+        :param request: the request.
+        :param timeout_s: longest wait in seconds.
+        :raises PeerUnreachable: no reply came.
+        """
+        requester = self._requester(address)
+        try:
+            with requester.socket.new_context() as context:
+                async with asyncio.timeout(timeout_s):
+                    await context.asend(request)
+                    reply = await context.arecv()
+        except (TimeoutError, pynng.NNGException) as error:
+            self._drop(address, requester)
+            reason = str(error) or "no reply in time"
+            raise PeerUnreachable(f"{address}: {reason}") from None
+        self._traffic.add(len(request), len(reply))
+        return reply
+
+    def _requester(self, address: str) -> _Requester:
+        now_s = asyncio.get_running_loop().time()
+        requester = self._requesters.get(address)
+        if requester is None:
+            requester = self._requesters[address] = _Requester(address, now_s)
+        requester.used_s = now_s
+        return requester
+
+    def _drop(self, address: str, requester: _Requester) -> None:
+        if self._requesters.get(address) is requester:
+            del self._requesters[address]
+        requester.socket.close()
+
+    async def _close_idle(self) -> None:
+        while True:
+            await asyncio.sleep(IDLE_SOCKET_S)
+            limit_s = asyncio.get_running_loop().time() - IDLE_SOCKET_S
+            for address, requester in list(self._requesters.items()):
+                if requester.used_s < limit_s:
+                    self._drop(address, requester)
+
+    async def _reply(self) -> None:
+        with self._replier.new_context() as context:
+            while True:
+                request = await context.arecv()
+                reply = await self._answer(request)
+                await context.asend(reply)
+                self._traffic.add(len(reply), len(request))
