Membership and leaving proved with real processes

Cause: the mechanisms had unit tests only. Found: a test that set the list's lag before the daemons had met let the list run backwards and hide them from each other; the fixture now waits until they have met. A successor that starts after a loss never hears of the lost daemon; that is meant. Change: nine daemons with one seed and no list through a crash, a freeze and wake, and the reuse of an address; one-way cut; silent connections; a cut domain; death of pollers; a daemon without the list; targets that leave by their own report, by the list and by an operator; targets that crash or freeze while the list shows them live. A domain that is silent for 5 s (8 s before) makes its daemons suspect.

--- a/packages/cassiaspread-core/src/cassiaspread_core/membership/_view.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/membership/_view.py
@@ -14,7 +14,7 @@
 )
 
 LOST_AFTER_S = 2.5
-FAR_SILENCE_S = 8.0
+FAR_SILENCE_S = 5.0
 FORGET_AFTER_S = 3600.0
 
 # A longer time between two ticks means that this process stood still, not its peers.
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import signal
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
@@ -122,3 +123,133 @@
     except OSError:
         return True
     return False
+
+
+def read(daemon, what):
+    path = f"/operators/{what}"
+    status, _, body = request("GET", daemon.address, path, headers=OPERATOR)
+    if status != 200:
+        raise ValueError(f"{daemon.name} answered {status}")
+    return json.loads(body)
+
+
+def usable(daemon):
+    return {t["target"] for t in read(daemon, "targets") if t["is_usable"]}
+
+
+def member_states(daemon):
+    return {m["vm"]: m["state"] for m in read(daemon, "members")}
+
+
+def requests_on(fleet, engine):
+    return {step["request"] for step in fleet.history(engine)}
+
+
+def test_peers_hear_at_once_that_a_daemon_leaves(fleet, daemons):
+    leaving = fleet.start_daemon("d9", "cautin", balancer_lag_ms=1_500)
+    for daemon in daemons:
+        wait_for(lambda d=daemon: member_states(d).get("d9") == "alive")
+    leaving.signal(signal.SIGTERM)
+    for daemon in daemons:
+        wait_for(lambda d=daemon: member_states(d)["d9"] == "leaving", 2.0)
+    assert leaving.popen.poll() is None
+    for daemon in daemons:
+        wait_for(lambda d=daemon: member_states(d)["d9"] == "lost", 15.0)
+
+
+@pytest.fixture
+def daemons(fleet):
+    daemons = [fleet.start_daemon(f"d{i}", "cautin") for i in range(3)]
+    for daemon in daemons:
+        wait_for(lambda d=daemon: list(member_states(d).values()) == ["alive"] * 2)
+    return daemons
+
+
+def start_engines(fleet, daemons, *names):
+    """Start engines that each hold all layers."""
+    engines = [fleet.start_engine(name, "cautin", 0, 8, step_ms=50) for name in names]
+    wait_usable(daemons, names)
+    return engines
+
+
+def wait_usable(daemons, names, timeout_s=20.0):
+    for daemon in daemons:
+        wait_for(lambda d=daemon: usable(d) == set(names), timeout_s)
+
+
+def test_leaving_target_gets_no_new_work(fleet, daemons):
+    """Each engine but one leaves on the word of another source.
+
+    The list shows the others as live all the time, and so do their own reports
+    later on.
+    """
+    leaving = "e-status", "e-list", "e-operator"
+    engines = start_engines(fleet, daemons, *leaving, "e-stays")
+    with ThreadPoolExecutor(24) as pool:
+        early = [
+            pool.submit(complete, daemons[i % 3], f"early {i}", 100) for i in range(18)
+        ]
+        for name in leaving:
+            wait_for(lambda n=name: requests_on(fleet, n))
+        engines[0].control(state="leaving")
+        address = engines[1].address
+        fleet.list_vm("e-list", "engine", "e-list", address, "cautin", "leaving")
+        body = {"target": "e-operator"}
+        drain = "/operators/drain"
+        assert request("POST", daemons[1].address, drain, body, OPERATOR)[0] == 200
+        time.sleep(2.0)
+        before = {name: requests_on(fleet, name) for name in leaving}
+        engines[0].control(state="live")
+        fleet.list_vm("e-list", "engine", "e-list", address, "cautin")
+        for i in range(12):
+            assert complete(daemons[i % 3], f"late {i}")[0] == 200
+        time.sleep(0.5)
+        assert [usable(daemon) for daemon in daemons] == [{"e-stays"}] * 3
+        assert {name: requests_on(fleet, name) for name in leaving} == before
+        for i, answer in enumerate(early):
+            status, _, body = answer.result()
+            text = json.loads(body)["choices"][0]["text"]
+            assert (status, text) == (200, whole_text(f"early {i}", 100))
+    for engine in engines[:3]:
+        engine.kill()
+        engine.start()
+    wait_usable(daemons, [*leaving, "e-stays"])
+
+
+def test_list_does_not_bring_a_failed_target_back(fleet, daemons):
+    killed, frozen, _ = start_engines(fleet, daemons, "ea", "eb", "ec")
+    killed.kill()
+    frozen.signal(signal.SIGSTOP)
+    wait_usable(daemons, ["ec"], 6.0)
+    fleet.list_vm("ea", "engine", "ea", killed.address, "cautin")
+    deadline_s = time.monotonic() + 1.5
+    while time.monotonic() < deadline_s:
+        assert [usable(daemon) for daemon in daemons] == [{"ec"}] * 3
+        time.sleep(0.1)
+    frozen.signal(signal.SIGCONT)
+    wait_usable(daemons, ["eb", "ec"])
+
+
+def test_service_on_a_leaving_vm_gets_no_new_calls(fleet):
+    services = [fleet.start_service(f"booking-{i}", "cautin") for i in range(2)]
+    daemon = start_daemon_for_services(fleet)
+    address = services[0].address
+    fleet.list_vm("booking-0", "service", "booking", address, "cautin", "leaving")
+    wait_for(lambda: usable(daemon) == {"booking-1"}, 4.0)
+    before = len(fleet.history("booking-0"))
+    assert all(book(daemon, f"k{i}")[0] == 200 for i in range(10))
+    assert len(fleet.history("booking-0")) == before
+
+
+def start_daemon_for_services(fleet):
+    daemon = fleet.start_daemon("d1", "cautin")
+    wait_for(lambda: usable(daemon) == {"booking-0", "booking-1"})
+    return daemon
+
+
+def test_drain_of_an_unknown_target_is_refused(fleet):
+    daemon = fleet.start_daemon("d1", "cautin")
+    fleet.wait_ready(daemon)
+    for body, status in ({"target": "x"}, 404), ({}, 400), ([], 400):
+        answer = request("POST", daemon.address, "/operators/drain", body, OPERATOR)
+        assert answer[0] == status
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,184 @@
+"""Daemons that join, crash, freeze, are replaced or cut off, as real processes."""
+
+import json
+import signal
+import time
+from collections import defaultdict
+
+import pytest
+
+from tests.fleet import Fleet, bearer, free_port, request, wait_for
+
+OPERATOR = bearer("operator-token")
+CALLER = bearer("osorno-token")
+
+# Twice the promise of 3 s, for a machine that does other work too.
+BOUND_S = 6.0
+N_DAEMONS = 9
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    with Fleet(tmp_path) as fleet:
+        fleet.publish_basics()
+        yield fleet
+
+
+def read(daemon, what):
+    path = f"/operators/{what}"
+    status, _, body = request("GET", daemon.address, path, headers=OPERATOR)
+    if status != 200:
+        raise ValueError(f"{daemon.name} answered {status}")
+    return json.loads(body)
+
+
+def states(daemon):
+    """Return the verdicts on the latest start of each VM's daemon.
+
+    One that came after the loss of another never hears of it.
+    """
+    members = sorted(read(daemon, "members"), key=lambda m: m["incarnation"])
+    return defaultdict(lambda: "lost", {m["vm"]: m["state"] for m in members})
+
+
+def usable(daemon):
+    return {t["target"] for t in read(daemon, "targets") if t["is_usable"]}
+
+
+def pollers(daemon, target):
+    found = [t for t in read(daemon, "targets") if t["target"] == target]
+    return set(found[0]["pollers"])
+
+
+def wait_states(daemons, expected, timeout_s=BOUND_S):
+    for daemon in daemons:
+        others = {vm: s for vm, s in expected.items() if vm != daemon.name}
+        wait_for(lambda d=daemon, o=others: agrees(d, o), timeout_s)
+
+
+def agrees(daemon, expected):
+    found = states(daemon)
+    return all(found[vm] == state for vm, state in expected.items())
+
+
+def start_routed(fleet, name, domain, **flags):
+    """Start a daemon that its peers reach through a proxy."""
+    peer_listen = f"127.0.0.1:{free_port()}"
+    route = fleet.start_proxy(name, peer_listen)
+    flags |= {"peer_listen": peer_listen, "advertise": route.address}
+    daemon = fleet.start_daemon(name, domain, **flags)
+    fleet.list_vm(name, "daemon", name, route.address, domain)
+    return daemon, route
+
+
+def test_domain_of_nine_agrees_after_each_fault(fleet):
+    """Only the first daemon is a seed; the list shows none of them."""
+    seed = f"127.0.0.1:{free_port()}"
+    fleet.vm_list.control(available=False)
+    daemons = [fleet.start_daemon("d0", "celje", peer_listen=seed)]
+    flags = {"seeds": seed}
+    daemons += [
+        fleet.start_daemon(f"d{i}", "celje", **flags) for i in range(1, N_DAEMONS)
+    ]
+    alive = {daemon.name: "alive" for daemon in daemons}
+    wait_states(daemons, alive, timeout_s=20.0)
+
+    daemons[1].kill()
+    daemons[2].signal(signal.SIGSTOP)
+    wait_states(daemons[3:], alive | {"d1": "lost", "d2": "lost"})
+    daemons[2].signal(signal.SIGCONT)
+    wait_states(daemons[2:], alive | {"d1": "lost"})
+
+    address = next(a for a in daemons[1].argv if a.startswith("--peer-listen"))
+    flags["peer_listen"] = address.partition("=")[2]
+    successor = fleet.start_daemon("other-vm", "celje", **flags)
+    wait_states([*daemons[2:], successor], alive | {"d1": "lost", "other-vm": "alive"})
+
+
+def test_daemon_that_can_not_be_asked_is_suspect_until_it_can(fleet):
+    daemon, route = start_routed(fleet, "d1", "celje")
+    asker = fleet.start_daemon("d2", "celje")
+    wait_states([daemon, asker], {"d1": "alive", "d2": "alive"}, 20.0)
+    route.set("cut")
+    wait_states([asker], {"d1": "suspect"})
+    wait_states([daemon], {"d2": "alive"})
+    route.set("pass")
+    wait_states([asker], {"d1": "alive"})
+
+
+def test_silent_connections_are_replaced(fleet):
+    daemon, route = start_routed(fleet, "d1", "celje")
+    asker = fleet.start_daemon("d2", "celje")
+    wait_states([daemon, asker], {"d1": "alive", "d2": "alive"}, 20.0)
+    route.set("silence-old")
+    deadline_s = time.monotonic() + 4.0
+    while time.monotonic() < deadline_s:
+        assert states(asker)["d1"] == "alive"
+        assert states(daemon)["d2"] == "alive"
+        time.sleep(0.2)
+
+
+def complete(daemon):
+    body = {"model": "draft", "prompt": "loin", "max_tokens": 2}
+    return request("POST", daemon.address, "/v1/completions", body, CALLER)[0]
+
+
+def test_cut_domain_serves_its_targets_and_rejoins(fleet):
+    domains = ["celje", "celje", "zalec", "zalec"]
+    started = [start_routed(fleet, f"d{i}", d) for i, d in enumerate(domains)]
+    daemons, routes = [d for d, _ in started], [r for _, r in started]
+    engines = {"celje": "ea", "zalec": "eb"}
+    for domain, name in engines.items():
+        fleet.start_engine(name, domain, 0, 8)
+    alive = {daemon.name: "alive" for daemon in daemons}
+    wait_states(daemons, alive, 20.0)
+    for daemon in daemons:
+        wait_for(lambda d=daemon: usable(d) == {"ea", "eb"})
+
+    for route in routes:
+        route.set("silence")
+    fleet.vm_list.control(available=False)
+    wait_states(daemons[:2], {"d2": "suspect", "d3": "suspect"}, 20.0)
+    assert {complete(daemon) for daemon in daemons} == {200}
+    assert "ea" in usable(daemons[0])
+    assert "eb" in usable(daemons[2])
+    for route in routes:
+        route.set("pass")
+    wait_states(daemons, alive, 12.0)
+    for daemon in daemons:
+        wait_for(lambda d=daemon: usable(d) == {"ea", "eb"})
+
+
+def test_others_take_over_when_the_pollers_of_an_engine_die(fleet):
+    daemons = [fleet.start_daemon(f"d{i}", "celje") for i in range(4)]
+    engine = fleet.start_engine("ea", "celje", 0, 8)
+    for daemon in daemons:
+        wait_for(lambda d=daemon: usable(d) == {"ea"})
+        wait_for(lambda d=daemon: list(states(d).values()) == ["alive"] * 3)
+    wait_for(lambda: len({frozenset(pollers(d, "ea")) for d in daemons}) == 1)
+    first = pollers(daemons[0], "ea")
+    assert len(first) == 2
+    rest = [daemon for daemon in daemons if daemon.name not in first]
+    for name in first:
+        fleet.processes[name].kill()
+    for daemon in rest:
+        names = {d.name for d in rest}
+        wait_for(lambda d=daemon, n=names: pollers(d, "ea") == n, BOUND_S)
+        assert usable(daemon) == {"ea"}
+    engine.kill()
+    for daemon in rest:
+        wait_for(lambda d=daemon: usable(d) == set(), BOUND_S)
+    engine.start()
+    for daemon in rest:
+        wait_for(lambda d=daemon: usable(d) == {"ea"}, BOUND_S)
+
+
+def test_daemon_without_the_list_learns_targets_from_peers(fleet):
+    fleet.start_engine("ea", "celje", 0, 8)
+    seed = f"127.0.0.1:{free_port()}"
+    first = fleet.start_daemon("d0", "celje", peer_listen=seed)
+    wait_for(lambda: usable(first) == {"ea"})
+    fleet.vm_list.control(available=False)
+    second = fleet.start_daemon("d1", "celje", seeds=seed)
+    wait_for(lambda: usable(second) == {"ea"})
+    wait_for(lambda: complete(second) == 200)
