--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -12,7 +12,7 @@
 from absl import logging
 from cassiaspread_core.base import DomainId, Incarnation
 from cassiaspread_core.membership import Member
-from cassiaspread_core.policy import Policy
+from cassiaspread_core.policy import CheckpointSchedule, Policy
 from cassiaspread_core.timeline import EventRing
 
 from cassiaspread_daemon._metrics import Metrics
@@ -22,11 +22,14 @@
 from cassiaspread_daemon.adapters import EngineClient, LogClient, VmListClient
 from cassiaspread_daemon.fleet import (
     ObservationSpread,
+    PolicyCheckpointer,
     PolicyFollower,
+    PolicyPeers,
     Poller,
     TargetRegistry,
     VmListReader,
 )
+from cassiaspread_daemon.load import Quarantine, SuspectExchange, TargetProbe
 from cassiaspread_daemon.mesh import Mesh, Sender, to_member
 
 # A connection without a request for this long counts as idle.
@@ -57,7 +60,11 @@
         self.metrics = Metrics(settings.domain)
         self.log = LogClient(str(settings.log))
         self.engines = EngineClient()
-        self.policy_follower = PolicyFollower(self.log, self.events)
+        schedule = CheckpointSchedule(settings.log_retention_s, random_state)
+        self.policy_follower = PolicyFollower(self.log, self.events, schedule)
+        self._policy_checkpointer = PolicyCheckpointer(
+            self.log, self.policy_follower, schedule, self.events
+        )
         self.targets = TargetRegistry(settings.vm, self.events)
         self.supervisor = Supervisor("node")
         sender = Sender(
@@ -74,6 +81,17 @@
             str(settings.peer_listen),
         )
         self._observe_targets(to_member(sender))
+        self._policy_peers = PolicyPeers(
+            self.policy_follower, self.mesh, schedule, self.events, random_state
+        )
+        self.quarantine = Quarantine(
+            SuspectExchange(
+                self.mesh, self.log, self.events, lambda: self.policy.limits
+            ),
+            TargetProbe(self.engines),
+            self.events,
+            self.incarnation,
+        )
         self._is_leaving = False
         self._requests = RequestCount()
         self.settle_callbacks: list[Callable[[], Awaitable[None]]] = []
@@ -98,8 +116,11 @@
     async def __aenter__(self) -> Self:
         await self.mesh.__aenter__()
         self.supervisor.start("policy", self.policy_follower.run)
+        self.supervisor.start("policy-peers", self._policy_peers.run)
+        self.supervisor.start("policy-checkpoints", self._policy_checkpointer.run)
         self.supervisor.start("vm-list", self.list_reader.run)
         self.supervisor.start("poller", self.poller.run)
+        self.quarantine.start(self.supervisor)
         self.events.record("node.started", incarnation=self.incarnation)
         return self
 
@@ -124,14 +145,17 @@
             return NodeState.LEAVING
         return NodeState.STARTING if self.not_ready_reasons() else NodeState.READY
 
+    @property
+    def n_requests(self) -> int:
+        """Requests in progress."""
+        return self._n_requests
+
     def not_ready_reasons(self) -> list[str]:
         """List why the balancer should send no requests here."""
         reasons = []
         if self._is_leaving:
             reasons.append("leaving")
-        if not self.policy_follower.is_current:
-            reasons.append("the configuration was not read yet")
-        return reasons
+        return reasons + self.policy_follower.not_ready_reasons()
 
     def _daemon_addresses(self) -> dict[str, DomainId | None]:
         seeds = dict.fromkeys(map(str, self.settings.seeds))
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
@@ -11,13 +11,20 @@
 from cassiaspread_daemon.handlers._drain import (
     DrainHandler,
     MembersHandler,
-    TargetsHandler,
+    ObservationsHandler,
 )
 from cassiaspread_daemon.handlers._operations import (
     EventsHandler,
     HealthHandler,
     MetricsHandler,
+    PolicyHandler,
     ReadyHandler,
+    StatusHandler,
+    TargetsHandler,
+)
+from cassiaspread_daemon.handlers._quarantine import (
+    QuarantineHandler,
+    ReleaseHandler,
 )
 from cassiaspread_daemon.handlers._services import ServiceHandler
 
@@ -39,7 +46,12 @@
             (r"/operators/events", EventsHandler, arguments),
             (r"/operators/drain", DrainHandler, arguments),
             (r"/operators/members", MembersHandler, arguments),
+            (r"/operators/observations", ObservationsHandler, arguments),
+            (r"/operators/status", StatusHandler, arguments),
             (r"/operators/targets", TargetsHandler, arguments),
+            (r"/operators/policy", PolicyHandler, arguments),
+            (r"/operators/quarantine", QuarantineHandler, arguments),
+            (r"/operators/quarantine/release", ReleaseHandler, arguments),
         ],
         default_handler_class=UnknownPathHandler,
         default_handler_args=arguments,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_drain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_drain.py
@@ -47,8 +47,8 @@
     state: MemberState
 
 
-class TargetAnswer(msgspec.Struct, frozen=True):
-    """One target in the answer to ``GET /operators/targets``.
+class ObservationAnswer(msgspec.Struct, frozen=True):
+    """One target in the answer to ``GET /operators/observations``.
 
     :param target: the target.
     :param domain: its failure domain.
@@ -98,8 +98,8 @@
         self.finish(msgspec.json.encode(members))
 
 
-class TargetsHandler(OperatorHandler):
-    """``GET /operators/targets``: the targets, as this daemon sees them."""
+class ObservationsHandler(OperatorHandler):
+    """``GET /operators/observations``: the targets, as this daemon sees them."""
 
     def get(self) -> None:
         """Answer with every target that is listed or up."""
@@ -108,7 +108,7 @@
         for known in targets.known():
             seen = targets.usable(known.target)
             answer.append(
-                TargetAnswer(
+                ObservationAnswer(
                     known.target,
                     known.domain,
                     seen is not None,
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -134,7 +134,7 @@
 
 
 def usable(daemon):
-    return {t["target"] for t in read(daemon, "targets") if t["is_usable"]}
+    return {t["target"] for t in read(daemon, "observations") if t["is_usable"]}
 
 
 def member_states(daemon):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -42,11 +42,11 @@
 
 
 def usable(daemon):
-    return {t["target"] for t in read(daemon, "targets") if t["is_usable"]}
+    return {t["target"] for t in read(daemon, "observations") if t["is_usable"]}
 
 
 def pollers(daemon, target):
-    found = [t for t in read(daemon, "targets") if t["target"] == target]
+    found = [t for t in read(daemon, "observations") if t["target"] == target]
     return set(found[0]["pollers"])
 
 
