--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
@@ -8,6 +8,11 @@
     ChatCompletionsHandler,
     CompletionsHandler,
 )
+from cassiaspread_daemon.handlers._drain import (
+    DrainHandler,
+    MembersHandler,
+    ObservationsHandler,
+)
 from cassiaspread_daemon.handlers._operations import (
     EventsHandler,
     HealthHandler,
@@ -39,6 +44,9 @@
             (r"/readyz", ReadyHandler, arguments),
             (r"/metrics", MetricsHandler, arguments),
             (r"/operators/events", EventsHandler, arguments),
+            (r"/operators/drain", DrainHandler, arguments),
+            (r"/operators/members", MembersHandler, arguments),
+            (r"/operators/observations", ObservationsHandler, arguments),
             (r"/operators/status", StatusHandler, arguments),
             (r"/operators/targets", TargetsHandler, arguments),
             (r"/operators/policy", PolicyHandler, arguments),
