--- /dev/null
+++ b/benchmarks/fast_engine.py
@@ -0,0 +1,131 @@
+"""A stand-in head that holds all layers and costs little: paces many token streams.
+
+Each stream gets a token every ``--interval-ms``; the streams are spread evenly over
+the interval, so that their tokens don't come in one burst.
+"""
+
+import argparse
+import asyncio
+import json
+
+CHUNK = b"%x\r\n%b\r\n"
+HEADERS = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+N_PHASES = 30
+
+
+class Stream:
+    """One token stream and its next position."""
+
+    def __init__(
+        self, transport: asyncio.Transport, order: dict, *, is_chunked: bool
+    ) -> None:
+        self.transport, self.is_chunked = transport, is_chunked
+        transport.write(HEADERS + CHUNKED * is_chunked + b"\r\n")
+        self.attempt = order["attempt"]
+        self.position = order["start"]
+        self.end = order["max_tokens"]
+
+    def send_next(self) -> bool:
+        """Send one token; return whether more are to come."""
+        if self.transport.is_closing():
+            return False
+        event = {"attempt": self.attempt, "position": self.position}
+        is_last = self.position == self.end
+        event |= {"finish_reason": "length"} if is_last else {"text": "brisket "}
+        data = b"data: %b\n\n" % json.dumps(event).encode()
+        self.transport.write(CHUNK % (len(data), data) if self.is_chunked else data)
+        self.position += 1
+        if is_last:
+            self.transport.write(b"0\r\n\r\n" * self.is_chunked)
+            self.transport.close()
+        return not is_last
+
+
+class Pacer:
+    """Sends every stream its next token once an interval."""
+
+    def __init__(self, interval_s: float) -> None:
+        self.interval_s = interval_s
+        self.phases: list[list[Stream]] = [[] for _ in range(N_PHASES)]
+
+    def add(self, stream: Stream) -> None:
+        """Send the first token at once and the others paced."""
+        if stream.send_next():
+            min(self.phases, key=len).append(stream)
+
+    async def run(self) -> None:
+        """Pace until cancelled."""
+        loop = asyncio.get_running_loop()
+        next_s = loop.time()
+        while True:
+            for index, streams in enumerate(self.phases):
+                self.phases[index] = [s for s in streams if s.send_next()]
+                next_s += self.interval_s / N_PHASES
+                await asyncio.sleep(max(0.0, next_s - loop.time()))
+
+
+class Connection(asyncio.Protocol):
+    """One request on one connection."""
+
+    def __init__(self, report: dict, pacer: Pacer) -> None:
+        self.report, self.pacer, self.data = report, pacer, b""
+
+    def connection_made(self, transport) -> None:
+        """Keep the connection."""
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Answer once the request is whole."""
+        self.data += data
+        head, end, body = self.data.partition(b"\r\n\r\n")
+        if not end:
+            return
+        if head.startswith(b"POST /engine/generate"):
+            n_bytes = int(head.lower().split(b"content-length:")[1].split()[0])
+            if len(body) >= n_bytes:
+                is_chunked = b" HTTP/1.1\r\n" in head
+                order = json.loads(body)
+                self.pacer.add(Stream(self.transport, order, is_chunked=is_chunked))
+            return
+        answer = json.dumps(self.report).encode()
+        self.transport.write(
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%b"
+            % (len(answer), answer)
+        )
+        self.transport.close()
+
+
+async def run(arguments: argparse.Namespace) -> None:
+    """Serve until killed."""
+    address = f"127.0.0.1:{arguments.port}"
+    report = {
+        "target": arguments.name,
+        "address": address,
+        "link": address,
+        "domain": "cautin",
+        "model": "draft",
+        "begin": 0,
+        "end": 8,
+        "step_ms": arguments.interval_ms,
+        "n_slots": 1000,
+    }
+    pacer = Pacer(arguments.interval_ms / 1000)
+    loop = asyncio.get_running_loop()
+    await loop.create_server(
+        lambda: Connection(report, pacer), "127.0.0.1", arguments.port
+    )
+    await pacer.run()
+
+
+def main() -> None:
+    """Read the flags and serve."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--interval-ms", type=float, default=28.0)
+    asyncio.run(run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
@@ -27,6 +27,7 @@
     to_message_choice,
     to_text_choice,
 )
+from cassiaspread_daemon.handlers._event_writer import EventWriter
 from cassiaspread_daemon.relay import Generation, GenerationRequest
 
 Deliver = Callable[[list[TokenStep]], None]
@@ -127,15 +128,16 @@
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("Cache-Control", "no-store")
 
+        writer = EventWriter(self)
+
         def write_steps(steps: list[TokenStep]) -> None:
-            self.write(b"".join([format_event(step) for step in steps]))
-            self.flush()
+            writer.write(b"".join([format_event(step) for step in steps]))
 
         try:
             await self._generate(request, write_steps)
             end = STREAM_END
         except Refusal as refusal:
-            if not self._headers_written:
+            if not writer.has_begun:
                 self.clear()
                 raise
             end = format_error(refusal)
