A stage that answers its probe late isn't taken for lost

After a closed connection the stages were given 50 ms to tell their state; a living head that took longer was judged lost and avoided for a second.

Change: the stages get the whole probe timeout; 50 ms bound the wait only once one of them is known to be lost.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_judge.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_judge.py
@@ -19,8 +19,8 @@
 from cassiaspread_daemon.relay._attempt import AttemptEnd, EndKind
 from cassiaspread_daemon.relay._probe import probe_plan
 
-# After a closed connection the other stages are asked only to see what they hold.
-CLOSED_PROBE_TIMEOUT_S = 0.05
+# Once one stage is known to be lost, the others are asked only for what they hold.
+ENOUGH_S = 0.05
 # Two states taken at slightly different times can look like a broken chain.
 CONFIRM_DELAY_S = 0.02
 CACHE_MISSING = "kv-missing"
@@ -80,17 +80,15 @@
     :param plan: stages in order.
     :param sequence: the stream's tokens so far.
     :param end: how the attempt ended.
-    :param timeout_s: longest wait in seconds for the states of a silent stream.
+    :param timeout_s: longest wait in seconds for the states of the stages.
     """
     position = sequence.position
-    if end.kind is not EndKind.SILENT:
-        timeout_s = min(timeout_s, CLOSED_PROBE_TIMEOUT_S)
-    states = await probe_plan(engines, plan, request, timeout_s)
+    states = await probe_plan(engines, plan, request, timeout_s, ENOUGH_S)
     verdict = judge_interruption(plan, states, sequence.attempt, sequence.position)
     if end.kind is EndKind.SILENT:
         if verdict in (Verdict.PATH_DEAD, Verdict.CHAIN_BROKEN):
             await asyncio.sleep(CONFIRM_DELAY_S)
-            states = await probe_plan(engines, plan, request, timeout_s)
+            states = await probe_plan(engines, plan, request, timeout_s, ENOUGH_S)
             verdict = judge_interruption(plan, states, sequence.attempt, position)
         if sequence.position != position:
             verdict = Verdict.SLOW
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_probe.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_probe.py
@@ -4,7 +4,7 @@
 
 import msgspec
 from cassiaspread_core.base import RequestId
-from cassiaspread_core.pipeline import Plan, Stage, StageState, States
+from cassiaspread_core.pipeline import Plan, StageState, States
 
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken
 from cassiaspread_daemon.adapters import EngineClient
@@ -29,7 +29,11 @@
 
 
 async def probe_plan(
-    engines: EngineClient, plan: Plan, request: RequestId, timeout_s: float
+    engines: EngineClient,
+    plan: Plan,
+    request: RequestId,
+    timeout_s: float,
+    enough_s: float,
 ) -> States:
     """Ask all stages of a plan at once.
 
@@ -37,10 +41,23 @@
     :param plan: stages in order.
     :param request: the request.
     :param timeout_s: longest wait in seconds.
+    :param enough_s: wait in seconds for the others once a stage is known to be lost.
     """
-
-    async def probe(stage: Stage) -> StageState | None:
-        return await probe_stage(engines, stage.address, request, timeout_s)
-
-    answers = await asyncio.gather(*(probe(stage) for stage in plan))
-    return {stage.engine: answer for stage, answer in zip(plan, answers, strict=True)}
+    tasks = {
+        stage.engine: asyncio.create_task(
+            probe_stage(engines, stage.address, request, timeout_s)
+        )
+        for stage in plan
+    }
+    try:
+        await asyncio.wait(tasks.values(), timeout=min(enough_s, timeout_s))
+        done = [task for task in tasks.values() if task.done()]
+        if all(task.result() is not None for task in done):
+            await asyncio.wait(tasks.values(), timeout=timeout_s)
+        return {
+            engine: task.result() if task.done() else None
+            for engine, task in tasks.items()
+        }
+    finally:
+        for task in tasks.values():
+            task.cancel()
