--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/__init__.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/__init__.py
@@ -1,5 +1,7 @@
 """Clients of the systems outside: one module for each."""
 
+from cassiaspread_core.base import LogPage, LogRecord
+
 from cassiaspread_daemon.adapters._engine import (
     AttemptRefused,
     CancelOrder,
@@ -13,8 +15,6 @@
     AppendAmbiguous,
     AppendNotSent,
     LogClient,
-    LogPage,
-    LogRecord,
     LogUnavailable,
     Truncated,
 )
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
@@ -12,7 +12,14 @@
     EventsHandler,
     HealthHandler,
     MetricsHandler,
+    PolicyHandler,
     ReadyHandler,
+    StatusHandler,
+    TargetsHandler,
+)
+from cassiaspread_daemon.handlers._quarantine import (
+    QuarantineHandler,
+    ReleaseHandler,
 )
 from cassiaspread_daemon.handlers._services import ServiceHandler
 
@@ -32,6 +39,11 @@
             (r"/readyz", ReadyHandler, arguments),
             (r"/metrics", MetricsHandler, arguments),
             (r"/operators/events", EventsHandler, arguments),
+            (r"/operators/status", StatusHandler, arguments),
+            (r"/operators/targets", TargetsHandler, arguments),
+            (r"/operators/policy", PolicyHandler, arguments),
+            (r"/operators/quarantine", QuarantineHandler, arguments),
+            (r"/operators/quarantine/release", ReleaseHandler, arguments),
         ],
         default_handler_class=UnknownPathHandler,
         default_handler_args=arguments,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
@@ -8,6 +8,7 @@
 import xxhash
 from cassiaspread_core.base import ModelId, Outcome, Refusal, RequestId
 from cassiaspread_core.pipeline import TokenStep
+from cassiaspread_core.quarantine import fingerprint_of
 
 from cassiaspread_daemon.handlers._base import CallerHandler
 from cassiaspread_daemon.handlers._completion_body import (
@@ -28,6 +29,7 @@
     to_text_choice,
 )
 from cassiaspread_daemon.handlers._event_writer import EventWriter
+from cassiaspread_daemon.load import Watch
 from cassiaspread_daemon.relay import Generation, GenerationRequest
 
 Deliver = Callable[[list[TokenStep]], None]
@@ -54,6 +56,8 @@
         """Answer whole or as a stream of events."""
         body = check_body(bytes(self.body), self.body_type)
         request = self._check_request(body)
+        self.watch = self._watch(request)
+        self.watch.check()
         self.node.events.record(
             "answer.began", request.request, model=body.model, start=request.start
         )
@@ -79,6 +83,7 @@
             raise Refusal(
                 404, "unknown-model", f"No model {body.model!r} is configured."
             )
+        self.limits = self.find_limits(model=ModelId(body.model))
         if body.max_tokens > self.limits.max_tokens:
             raise Refusal(
                 400, "too-many-tokens", f"At most {self.limits.max_tokens} tokens."
@@ -94,6 +99,14 @@
             deadline_s=self.deadline_s,
         )
 
+    def _watch(self, request: GenerationRequest) -> Watch:
+        fingerprint = fingerprint_of(
+            request.organisation, request.model, request.prompt.encode()
+        )
+        return self.node.quarantine.watch(
+            fingerprint, request.organisation, request.model, request.request
+        )
+
     def _request_id(self) -> RequestId:
         key = self.idempotency_key()
         if key is None:
@@ -148,7 +161,7 @@
             self._note_steps(steps)
             deliver(steps)
 
-        generation = Generation(request, self.limits, self.node.relay, take)
+        generation = Generation(request, self.limits, self.node.relay, self.watch, take)
         self._running = asyncio.ensure_future(generation.run())
         try:
             await self._running
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
@@ -3,9 +3,10 @@
 import asyncio
 
 import msgspec
-from cassiaspread_core.base import Outcome, Refusal
+from cassiaspread_core.base import Outcome, Refusal, TargetId
 from cassiaspread_core.pipeline import (
     AttemptBudget,
+    Plan,
     Stage,
     TokenSequence,
     TokenStep,
@@ -16,6 +17,7 @@
 from cassiaspread_core.policy import Limits
 
 from cassiaspread_daemon.adapters import GenerateOrder, ResumeOrder
+from cassiaspread_daemon.load import Watch
 from cassiaspread_daemon.relay._attempt import (
     Attempt,
     AttemptEnd,
@@ -49,6 +51,7 @@
     :param request: what to run.
     :param limits: limits in force for it.
     :param services: what all requests of the daemon share.
+    :param watch: keeps the request off targets if it crashes them.
     :param deliver: called with each batch of the caller's tokens, in order and each
         token once, and with the end as last step.
     """
@@ -58,8 +61,10 @@
         request: GenerationRequest,
         limits: Limits,
         services: RelayServices,
+        watch: Watch,
         deliver: Deliver,
     ) -> None:
+        self._watch = watch
         self._request = request
         self._limits = limits
         self._services = services
@@ -81,7 +86,8 @@
         """
         try:
             async with asyncio.timeout_at(self._request.deadline_s):
-                await self._run_attempts()
+                with self._watch:
+                    await self._run_attempts()
         except TimeoutError:
             raise self._refuse(504, "deadline", "The deadline passed.") from None
         finally:
@@ -107,6 +113,7 @@
             ):
                 diagnosis = await self._run_attempt(attempt, following.order)
             if diagnosis is None:
+                self._watch.complete()
                 return
             following = await self._recover(attempt.chain, diagnosis)
 
@@ -151,7 +158,7 @@
     async def _first_attempt(self) -> NextAttempt:
         if self._request.start:
             return await self._take_over()
-        chain = self._services.planner.choose(self._request)
+        chain = await self._choose([], set())
         if chain is None:
             raise self._refuse_without_engines()
         return self._generate(chain, [])
@@ -169,15 +176,13 @@
             )
         self._seen = trace.state.attempt
         plan = trace.state.plan
-        return self._resume(
-            self._services.planner.describe_running(self._request, plan)
-        )
+        return self._resume(self._services.planner.describe(self._request, plan))
 
     async def _recover(self, chain: PlannedChain, diagnosis: Diagnosis) -> NextAttempt:
         end = diagnosis.end
         if diagnosis.verdict is Verdict.SUPERSEDED:
             self._check_not_superseded(end)
-        self._note_suspects(chain, diagnosis)
+        await self._note_suspects(chain, diagnosis)
         if not self._budget.fail(self._sequence.position):
             raise self._refuse(
                 502,
@@ -197,14 +202,35 @@
             self._cancel_at(chain)
         return self._generate(replanned, holders)
 
-    def _note_suspects(self, chain: PlannedChain, diagnosis: Diagnosis) -> None:
+    async def _note_suspects(self, chain: PlannedChain, diagnosis: Diagnosis) -> None:
         """Avoid the engines at fault; the one place where engines are found lost."""
-        for engine in diagnosis.lost:
-            self._services.targets.forget(engine)
         suspects = set(diagnosis.unanswered)
         if diagnosis.end.engine is not None and self._budget.n_fruitless:
             suspects.add(diagnosis.end.engine)
         self._avoided |= {(engine, chain.starts.get(engine, "")) for engine in suspects}
+        for engine in diagnosis.lost:
+            self._services.targets.forget(engine)
+        position = self._sequence.position
+        for stage in chain.plan:
+            start = chain.starts.get(stage.engine, "")
+            arguments = (stage.engine, stage.address, start, position)
+            if diagnosis.end.kind is EndKind.SILENT:
+                if stage.engine in diagnosis.lost:
+                    await self._watch.lose(*arguments)
+            elif stage.engine == diagnosis.end.engine:
+                await self._watch.judge(*arguments)
+
+    async def _choose(
+        self, holders: list[Stage], avoided: set[EngineStart]
+    ) -> PlannedChain | None:
+        """Choose a chain; a request under suspicion waits here for one of its own."""
+        planner = self._services.planner
+
+        def choose(crowded: frozenset[TargetId]) -> Plan | None:
+            return planner.choose(self._request, holders, avoided, crowded)
+
+        plan = await self._watch.choose(choose, self._request.deadline_s)
+        return None if plan is None else planner.describe(self._request, plan)
 
     async def _replan(self, holders: list[Stage]) -> PlannedChain:
         """Choose a new chain, waiting a while for engines that fill the gap."""
@@ -213,7 +239,7 @@
         began_s = loop.time()
         while (waited_s := loop.time() - began_s) < timeout_s:
             avoided = self._avoided if waited_s < timeout_s / 2 else set()
-            chain = self._services.planner.choose(self._request, holders, avoided)
+            chain = await self._choose(holders, avoided)
             if chain is not None:
                 return chain
             await asyncio.sleep(REPLAN_POLL_S)
@@ -254,6 +280,7 @@
         return next_attempt(seen, self._services.owner)
 
     def _take(self, steps: list[TokenStep]) -> None:
+        self._watch.progress(self._sequence.position)
         for step in steps:
             if step.finish_reason is None:
                 self._texts.append(step.text)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_planner.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_planner.py
@@ -53,52 +53,44 @@
         request: GenerationRequest,
         holders: Collection[Stage] = (),
         avoided: Collection[EngineStart] = (),
-    ) -> PlannedChain | None:
+        crowded: Collection[TargetId] = (),
+    ) -> Plan | None:
         """Choose the chain of engines with the lowest predicted cost.
 
         :param request: what is to be run.
         :param holders: stages that hold the request's KV cache, which are kept.
         :param avoided: starts of engines that may not be used.
-        :returns: the chain, or ``None`` when no chain covers the model.
+        :param crowded: engines that may not be used now, whatever their start.
+        :returns: the plan, or ``None`` when no chain covers the model.
         """
-        engines = {
-            engine.target: engine
+        engines = [
+            engine
             for engine in self._targets.engines(request.model)
             if (engine.target, engine.incarnation) not in avoided
-        }
+            and engine.target not in crowded
+        ]
         plan = choose_plan(
-            engines.values(),
+            engines,
             request.n_layers,
             prefer_holders(self._stage_cost, holders),
             self._link_cost,
         )
-        if plan is None:
-            return None
-        check_plan(plan, request.n_layers)
-        return self.describe(plan, engines)
-
-    def describe(
-        self, plan: Plan, engines: dict[TargetId, EngineReport]
-    ) -> PlannedChain:
+        if plan is not None:
+            check_plan(plan, request.n_layers)
+        return plan
+
+    def describe(self, request: GenerationRequest, plan: Plan) -> PlannedChain:
         """Add to a plan what is known of its engines.
 
-        :param plan: stages in order.
-        :param engines: reports by engine; one without a report is left out.
+        :param request: what is run.
+        :param plan: stages in order; one whose engine is unknown adds nothing.
         """
+        engines = {e.target: e for e in self._targets.engines(request.model)}
         known = [engines[s.engine] for s in plan if s.engine in engines]
         step_ms = sum(engine.step_ms for engine in known)
         starts = {engine.target: engine.incarnation for engine in known}
         return PlannedChain(plan, starts, step_ms / MILLISECONDS_PER_SECOND)
 
-    def describe_running(self, request: GenerationRequest, plan: Plan) -> PlannedChain:
-        """Describe the plan of a request that runs already.
-
-        :param request: what is run.
-        :param plan: stages in order.
-        """
-        engines = {e.target: e for e in self._targets.engines(request.model)}
-        return self.describe(plan, engines)
-
     def _stage_cost(self, engine: EngineReport) -> float:
         n_ahead = self._targets.n_in_flight(engine.target)
         return engine.step_ms * (1 + n_ahead / engine.n_slots)
