History of racing operators through outages, cuts and blank replacements

Cause: nothing proved that daemons agree while the log and the domains fail. Change: tests/test_configuration.py with real processes; the judge folds the stream by rules of its own and holds every sample of every daemon against it.

--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,342 @@
+"""Configuration follows the log through outages, cuts, kills and races."""
+
+import asyncio
+import json
+import os
+import random
+import threading
+import time
+from argparse import Namespace
+
+import pytest
+from cassiaspread_cli._context import read_context
+from cassiaspread_cli._log import PolicyLog
+from cassiaspread_cli._publish import Outcome, publish
+from cassiaspread_core.policy import (
+    EntryKind,
+    RulesRecord,
+    plan_changes,
+    read_policy_file,
+    to_record,
+)
+from msgspec.json import encode
+
+from tests.fleet import Fleet, bearer, request, wait_for
+from tests.policy_fleet import (
+    BOUND_S,
+    Isolation,
+    Judge,
+    SplitFleet,
+    command,
+    operator_get,
+    policy_status,
+    read_stream,
+    sample_daemons,
+)
+
+DOMAINS = ("osorno-norte", "cautin", "llanquihue")
+HISTORY_S = float(os.environ.get("CASSIASPREAD_HISTORY_S", "10"))
+SEED = int(os.environ.get("CASSIASPREAD_HISTORY_SEED", "1"))
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    with Fleet(tmp_path) as fleet:
+        fleet.publish_basics()
+        yield fleet
+
+
+@pytest.fixture
+def split(fleet):
+    return SplitFleet(fleet, DOMAINS)
+
+
+def reasons(daemon):
+    return "; ".join(
+        json.loads(request("GET", daemon.address, "/readyz")[2])["reasons"]
+    )
+
+
+def wait_same(daemons):
+    """Wait until all daemons have the same records, and return how many."""
+
+    def is_same():
+        found = {(s["next_offset"], s["digest"]) for s in map(policy_status, daemons)}
+        return len(found) == 1 and next(iter(found))[0]
+
+    return wait_for(is_same, BOUND_S)
+
+
+def write_file(fleet, name, text):
+    path = fleet.directory / name
+    path.write_text(text)
+    return path
+
+
+def models_file(fleet, name, n_layers):
+    return write_file(fleet, name, f"[models.draft]\nn_layers = {n_layers}\n")
+
+
+def test_cut_off_domain_follows_through_a_peer(fleet, split):
+    split.logs["cautin"].set("silence")
+    near = split.start("d1", "osorno-norte")
+    far = split.start("d2", "cautin")
+    fleet.wait_ready(near)
+    fleet.wait_ready(far)
+    offset = fleet.publish(EntryKind.MODEL, "late", {"n_layers": 4})
+    wait_for(lambda: policy_status(far)["next_offset"] > offset, BOUND_S)
+    assert policy_status(far)["source"] == "peer"
+    split.logs["cautin"].set("pass")
+    wait_for(lambda: not policy_status(far)["log_error"], BOUND_S)
+    fleet.publish(EntryKind.MODEL, "later", {"n_layers": 4})
+    wait_for(lambda: policy_status(far)["source"] == "log", BOUND_S)
+    wait_same([near, far])
+
+
+def test_blank_start_in_an_outage_takes_the_state_of_a_peer(fleet, split):
+    old = split.start("d1", "cautin")
+    fleet.wait_ready(old)
+    fleet.log.control(available=False)
+    lonely = split.start("d2", "llanquihue", peer_mode="cut")
+    wait_for(lambda: "the log answered 503; no peer has it" in reasons(lonely))
+    blank = split.start("d3", "cautin")
+    fleet.wait_ready(blank)
+    wait_same([old, blank])
+    split.set_peers("llanquihue", "pass")
+    fleet.wait_ready(lonely)
+
+
+def test_blank_start_after_truncation(fleet, split):
+    first = split.start("d1", "cautin", log_retention_s=2)
+    n_records = wait_for(lambda: policy_status(first)["next_offset"])
+    wait_for(lambda: len(read_stream(fleet)) > n_records, BOUND_S)
+    fleet.log.control(truncate={"policy": n_records})
+    alone = split.start("d2", "llanquihue", peer_mode="cut")
+    fleet.wait_ready(alone)
+    assert b'"checkpoint"' in operator_get(alone, "/operators/events")
+    wait_same([first, alone])
+
+
+def test_truncation_without_a_checkpoint_is_said(fleet, split):
+    fleet.log.control(truncate={"policy": 3})
+    blank = split.start("d1", "cautin")
+    wait_for(lambda: "no checkpoint that covers them" in reasons(blank))
+    assert request("GET", blank.address, "/readyz")[0] == 503
+
+
+def test_bad_records_are_skipped_alike(fleet, split):
+    daemons = [split.start(f"d{i}", domain) for i, domain in enumerate(DOMAINS)]
+    junk = [b"", b"\xff\xfe", b"{}", b"[" * 9999, encode({"type": "entry"})]
+    for value in junk:
+        request("POST", fleet.log.address, "/streams/policy", value)
+    fleet.publish(EntryKind.MODEL, "draft", {"n_layers": 99})
+    fleet.publish(EntryKind.MODEL, "late", {"n_layers": 0})
+    wait_same(daemons)
+    for daemon in daemons:
+        status = policy_status(daemon)
+        assert (status["n_skipped"], status["n_rejected"]) == (len(junk), 2)
+        assert len(status["rejected"]) == len(junk) + 2
+
+
+def test_unknown_rules_keep_what_is_in_force(fleet, split):
+    daemon = split.start("d1", "cautin")
+    fleet.wait_ready(daemon)
+    record = encode(RulesRecord(version=2, author="ana"))
+    request("POST", fleet.log.address, "/streams/policy", record)
+    fleet.publish(EntryKind.MODEL, "late", {"n_layers": 4})
+    wait_for(lambda: "needs version 2 of the rules" in reasons(daemon))
+    models = json.loads(operator_get(daemon, "/operators/policy"))["entries"]
+    assert not [entry for entry in models if entry["name"] == "late"]
+    path = models_file(fleet, "a.toml", 9)
+    status, _, error = command(fleet, [daemon], "policy", "apply", path)
+    assert status == 2
+    assert "newer release" in error
+
+
+def test_exception_holds_until_it_expires(fleet, split):
+    daemon = split.start("d1", "cautin")
+    fleet.wait_ready(daemon)
+    expires = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(time.time() + 4))
+    path = write_file(
+        fleet,
+        "a.toml",
+        "[exceptions.rush]\nreason='fair'\nauthor='ana'\norganisation='osorno'\n"
+        f"expires={expires}\nlimits={{max_tokens=1}}\n",
+    )
+    assert command(fleet, [daemon], "policy", "apply", path, "--wait")[0] == 0
+
+    def answer(token):
+        body = {"model": "draft", "prompt": "x", "max_tokens": 2}
+        headers = bearer(token)
+        return request("POST", daemon.address, "/v1/completions", body, headers)[0]
+
+    assert (answer("osorno-token"), answer("savinja-token")) == (400, 503)
+    wait_for(lambda: answer("osorno-token") == 503, BOUND_S)
+    shown = command(fleet, [], "policy", "show")[1]
+    assert "expired" in shown
+    assert "fair" in shown
+
+
+def test_loser_is_told_what_won(fleet):
+    """Another operator publishes between the loser's reading and appending."""
+    shared = read_context(Namespace(log=fleet.log.address, timeout_s=5.0), {})
+    bor, ana = (models_file(fleet, f"{n}.toml", n) for n in (9, 10))
+
+    async def lose():
+        with PolicyLog(shared) as log:
+            await log.read_to_end()
+            wanted = read_policy_file(bor.read_text(), "bor.toml")
+            (change,) = plan_changes(log.state, wanted)
+            arguments = ("policy", "apply", ana, "--author", "ana")
+            assert command(fleet, [], *arguments)[0] == 0
+            record = to_record(change, "bor", lambda: "bor-1")
+            return await publish(log, [record], shared.timeout_s)
+
+    (lost,) = asyncio.run(lose())
+    assert lost.outcome is Outcome.REJECTED
+    assert lost.reason == "ana changed model draft at offset 5"
+    for based_on, status in (("5", 3), ("6", 0)):
+        arguments = ("policy", "apply", bor, "--based-on", based_on)
+        got, _, error = command(fleet, [], *arguments)
+        assert got == status
+        assert ("model draft at offset 5 by ana" in error) is (status == 3)
+
+
+@pytest.mark.parametrize("fault", ["drop-answers", "outage"])
+def test_apply_tells_the_truth_through_faults(fleet, fault):
+    route = fleet.start_proxy("operator", fleet.log.address)
+    path = models_file(fleet, "a.toml", 9)
+    if fault == "outage":
+        fleet.log.control(available=False)
+        threading.Timer(2.0, fleet.log.control, kwargs={"available": True}).start()
+    else:
+        fleet.log.control(lose_answers=True)
+    arguments = ("policy", "apply", path, "--json")
+    status, output, error = command(fleet, [], *arguments, log=route.address)
+    assert status == 0, error
+    (change,) = json.loads(output)["changes"]
+    assert (change["outcome"], change["offset"]) == ("accepted", 5)
+    assert len(read_stream(fleet)) == 6
+
+
+class History:
+    """Operators race while faults come; everything is recorded."""
+
+    def __init__(self, fleet, split, seed):
+        self.fleet, self.split = fleet, split
+        self.random_state = random.Random(seed)
+        self.stop = threading.Event()
+        self.samples, self.changes, self.isolations = [], [], []
+        self.domains = {}
+        self.n_daemons = 0
+        self.operator_route = fleet.start_proxy("operators", fleet.log.address)
+        self.operator_route.set("pass", delay_s=0.05)
+
+    def start_daemon(self, domain):
+        self.n_daemons += 1
+        name = f"d{self.n_daemons}"
+        self.domains[name] = domain
+        self.split.start(name, domain)
+
+    def operate(self, author):
+        n_layers = 1000 * author
+        while not self.stop.is_set():
+            n_layers += 1
+            path = models_file(self.fleet, f"op-{author}.toml", n_layers)
+            arguments = ("policy", "apply", path, "--json", "--author", f"op-{author}")
+            status, output, _ = command(
+                self.fleet, [], *arguments, log=self.operator_route.address
+            )
+            assert status in (0, 1, 3, 4)
+            self.changes += json.loads(output).get("changes", [])
+
+    def inject(self):
+        faults = (
+            self.outage,
+            self.lose_answers,
+            self.cut_log,
+            self.isolate,
+            self.replace,
+            self.replace,
+            self.append_junk,
+        )
+        end_s = time.monotonic() + HISTORY_S
+        while time.monotonic() < end_s:
+            self.random_state.choice(faults)()
+            time.sleep(self.random_state.uniform(0.1, 0.6))
+
+    def outage(self):
+        self.fleet.log.control(available=False)
+        time.sleep(1.0)
+        self.fleet.log.control(available=True)
+
+    def lose_answers(self):
+        self.operator_route.set("drop-answers")
+        time.sleep(0.7)
+        self.operator_route.set("pass")
+
+    def cut_log(self):
+        domain = self.random_state.choice(DOMAINS)
+        self.split.logs[domain].set(self.random_state.choice(["cut", "silence"]))
+        time.sleep(1.5)
+        self.split.logs[domain].set("pass")
+
+    def isolate(self):
+        domain = self.random_state.choice(DOMAINS)
+        begin_s = time.time()
+        self.split.logs[domain].set("cut")
+        self.split.set_peers(domain, "cut")
+        time.sleep(1.5)
+        self.split.set_peers(domain, "pass")
+        self.split.logs[domain].set("pass")
+        self.isolations.append(Isolation(domain, begin_s, time.time()))
+
+    def replace(self):
+        name = self.random_state.choice(sorted(self.split.daemons))
+        self.start_daemon(self.split.kill(name))
+
+    def append_junk(self):
+        junk = self.random_state.randbytes(20)
+        request("POST", self.fleet.log.address, "/streams/policy", junk)
+
+    def run(self):
+        for domain in DOMAINS * 2:
+            self.start_daemon(domain)
+        sampler = threading.Thread(
+            target=sample_daemons, args=(self.split, self.samples, self.stop)
+        )
+        operators = [
+            threading.Thread(target=self.operate, args=(i,)) for i in (1, 2, 3)
+        ]
+        for thread in (sampler, *operators):
+            thread.start()
+        try:
+            self.inject()
+            end = len(read_stream(self.fleet))
+            daemons = [daemon for _, daemon in self.split.daemons.values()]
+            wait_for(
+                lambda: all(policy_status(d)["next_offset"] >= end for d in daemons),
+                BOUND_S,
+            )
+        finally:
+            self.stop.set()
+            for thread in (sampler, *operators):
+                thread.join()
+
+
+def test_history_of_racing_operators(fleet, split):
+    history = History(fleet, split, SEED)
+    history.run()
+    judge = Judge(read_stream(fleet))
+    judge.check_order(history.samples)
+    judge.check_outcomes(history.changes)
+    delays = judge.spread(history.samples, history.domains, history.isolations)
+    outcomes = [change["outcome"] for change in history.changes]
+    print(
+        f"{len(history.samples)} samples of {history.n_daemons} daemons, "
+        f"{ {o: outcomes.count(o) for o in sorted(set(outcomes))} }, "
+        f"{len(history.isolations)} isolations, longest spread {max(delays):.2f} s"
+    )
+    assert {"accepted", "rejected"} <= set(outcomes)
+    for _, daemon in split.daemons.values():
+        assert b"policy.disagreement" not in operator_get(daemon, "/operators/events")
