--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
@@ -17,6 +17,10 @@
     StatusHandler,
     TargetsHandler,
 )
+from cassiaspread_daemon.handlers._quarantine import (
+    QuarantineHandler,
+    ReleaseHandler,
+)
 from cassiaspread_daemon.handlers._services import ServiceHandler
 
 
@@ -38,6 +42,8 @@
             (r"/operators/status", StatusHandler, arguments),
             (r"/operators/targets", TargetsHandler, arguments),
             (r"/operators/policy", PolicyHandler, arguments),
+            (r"/operators/quarantine", QuarantineHandler, arguments),
+            (r"/operators/quarantine/release", ReleaseHandler, arguments),
         ],
         default_handler_class=UnknownPathHandler,
         default_handler_args=arguments,
--- a/packages/cassiaspread-daemon/tests/test_mesh.py
+++ b/packages/cassiaspread-daemon/tests/test_mesh.py
@@ -1,7 +1,6 @@
 """Messages between daemons over real sockets."""
 
 import asyncio
-import socket
 from contextlib import AsyncExitStack
 
 import pytest
@@ -10,19 +9,16 @@
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.mesh import Empty, Mesh, PeerUnreachable, Sender
 
-SKEW_S = 7.0
-
+from tests.fleet import free_port
 
-def free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+SKEW_S = 7.0
 
 
 def build_mesh(name: str, now_s: float) -> tuple[Mesh, EventRing]:
+    address = f"127.0.0.1:{free_port()}"
     events = EventRing(name, 100, lambda: now_s)
-    sender = Sender(VmId(name), DomainId("d"), Incarnation(name), free_address())
-    return Mesh(sender, events, Supervisor(name), list), events
+    sender = Sender(VmId(name), DomainId("d"), Incarnation(name), address)
+    return Mesh(sender, events, Supervisor(name), list, address), events
 
 
 def test_events_are_in_causal_order_with_clocks_seconds_apart():
