--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -128,7 +128,7 @@
     @property
     def n_requests(self) -> int:
         """Requests in progress."""
-        return self._n_requests
+        return self._requests.n_requests
 
     def not_ready_reasons(self) -> list[str]:
         """List why the balancer should send no requests here."""
