--- /dev/null
+++ b/packages/cassiaspread-daemon/tests/test_policy_follower.py
@@ -0,0 +1,106 @@
+"""What a follower makes of pages, peers' news and states, without processes."""
+
+import random
+
+import msgspec
+import pytest
+from cassiaspread_core.base import LogRecord
+from cassiaspread_core.policy import (
+    CheckpointSchedule,
+    EntryKind,
+    EntryRecord,
+    Snapshot,
+)
+from cassiaspread_core.timeline import EventRing
+from cassiaspread_daemon.adapters import LogUnavailable
+from cassiaspread_daemon.fleet import PolicyFollower
+from cassiaspread_daemon.fleet._policy import MAX_LAG_S
+from cassiaspread_daemon.fleet._recent_records import (
+    MAX_KEPT_BYTES,
+    MAX_REPLY_BYTES,
+    RecentRecords,
+)
+
+
+class AwayLog:
+    async def read(self, *arguments, **options):
+        raise LogUnavailable("away")
+
+
+@pytest.fixture
+def now(monkeypatch):
+    times = [100.0]
+    monkeypatch.setattr("time.monotonic", lambda: times[0])
+    return times
+
+
+@pytest.fixture
+def follower(now):
+    events = EventRing("d1", 100, lambda: 1.0)
+    return PolicyFollower(AwayLog(), events, CheckpointSchedule(60, random.Random(1)))
+
+
+def model_record(offset, replaces=None):
+    record = EntryRecord(
+        kind=EntryKind.MODEL,
+        name="draft",
+        replaces=replaces,
+        value={"n_layers": 8},
+        author="ana",
+    )
+    return LogRecord(offset, 1.0, msgspec.json.encode(record))
+
+
+def test_only_a_current_peer_makes_a_blank_daemon_ready(follower):
+    assert "was not read yet" in follower.not_ready_reasons()[0]
+    follower.note_peer(1, is_current=True)
+    assert not follower.is_current
+    follower.take_in(0, (model_record(0),), "peer")
+    follower.note_peer(1, is_current=False)
+    assert not follower.is_current
+    follower.note_peer(1, is_current=True)
+    assert follower.not_ready_reasons() == []
+
+
+def test_lagging_behind_what_is_known_to_exist_is_said(follower, now):
+    follower.take_in(0, (model_record(0),), "log")
+    follower.note_peer(1, is_current=True)
+    follower.note_peer(3, is_current=True)
+    now[0] += MAX_LAG_S / 2
+    assert follower.not_ready_reasons() == []
+    now[0] += MAX_LAG_S
+    follower.note_peer(2, is_current=True)
+    (reason,) = follower.not_ready_reasons()
+    assert reason == "the configuration is at offset 1, a peer has it up to 3"
+    follower.take_in(1, (model_record(1, 0), model_record(2)), "peer")
+    assert follower.not_ready_reasons() == []
+    status = follower.status()
+    assert (status.n_accepted, status.n_rejected) == (2, 1)
+    assert status.rejected[0].reason == "ana changed model draft at offset 1"
+
+
+def test_older_or_faulty_states_are_not_taken_over(follower):
+    follower.take_in(0, (model_record(0), model_record(1, 0)), "log")
+    older = Snapshot(covered=1, rules=1, entries=())
+    assert not follower.take_over(older, "peer")
+    (entry,) = follower.state.snapshot().entries
+    faulty = msgspec.structs.replace(entry, value={"n_layers": "8"})
+    newer = Snapshot(covered=9, rules=1, entries=(faulty,))
+    assert not follower.take_over(newer, "checkpoint")
+    assert (follower.state.next_offset, len(follower.policy.models)) == (2, 1)
+
+
+def test_peers_get_consecutive_records_or_are_told_to_take_the_state():
+    recent = RecentRecords()
+    assert recent.read(0).records == ()
+    size = MAX_REPLY_BYTES // 2
+    for offset in range(12):
+        recent.extend(offset + 1, [LogRecord(offset, 1.0, bytes(size))])
+    n_kept = MAX_KEPT_BYTES // size
+    first = 12 - n_kept
+    assert recent.read(first - 1).records is None
+    assert [r.offset for r in recent.read(first).records] == [first, first + 1]
+    assert recent.read(12).records == ()
+    assert recent.read(13).records is None
+    recent.clear(40)
+    assert (recent.read(12).records, recent.read(40).records) == (None, ())
