--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_state.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_state.py
@@ -94,6 +94,7 @@
             k: {} for k in EntryKind
         }
         self._owners: dict[str, EntryKey] = {}
+        self._organisations: dict[str, str] = {}
         self._digest = 0
         self._policy = Policy()
 
@@ -281,6 +282,7 @@
             self._digest ^= _hash(present)
             for token in _tokens(present.value):
                 self._owners.pop(token, None)
+                self._organisations.pop(token, None)
         self._entries[key] = entry
         self._digest ^= _hash(entry)
         if entry.is_removed:
@@ -289,6 +291,8 @@
         self._values[key.kind][key.name] = value
         for token in _tokens(entry.value):
             self._owners[token] = key
+            if key.kind is EntryKind.ORGANISATION:
+                self._organisations[token] = key.name
 
     def _rebuild(self, changed: set[EntryKind]) -> None:
         if not changed:
@@ -301,11 +305,7 @@
         if EntryKind.LIMITS in changed:
             fields["limits"] = self._values[EntryKind.LIMITS].get("", Policy().limits)
         if EntryKind.ORGANISATION in changed:
-            fields["token_owners"] = {
-                token: key.name
-                for token, key in self._owners.items()
-                if key.kind is EntryKind.ORGANISATION
-            }
+            fields["token_owners"] = dict(self._organisations)
         self._policy = msgspec.structs.replace(self._policy, **fields)
 
 
