--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -10,7 +10,8 @@
 
 import uuid6
 from absl import logging
-from cassiaspread_core.base import Incarnation
+from cassiaspread_core.base import DomainId, Incarnation
+from cassiaspread_core.membership import Member
 from cassiaspread_core.policy import CheckpointSchedule, Policy
 from cassiaspread_core.timeline import EventRing
 
@@ -20,13 +21,16 @@
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.adapters import EngineClient, LogClient, VmListClient
 from cassiaspread_daemon.fleet import (
+    ObservationSpread,
     PolicyCheckpointer,
     PolicyFollower,
     PolicyPeers,
+    Poller,
     TargetRegistry,
+    VmListReader,
 )
 from cassiaspread_daemon.load import Quarantine, SuspectExchange, TargetProbe
-from cassiaspread_daemon.mesh import Mesh, Sender
+from cassiaspread_daemon.mesh import Mesh, Sender, to_member
 from cassiaspread_daemon.relay import RelayServices
 
 # A connection without a request for this long counts as idle.
@@ -62,24 +66,22 @@
         self._policy_checkpointer = PolicyCheckpointer(
             self.log, self.policy_follower, schedule, self.events
         )
-        self.targets = TargetRegistry(
-            VmListClient(str(settings.vm_list)),
-            self.engines,
-            settings.poll_interval_ms / MILLISECONDS_PER_SECOND,
-        )
+        self.targets = TargetRegistry(settings.vm, self.events)
         self.supervisor = Supervisor("node")
+        sender = Sender(
+            settings.vm,
+            settings.domain,
+            self.incarnation,
+            str(settings.advertise or settings.peer_listen),
+        )
         self.mesh = Mesh(
-            Sender(
-                settings.vm,
-                settings.domain,
-                self.incarnation,
-                str(settings.advertise or settings.peer_listen),
-            ),
+            sender,
             self.events,
             self.supervisor.add_child("mesh"),
             self._daemon_addresses,
             str(settings.peer_listen),
         )
+        self._observe_targets(to_member(sender))
         self._policy_peers = PolicyPeers(
             self.policy_follower, self.mesh, schedule, self.events, random_state
         )
@@ -103,12 +105,30 @@
         self._requests = RequestCount()
         self.settle_callbacks: list[Callable[[], Awaitable[None]]] = []
 
+    def _observe_targets(self, own: Member) -> None:
+        interval_s = self.settings.poll_interval_ms / MILLISECONDS_PER_SECOND
+        vm_list = VmListClient(str(self.settings.vm_list))
+        self.list_reader = VmListReader(vm_list, self.targets, interval_s)
+        spread = ObservationSpread(own, self.targets, self.mesh)
+        self.poller = Poller(
+            own,
+            self.targets,
+            self.engines,
+            self.mesh.pollers,
+            self.supervisor.add_child("polls"),
+            interval_s,
+            self.random_state,
+        )
+        self.poller.observation_callbacks.append(spread.tell)
+        self.poller.release_callbacks.append(spread.stop_telling)
+
     async def __aenter__(self) -> Self:
         await self.mesh.__aenter__()
         self.supervisor.start("policy", self.policy_follower.run)
         self.supervisor.start("policy-peers", self._policy_peers.run)
         self.supervisor.start("policy-checkpoints", self._policy_checkpointer.run)
-        self.supervisor.start("targets", self.targets.run)
+        self.supervisor.start("vm-list", self.list_reader.run)
+        self.supervisor.start("poller", self.poller.run)
         self.quarantine.start(self.supervisor)
         self.relay.start(self.supervisor)
         self.events.record("node.started", incarnation=self.incarnation)
@@ -147,8 +167,8 @@
             reasons.append("leaving")
         return reasons + self.policy_follower.not_ready_reasons()
 
-    def _daemon_addresses(self) -> set[str]:
-        seeds = {str(seed) for seed in self.settings.seeds}
+    def _daemon_addresses(self) -> dict[str, DomainId | None]:
+        seeds = dict.fromkeys(map(str, self.settings.seeds))
         return seeds | self.targets.daemon_addresses()
 
     def leave(self) -> None:
