--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_status.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_status.py
@@ -116,19 +116,21 @@
     known: dict[str, tuple[TargetReport, list[str]]] = {}
     for answer in reached:
         for target in answer.value or []:
-            known.setdefault(target.target, (target, []))[1].append(answer.daemon)
+            best, users = known.get(target.target, (target, []))
+            users += [answer.daemon] if target.is_usable else []
+            known[target.target] = (target if target.is_usable else best, users)
     rows = [
         (
             target.domain,
             target.target,
             target.kind.value,
-            target.name,
+            target.name or "-",
             "-" if target.begin is None else f"[{target.begin}, {target.end})",
             target.state.value,
             "yes" if target.checks_fencing else "no",
-            f"{len(daemons)} of {len(reached)}",
+            f"{len(users)} of {len(reached)}",
         )
-        for target, daemons in known.values()
+        for target, users in known.values()
     ]
     header = ("domain", "target", "kind", "name", "layers", "state", "checks fencing")
-    print_table((*header, "known to"), sorted(rows))
+    print_table((*header, "used by"), sorted(rows))
--- a/packages/cassiaspread-core/src/cassiaspread_core/operations/_report.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/operations/_report.py
@@ -54,10 +54,12 @@
 
     :param target: identifier of the target.
     :param kind: what it is.
-    :param name: the model that it holds layers of, or the service that it runs.
+    :param name: the model that it holds layers of, or the service that it runs;
+        empty while it is not usable.
     :param domain: its failure domain.
     :param address: ``host:port`` of its HTTP server.
-    :param state: whether it is leaving.
+    :param state: whether the platform lists it as leaving.
+    :param is_usable: whether the daemon would give it new work.
     :param begin: first layer held, engines only.
     :param end: one past the last layer held, engines only.
     :param n_in_flight: requests that the daemon has on it.
@@ -70,6 +72,7 @@
     domain: DomainId
     address: str
     state: VmState
+    is_usable: bool = False
     begin: int | None = None
     end: int | None = None
     n_in_flight: int = 0
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_policy.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_policy.py
@@ -33,7 +33,7 @@
 from cassiaspread_daemon.fleet._recent_records import RecentRecords
 
 POLICY_STREAM = "policy"
-WAIT_S = 1.0
+WAIT_S = 3.0
 RETRY_DELAY_S = 0.2
 RECOVERY_DELAY_S = 1.0
 N_REJECTED_KEPT = 20
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_operations.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_operations.py
@@ -1,11 +1,12 @@
 """Health, metrics and the operators' interface."""
 
 import msgspec
-from cassiaspread_core.base import ModelId, ServiceId, TargetId, TargetKind
+from cassiaspread_core.base import ServiceId, TargetId, VmState
 from cassiaspread_core.operations import DaemonReport, PeerReport, TargetReport
 from cassiaspread_core.policy import TargetPolicy
 
 from cassiaspread_daemon._node import Node
+from cassiaspread_daemon.fleet._known import KnownTarget
 from cassiaspread_daemon.handlers._base import BaseHandler, OperatorHandler
 
 
@@ -59,7 +60,7 @@
             state=node.state.value,
             reasons=tuple(node.not_ready_reasons()),
             n_requests=node.n_requests,
-            n_targets=len(_list_targets(node)),
+            n_targets=sum(target.is_usable for target in _list_targets(node)),
             policy=node.policy_follower.status(),
             peers=tuple(
                 PeerReport(peer.sender.vm, peer.sender.domain)
@@ -71,7 +72,7 @@
 
 
 class TargetsHandler(OperatorHandler):
-    """``GET /operators/targets``: the targets that this daemon would use."""
+    """``GET /operators/targets``: all targets that this daemon knows."""
 
     def get(self) -> None:
         """Answer with one report for each target."""
@@ -90,44 +91,33 @@
 
 
 def _list_targets(node: Node) -> list[TargetReport]:
-    return [
-        *(report for m in node.policy.models for report in _list_engines(node, m)),
-        *(report for s in node.policy.services for report in _list_services(node, s)),
-    ]
-
-
-def _list_engines(node: Node, model: ModelId) -> list[TargetReport]:
-    return [
-        TargetReport(
-            target=engine.target,
-            kind=TargetKind.ENGINE,
-            name=model,
-            domain=engine.domain,
-            address=engine.address,
-            state=engine.state,
-            begin=engine.begin,
-            end=engine.end,
-            n_in_flight=node.targets.n_in_flight(engine.target),
-            checks_fencing=_checks_fencing(node, engine.target),
-        )
-        for engine in node.targets.engines(model)
-    ]
-
-
-def _list_services(node: Node, service: ServiceId) -> list[TargetReport]:
-    return [
-        TargetReport(
-            target=TargetId(vm.vm),
-            kind=TargetKind.SERVICE,
-            name=service,
-            domain=vm.domain,
-            address=vm.address,
-            state=vm.state,
-            n_in_flight=node.targets.n_in_flight(TargetId(vm.vm)),
-            checks_fencing=_checks_fencing(node, TargetId(vm.vm)),
-        )
+    service_of = {
+        TargetId(vm.vm): service
+        for service in node.policy.services
         for vm in node.targets.services(service)
-    ]
+    }
+    return [_to_report(node, known, service_of) for known in node.targets.known()]
+
+
+def _to_report(
+    node: Node, known: KnownTarget, service_of: dict[TargetId, ServiceId]
+) -> TargetReport:
+    seen = node.targets.usable(known.target)
+    engine = seen.report if seen is not None else None
+    is_service = known.target in service_of
+    return TargetReport(
+        target=known.target,
+        kind=known.kind,
+        name=engine.model if engine else service_of.get(known.target, ""),
+        domain=known.domain,
+        address=known.address,
+        state=VmState.LEAVING if known.is_listed_leaving else VmState.LIVE,
+        is_usable=engine is not None or is_service,
+        begin=engine.begin if engine else None,
+        end=engine.end if engine else None,
+        n_in_flight=node.targets.n_in_flight(known.target),
+        checks_fencing=_checks_fencing(node, known.target),
+    )
 
 
 def _checks_fencing(node: Node, target: TargetId) -> bool:
