--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
@@ -126,7 +126,7 @@
     :param organisation: only requests of this organisation.
     :param model: only requests for this model.
     :param service: only requests for this service.
-    :param expires_s: end of its force in seconds since the epoch, ``None`` for none.
+    :param expires_s: end of its force, in seconds since the epoch, if any.
     """
 
     reason: Text
--- a/packages/cassiaspread-core/tests/test_policy_file.py
+++ b/packages/cassiaspread-core/tests/test_policy_file.py
@@ -1,5 +1,7 @@
 """Configuration files: all faults at once, and what a file would change."""
 
+from pathlib import Path
+
 import msgspec
 import pytest
 from cassiaspread_core.base import FindingsError
@@ -11,6 +13,7 @@
     read_policy_file,
     to_record,
 )
+from cassiaspread_core.policy_reference import render_reference
 
 HASH = "a" * 64
 GOOD = f"""
@@ -107,3 +110,19 @@
     assert list(state.policy.organisations) == ["celje"]
     apply(state, plan_changes(state, first, prune=True))
     assert list(state.policy.organisations) == ["osorno"]
+
+
+ROOT = Path(__file__).resolve().parents[3]
+
+
+@pytest.mark.parametrize("path", sorted(ROOT.glob("examples/*.toml")), ids=str)
+def test_examples_have_no_faults(path):
+    text = path.read_text()
+    entries = read_policy_file(text, path.name)
+    assert {key.kind for key in entries} == set(EntryKind)
+    assert text in (ROOT / "docs/operators/configuration.md").read_text()
+
+
+def test_reference_is_current():
+    page = (ROOT / "docs/operators/configuration-fields.md").read_text()
+    assert page == render_reference(), "run `make docs`"
