--- a/examples/demo.py
+++ b/examples/demo.py
@@ -4,6 +4,8 @@
 import tempfile
 from pathlib import Path
 
+import uuid6
+
 from tests.fleet import Fleet, Process, bearer, request, wait_for
 
 DOMAINS = ("osorno-norte", "cautin", "llanquihue")
@@ -54,7 +56,7 @@
         status, _, body = complete(daemon, "Explain the yield.", stream=True)
         events = body.decode().strip().split("\n\n")
         print(f"  stream: {status}, {len(events)} events, the last {events[-1]!r}")
-        key = {"Idempotency-Key": f"slot-{daemon.name}"}
+        key = {"Idempotency-Key": str(uuid6.uuid7())}
         path = "/v1/services/booking/slots"
         answer = request("POST", daemon.address, path, b"{}", CALLER | key)
         print(f"  booking: {answer[0]} {answer[2].decode()}")
--- a/packages/cassiaspread-core/src/cassiaspread_core/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/__init__.py
@@ -5,9 +5,10 @@
 a simulator can therefore drive the same code.
 
 Subpackages: :mod:`cassiaspread_core.base` (identifiers, states, errors),
+:mod:`cassiaspread_core.claims` (at most one run of a non-idempotent call),
 :mod:`cassiaspread_core.pipeline` (plans over layer ranges and token order),
 :mod:`cassiaspread_core.policy` (configuration and its merge rules) and
 :mod:`cassiaspread_core.timeline` (events ordered by a hybrid logical clock).
 """
 
-__all__ = ["base", "pipeline", "policy", "timeline"]
+__all__ = ["base", "claims", "pipeline", "policy", "timeline"]
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
@@ -30,6 +30,8 @@
     :param claim_timeout_ms: longest wait for a claim to be seen in the log.
     :param dedupe_window_s: age up to which an idempotency key is accepted;
         shorter than the retention of the log.
+    :param uses_claim_committers: whether one daemon for each claims partition
+        appends for the others.
     :param priority: engine priority, higher goes first.
     """
 
@@ -43,6 +45,7 @@
     retry_ratio: float = 0.1
     claim_timeout_ms: int = 2_000
     dedupe_window_s: int = 86_400
+    uses_claim_committers: bool = True
     priority: int = 0
 
 
--- /dev/null
+++ b/packages/cassiaspread-core/tests/test_claims_fold.py
@@ -0,0 +1,149 @@
+"""The fold gives every reader the same holder of a key."""
+
+import pytest
+from cassiaspread_core.base import IdempotencyKey, Incarnation, OrganisationId
+from cassiaspread_core.claims import (
+    AbandonRecord,
+    CallResult,
+    ClaimId,
+    ClaimRecord,
+    Fingerprint,
+    OutcomeRecord,
+    PartitionFold,
+    ScopedKey,
+    Verdict,
+    encode_batch,
+    key_time_s,
+)
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+UUIDS = ("01a23e07-47d4-7b3f-8055-4254dc1ba464", "01a23e07-47d4-7b3f-8055-4254dc1ba465")
+KEYS = [ScopedKey(OrganisationId("osorno"), IdempotencyKey(u)) for u in UUIDS]
+HOLDERS = [Incarnation(h) for h in UUIDS]
+CLAIMS = [ClaimId(h, n) for h in HOLDERS for n in (1, 2, 3)]
+TICKET = ScopedKey(OrganisationId("osorno"), IdempotencyKey(f"{HOLDERS[0]}.{UUIDS[1]}"))
+PRINT = Fingerprint("f")
+
+
+def claim(key, claim_id):
+    return ClaimRecord(key, claim_id, PRINT)
+
+
+def outcome(key, claim_id, status=200):
+    return OutcomeRecord(key, claim_id, PRINT, CallResult(status))
+
+
+def fold_of(*batches):
+    fold = PartitionFold()
+    for offset, batch in enumerate(batches):
+        fold.apply(offset, batch if isinstance(batch, bytes) else encode_batch(batch))
+    return fold
+
+
+def snapshot(fold):
+    return {k: (s.holder, s.result) for k in KEYS if (s := fold.find(k)) is not None}
+
+
+RECORDS = st.one_of(
+    st.builds(claim, st.sampled_from(KEYS), st.sampled_from(CLAIMS)),
+    st.builds(AbandonRecord, st.sampled_from(KEYS), st.sampled_from(CLAIMS)),
+    st.builds(
+        outcome, st.sampled_from(KEYS), st.sampled_from(CLAIMS), st.integers(200, 203)
+    ),
+)
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.lists(RECORDS, max_size=20), st.data())
+def test_batches_copies_and_readers_agree(records, data):
+    """However records are batched, copied later or re-read, the state is one."""
+    expected = snapshot(fold_of(tuple(records)))
+    batches = []
+    for index, record in enumerate(records):
+        if not batches or data.draw(st.booleans()):
+            batches.append(())
+        copies = ()
+        if data.draw(st.booleans()):
+            copied = records[data.draw(st.integers(0, index))]
+            copies = (copied,) if isinstance(copied, ClaimRecord) else ()
+        batches[-1] = (*batches[-1], record, *copies)
+    fold = fold_of(*batches)
+    for offset, batch in enumerate(batches):
+        fold.apply(offset, encode_batch(batch))
+    assert snapshot(fold) == expected
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.lists(RECORDS, max_size=20))
+def test_holder_with_outcome_never_changes(records):
+    fold = PartitionFold()
+    settled = {}
+    for record in records:
+        fold.apply_record(record)
+        for key, (holder, result) in snapshot(fold).items():
+            if result is not None:
+                assert settled.setdefault(key, (holder, result)) == (holder, result)
+    assert all(snapshot(fold)[key] == value for key, value in settled.items())
+
+
+A, B = CLAIMS[0], CLAIMS[3]
+K = KEYS[0]
+CASES = [
+    pytest.param([claim(K, A), claim(K, B)], A, id="first-wins"),
+    pytest.param([claim(K, A), AbandonRecord(K, A)], None, id="abandoned"),
+    pytest.param(
+        [claim(K, A), claim(K, B), AbandonRecord(K, A)], None, id="loser-stays-void"
+    ),
+    pytest.param([claim(K, A), AbandonRecord(K, A), claim(K, B)], B, id="later-wins"),
+    pytest.param(
+        [AbandonRecord(K, A), claim(K, A), claim(K, B)], B, id="abandoned-before-seen"
+    ),
+    pytest.param([claim(K, A), AbandonRecord(K, A), claim(K, A)], None, id="late-copy"),
+    pytest.param([claim(K, A), AbandonRecord(K, B)], A, id="abandon-of-another"),
+    pytest.param(
+        [claim(K, A), outcome(K, A), AbandonRecord(K, A)], A, id="outcome-stays"
+    ),
+]
+
+
+@pytest.mark.parametrize(("records", "holder"), CASES)
+def test_holder(records, holder):
+    assert fold_of(tuple(records)).find(K).holder == holder
+
+
+def test_outcome_is_recorded_once_and_by_the_holder():
+    fold = fold_of((claim(K, A), outcome(K, B, 500), outcome(K, A), outcome(K, A, 404)))
+    assert fold.find(K).result == CallResult(200)
+
+
+@pytest.mark.parametrize("holder", HOLDERS)
+def test_ticket_outcome_counts_only_from_its_incarnation(holder):
+    claim_id = ClaimId(holder, 9)
+    fold = fold_of((claim(TICKET, claim_id), outcome(TICKET, claim_id)))
+    assert fold.judge_claim(TICKET, claim_id) is Verdict.VOID or holder == HOLDERS[0]
+    assert (fold.find(TICKET).result is not None) == (holder == HOLDERS[0])
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xff", b"\x91\xc0", b"{}"])
+def test_bad_bytes_are_skipped_and_counted(value):
+    fold = fold_of(value, (claim(K, A),))
+    assert (fold.n_bad, fold.find(K).holder, fold.next_offset) == (1, A, 2)
+
+
+@pytest.mark.parametrize(
+    ("kept_since_s", "is_judged"), [(-10.0, False), (-200.0, True)]
+)
+def test_removed_records_leave_older_keys_unjudged(kept_since_s, is_judged):
+    fold = PartitionFold()
+    assert fold.can_judge(K)
+    fold.skip_to(7, key_time_s(K.key) + kept_since_s)
+    assert (fold.can_judge(K), fold.next_offset) == (is_judged, 7)
+
+
+def test_expired_keys_are_forgotten():
+    fold = fold_of((claim(K, A),))
+    made_s = key_time_s(K.key)
+    assert fold.forget_expired(made_s + 200, 100) == 0
+    assert fold.forget_expired(made_s + 230, 100) == 1
+    assert fold.n_keys == 0
--- /dev/null
+++ b/packages/cassiaspread-core/tests/test_claims_key.py
@@ -0,0 +1,89 @@
+"""Form, age and fingerprint of keys; the memory of tickets."""
+
+import uuid
+
+import pytest
+from cassiaspread_core.claims import (
+    BadKey,
+    CallResult,
+    KeyAge,
+    ScopedKey,
+    TicketBook,
+    TicketState,
+    check_key,
+    compute_fingerprint,
+    compute_partition,
+    judge_age,
+    key_time_s,
+    mint_ticket,
+    ticket_incarnation,
+)
+
+KEY = "01a23e07-47d4-7b3f-8055-4254dc1ba464"
+WINDOW_S = 100.0
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "x", KEY.upper(), KEY.replace("-", ""), str(uuid.UUID(int=7)), f"x.{KEY}"],
+)
+def test_other_forms_are_refused(text):
+    with pytest.raises(BadKey):
+        check_key(text)
+
+
+@pytest.mark.parametrize(
+    ("age_s", "expected"),
+    [
+        (-61, KeyAge.FUTURE),
+        (-59, KeyAge.VALID),
+        (99, KeyAge.VALID),
+        (101, KeyAge.EXPIRED),
+    ],
+)
+@pytest.mark.parametrize("key", [KEY, f"{uuid.UUID(int=0)}.{KEY}"])
+def test_age(key, age_s, expected):
+    assert judge_age(key, key_time_s(KEY) + age_s, WINDOW_S) is expected
+
+
+def test_ticket_names_its_incarnation():
+    ticket = mint_ticket(KEY, uuid.UUID(KEY))
+    assert check_key(ticket) == ticket
+    assert (ticket_incarnation(ticket), ticket_incarnation(KEY)) == (KEY, None)
+
+
+def test_fingerprint_tells_every_part_apart():
+    calls = [
+        ("o", "s", "POST", "/a", b"b"),
+        ("os", "", "POST", "/a", b"b"),
+        ("o", "s", "PUT", "/a", b"b"),
+        ("o", "s", "POST", "/ab", b""),
+        ("o", "s", "POST", "/a", b"c"),
+    ]
+    assert len({compute_fingerprint(*call) for call in calls}) == len(calls)
+
+
+def test_organisations_share_no_key():
+    partitions = {compute_partition(ScopedKey(f"o{i}", KEY)) for i in range(200)}
+    assert len(partitions) == 16
+
+
+def test_ticket_runs_once_and_keeps_its_result():
+    book, key = TicketBook(), ScopedKey("o", KEY)
+    book.add(key)
+    assert book.begin(key, "f", "c1")
+    book.release(key)
+    assert book.begin(key, "f", "c2")
+    assert not book.begin(key, "f", "c3")
+    assert book.retire_unused() == []
+    book.finish(key, CallResult(200))
+    assert (book.find(key).state, book.find(key).claim) == (TicketState.DONE, "c2")
+    book.forget_expired(key_time_s(KEY) + 2 * WINDOW_S, WINDOW_S)
+    assert len(book) == 0
+
+
+def test_retired_ticket_never_runs():
+    book, key = TicketBook(), ScopedKey("o", KEY)
+    book.add(key)
+    assert book.retire_unused() == [key]
+    assert not book.begin(key, "f", "c")
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from typing import NamedTuple
 
 from cassiaspread_core.base import CassiaspreadError
@@ -178,7 +179,8 @@
         return Response(reader.status, reader.headers, b"".join(reader.chunks))
 
     async def _read(self, reader: _ResponseReader) -> None:
-        await self._connection.read_response(reader)
+        with suppress(StreamClosedError):
+            await self._connection.read_response(reader)
         reader.on_connection_close()
 
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_main.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_main.py
@@ -48,6 +48,7 @@
         await asyncio.sleep(BALANCER_LAG_S)
         await node.drain()
         server.stop()
+        await node.claims.settle()
         await server.close_all_connections()
 
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -16,6 +16,7 @@
 from cassiaspread_daemon._settings import Settings
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.adapters import EngineClient, LogClient, VmListClient
+from cassiaspread_daemon.claims import ClaimService
 from cassiaspread_daemon.fleet import PolicyFollower, TargetRegistry
 from cassiaspread_daemon.mesh import Mesh, Sender
 
@@ -64,6 +65,15 @@
             self.supervisor.add_child("mesh"),
             self._daemon_addresses,
         )
+        self.claims = ClaimService(
+            self.log,
+            self.mesh,
+            self.targets,
+            self.events,
+            random_state,
+            self.supervisor.add_child("claims"),
+            lambda: self.policy,
+        )
         self._is_leaving = False
         self._n_requests = 0
 
@@ -71,6 +81,7 @@
         await self.mesh.__aenter__()
         self.supervisor.start("policy", self.policy_follower.run)
         self.supervisor.start("targets", self.targets.run)
+        self.claims.start()
         self.events.record("node.started", incarnation=self.incarnation)
         return self
 
@@ -111,6 +122,7 @@
     def leave(self) -> None:
         """Stop being ready; requests are still taken while the balancer lags."""
         self._is_leaving = True
+        self.claims.leave()
         self.events.record("node.leaving")
 
     def begin_request(self) -> None:
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_service.py
@@ -0,0 +1,255 @@
+"""Owns all that keeps non-idempotent calls at most once."""
+
+import asyncio
+import itertools
+import random
+import time
+from collections.abc import Callable
+from functools import partial
+
+import msgspec
+from cassiaspread_core.base import Incarnation, OrganisationId, Refusal
+from cassiaspread_core.claims import (
+    N_PARTITIONS,
+    CallResult,
+    ClaimId,
+    KeyAge,
+    ScopedKey,
+    compute_partition,
+    judge_age,
+    ticket_incarnation,
+)
+from cassiaspread_core.policy import Limits, Policy
+from cassiaspread_core.timeline import EventRing
+
+from cassiaspread_daemon._supervisor import Supervisor
+from cassiaspread_daemon.adapters import LogClient
+from cassiaspread_daemon.claims._call import Call, CallAnswer, refuse_unjudged
+from cassiaspread_daemon.claims._claimed import ClaimedCalls
+from cassiaspread_daemon.claims._committer import Committer
+from cassiaspread_daemon.claims._forward import TicketForwarder
+from cassiaspread_daemon.claims._journal import PartitionJournal
+from cassiaspread_daemon.claims._reader import LogHealth, PartitionReader
+from cassiaspread_daemon.claims._sender import HeldSender, SendOrder
+from cassiaspread_daemon.claims._tickets import LocalTickets
+from cassiaspread_daemon.fleet import TargetRegistry
+from cassiaspread_daemon.mesh import Mesh
+
+IDLE_POLL_S = 0.05
+SETTLE_TIMEOUT_S = 10.0
+LOOK_UP_TIMEOUT_S = 1.0
+FORGET_INTERVAL_S = 60.0
+
+
+class KeyReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What this daemon knows of a key, for operators.
+
+    :param organisation: whose key it is.
+    :param key: the key.
+    :param partition: partition of the claims log that decides on it.
+    :param state: ``free``, ``held``, ``answered`` or ``outcome-unknown``.
+    :param claim: claim that holds the key.
+    :param is_holder_live: whether the holder's daemon was heard of lately.
+    :param status: status of the target's answer.
+    :param n_void_claims: claims that lost or were abandoned.
+    :param is_current: whether the partition could be read to its end just now.
+    :param is_judged: whether the log still keeps all records of the key.
+    """
+
+    organisation: str
+    key: str
+    partition: int
+    state: str
+    claim: str | None
+    is_holder_live: bool
+    status: int | None
+    n_void_claims: int
+    is_current: bool
+    is_judged: bool
+
+
+class ClaimService:
+    """Runs non-idempotent calls, makes tickets, looks up keys.
+
+    :param log: client of the log.
+    :param mesh: sends messages to daemons.
+    :param targets: known targets.
+    :param events: the time line.
+    :param random_state: generator for the choice of targets.
+    :param supervisor: runs the tasks.
+    :param policy: returns the configuration in force.
+    """
+
+    def __init__(
+        self,
+        log: LogClient,
+        mesh: Mesh,
+        targets: TargetRegistry,
+        events: EventRing,
+        random_state: random.Random,
+        supervisor: Supervisor,
+        policy: Callable[[], Policy],
+    ) -> None:
+        self._mesh = mesh
+        self._policy = policy
+        self._supervisor = supervisor
+        self._random_state = random_state
+        self._incarnation = mesh.sender.incarnation
+        self._sequence = itertools.count(1)
+        self._sender = HeldSender(targets, random_state, events)
+        self._health = LogHealth()
+        self._journals: dict[int, PartitionJournal] = {}
+        self._committer = Committer(
+            log,
+            mesh,
+            events,
+            self._journals,
+            lambda: policy().limits.uses_claim_committers,
+        )
+        for partition in range(N_PARTITIONS):
+            self._journals[partition] = self._build_journal(partition, log)
+        self._claimed = ClaimedCalls(self._sender, self._health, events, self._is_live)
+        self._tickets = LocalTickets(
+            self._incarnation, self._sender, events, self._next_claim, self._journal_of
+        )
+        self._forwarder = TicketForwarder(mesh, self._tickets, events, self._next_claim)
+        self._is_leaving = False
+
+    def start(self) -> None:
+        """Start reading and appending."""
+        for partition, journal in self._journals.items():
+            self._supervisor.start(f"reader-{partition}", journal.reader.run)
+            self._supervisor.start(f"appender-{partition}", journal.run)
+        self._supervisor.start("tickets", self._forget_tickets)
+
+    async def run(
+        self,
+        call: Call,
+        limits: Limits,
+        deadline_s: float,
+        is_wanted: Callable[[], bool],
+    ) -> CallAnswer:
+        """Answer a non-idempotent call.
+
+        :param call: the call.
+        :param limits: limits in force for it.
+        :param deadline_s: end of its time, on the monotonic clock.
+        :param is_wanted: asked right before the send: whether the caller waits.
+        :raises Refusal: the call is not answered in full.
+        """
+        self._check_age(call, limits)
+        journal = self._journal_of(call.key)
+        incarnation = ticket_incarnation(call.key.key)
+        order = SendOrder(call, self._next_claim(), limits, deadline_s, is_wanted)
+        if incarnation is None:
+            return await self._claimed.run(order, journal)
+        if incarnation == self._incarnation:
+            return await self._tickets.run(order)
+        return await self._forwarder.run(order, journal)
+
+    def mint_ticket(self, organisation: OrganisationId) -> ScopedKey:
+        """Make a key that this daemon alone may run.
+
+        :param organisation: whose ticket it is.
+        :raises Refusal: the daemon is leaving.
+        """
+        if self._is_leaving:
+            raise Refusal(
+                503, "leaving", "This daemon is leaving; ask again.", retry_after_s=1.0
+            )
+        return self._tickets.mint(organisation)
+
+    async def report(self, key: ScopedKey) -> KeyReport:
+        """Look up a key.
+
+        :param key: a checked key.
+        """
+        reader = self._journal_of(key).reader
+        is_current = await reader.catch_up(LOOK_UP_TIMEOUT_S)
+        state = reader.fold.find(key)
+        holder = state.holder if state else None
+        result = state.result if state else None
+        return KeyReport(
+            organisation=key.organisation,
+            key=key.key,
+            partition=compute_partition(key),
+            state=_state_name(holder, result),
+            claim=str(holder) if holder else None,
+            is_holder_live=holder is not None and self._is_live(holder.holder),
+            status=result.status if result else None,
+            n_void_claims=len(state.void) if state else 0,
+            is_current=is_current,
+            is_judged=reader.fold.can_judge(key),
+        )
+
+    def leave(self) -> None:
+        """Make no more tickets and append nothing for other daemons."""
+        self._is_leaving = True
+        self._committer.leave()
+
+    async def settle(self) -> None:
+        """Wait for the end of sent calls, then bring all outcomes into the log.
+
+        The wait for the log is bounded: what it does not take is lost with this
+        process, and later calls of those keys are answered ``unknown``.
+        """
+        while self._sender.n_sent or self._forwarder.n_running:
+            await asyncio.sleep(IDLE_POLL_S)
+        self._tickets.retire()
+        try:
+            async with asyncio.timeout(SETTLE_TIMEOUT_S):
+                while any(journal.n_unsettled for journal in self._journals.values()):
+                    await asyncio.sleep(IDLE_POLL_S)
+        except TimeoutError:
+            return
+
+    def _build_journal(self, partition_number: int, log: LogClient) -> PartitionJournal:
+        reader = PartitionReader(
+            f"claims-{partition_number}",
+            log,
+            self._health,
+            self._random_state,
+            lambda: self._policy().limits.dedupe_window_s,
+        )
+        append = partial(self._committer.append, partition_number)
+        return PartitionJournal(reader, self._health, self._incarnation, append)
+
+    def _journal_of(self, key: ScopedKey) -> PartitionJournal:
+        return self._journals[compute_partition(key)]
+
+    def _next_claim(self) -> ClaimId:
+        return ClaimId(self._incarnation, next(self._sequence))
+
+    def _is_live(self, incarnation: Incarnation) -> bool:
+        if incarnation == self._incarnation:
+            return True
+        return self._mesh.find_peer(incarnation) is not None
+
+    def _check_age(self, call: Call, limits: Limits) -> None:
+        age = judge_age(call.key.key, time.time(), limits.dedupe_window_s)
+        if age is KeyAge.FUTURE:
+            raise refuse_unjudged(
+                call, 400, "key-from-future", "The key's time lies ahead.", None
+            )
+        if age is KeyAge.EXPIRED:
+            raise refuse_unjudged(
+                call,
+                400,
+                "key-expired",
+                f"Keys are accepted for {limits.dedupe_window_s} s.",
+                None,
+            )
+
+    async def _forget_tickets(self) -> None:
+        while True:
+            await asyncio.sleep(FORGET_INTERVAL_S)
+            window_s = self._policy().limits.dedupe_window_s
+            self._tickets.forget_expired(time.time(), window_s)
+
+
+def _state_name(holder: ClaimId | None, result: CallResult | None) -> str:
+    if holder is None:
+        return "free"
+    if result is None:
+        return "held"
+    return "outcome-unknown" if result.status is None else "answered"
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
@@ -15,6 +15,7 @@
     ReadyHandler,
 )
 from cassiaspread_daemon.handlers._services import ServiceHandler
+from cassiaspread_daemon.handlers._tickets import KeyHandler, TicketsHandler
 
 
 def build_application(node: Node) -> Application:
@@ -28,10 +29,12 @@
             (r"/v1/completions", CompletionsHandler, arguments),
             (r"/v1/chat/completions", ChatCompletionsHandler, arguments),
             (r"/v1/services/([^/]+)(/.*)?", ServiceHandler, arguments),
+            (r"/v1/tickets", TicketsHandler, arguments),
             (r"/healthz", HealthHandler, arguments),
             (r"/readyz", ReadyHandler, arguments),
             (r"/metrics", MetricsHandler, arguments),
             (r"/operators/events", EventsHandler, arguments),
+            (r"/operators/keys/([^/]+)/([^/]+)", KeyHandler, arguments),
         ],
         default_handler_class=UnknownPathHandler,
         default_handler_args=arguments,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_services.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_services.py
@@ -1,15 +1,24 @@
 """Calls of plain services."""
 
+import asyncio
 import time
 
-from cassiaspread_core.base import Outcome, Refusal, ServiceId
+from cassiaspread_core.base import (
+    IdempotencyKey,
+    Outcome,
+    Refusal,
+    ServiceId,
+)
+from cassiaspread_core.claims import BadKey, CallResult, ScopedKey, check_key
 
-from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken, fetch
-from cassiaspread_daemon.adapters import ListedVm
+from cassiaspread_daemon._exchange import ExchangeBroken, Response
+from cassiaspread_daemon.claims import Call, CallAnswer, connect
 from cassiaspread_daemon.handlers._base import MILLISECONDS_PER_SECOND, CallerHandler
 
-NO_TARGET_RETRY_S = 1.0
 FORWARDED_HEADERS = ("Accept", "Content-Type")
+FIRST_CALL_HEADER = "Idempotency-First-Call"
+REPLAYED_HEADER = "Idempotency-Replayed"
+BODY_OMITTED_HEADER = "Idempotency-Body-Omitted"
 
 
 class ServiceHandler(CallerHandler):
@@ -32,60 +41,97 @@
         :param service: name of the service.
         :param path: path at the service.
         """
-        policy = self.node.policy.services.get(ServiceId(service))
+        service_id = ServiceId(service)
+        policy = self.node.policy.services.get(service_id)
         if policy is None:
             raise Refusal(
                 404, "unknown-service", f"No service {service!r} is configured."
             )
-        key = self.idempotency_key()
-        if self.request.method not in policy.idempotent_methods and key is None:
+        query = f"?{self.request.query}" if self.request.query else ""
+        target_path = (path or "/") + query
+        if self.request.method in policy.idempotent_methods:
+            await self._forward(service_id, target_path)
+        else:
+            await self._run_once(service_id, target_path)
+
+    get = head = post = put = patch = delete = options = CallerHandler.handle
+
+    async def _run_once(self, service: ServiceId, path: str) -> None:
+        key = self._check_key()
+        call = Call(
+            organisation=self.organisation,
+            service=service,
+            method=self.request.method or "POST",
+            path=path,
+            headers={**self._forwarded_headers(), "Idempotency-Key": key},
+            body=bytes(self.body),
+            key=ScopedKey(self.organisation, key),
+            is_first=self.request.headers.get(FIRST_CALL_HEADER, "") == "?1",
+        )
+        answer = await self.node.claims.run(
+            call, self.limits, self.deadline_s, lambda: self.is_counted
+        )
+        self._write_answer(answer)
+
+    def _check_key(self) -> IdempotencyKey:
+        text = self.idempotency_key()
+        if text is None:
             raise Refusal(
                 400,
                 "missing-idempotency-key",
                 f"{self.request.method} calls need an Idempotency-Key.",
             )
-        await self._forward(ServiceId(service), path or "/", key)
-
-    get = head = post = put = patch = delete = options = CallerHandler.handle
+        try:
+            return check_key(text)
+        except BadKey as error:
+            raise Refusal(400, "bad-idempotency-key", f"{error}.") from None
 
-    async def _forward(self, service: ServiceId, path: str, key: str | None) -> None:
-        targets = self.node.targets.services(service)
-        if not targets:
-            raise Refusal(
-                503,
-                "no-targets",
-                f"No target of service {service!r} is known.",
-                retry_after_s=NO_TARGET_RETRY_S,
-            )
-        target = self.node.random_state.choice(targets)
-        headers = {
+    def _forwarded_headers(self) -> dict[str, str]:
+        return {
             name: self.request.headers[name]
             for name in FORWARDED_HEADERS
             if name in self.request.headers
         }
+
+    def _write_answer(self, answer: CallAnswer) -> None:
+        if answer.claim is not None:
+            self.set_header("Cassiaspread-Claim", str(answer.claim))
+        if answer.is_replayed:
+            self.set_header(REPLAYED_HEADER, "true")
+        if answer.result.body is None:
+            self.set_header(BODY_OMITTED_HEADER, "true")
+        self._write_result(answer.result)
+
+    def _write_result(self, result: CallResult) -> None:
+        assert result.status is not None
+        self.set_status(result.status)
+        if result.content_type:
+            self.set_header("Content-Type", result.content_type)
+        self.finish(result.body or b"")
+
+    async def _forward(self, service: ServiceId, path: str) -> None:
+        headers = self._forwarded_headers()
+        key = self.idempotency_key()
         if key is not None:
             headers["Idempotency-Key"] = key
-        await self._send(target, path, headers)
-
-    async def _send(self, target: ListedVm, path: str, headers: dict) -> None:
-        query = f"?{self.request.query}" if self.request.query else ""
         try:
-            response = await fetch(
-                target.address,
-                self.request.method or "GET",
-                path + query,
-                body=bytes(self.body),
-                headers=headers,
-                connect_timeout_s=self.limits.connect_timeout_ms
-                / MILLISECONDS_PER_SECOND,
-                timeout_s=max(0.0, self.deadline_s - time.monotonic()),
-            )
-        except ConnectFailed as error:
-            raise Refusal(502, "target-unreachable", f"{error}.") from None
-        except ExchangeBroken as error:
+            response = await self._exchange(service, path, headers)
+        except (ExchangeBroken, TimeoutError) as error:
             raise Refusal(504, "target-silent", f"{error}.", Outcome.UNKNOWN) from None
-        self.set_status(response.status)
-        for name in ("Content-Type",):
-            if name in response.headers:
-                self.set_header(name, response.headers[name])
-        self.finish(response.body)
+        content_type = response.headers.get("Content-Type", "")
+        self._write_result(CallResult(response.status, content_type, response.body))
+
+    async def _exchange(self, service: ServiceId, path: str, headers: dict) -> Response:
+        exchange = await connect(
+            service,
+            self.node.targets,
+            self.node.random_state,
+            self.limits.connect_timeout_ms / MILLISECONDS_PER_SECOND,
+            self.deadline_s,
+        )
+        with exchange:
+            async with asyncio.timeout(self.deadline_s - time.monotonic()):
+                await exchange.send(
+                    self.request.method or "GET", path, bytes(self.body), headers
+                )
+                return await exchange.finish()
--- /dev/null
+++ b/tests/booking_history.py
@@ -0,0 +1,100 @@
+"""Judges the answers that callers got by what a service's targets say they ran."""
+
+import json
+import time
+from collections import defaultdict
+from dataclasses import dataclass
+
+import uuid6
+
+from tests.fleet import Process, bearer, request
+
+CALLER = bearer("osorno-token")
+PATH = "/v1/services/booking/slots"
+
+
+@dataclass
+class Answer:
+    """One call as its caller saw it; ``status`` 0 stands for a lost answer."""
+
+    key: str
+    status: int
+    outcome: str | None
+    code: str | None
+    confirmation: str | None
+    claim: str | None
+    is_replayed: bool
+    retry_after: str | None
+    invoked_s: float
+    answered_s: float
+    daemon: str
+
+
+def new_key() -> str:
+    return str(uuid6.uuid7())
+
+
+def book(daemon: Process, key: str, timeout_s=5.0, body=b"{}", **headers) -> Answer:
+    invoked_s = time.time()
+    headers = {"Idempotency-Key": key, "X-Request-Timeout": str(timeout_s)} | headers
+    try:
+        status, got, data = request(
+            "POST", daemon.address, PATH, body, CALLER | headers, timeout_s + 3.0
+        )
+        value = json.loads(data)
+    except (OSError, ValueError):
+        status, got, value = 0, {}, {}
+    return Answer(
+        key,
+        status,
+        value.get("outcome"),
+        (value.get("type") or "").rpartition(":")[2] or None,
+        value.get("confirmation"),
+        got.get("Cassiaspread-Claim"),
+        got.get("Idempotency-Replayed") == "true",
+        got.get("Retry-After"),
+        invoked_s,
+        time.time(),
+        daemon.name,
+    )
+
+
+def find_violations(answers: list[Answer], runs: list[dict]) -> list[str]:
+    """Compare answers with runs.
+
+    A run of a key breaks a ``not-run`` answer if it came before that call was made
+    (the daemon had to know of it), or if no other call of the key can have sent it.
+    """
+    runs_of, calls_of = defaultdict(list), defaultdict(list)
+    for run in runs:
+        runs_of[run["key"]].append(run)
+    for answer in answers:
+        calls_of[answer.key].append(answer)
+    found = [f"{k} ran {len(r)} times" for k, r in runs_of.items() if len(r) > 1]
+    found += [f"{k} ran and was never asked" for k in runs_of if k not in calls_of]
+    for answer in answers:
+        key_runs = runs_of[answer.key]
+        if answer.status == 200:
+            confirmations = [run["confirmation"] for run in key_runs]
+            claims = [run["claim"] for run in key_runs]
+            if confirmations != [answer.confirmation] or claims != [answer.claim]:
+                found.append(f"acknowledged, but the record has {key_runs}: {answer}")
+        elif answer.outcome == "not-run":
+            found += [
+                f"not-run, but {run}: {answer}"
+                for run in key_runs
+                if run["time_s"] < answer.invoked_s
+                or not _has_other_sender(answer, run, calls_of[answer.key])
+            ]
+        elif answer.status and answer.outcome != "unknown":
+            found.append(f"neither answered nor refused: {answer}")
+    return found
+
+
+def _has_other_sender(answer: Answer, run: dict, calls: list[Answer]) -> bool:
+    return any(
+        other is not answer
+        and other.outcome != "not-run"
+        and other.invoked_s <= run["time_s"]
+        for other in calls
+    )
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -26,14 +26,16 @@
         service = self.standin
         service.n_runs += 1
         key = self.request.headers.get("Idempotency-Key")
+        confirmation = f"{service.name}-{service.n_runs}"
         service.history.write(
             key=key,
+            claim=self.request.headers.get("Cassiaspread-Claim"),
+            confirmation=confirmation,
             method=self.request.method,
             path=path,
             body=self.request.body.decode(),
             time_s=time.time(),
         )
-        confirmation = f"{service.name}-{service.n_runs}"
         await asyncio.sleep(service.delay_s)
         if service.lose_answers:
             self.request.connection.stream.close()
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,266 @@
+"""Non-idempotent calls run at most once, whatever fails in between."""
+
+import json
+import signal
+import socket
+import time
+
+import pytest
+
+from tests.booking_history import CALLER, PATH, book, find_violations, new_key
+from tests.fleet import Fleet, bearer, request, wait_for
+
+SERVICES = ("booking-1", "booking-2")
+DAEMONS = ("d1", "d2", "d3")
+
+
+class Bookings:
+    """Three daemons, each behind a route of its own to the log, and two targets."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        fleet.publish_basics()
+        for name in SERVICES:
+            fleet.start_service(name, "cautin")
+        self.routes = {n: fleet.start_proxy(n, fleet.log.address) for n in DAEMONS}
+        for name in DAEMONS:
+            fleet.start_daemon(name, "cautin", log=self.routes[name].address)
+        self.daemons = [fleet.processes[name] for name in DAEMONS]
+        for daemon in self.daemons:
+            fleet.wait_ready(daemon)
+            wait_for(lambda d=daemon: self.get(d) == 200)
+            wait_for(lambda d=daemon: book(d, new_key()).status == 200)
+
+    def get(self, daemon) -> int:
+        return request("GET", daemon.address, PATH, headers=CALLER)[0]
+
+    def runs(self) -> list[dict]:
+        history = [run for name in SERVICES for run in self.fleet.history(name)]
+        return [run for run in history if run["method"] == "POST"]
+
+    def runs_of(self, key: str) -> list[dict]:
+        return [run for run in self.runs() if run["key"] == key]
+
+    def control_services(self, **fields) -> None:
+        for name in SERVICES:
+            self.fleet.processes[name].control(**fields)
+
+    def heal(self) -> None:
+        self.fleet.log.control(available=True, lose_answers=False, delay_s=0)
+        self.control_services(delay_s=0, lose_answers=False)
+        for route in self.routes.values():
+            route.set("pass")
+
+    def ticket(self, daemon) -> str:
+        return json.loads(
+            request("POST", daemon.address, "/v1/tickets", b"", CALLER)[2]
+        )["key"]
+
+    def look_up(self, daemon, key: str) -> dict:
+        path = f"/operators/keys/osorno/{key}"
+        operator = bearer("operator-token")
+        return json.loads(request("GET", daemon.address, path, headers=operator)[2])
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory):
+    with Fleet(tmp_path_factory.mktemp("bookings")) as fleet:
+        yield Bookings(fleet)
+
+
+@pytest.fixture
+def bookings(shared):
+    shared.heal()
+    wait_for(lambda: all(book(d, new_key()).status == 200 for d in shared.daemons))
+    yield shared
+    shared.heal()
+
+
+def test_repeated_key_is_answered_from_the_record(bookings):
+    key = new_key()
+    first = book(bookings.daemons[0], key)
+    repeats = wait_for(
+        lambda: [
+            a
+            for a in [book(d, key) for d in bookings.daemons]
+            if a.status == 200 and a.is_replayed
+        ]
+    )
+    assert not first.is_replayed
+    assert {a.confirmation for a in repeats} == {first.confirmation}
+    assert find_violations([first, *repeats], bookings.runs_of(key)) == []
+    report = bookings.look_up(bookings.daemons[2], key)
+    assert (report["state"], report["status"]) == ("answered", 200)
+    assert report["claim"] == first.claim
+
+
+def test_key_of_another_call_is_misuse(bookings):
+    key = new_key()
+    book(bookings.daemons[0], key)
+    other = book(bookings.daemons[1], key, body=b'{"other":1}')
+    assert (other.status, other.code, other.outcome) == (422, "key-reused", "not-run")
+    assert len(bookings.runs_of(key)) == 1
+
+
+@pytest.mark.parametrize(
+    ("key", "code"),
+    [
+        ("slot-1", "bad-idempotency-key"),
+        ("00a23e07-47d4-7b3f-8055-4254dc1ba464", "key-expired"),
+        ("ff000000-47d4-7b3f-8055-4254dc1ba464", "key-from-future"),
+    ],
+)
+def test_unusable_key_does_not_run(bookings, key, code):
+    answer = book(bookings.daemons[0], key)
+    assert (answer.status, answer.code) == (400, code)
+    assert bookings.runs_of(key) == []
+
+
+def test_lost_answers_of_the_log_lose_no_booking(bookings):
+    bookings.fleet.log.control(lose_answers=True)
+    key = new_key()
+    answers = [book(bookings.daemons[0], key)]
+    assert answers[0].status == 200
+    wait_for(lambda: bookings.look_up(bookings.daemons[1], key)["status"] == 200)
+    answers.append(book(bookings.daemons[1], key))
+    assert answers[1].is_replayed
+    assert find_violations(answers, bookings.runs_of(key)) == []
+
+
+@pytest.mark.parametrize("fault", ["unavailable", "cut", "silent"])
+def test_without_log_only_tickets_run(bookings, fault):
+    d1, d2, _ = bookings.daemons
+    if fault == "unavailable":
+        bookings.fleet.log.control(available=False)
+    for name in DAEMONS[:2]:
+        bookings.routes[name].set(
+            {"cut": "cut", "silent": "silence"}.get(fault, "pass")
+        )
+    key = new_key()
+    refused = book(d1, key)
+    first = book(d1, new_key(), **{"Idempotency-First-Call": "?1"})
+    assert (refused.status, refused.outcome) == (503, "unknown")
+    assert (first.status, first.outcome, first.retry_after) == (503, "not-run", "5")
+    ticket = bookings.ticket(d1)
+    answers = [book(d2, ticket), book(d1, ticket), book(d2, ticket)]
+    assert [a.status for a in answers] == [200, 200, 200]
+    assert [a.is_replayed for a in answers] == [False, True, True]
+    assert book(d2, ticket, body=b"[]").code == "key-reused"
+    assert find_violations(answers, bookings.runs_of(ticket)) == []
+    assert bookings.runs_of(key) == []
+    bookings.heal()
+    wait_for(lambda: bookings.look_up(bookings.daemons[2], ticket)["status"] == 200)
+    wait_for(lambda: book(d1, key).status == 200)
+
+
+def test_daemon_frozen_between_claim_and_send_does_not_send(bookings):
+    d1, d2, _ = bookings.daemons
+    key = new_key()
+    bookings.routes["d1"].set("pass", delay_s=0.4)
+    connection = start_booking(d1, key, timeout_s=2.0)
+    wait_for(lambda: bookings.look_up(d2, key)["state"] == "held")
+    d1.signal(signal.SIGSTOP)
+    try:
+        assert bookings.runs_of(key) == []
+        meanwhile = book(d2, key)
+        time.sleep(2.5)
+    finally:
+        d1.signal(signal.SIGCONT)
+    status, problem = read_answer(connection)
+    assert (meanwhile.status, meanwhile.outcome) == (409, "unknown")
+    assert (status, problem["outcome"]) in [(504, "not-run"), (503, "not-run")]
+    assert bookings.runs_of(key) == []
+    wait_for(lambda: bookings.look_up(d2, key)["state"] == "free")
+    again = book(d2, key)
+    assert again.status == 200
+    assert find_violations([meanwhile, again], bookings.runs_of(key)) == []
+
+
+def test_claim_that_lands_late_is_void(bookings):
+    d1, d2, _ = bookings.daemons
+    key = new_key()
+    bookings.fleet.log.control(delay_s=1.2)
+    late = book(d1, key, timeout_s=0.6)
+    assert (late.status, late.outcome) == (503, "not-run")
+    wait_for(lambda: bookings.look_up(d2, key)["n_void_claims"] == 1)
+    bookings.fleet.log.control(delay_s=0)
+    again = wait_for(lambda: a if (a := book(d2, key)).status == 200 else None)
+    assert find_violations([late, again], bookings.runs_of(key)) == []
+
+
+def test_lost_answer_of_the_target_stays_unknown(bookings):
+    key = new_key()
+    bookings.control_services(lose_answers=True)
+    answers = [book(bookings.daemons[0], key)]
+    bookings.control_services(lose_answers=False)
+    answers += [book(daemon, key) for daemon in bookings.daemons]
+    assert [a.status for a in answers] == [502, 409, 409, 409]
+    assert {a.outcome for a in answers} == {"unknown"}
+    assert len(bookings.runs_of(key)) == 1
+
+
+def test_sent_call_outlives_deadline_and_caller(bookings):
+    d1, d2, _ = bookings.daemons
+    late, left = new_key(), new_key()
+    bookings.control_services(delay_s=1.5)
+    connection = start_booking(d1, left, timeout_s=10.0)
+    wait_for(lambda: bookings.runs_of(left))
+    connection.close()
+    answer = book(d1, late, timeout_s=0.8)
+    assert (answer.status, answer.outcome) == (504, "unknown")
+    for key in (late, left):
+        wait_for(lambda key=key: book(d2, key).status == 200)
+        assert len(bookings.runs_of(key)) == 1
+
+
+def test_unreachable_target_frees_the_key(bookings):
+    fleet, key = bookings.fleet, new_key()
+    addresses = {name: fleet.processes[name].address for name in SERVICES}
+    for name in SERVICES:
+        fleet.list_vm(name, "service", "booking", "127.0.0.1:9", "cautin")
+    wait_for(lambda: bookings.get(bookings.daemons[0]) == 502)
+    refused = book(bookings.daemons[0], key)
+    for name in SERVICES:
+        fleet.list_vm(name, "service", "booking", addresses[name], "cautin")
+    assert (refused.status, refused.outcome) == (502, "not-run")
+    wait_for(lambda: bookings.get(bookings.daemons[1]) == 200)
+    again = wait_for(
+        lambda: a if (a := book(bookings.daemons[1], key)).status == 200 else None
+    )
+    assert find_violations([refused, again], bookings.runs_of(key)) == []
+
+
+def test_blank_daemon_does_not_run_keys_it_cannot_judge(bookings):
+    fleet = bookings.fleet
+    key, unseen = new_key(), new_key()
+    assert book(bookings.daemons[0], key).status == 200
+    wait_for(lambda: bookings.look_up(bookings.daemons[1], key)["status"] == 200)
+    fleet.log.control(truncate={f"claims-{p}": 10_000 for p in range(16)})
+    blank = fleet.start_daemon("blank", "cautin")
+    fleet.wait_ready(blank)
+    wait_for(lambda: bookings.get(blank) == 200)
+    answers = [book(blank, k) for k in (key, unseen)]
+    assert [(a.status, a.outcome, a.code) for a in answers] == [
+        (503, "unknown", "key-not-judged")
+    ] * 2
+    assert (len(bookings.runs_of(key)), bookings.runs_of(unseen)) == (1, [])
+    assert book(bookings.daemons[1], key).is_replayed
+    assert blank.stop() == 0
+
+
+def start_booking(daemon, key, timeout_s):
+    """Send a booking on a connection of its own and leave it open."""
+    host, port = daemon.address.split(":")
+    connection = socket.create_connection((host, int(port)))
+    connection.sendall(
+        f"POST {PATH} HTTP/1.1\r\nHost: d\r\nConnection: close\r\n"
+        f"Authorization: {CALLER['Authorization']}\r\nIdempotency-Key: {key}\r\n"
+        f"X-Request-Timeout: {timeout_s}\r\nContent-Length: 2\r\n\r\n{{}}".encode()
+    )
+    return connection
+
+
+def read_answer(connection):
+    with connection, connection.makefile("rb") as stream:
+        head, _, body = stream.read().partition(b"\r\n\r\n")
+    return int(head.split()[1]), json.loads(body)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -3,6 +3,7 @@
 import json
 
 import pytest
+import uuid6
 
 from tests.fleet import Fleet, bearer, request, wait_for
 from tests.standins.engine import expected_token
@@ -69,9 +70,10 @@
 
 
 def test_booking_is_confirmed(fleet):
-    status, _, body = book(fleet, **{"Idempotency-Key": "k1"})
+    key = str(uuid6.uuid7())
+    status, _, body = book(fleet, **{"Idempotency-Key": key})
     assert status == 200
-    assert json.loads(body)["key"] == "k1"
+    assert json.loads(body)["key"] == key
 
 
 REFUSALS = [
