--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_settings.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_settings.py
@@ -41,6 +41,10 @@
     n_events: int
     poll_interval_ms: int
     drain_timeout_ms: int
+    log_retention_s: int
+    balancer_lag_ms: int
+    settle_timeout_ms: int
+    advertise: Address | None
 
 
 def check_address(text: str) -> Address:
@@ -58,6 +62,15 @@
     return Address(host, int(port))
 
 
+def check_optional_address(text: str) -> Address | None:
+    """Read ``HOST:PORT`` or nothing.
+
+    :param text: the setting's value, possibly empty.
+    :raises ValueError: the text is neither empty nor an address.
+    """
+    return check_address(text) if text else None
+
+
 def check_addresses(text: str) -> tuple[Address, ...]:
     """Read a list of ``HOST:PORT`` separated by commas.
 
@@ -78,6 +91,18 @@
     return int(text)
 
 
+def check_positive(text: str) -> int:
+    """Read a whole number above 0.
+
+    :param text: the setting's value.
+    :raises ValueError: the text is no such number.
+    """
+    number = check_count(text)
+    if not number:
+        raise ValueError("expected a whole number above 0")
+    return number
+
+
 def check_name(text: str) -> str:
     """Read a name that is not empty.
 
@@ -149,6 +174,32 @@
         "longest wait for requests in progress on SIGTERM, in milliseconds; "
         "0 waits until the last one ends",
     ),
+    Option(
+        "--log-retention-s",
+        check_positive,
+        "604800",
+        "how long the log keeps a record, in seconds",
+    ),
+    Option(
+        "--balancer-lag-ms",
+        check_count,
+        "5000",
+        "how long new connections are taken after SIGTERM, in milliseconds; at "
+        "least the time that the balancer takes to notice",
+    ),
+    Option(
+        "--settle-timeout-ms",
+        check_count,
+        "30000",
+        "longest wait after the last request for what it leaves to be written to "
+        "the log, in milliseconds",
+    ),
+    Option(
+        "--advertise",
+        check_optional_address,
+        "",
+        "HOST:PORT at which other daemons reach this one, if not --peer-listen",
+    ),
 )
 
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_claimed.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_claimed.py
@@ -41,7 +41,7 @@
 CATCH_UP_TIMEOUT_S = 1.0
 
 # Longest wait to learn of earlier calls, after the right to send was given up.
-JUDGE_TIMEOUT_S = 0.25
+JUDGE_TIMEOUT_S = 0.5
 LOG_AWAY_DETAIL = (
     "The log that decides on keys can't be reached. An urgent call can run now "
     "under a key from POST /v1/tickets."
@@ -124,8 +124,7 @@
             raise _refuse_log_away(call) from None
         except ClaimUnseen as error:
             self._abandon(order, journal, "claim-unseen")
-            if not self._health.is_away:
-                await journal.claim_seen(record, JUDGE_TIMEOUT_S)
+            await journal.claim_seen(record, JUDGE_TIMEOUT_S)
             raise _refuse_unseen(order, journal, asked_s, str(error)) from None
 
     async def _run_held(
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_reader.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_reader.py
@@ -16,7 +16,7 @@
 
 from cassiaspread_daemon.adapters import LogClient, LogPage, LogUnavailable, Truncated
 
-RETRY_DELAY_S = 0.5
+RETRY_DELAY_S = 0.2
 LONG_POLL_S = 0.2
 READ_TIMEOUT_S = 1.0
 REFRESH_INTERVAL_S = 5.0
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_service.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_service.py
@@ -36,7 +36,6 @@
 from cassiaspread_daemon.mesh import Mesh
 
 IDLE_POLL_S = 0.05
-SETTLE_TIMEOUT_S = 10.0
 LOOK_UP_TIMEOUT_S = 1.0
 FORGET_INTERVAL_S = 60.0
 
@@ -187,21 +186,20 @@
         self._is_leaving = True
         self._committer.leave()
 
+    async def wait_sent(self) -> None:
+        """Wait for the end of sent calls, also of those whose callers left."""
+        while self._sender.n_sent or self._forwarder.n_running:
+            await asyncio.sleep(IDLE_POLL_S)
+
     async def settle(self) -> None:
-        """Wait for the end of sent calls, then bring all outcomes into the log.
+        """Retire unused tickets and bring all outcomes into the log.
 
-        The wait for the log is bounded: what it does not take is lost with this
-        process, and later calls of those keys are answered ``unknown``.
+        What the log does not take before the caller's time-out is lost with this
+        process; later calls of those keys are answered ``unknown``.
         """
-        while self._sender.n_sent or self._forwarder.n_running:
-            await asyncio.sleep(IDLE_POLL_S)
         self._tickets.retire()
-        try:
-            async with asyncio.timeout(SETTLE_TIMEOUT_S):
-                while any(journal.n_unsettled for journal in self._journals.values()):
-                    await asyncio.sleep(IDLE_POLL_S)
-        except TimeoutError:
-            return
+        while any(journal.n_unsettled for journal in self._journals.values()):
+            await asyncio.sleep(IDLE_POLL_S)
 
     def _build_journal(self, partition_number: int, log: LogClient) -> PartitionJournal:
         reader = PartitionReader(
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_services.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_services.py
@@ -47,6 +47,7 @@
             raise Refusal(
                 404, "unknown-service", f"No service {service!r} is configured."
             )
+        self.limits = self.find_limits(service=service_id)
         query = f"?{self.request.query}" if self.request.query else ""
         target_path = (path or "/") + query
         if self.request.method in policy.idempotent_methods:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -30,6 +30,13 @@
             fleet.wait_ready(daemon)
             wait_for(lambda d=daemon: self.get(d) == 200)
             wait_for(lambda d=daemon: book(d, new_key()).status == 200)
+        for daemon in self.daemons:
+            wait_for(lambda d=daemon: self.reaches_all(d))
+
+    def reaches_all(self, daemon) -> bool:
+        """Tell whether the daemon runs tickets of every other one."""
+        tickets = [self.ticket(other) for other in self.daemons]
+        return all(book(daemon, ticket).status == 200 for ticket in tickets)
 
     def get(self, daemon) -> int:
         return request("GET", daemon.address, PATH, headers=CALLER)[0]
@@ -165,6 +172,7 @@
         meanwhile = book(d2, key)
         time.sleep(2.5)
     finally:
+        bookings.routes["d1"].set("pass", delay_s=0)
         d1.signal(signal.SIGCONT)
     status, problem = read_answer(connection)
     assert (meanwhile.status, meanwhile.outcome) == (409, "unknown")
