--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
@@ -41,6 +41,7 @@
     :param uses_claim_committers: whether one daemon for each claims partition
         appends for the others.
     :param priority: engine priority, higher goes first.
+    :param quarantine_s: how long the loss of a target counts against a request.
     """
 
     request_timeout_ms: Positive = 30_000
@@ -55,6 +56,7 @@
     dedupe_window_s: Positive = 86_400
     uses_claim_committers: bool = True
     priority: int = 0
+    quarantine_s: int = 3_600
 
 
 class Organisation(
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -26,6 +26,7 @@
     PolicyPeers,
     TargetRegistry,
 )
+from cassiaspread_daemon.load import Quarantine, SuspectExchange, TargetProbe
 from cassiaspread_daemon.mesh import Mesh, Sender
 
 # A connection without a request for this long counts as idle.
@@ -91,6 +92,14 @@
             self.supervisor.add_child("claims"),
             lambda: self.policy,
         )
+        self.quarantine = Quarantine(
+            SuspectExchange(
+                self.mesh, self.log, self.events, lambda: self.policy.limits
+            ),
+            TargetProbe(self.engines),
+            self.events,
+            self.incarnation,
+        )
         self._is_leaving = False
         self._requests = RequestCount()
         self.settle_callbacks: list[Callable[[], Awaitable[None]]] = [
@@ -104,6 +113,7 @@
         self.supervisor.start("policy-checkpoints", self._policy_checkpointer.run)
         self.supervisor.start("targets", self.targets.run)
         self.claims.start()
+        self.quarantine.start(self.supervisor)
         self.events.record("node.started", incarnation=self.incarnation)
         return self
 
