--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_call.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_call.py
@@ -12,6 +12,10 @@
 
 IN_PROGRESS_RETRY_S = 1.0
 UNKNOWN_RETRY_S = 5.0
+UNJUDGED_DETAIL = (
+    "This call was not sent; what came of earlier calls with the same key can't be "
+    "told."
+)
 
 
 class Call(msgspec.Struct, frozen=True, kw_only=True):
@@ -117,8 +121,7 @@
     return Refusal(
         status,
         code,
-        f"{detail} This call was not sent; what came of earlier calls with the "
-        "same key can't be told.",
+        f"{detail} {UNJUDGED_DETAIL}",
         Outcome.UNKNOWN,
         retry_after_s,
     )
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_claimed.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_claimed.py
@@ -81,6 +81,8 @@
             return self._answer_held(order.call, state)
         if self._health.is_away:
             raise _refuse_log_away(order.call)
+        if not journal.reader.fold.can_judge(order.call.key):
+            raise _refuse_unjudgeable(order.call)
         if await self._claim(order, journal) is Verdict.VOID:
             self._record("claims.lost", order)
             return self._answer_lost(order.call, journal)
@@ -133,13 +135,7 @@
         call, claim = order.call, order.claim
         if not journal.reader.fold.can_judge(call.key):
             self._abandon(order, journal, "key-not-judged")
-            raise refuse_unjudged(
-                call,
-                503,
-                "key-not-judged",
-                "The log no longer keeps all records that this key may have.",
-                None,
-            )
+            raise _refuse_unjudgeable(call)
 
         def settle(result: CallResult) -> None:
             journal.settle(
@@ -194,3 +190,13 @@
 
 def _refuse_log_away(call: Call) -> Refusal:
     return refuse_unjudged(call, 503, "log-away", LOG_AWAY_DETAIL, LOG_AWAY_RETRY_S)
+
+
+def _refuse_unjudgeable(call: Call) -> Refusal:
+    return refuse_unjudged(
+        call,
+        503,
+        "key-not-judged",
+        "The log no longer keeps all records that this key may have.",
+        None,
+    )
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_services.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_services.py
@@ -12,12 +12,13 @@
 from cassiaspread_core.claims import BadKey, CallResult, ScopedKey, check_key
 
 from cassiaspread_daemon._exchange import ExchangeBroken, Response
-from cassiaspread_daemon.claims import Call, CallAnswer, connect
+from cassiaspread_daemon.claims import UNJUDGED_DETAIL, Call, CallAnswer, connect
 from cassiaspread_daemon.handlers._base import MILLISECONDS_PER_SECOND, CallerHandler
 
 FORWARDED_HEADERS = ("Accept", "Content-Type")
 FIRST_CALL_HEADER = "Idempotency-First-Call"
 REPLAYED_HEADER = "Idempotency-Replayed"
+SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
 BODY_OMITTED_HEADER = "Idempotency-Body-Omitted"
 
 
@@ -25,6 +26,7 @@
     """``/v1/services/{service}/{path}``, any method."""
 
     kind = "service"
+    is_key_judged = False
     SUPPORTED_METHODS = (
         "GET",
         "HEAD",
@@ -57,7 +59,31 @@
 
     get = head = post = put = patch = delete = options = CallerHandler.handle
 
+    def write_refusal(self, refusal: Refusal) -> None:
+        """Answer with problem details that hold for the key, not for this call only.
+
+        A refusal before the key was judged knows nothing of earlier calls with it.
+
+        :param refusal: why the request is not answered.
+        """
+        if refusal.outcome is Outcome.NOT_RUN and self._may_have_run_before():
+            refusal.outcome = Outcome.UNKNOWN
+            refusal.detail += f" {UNJUDGED_DETAIL}"
+        super().write_refusal(refusal)
+
+    def _may_have_run_before(self) -> bool:
+        return (
+            not self.is_key_judged
+            and self.request.method not in SAFE_METHODS
+            and "Idempotency-Key" in self.request.headers
+            and not self._is_first_call()
+        )
+
+    def _is_first_call(self) -> bool:
+        return self.request.headers.get(FIRST_CALL_HEADER, "") == "?1"
+
     async def _run_once(self, service: ServiceId, path: str) -> None:
+        self.is_key_judged = True
         key = self._check_key()
         call = Call(
             organisation=self.organisation,
@@ -67,7 +93,7 @@
             headers={**self._forwarded_headers(), "Idempotency-Key": key},
             body=bytes(self.body),
             key=ScopedKey(self.organisation, key),
-            is_first=self.request.headers.get(FIRST_CALL_HEADER, "") == "?1",
+            is_first=self._is_first_call(),
         )
         answer = await self.node.claims.run(
             call, self.limits, self.deadline_s, lambda: self.is_counted
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -4,6 +4,7 @@
 import signal
 import socket
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -75,6 +76,12 @@
         yield Bookings(fleet)
 
 
+@pytest.fixture
+def own_bookings(tmp_path):
+    with Fleet(tmp_path) as fleet:
+        yield Bookings(fleet)
+
+
 @pytest.fixture
 def bookings(shared):
     shared.heal()
@@ -238,8 +245,8 @@
     assert find_violations([refused, again], bookings.runs_of(key)) == []
 
 
-def test_blank_daemon_does_not_run_keys_it_cannot_judge(bookings):
-    fleet = bookings.fleet
+def test_blank_daemon_does_not_run_keys_it_cannot_judge(own_bookings):
+    bookings, fleet = own_bookings, own_bookings.fleet
     key, unseen = new_key(), new_key()
     assert book(bookings.daemons[0], key).status == 200
     wait_for(lambda: bookings.look_up(bookings.daemons[1], key)["status"] == 200)
@@ -256,6 +263,51 @@
     assert blank.stop() == 0
 
 
+@pytest.mark.parametrize("first", [False, True])
+def test_refusal_before_the_key_is_judged_says_so(bookings, first):
+    starting = bookings.fleet.start_daemon(
+        f"start-{first}", "cautin", log="127.0.0.1:9"
+    )
+    wait_for(lambda: request("GET", starting.address, "/healthz")[0] == 200)
+    headers = {"Idempotency-First-Call": "?1"} if first else {}
+    refused = book(starting, new_key(), **headers)
+    starting.kill()
+    assert refused.outcome == ("not-run" if first else "unknown")
+
+
+def test_frozen_committer_loses_no_booking(bookings):
+    frozen, keys = bookings.daemons[2], [new_key() for _ in range(32)]
+    frozen.signal(signal.SIGSTOP)
+    try:
+        with ThreadPoolExecutor(8) as pool:
+            answers = list(pool.map(lambda k: book(bookings.daemons[0], k), keys))
+    finally:
+        frozen.signal(signal.SIGCONT)
+    assert [a.status for a in answers] == [200] * len(keys)
+    runs = [run for run in bookings.runs() if run["key"] in keys]
+    assert find_violations(answers, runs) == []
+
+
+@pytest.mark.parametrize("end", ["stop", "kill"])
+def test_tickets_of_a_daemon_that_ended(bookings, end):
+    d1 = bookings.daemons[0]
+    leaving = bookings.fleet.start_daemon(f"ticket-{end}", "cautin")
+    bookings.fleet.wait_ready(leaving)
+    wait_for(lambda: book(d1, bookings.ticket(leaving)).status == 200)
+    unused, used = bookings.ticket(leaving), bookings.ticket(leaving)
+    first = book(leaving, used)
+    wait_for(lambda: bookings.look_up(d1, used)["status"] == 200)
+    if end == "stop":
+        assert leaving.stop(30.0) == 0
+    else:
+        leaving.kill()
+    again, never = book(d1, used), book(d1, unused)
+    assert (again.status, again.is_replayed) == (200, True)
+    assert again.confirmation == first.confirmation
+    assert never.outcome == ("not-run" if end == "stop" else "unknown")
+    assert bookings.runs_of(unused) == []
+
+
 def start_booking(daemon, key, timeout_s):
     """Send a booking on a connection of its own and leave it open."""
     host, port = daemon.address.split(":")
