--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_quarantine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_quarantine.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable
+from typing import Protocol, TypeVar
 
 from cassiaspread_core.base import (
     Incarnation,
@@ -33,7 +34,17 @@
 # Longest time after a loss in which the target may turn out to be alive.
 REPROBE_AGE_S = 60.0
 
-Choose = Callable[[frozenset[TargetId]], Plan | None]
+
+class HasPlan(Protocol):
+    """What a plan is chosen as."""
+
+    @property
+    def plan(self) -> Plan:
+        """Stages in order."""
+
+
+Planned = TypeVar("Planned", bound=HasPlan)
+Choose = Callable[[frozenset[TargetId]], Planned | None]
 
 
 class Quarantine:
@@ -202,7 +213,9 @@
                 self._outcome(),
             )
 
-    async def choose(self, choose: Choose, deadline_s: float) -> Plan | None:
+    async def choose(
+        self, choose: Choose[Planned], deadline_s: float
+    ) -> Planned | None:
         """Choose the plan of the next attempt, alone if the request is a suspect.
 
         :param choose: chooses a plan without the given targets.
@@ -268,7 +281,9 @@
     def _outcome(self) -> Outcome:
         return Outcome.UNKNOWN if self._has_run else Outcome.NOT_RUN
 
-    async def _choose_alone(self, choose: Choose, deadline_s: float) -> Plan | None:
+    async def _choose_alone(
+        self, choose: Choose[Planned], deadline_s: float
+    ) -> Planned | None:
         loop = asyncio.get_running_loop()
         busy: frozenset[TargetId] = frozenset()
         while loop.time() < deadline_s:
@@ -276,7 +291,7 @@
             if plan is None and choose(frozenset()) is None:
                 return None
             if plan is not None:
-                blockers = await self._try_claim(plan)
+                blockers = await self._try_claim(plan.plan)
                 self.check()
                 if self._claim is not None:
                     return plan
@@ -294,7 +309,9 @@
             retry_after_s=SUSPECT_RETRY_S,
         )
 
-    def _find_place(self, choose: Choose, busy: frozenset[TargetId]) -> Plan | None:
+    def _find_place(
+        self, choose: Choose[Planned], busy: frozenset[TargetId]
+    ) -> Planned | None:
         taken = busy | self._exchange.trials.targets()
         lost = self._exchange.book.targets_lost(self._fingerprint)
         return choose(taken | lost) or choose(taken)
