--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -239,7 +239,7 @@
     fleet.list_vm("booking-0", "service", "booking", address, "cautin", "leaving")
     wait_for(lambda: usable(daemon) == {"booking-1"}, 4.0)
     before = len(fleet.history("booking-0"))
-    assert all(book(daemon, f"k{i}")[0] == 200 for i in range(10))
+    assert all(book(daemon, str(uuid7()))[0] == 200 for _ in range(10))
     assert len(fleet.history("booking-0")) == before
 
 
