--- a/packages/cassiaspread-core/src/cassiaspread_core/pipeline/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/pipeline/__init__.py
@@ -20,17 +20,21 @@
 from cassiaspread_core.pipeline._sequence import TokenSequence, TokenStep
 from cassiaspread_core.pipeline._silence import SilenceMonitor
 from cassiaspread_core.pipeline._verdict import (
+    Interruption,
     Phase,
     StageState,
     States,
     Verdict,
     find_lost,
     judge_interruption,
+    needs_confirmation,
+    settle_verdict,
 )
 
 __all__ = [
     "AttemptBudget",
     "EngineReport",
+    "Interruption",
     "Phase",
     "Plan",
     "Restore",
@@ -49,7 +53,9 @@
     "find_holders",
     "find_lost",
     "judge_interruption",
+    "needs_confirmation",
     "next_attempt",
     "prefer_holders",
     "rank_keepers",
+    "settle_verdict",
 ]
--- a/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_verdict.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_verdict.py
@@ -43,6 +43,16 @@
     fingerprint: str = ""
 
 
+class Interruption(Enum):
+    """How a stream was interrupted."""
+
+    # Its connection could not be opened or was closed too early.
+    CLOSED = "closed"
+    SILENT = "silent"
+    # An engine reported a failure.
+    FAILED = "failed"
+
+
 class Verdict(Enum):
     """What an interruption turned out to be."""
 
@@ -105,6 +115,38 @@
     return Verdict.SLOW
 
 
+def needs_confirmation(interruption: Interruption, verdict: Verdict) -> bool:
+    """Tell whether the stages have to be asked once more before a verdict counts.
+
+    States taken at slightly different times can look like a dead path or a broken
+    chain, and a path that was down for a moment looks like a lost stage. A stage that
+    left a probe of a silent stream unanswered has had its time.
+
+    :param interruption: how the stream was interrupted.
+    :param verdict: the verdict on the first answers.
+    """
+    if interruption is Interruption.SILENT:
+        return verdict in (Verdict.PATH_DEAD, Verdict.CHAIN_BROKEN)
+    return verdict is Verdict.STAGE_LOST
+
+
+def settle_verdict(interruption: Interruption, verdict: Verdict) -> Verdict:
+    """Return what a verdict means for a stream that was interrupted in this way.
+
+    :param interruption: how the stream was interrupted.
+    :param verdict: the verdict on the stages' answers.
+
+    >>> settle_verdict(Interruption.CLOSED, Verdict.SLOW)
+    <Verdict.PATH_DEAD: 'path-dead'>
+    """
+    if interruption is Interruption.CLOSED and verdict is Verdict.SLOW:
+        return Verdict.PATH_DEAD
+    works = verdict in (Verdict.SLOW, Verdict.PATH_DEAD)
+    if interruption is Interruption.FAILED and works:
+        return Verdict.CHAIN_BROKEN
+    return verdict
+
+
 def _is_broken(before: StageState, after: StageState) -> bool:
     at_work = after.phase in (Phase.COMPUTING, Phase.WAITING)
     return before.phase is Phase.WAITING and not at_work
--- a/packages/cassiaspread-core/tests/test_pipeline.py
+++ b/packages/cassiaspread-core/tests/test_pipeline.py
@@ -2,6 +2,7 @@
 
 import pytest
 from cassiaspread_core.pipeline import (
+    Interruption,
     Phase,
     RestoreMode,
     SilenceMonitor,
@@ -13,7 +14,9 @@
     choose_restore,
     find_holders,
     judge_interruption,
+    needs_confirmation,
     next_attempt,
+    settle_verdict,
 )
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -80,6 +83,18 @@
     assert judge_interruption(PLAN, WORKING | changes, 7, 3) is verdict
 
 
+@pytest.mark.parametrize("verdict", Verdict)
+@pytest.mark.parametrize("interruption", Interruption)
+def test_only_a_silent_stream_goes_on_as_it_is(interruption, verdict):
+    settled = settle_verdict(interruption, verdict)
+    if interruption is Interruption.SILENT:
+        assert settled is verdict
+    else:
+        assert settled is not Verdict.SLOW
+    if verdict in (Verdict.SLOW, Verdict.SUPERSEDED):
+        assert not needs_confirmation(interruption, verdict)
+
+
 RESTORES = [
     pytest.param("abc", {}, "keep keep keep", id="all-survive"),
     pytest.param("xbc", {"a": None}, "prefill keep keep", id="head-lost"),
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_judge.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_judge.py
@@ -5,6 +5,7 @@
 import msgspec
 from cassiaspread_core.base import RequestId, TargetId
 from cassiaspread_core.pipeline import (
+    Interruption,
     Plan,
     Stage,
     States,
@@ -13,6 +14,8 @@
     find_holders,
     find_lost,
     judge_interruption,
+    needs_confirmation,
+    settle_verdict,
 )
 
 from cassiaspread_daemon.adapters import EngineClient
@@ -21,8 +24,7 @@
 
 # Once one stage is known to be lost, the others are asked only for what they hold.
 ENOUGH_S = 0.05
-# Two states taken at slightly different times can look like a broken chain.
-CONFIRM_DELAY_S = 0.02
+CONFIRM_DELAY_S = 0.01
 CACHE_MISSING = "kv-missing"
 
 
@@ -82,19 +84,20 @@
     :param end: how the attempt ended.
     :param timeout_s: longest wait in seconds for the states of the stages.
     """
+    interruption = Interruption(end.kind.value)
     position = sequence.position
-    states = await probe_plan(engines, plan, request, timeout_s, ENOUGH_S)
-    verdict = judge_interruption(plan, states, sequence.attempt, sequence.position)
-    if end.kind is EndKind.SILENT:
-        if verdict in (Verdict.PATH_DEAD, Verdict.CHAIN_BROKEN):
-            await asyncio.sleep(CONFIRM_DELAY_S)
-            states = await probe_plan(engines, plan, request, timeout_s, ENOUGH_S)
-            verdict = judge_interruption(plan, states, sequence.attempt, position)
-        if sequence.position != position:
-            verdict = Verdict.SLOW
-    elif end.kind is EndKind.CLOSED and verdict is Verdict.SLOW:
-        verdict = Verdict.PATH_DEAD
-    elif end.kind is EndKind.FAILED and verdict in (Verdict.SLOW, Verdict.PATH_DEAD):
-        verdict = Verdict.CHAIN_BROKEN
+
+    async def ask() -> tuple[States, Verdict]:
+        states = await probe_plan(engines, plan, request, timeout_s, ENOUGH_S)
+        verdict = judge_interruption(plan, states, sequence.attempt, position)
+        return states, verdict
+
+    states, verdict = await ask()
+    if needs_confirmation(interruption, verdict):
+        await asyncio.sleep(CONFIRM_DELAY_S)
+        states, verdict = await ask()
+    verdict = settle_verdict(interruption, verdict)
+    if interruption is Interruption.SILENT and sequence.position != position:
+        verdict = Verdict.SLOW
     unanswered = find_lost(plan, states)
     return Diagnosis(end=end, verdict=verdict, states=states, unanswered=unanswered)
