--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -20,6 +20,7 @@
 from cassiaspread_daemon._settings import Settings
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.adapters import EngineClient, LogClient, VmListClient
+from cassiaspread_daemon.claims import ClaimService
 from cassiaspread_daemon.fleet import (
     ObservationSpread,
     PolicyCheckpointer,
@@ -85,6 +86,15 @@
         self._policy_peers = PolicyPeers(
             self.policy_follower, self.mesh, schedule, self.events, random_state
         )
+        self.claims = ClaimService(
+            self.log,
+            self.mesh,
+            self.targets,
+            self.events,
+            random_state,
+            self.supervisor.add_child("claims"),
+            lambda: self.policy,
+        )
         self.quarantine = Quarantine(
             SuspectExchange(
                 self.mesh, self.log, self.events, lambda: self.policy.limits
@@ -103,7 +113,9 @@
         )
         self._is_leaving = False
         self._requests = RequestCount()
-        self.settle_callbacks: list[Callable[[], Awaitable[None]]] = []
+        self.settle_callbacks: list[Callable[[], Awaitable[None]]] = [
+            self.claims.settle
+        ]
 
     def _observe_targets(self, own: Member) -> None:
         interval_s = self.settings.poll_interval_ms / MILLISECONDS_PER_SECOND
@@ -129,6 +141,7 @@
         self.supervisor.start("policy-checkpoints", self._policy_checkpointer.run)
         self.supervisor.start("vm-list", self.list_reader.run)
         self.supervisor.start("poller", self.poller.run)
+        self.claims.start()
         self.quarantine.start(self.supervisor)
         self.relay.start(self.supervisor)
         self.events.record("node.started", incarnation=self.incarnation)
@@ -174,6 +187,7 @@
     def leave(self) -> None:
         """Stop being ready; requests are still taken while the balancer lags."""
         self._is_leaving = True
+        self.claims.leave()
         self.mesh.leave()
         self.events.record("node.leaving")
 
@@ -191,6 +205,7 @@
         try:
             async with asyncio.timeout(timeout_s or None):
                 await self._requests.wait_quiet(QUIET_S)
+                await self.claims.wait_sent()
         except TimeoutError:
             n_requests = self._requests.n_requests
             logging.warning("drain timeout with %d requests in progress", n_requests)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
@@ -3,9 +3,10 @@
 import asyncio
 
 import msgspec
-from cassiaspread_core.base import Outcome, Refusal
+from cassiaspread_core.base import Outcome, Refusal, TargetId
 from cassiaspread_core.pipeline import (
     AttemptBudget,
+    Plan,
     Stage,
     TokenSequence,
     TokenStep,
@@ -63,10 +64,10 @@
         watch: Watch,
         deliver: Deliver,
     ) -> None:
+        self._watch = watch
         self._request = request
         self._limits = limits
         self._services = services
-        self._watch = watch
         self._deliver = deliver
         self._sequence = TokenSequence(attempt=0)
         self._budget = AttemptBudget(limits.n_attempts)
@@ -162,17 +163,6 @@
             raise self._refuse_without_engines()
         return self._generate(chain, [])
 
-    async def _choose(
-        self, holders: list[Stage], avoided: set[EngineStart]
-    ) -> PlannedChain | None:
-        """Choose a chain, alone if the request is suspected to crash engines."""
-        return await self._watch.choose(
-            lambda busy: self._services.planner.choose(
-                self._request, holders, avoided, busy
-            ),
-            self._request.deadline_s,
-        )
-
     async def _take_over(self) -> NextAttempt:
         trace = await self._services.traces.find(self._request)
         if trace is None:
@@ -186,9 +176,7 @@
             )
         self._seen = trace.state.attempt
         plan = trace.state.plan
-        return self._resume(
-            self._services.planner.describe_running(self._request, plan)
-        )
+        return self._resume(self._services.planner.describe(self._request, plan))
 
     async def _recover(self, chain: PlannedChain, diagnosis: Diagnosis) -> NextAttempt:
         end = diagnosis.end
@@ -216,31 +204,41 @@
 
     async def _note_suspects(self, chain: PlannedChain, diagnosis: Diagnosis) -> None:
         """Avoid the engines at fault; the one place where engines are found lost."""
-        for engine in diagnosis.lost:
-            self._services.targets.forget(engine)
         suspects = set(diagnosis.unanswered)
         if diagnosis.end.engine is not None and self._budget.n_fruitless:
             suspects.add(diagnosis.end.engine)
         self._avoided |= {(engine, chain.starts.get(engine, "")) for engine in suspects}
-        await self._judge_loss(chain, diagnosis)
+        for engine in diagnosis.lost:
+            self._services.targets.forget(engine)
+        await self._count_loss(chain, diagnosis)
 
-    async def _judge_loss(self, chain: PlannedChain, diagnosis: Diagnosis) -> None:
+    async def _count_loss(self, chain: PlannedChain, diagnosis: Diagnosis) -> None:
         """Count the loss of an engine against the request.
 
         Engines that are lost in one attempt count once: a VM or rack takes several
         stages with it, and none of their requests is to blame.
         """
-        lost = [stage for stage in chain.plan if stage.engine in diagnosis.unanswered]
-        if not lost:
-            return
-        named = [stage for stage in lost if stage.engine == diagnosis.end.engine]
-        stage = (named or lost)[0]
-        await self._watch.judge(
-            stage.engine,
-            stage.address,
-            chain.starts.get(stage.engine, ""),
-            self._sequence.position,
-        )
+        is_silent = diagnosis.end.kind is EndKind.SILENT
+        count = self._watch.lose if is_silent else self._watch.judge
+        suspects = diagnosis.lost if is_silent else (diagnosis.end.engine,)
+        for stage in chain.plan:
+            if stage.engine in suspects:
+                start = chain.starts.get(stage.engine, "")
+                position = self._sequence.position
+                await count(stage.engine, stage.address, start, position)
+                return
+
+    async def _choose(
+        self, holders: list[Stage], avoided: set[EngineStart]
+    ) -> PlannedChain | None:
+        """Choose a chain; a request under suspicion waits here for one of its own."""
+        planner = self._services.planner
+
+        def choose(crowded: frozenset[TargetId]) -> Plan | None:
+            return planner.choose(self._request, holders, avoided, crowded)
+
+        plan = await self._watch.choose(choose, self._request.deadline_s)
+        return None if plan is None else planner.describe(self._request, plan)
 
     async def _replan(self, holders: list[Stage]) -> PlannedChain:
         """Choose a new chain, waiting a while for engines that fill the gap."""
@@ -290,10 +288,10 @@
         return next_attempt(seen, self._services.owner)
 
     def _take(self, steps: list[TokenStep]) -> None:
+        self._watch.progress(self._sequence.position)
         for step in steps:
             if step.finish_reason is None:
                 self._texts.append(step.text)
-        self._watch.progress(self._sequence.position)
         start = self._request.start
         if start and steps[0].position < start:
             steps = [
--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -5,7 +5,8 @@
 the route, open ones too:
 
 - ``pass``: bytes go both ways, each piece after ``delay_s``;
-- ``cut``: connections are closed, new ones are closed at once;
+- ``cut``: connections are closed, new ones are closed at once; ``cut-old`` lets new
+  connections pass;
 - ``silence``: connections stay open and nothing goes either way, for good on those
   open now; ``silence-old`` lets new connections pass;
 - ``drop-answers``: requests reach the upstream, answers are swallowed and the
@@ -80,7 +81,7 @@
         self.mode = mode or self.mode
         self.delay_s = self.delay_s if delay_s is None else delay_s
         for connection in list(self.connections):
-            if self.mode == "cut":
+            if self.mode.startswith("cut"):
                 connection.close()
             elif self.mode.startswith("silence"):
                 connection.silent = True
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -7,6 +7,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+from uuid6 import uuid7
 
 from tests.fleet import Fleet, bearer, request, wait_for
 from tests.standins.engine import expected_token
@@ -67,12 +68,12 @@
             pool.submit(complete, daemon, f"early {i}", N_TOKENS, True)
             for i in range(4)
         ]
-        bookings = [pool.submit(book, daemon, f"k{i}") for i in range(4)]
+        bookings = [pool.submit(book, daemon, str(uuid7())) for _ in range(4)]
         wait_for(lambda: len(fleet.history("booking-1")) >= 4)
         daemon.signal(signal.SIGTERM)
         wait_for(lambda: request("GET", daemon.address, "/readyz")[0] == 503, 2.0)
         late = [pool.submit(complete, daemon, f"late {i}", 20) for i in range(8)]
-        late_booking = pool.submit(book, daemon, "late")
+        late_booking = pool.submit(book, daemon, str(uuid7()))
         for stream in early:
             status, _, body = stream.result()
             assert status == 200
@@ -92,8 +93,9 @@
     daemon = start_daemon(fleet, drain_timeout_ms=500)
     service.control(delay_s=60.0)
     with ThreadPoolExecutor(1) as pool:
-        booking = pool.submit(book, daemon, "k1")
-        wait_for(lambda: any(c["key"] == "k1" for c in fleet.history("booking-1")))
+        key = str(uuid7())
+        booking = pool.submit(book, daemon, key)
+        wait_for(lambda: any(c["key"] == key for c in fleet.history("booking-1")))
         daemon.signal(signal.SIGTERM)
         assert daemon.popen.wait(20.0) == 0
         with pytest.raises(OSError, match=r"closed|reset"):
