--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
@@ -12,7 +12,10 @@
     EventsHandler,
     HealthHandler,
     MetricsHandler,
+    PolicyHandler,
     ReadyHandler,
+    StatusHandler,
+    TargetsHandler,
 )
 from cassiaspread_daemon.handlers._quarantine import (
     QuarantineHandler,
@@ -38,6 +41,9 @@
             (r"/operators/events", EventsHandler, arguments),
             (r"/operators/quarantine", QuarantineHandler, arguments),
             (r"/operators/quarantine/release", ReleaseHandler, arguments),
+            (r"/operators/status", StatusHandler, arguments),
+            (r"/operators/targets", TargetsHandler, arguments),
+            (r"/operators/policy", PolicyHandler, arguments),
         ],
         default_handler_class=UnknownPathHandler,
         default_handler_args=arguments,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_quarantine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_quarantine.py
@@ -13,6 +13,7 @@
     TargetId,
 )
 from cassiaspread_core.pipeline import Plan
+from cassiaspread_core.policy import Limits
 from cassiaspread_core.quarantine import (
     MAX_UNSEEN_TOKENS,
     Fingerprint,
@@ -23,8 +24,10 @@
 from cassiaspread_core.timeline import EventRing
 
 from cassiaspread_daemon._supervisor import Supervisor
+from cassiaspread_daemon.adapters import EngineClient, LogClient
 from cassiaspread_daemon.load._probe import TargetProbe
 from cassiaspread_daemon.load._suspects import SuspectExchange
+from cassiaspread_daemon.mesh import Mesh
 
 TRIAL_POLL_S = 0.05
 SUSPECT_RETRY_S = 1.0
@@ -36,6 +39,26 @@
 Choose = Callable[[frozenset[TargetId]], Plan | None]
 
 
+def build_quarantine(
+    mesh: Mesh,
+    log: LogClient,
+    events: EventRing,
+    engines: EngineClient,
+    limits: Callable[[], Limits],
+) -> "Quarantine":
+    """Build the quarantine of one daemon.
+
+    :param mesh: messages between daemons.
+    :param log: client of the log.
+    :param events: the time line.
+    :param engines: client of the engines.
+    :param limits: returns the fleet-wide limits in force.
+    """
+    exchange = SuspectExchange(mesh, log, events, limits)
+    probe = TargetProbe(engines)
+    return Quarantine(exchange, probe, events, mesh.sender.incarnation)
+
+
 class Quarantine:
     """Judges lost targets and keeps suspects apart.
 
