Admission: fair queue, shares of the domain's capacity, retry budget

Cause: every request was sent on at once, whatever the load and its deadline. Ruled out: one queue in order of arrival (a large organisation starves the small); telling every organisation's demand in gossip (8,600 names a second and peer). Change: cassiaspread_core.admission: start-time fair queueing, max-min fair division by demand (16 names and a sum per daemon), capacity by Little's law from the engines' rated speed, refusal with the time after which the queue is short enough, retry budget.

--- /dev/null
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/__init__.py
@@ -0,0 +1,30 @@
+"""Which requests run, wait or are refused under load."""
+
+from cassiaspread_core.admission._budget import RetryBudget
+from cassiaspread_core.admission._fair_queue import FairQueue, Ticket
+from cassiaspread_core.admission._forecast import Forecast
+from cassiaspread_core.admission._gate import Decision, Gate, Verdict
+from cassiaspread_core.admission._shares import (
+    Demand,
+    Share,
+    count_demand,
+    divide_capacity,
+    domain_capacity,
+    fair_level,
+)
+
+__all__ = [
+    "Decision",
+    "Demand",
+    "FairQueue",
+    "Forecast",
+    "Gate",
+    "RetryBudget",
+    "Share",
+    "Ticket",
+    "Verdict",
+    "count_demand",
+    "divide_capacity",
+    "domain_capacity",
+    "fair_level",
+]
--- /dev/null
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/_gate.py
@@ -0,0 +1,205 @@
+"""Admits, queues or refuses the requests of one class of targets."""
+
+from collections import Counter
+from collections.abc import Callable
+from enum import Enum
+
+import msgspec
+
+from cassiaspread_core.admission._fair_queue import FairQueue, Ticket
+from cassiaspread_core.admission._forecast import Forecast
+from cassiaspread_core.admission._shares import Demand, Share, count_demand
+from cassiaspread_core.base import OrganisationId
+
+MAX_QUEUED = 2_000
+MIN_RETRY_AFTER_S = 1.0
+
+
+class Decision(Enum):
+    """What becomes of a request."""
+
+    ADMITTED = "admitted"
+    QUEUED = "queued"
+    REFUSED = "refused"
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """Decision on one request.
+
+    :param ticket: the request.
+    :param decision: what becomes of it.
+    :param retry_after_s: for a refusal, when the queue will be short enough.
+    :param is_over_share: for a refusal, whether the organisation's own requests are
+        what it would wait for.
+    """
+
+    ticket: Ticket
+    decision: Decision
+    retry_after_s: float = 0.0
+    is_over_share: bool = False
+
+
+class Gate:
+    """Requests in progress and waiting of one class, at one daemon.
+
+    :param weight_of: returns the weight of an organisation in the policy.
+    """
+
+    def __init__(self, weight_of: Callable[[OrganisationId], float]) -> None:
+        self._share = Share(float("inf"))
+        self._policy_weight_of = weight_of
+        self._queue = FairQueue(self._weight_of)
+        self._running: Counter[OrganisationId] = Counter()
+        self._waiting: Counter[OrganisationId] = Counter()
+        self._n_running = 0
+        self.forecast = Forecast()
+
+    @property
+    def n_running(self) -> int:
+        """Requests in progress."""
+        return self._n_running
+
+    @property
+    def n_waiting(self) -> int:
+        """Requests in the queue."""
+        return len(self._queue)
+
+    @property
+    def share(self) -> Share:
+        """What this daemon may use."""
+        return self._share
+
+    def demand(self) -> Demand:
+        """Return what the peers are told."""
+        return count_demand(self._running + self._waiting)
+
+    def set_share(self, share: Share, now_s: float) -> list[Verdict]:
+        """Change what this daemon may use.
+
+        :param share: the new share.
+        :param now_s: present time in seconds.
+        :returns: decisions on waiting requests.
+        """
+        self._share = share
+        return self._drain(now_s)
+
+    def offer(self, ticket: Ticket, now_s: float) -> Verdict:
+        """Decide on a new request, at once.
+
+        :param ticket: the request.
+        :param now_s: present time in seconds.
+        """
+        is_free = not self._queue and self._n_running < self._share.quota
+        wait_s = 0.0 if is_free else self._predict_wait(ticket.organisation)
+        excess_s = wait_s + self._duration_s(ticket) - (ticket.deadline_s - now_s)
+        if excess_s > 0 or len(self._queue) >= MAX_QUEUED:
+            return self._refuse(ticket, excess_s)
+        if is_free:
+            self._queue.charge(ticket)
+            self._admit(ticket)
+            return Verdict(ticket, Decision.ADMITTED)
+        self._queue.push(ticket)
+        self._waiting[ticket.organisation] += 1
+        return Verdict(ticket, Decision.QUEUED)
+
+    def force(self, ticket: Ticket) -> None:
+        """Admit a request that ran before, such as a stream that is resumed.
+
+        :param ticket: the request.
+        """
+        self._queue.charge(ticket)
+        self._admit(ticket)
+
+    def finish(self, ticket: Ticket, now_s: float) -> list[Verdict]:
+        """Note that an admitted request ended.
+
+        :param ticket: the request.
+        :param now_s: present time in seconds.
+        :returns: decisions on waiting requests.
+        """
+        self._n_running -= 1
+        _decrease(self._running, ticket.organisation)
+        return self._drain(now_s)
+
+    def abandon(self, ticket: Ticket) -> None:
+        """Take a waiting request out: its caller is gone.
+
+        :param ticket: the request.
+        """
+        self._queue.remove(ticket)
+        _decrease(self._waiting, ticket.organisation)
+
+    def expire(self, now_s: float) -> list[Verdict]:
+        """Refuse waiting requests that can't end in time any more.
+
+        :param now_s: present time in seconds.
+        :returns: the refusals.
+        """
+        late = [t for t in self._queue if self._is_late(t, now_s)]
+        return [self._give_up(ticket, now_s) for ticket in late]
+
+    def _drain(self, now_s: float) -> list[Verdict]:
+        verdicts = []
+        while self._n_running < self._share.quota:
+            ticket = self._queue.pop()
+            if ticket is None:
+                break
+            _decrease(self._waiting, ticket.organisation)
+            if self._is_late(ticket, now_s):
+                verdicts.append(self._refuse(ticket, 0.0))
+                continue
+            self._admit(ticket)
+            verdicts.append(Verdict(ticket, Decision.ADMITTED))
+        return verdicts
+
+    def _admit(self, ticket: Ticket) -> None:
+        self._n_running += 1
+        self._running[ticket.organisation] += 1
+
+    def _give_up(self, ticket: Ticket, now_s: float) -> Verdict:
+        self.abandon(ticket)
+        return self._refuse(ticket, self._predict_wait(ticket.organisation))
+
+    def _is_late(self, ticket: Ticket, now_s: float) -> bool:
+        return now_s + self._duration_s(ticket) > ticket.deadline_s
+
+    def _duration_s(self, ticket: Ticket) -> float:
+        return ticket.cost * self.forecast.token_s
+
+    def _predict_wait(self, organisation: OrganisationId) -> float:
+        """Return the time until the requests ahead and one more have ended."""
+        n_ahead = self._queue.count_ahead(organisation) + 1
+        n_over = max(0.0, self._n_running - self._share.quota)
+        return (n_ahead + n_over) / self._drain_rate()
+
+    def _drain_rate(self) -> float:
+        """Return the requests per second that end here."""
+        if not self.forecast.mean_s:
+            return float("inf")
+        n_busy = max(1.0, min(self._share.quota, self._n_running))
+        return n_busy / self.forecast.mean_s
+
+    def _refuse(self, ticket: Ticket, excess_s: float) -> Verdict:
+        own = self._waiting[ticket.organisation] + self._running[ticket.organisation]
+        total = self._n_running + len(self._queue)
+        weights = {
+            o: self._weight_of(o) for o in self._running.keys() | self._waiting.keys()
+        }
+        weights.setdefault(ticket.organisation, self._weight_of(ticket.organisation))
+        fair = total * weights[ticket.organisation] / sum(weights.values())
+        return Verdict(
+            ticket,
+            Decision.REFUSED,
+            max(MIN_RETRY_AFTER_S, excess_s),
+            is_over_share=len(weights) > 1 and own > fair,
+        )
+
+    def _weight_of(self, organisation: OrganisationId) -> float:
+        part = self._share.weights.get(organisation, 1.0)
+        return max(1e-6, self._policy_weight_of(organisation) * part)
+
+
+def _decrease(counter: Counter[OrganisationId], organisation: OrganisationId) -> None:
+    counter[organisation] -= 1
+    if counter[organisation] <= 0:
+        del counter[organisation]
--- /dev/null
+++ b/packages/cassiaspread-core/tests/test_admission.py
@@ -0,0 +1,200 @@
+import math
+import random
+from collections import Counter
+
+import pytest
+from cassiaspread_core.admission import (
+    Decision,
+    Demand,
+    FairQueue,
+    Gate,
+    Share,
+    Ticket,
+    divide_capacity,
+    domain_capacity,
+    fair_level,
+)
+from cassiaspread_core.pipeline import EngineReport
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+NOW_S = 100.0
+
+
+def ticket(number, organisation="a", cost=10.0, left_s=30.0):
+    return Ticket(
+        number=number,
+        organisation=organisation,
+        cost=cost,
+        deadline_s=NOW_S + left_s,
+    )
+
+
+def gate_with(quota, token_s=0.1, weights=None):
+    gate = Gate(lambda organisation: (weights or {}).get(organisation, 1.0))
+    gate.set_share(Share(quota), NOW_S)
+    if token_s:
+        gate.forecast.note(n_wanted=10, n_tokens=10, elapsed_s=10 * token_s)
+    return gate
+
+
+@pytest.mark.parametrize("weight", [1.0, 2.0, 5.0])
+def test_queue_serves_by_weight(weight):
+    queue = FairQueue(lambda o: weight if o == "heavy" else 1.0)
+    for number in range(600):
+        queue.push(ticket(number, "heavy" if number % 2 else "light"))
+    served = Counter(queue.pop().organisation for _ in range(120))
+    assert served["heavy"] == pytest.approx(120 * weight / (weight + 1), abs=2)
+
+
+@settings(derandomize=True)
+@given(st.lists(st.tuples(st.integers(0, 3), st.booleans()), max_size=60))
+def test_queue_loses_and_repeats_nothing(moves):
+    queue = FairQueue(lambda o: 1.0)
+    waiting, served = {}, []
+    for number, (organisation, is_push) in enumerate(moves):
+        if is_push or not waiting:
+            waiting[number] = ticket(number, str(organisation))
+            queue.push(waiting[number])
+        elif organisation:
+            popped = queue.pop()
+            served.append(popped.number)
+            del waiting[popped.number]
+        else:
+            queue.remove(waiting.pop(next(iter(waiting))))
+        assert len(queue) == len(waiting)
+    assert len(set(served)) == len(served)
+    assert {t.number for t in queue} == set(waiting)
+
+
+@settings(derandomize=True)
+@given(
+    st.lists(
+        st.tuples(st.integers(1, 200), st.floats(0.1, 10)), min_size=1, max_size=8
+    ),
+    st.floats(1, 300),
+)
+def test_fair_level_uses_capacity_or_gives_all(demands, capacity):
+    level = fair_level(demands, capacity)
+    given_out = sum(min(demand, level * weight) for demand, weight in demands)
+    wanted = sum(demand for demand, _ in demands)
+    assert given_out == pytest.approx(min(capacity, wanted), rel=1e-6)
+
+
+DIVISIONS = [
+    pytest.param(Demand({"a": 5}), [], 100, 100.0, id="alone"),
+    pytest.param(Demand({"a": 90}), [Demand({"a": 90})], 60, 30.0, id="halves"),
+    pytest.param(Demand({"a": 30}), [Demand({"a": 90})], 60, 15.0, id="by-demand"),
+    pytest.param(
+        Demand({"a": 500}), [Demand({"b": 20}, 10)], 60, 30.0, id="heavy-one-is-capped"
+    ),
+    pytest.param(Demand(), [Demand({"b": 90})], 60, 1.0, id="never-nothing"),
+    pytest.param(Demand(), [Demand()] * 3, 60, 30.0, id="idle-overcommits"),
+]
+
+
+@pytest.mark.parametrize(("local", "peers", "capacity", "quota"), DIVISIONS)
+def test_capacity_is_divided_by_demand(local, peers, capacity, quota):
+    share = divide_capacity(capacity, local, peers, lambda o: 1.0)
+    assert share.quota == pytest.approx(quota)
+
+
+def test_quotas_of_busy_daemons_sum_to_the_capacity():
+    random_state = random.Random(3)
+    demands = [
+        Demand({o: random_state.randrange(10, 90) for o in "abcd"}, 5) for _ in range(9)
+    ]
+    quotas = [
+        divide_capacity(
+            200, demand, demands[:i] + demands[i + 1 :], lambda o: 1.0
+        ).quota
+        for i, demand in enumerate(demands)
+    ]
+    assert sum(quotas) == pytest.approx(200)
+
+
+def engine(begin, end, step_ms=10.0, n_slots=8):
+    return EngineReport(
+        target=f"e{begin}",
+        address="",
+        link="",
+        domain="d",
+        model="m",
+        begin=begin,
+        end=end,
+        step_ms=step_ms,
+        n_slots=n_slots,
+    )
+
+
+CAPACITIES = [
+    pytest.param([engine(0, 4), engine(4, 8)], 20.0, id="two-stages"),
+    pytest.param([engine(0, 4), engine(4, 8, 20.0)], 15.0, id="slow-stage"),
+    pytest.param([engine(0, 4)], 0.0, id="hole"),
+    pytest.param([engine(0, 4), engine(0, 4), engine(4, 8)], 20.0, id="spare-head"),
+]
+
+
+@pytest.mark.parametrize(("engines", "expected"), CAPACITIES)
+def test_domain_capacity(engines, expected):
+    assert domain_capacity(engines, 8) == pytest.approx(expected)
+
+
+def test_gate_admits_queues_and_refuses_at_once():
+    gate = gate_with(quota=2)
+    decisions = [gate.offer(ticket(n, left_s=3.5), NOW_S).decision for n in range(8)]
+    # A request takes 1 s, so that two end each second and what is left fits five more.
+    assert decisions == [Decision.ADMITTED] * 2 + [Decision.QUEUED] * 5 + [
+        Decision.REFUSED
+    ]
+
+
+def test_refusal_tells_when_to_come_back():
+    gate = gate_with(quota=1)
+    for number in range(10):
+        gate.offer(ticket(number), NOW_S)
+    verdict = gate.offer(ticket(99, left_s=4.0), NOW_S)
+    assert verdict.decision is Decision.REFUSED
+    # Nine wait, the running one and this one: 11 s of work, of which 4 s are allowed.
+    assert verdict.retry_after_s == pytest.approx(7.0)
+
+
+def test_refusal_names_the_organisation_that_is_over_its_share():
+    gate = gate_with(quota=2)
+    gate.offer(ticket(1000, "small"), NOW_S)
+    while gate.offer(ticket(0, "large", left_s=5.0), NOW_S).decision is not (
+        Decision.REFUSED
+    ):
+        pass
+    assert gate.offer(ticket(1, "large", left_s=5.0), NOW_S).is_over_share
+    assert gate.offer(ticket(2, "small", left_s=5.0), NOW_S).decision is Decision.QUEUED
+
+
+def test_waiting_requests_go_on_when_others_end():
+    gate = gate_with(quota=1)
+    first, second, third = (ticket(n) for n in range(3))
+    for item in (first, second, third):
+        gate.offer(item, NOW_S)
+    gate.abandon(second)
+    assert [(v.ticket, v.decision) for v in gate.finish(first, NOW_S)] == [
+        (third, Decision.ADMITTED)
+    ]
+    assert (gate.n_running, gate.n_waiting) == (1, 0)
+
+
+def test_waiting_request_is_refused_when_it_gets_late():
+    gate = gate_with(quota=1, token_s=0.0)
+    gate.offer(ticket(0), NOW_S)
+    gate.offer(ticket(1, left_s=2.0), NOW_S)
+    assert gate.expire(NOW_S + 1.0) == []
+    [verdict] = gate.expire(NOW_S + 2.5)
+    assert verdict.decision is Decision.REFUSED
+    assert gate.n_waiting == 0
+
+
+def test_unknown_share_admits_all():
+    gate = Gate(lambda organisation: 1.0)
+    assert math.isinf(gate.share.quota)
+    assert all(
+        gate.offer(ticket(n), NOW_S).decision is Decision.ADMITTED for n in range(50)
+    )
