Planner: costs from lagging reports, links learned from streams, benchmark

Cause: plans were chosen by own requests in flight alone; daemons that plan apart then choose the same engines.

--- /dev/null
+++ b/benchmarks/planner_model.py
@@ -0,0 +1,305 @@
+"""Queues with rated speeds under the planner and the gates, time passed in.
+
+An engine serves ``n_slots`` sequences side by side, each for ``step_ms`` a token, and
+the others wait in the order of their arrival. A request goes round through its plan
+once for each ``CHUNK`` tokens. Daemons hear of loads ``REPORT_LAG_S`` late and of each
+other's demand every second, and choose plans with the code of the product.
+"""
+
+import heapq
+import random
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import networkx
+from cassiaspread_core.admission import (
+    Decision,
+    Demand,
+    Gate,
+    Ticket,
+    divide_capacity,
+    domain_capacity,
+)
+from cassiaspread_core.load import (
+    LinkTable,
+    LoadTracker,
+    RoundTime,
+    make_link_cost,
+    make_stage_cost,
+    observe_round,
+    sample_candidates,
+)
+from cassiaspread_core.pipeline import EngineReport, choose_plan
+
+N_LAYERS = 32
+CHUNK = 8
+N_DAEMONS = 8
+REPORT_LAG_S = 2.0
+REPORT_INTERVAL_S = 0.5
+GOSSIP_INTERVAL_S = 1.0
+MEAN_TOKENS = 64
+LOCAL_MS, SLOW_MS = 0.1, 10.0
+KINDS = {"a": (8.0, 16), "b": (16.0, 8), "c": (32.0, 8), "d": (12.0, 12)}
+RANGES = [(0, 8), (8, 16), (16, 24), (24, 32), (0, 16), (16, 32)]
+
+
+def build_engines(n_engines: int, random_state: random.Random) -> list[EngineReport]:
+    engines = []
+    for index in range(n_engines):
+        # Ranges of a quarter of the model first, so that every layer is held.
+        begin, end = RANGES[index % 4] if index % 5 else random_state.choice(RANGES)
+        step_ms, n_slots = KINDS[random_state.choice(sorted(KINDS))]
+        engines.append(
+            EngineReport(
+                target=f"e{index}",
+                address=f"a{index}",
+                link=f"l{index}",
+                domain=f"rack{random_state.randrange(2)}",
+                model="draft",
+                begin=begin,
+                end=end,
+                step_ms=step_ms * (end - begin) / 8,
+                n_slots=n_slots,
+            )
+        )
+    return engines
+
+
+def bound_tokens_per_s(engines: list[EngineReport]) -> float:
+    """Max-flow over the layered graph at the engines' rated speeds."""
+    graph = networkx.DiGraph()
+    for engine in engines:
+        rate = engine.n_slots / engine.step_ms * 1000
+        entry, leave = ("in", engine.target), ("out", engine.target)
+        graph.add_edge(entry, leave, capacity=rate)
+        graph.add_edge(("layer", engine.begin), entry)
+        graph.add_edge(leave, ("layer", engine.end))
+    return networkx.maximum_flow_value(graph, ("layer", 0), ("layer", N_LAYERS))
+
+
+@dataclass
+class Job:
+    """One request."""
+
+    organisation: str
+    n_tokens: int
+    arrived_s: float
+    ticket: Ticket
+    daemon: "Daemon"
+    plan: list["Server"] = field(default_factory=list)
+    stage: int = 0
+    n_rounds: int = 0
+    admitted_s: float = 0.0
+    round_s: float = 0.0
+    best_round_s: float = float("inf")
+
+
+@dataclass
+class Server:
+    """One engine."""
+
+    engine: EngineReport
+    n_busy: int = 0
+    n_resident: int = 0
+    waiting: deque = field(default_factory=deque)
+
+
+class Daemon:
+    """One daemon: what it knows and decides."""
+
+    def __init__(self, model: "Model", seed: int) -> None:
+        self.gate = Gate(lambda organisation: 1.0)
+        self.tracker = LoadTracker(lambda: N_DAEMONS)
+        self.links = LinkTable()
+        self.heard: dict[int, Demand] = {}
+        self.reported: dict[str, int] = {}
+        self.n_own: Counter[str] = Counter()
+        self.random_state = random.Random(seed)
+        self.costs = model.policy(self, self.random_state)
+
+
+Costs = tuple[Callable, Callable]
+
+
+def product_policy(daemon: Daemon, random_state: random.Random) -> Costs:
+    return make_stage_cost(daemon.tracker, random_state), make_link_cost(daemon.links)
+
+
+def random_policy(daemon: Daemon, random_state: random.Random) -> Costs:
+    return lambda engine: random_state.random(), lambda before, after: 0.0
+
+
+def least_loaded_policy(daemon: Daemon, random_state: random.Random) -> Costs:
+    def cost(engine: EngineReport) -> float:
+        n_known = daemon.reported.get(engine.target, 0)
+        return max(n_known, daemon.n_own[engine.target]) / engine.n_slots
+
+    return cost, lambda before, after: 0.0
+
+
+def own_in_flight_policy(daemon: Daemon, random_state: random.Random) -> Costs:
+    """The planner's costs before this benchmark: own requests, fixed links."""
+
+    def cost(engine: EngineReport) -> float:
+        return engine.step_ms * (1 + daemon.n_own[engine.target] / engine.n_slots)
+
+    return cost, lambda a, b: 0.1 if a.domain == b.domain else 1.0
+
+
+class Model:
+    """One run.
+
+    :param engines: the engines.
+    :param rates: requests a second of each organisation.
+    :param policy: returns the planner's costs for a daemon.
+    :param seed: of arrivals and choices.
+    :param deadline_s: of each request.
+    :param has_gate: whether requests pass admission.
+    """
+
+    def __init__(
+        self, engines, rates, policy, seed, deadline_s=1e9, has_gate=True
+    ) -> None:
+        self.engines = engines
+        self.policy = policy
+        self.deadline_s = deadline_s
+        self.has_gate = has_gate
+        self.now_s = 0.0
+        self.servers = {engine.target: Server(engine) for engine in engines}
+        self.random_state = random.Random(seed)
+        self.daemons = [Daemon(self, seed * 100 + n) for n in range(N_DAEMONS)]
+        self.finished: list[Job] = []
+        self.n_refused = 0
+        self._capacity = domain_capacity(engines, N_LAYERS)
+        self._events: list = []
+        self._n_events = 0
+        self._jobs: dict[int, Job] = {}
+        for organisation, rate in rates.items():
+            self._schedule_arrival(organisation, rate)
+        self._at(0.0, self._report)
+        self._at(0.0, self._gossip)
+
+    def run(self, until_s: float) -> None:
+        """Handle all events up to a time."""
+        while self._events and self._events[0][0] <= until_s:
+            self.now_s, _, action, arguments = heapq.heappop(self._events)
+            action(*arguments)
+
+    def _at(self, delay_s, action, *arguments) -> None:
+        self._n_events += 1
+        event = (self.now_s + delay_s, self._n_events, action, arguments)
+        heapq.heappush(self._events, event)
+
+    def _schedule_arrival(self, organisation, rate) -> None:
+        gap_s = self.random_state.expovariate(rate)
+        self._at(gap_s, self._arrive, organisation, rate)
+
+    def _arrive(self, organisation, rate) -> None:
+        self._schedule_arrival(organisation, rate)
+        n_tokens = CHUNK * (1 + int(self.random_state.expovariate(CHUNK / MEAN_TOKENS)))
+        daemon = self.random_state.choice(self.daemons)
+        ticket = Ticket(
+            number=len(self._jobs),
+            organisation=organisation,
+            cost=n_tokens,
+            deadline_s=self.now_s + self.deadline_s,
+        )
+        job = Job(organisation, n_tokens, self.now_s, ticket, daemon)
+        self._jobs[ticket.number] = job
+        if not self.has_gate:
+            self._start(job)
+            return
+        verdict = daemon.gate.offer(ticket, self.now_s)
+        self._apply([verdict])
+
+    def _apply(self, verdicts) -> None:
+        for verdict in verdicts:
+            if verdict.decision is Decision.ADMITTED:
+                self._start(self._jobs[verdict.ticket.number])
+            elif verdict.decision is Decision.REFUSED:
+                self.n_refused += 1
+
+    def _start(self, job: Job) -> None:
+        engines = self.engines
+        if self.policy is product_policy:
+            engines = sample_candidates(engines, job.daemon.random_state)
+        plan = choose_plan(engines, N_LAYERS, *job.daemon.costs)
+        job.plan = [self.servers[stage.engine] for stage in plan]
+        job.n_rounds = job.n_tokens // CHUNK
+        job.admitted_s = job.round_s = self.now_s
+        job.daemon.tracker.start([s.engine.target for s in job.plan], self.now_s)
+        for server in job.plan:
+            server.n_resident += 1
+            job.daemon.n_own[server.engine.target] += 1
+        self._visit(job)
+
+    def _visit(self, job: Job) -> None:
+        server = job.plan[job.stage]
+        if server.n_busy < server.engine.n_slots:
+            self._serve(server, job)
+        else:
+            server.waiting.append(job)
+
+    def _serve(self, server: Server, job: Job) -> None:
+        server.n_busy += 1
+        self._at(server.engine.step_ms * CHUNK / 1000, self._leave, server, job)
+
+    def _leave(self, server: Server, job: Job) -> None:
+        server.n_busy -= 1
+        if server.waiting:
+            self._serve(server, server.waiting.popleft())
+        job.stage += 1
+        if job.stage < len(job.plan):
+            after = job.plan[job.stage].engine
+            is_local = server.engine.domain == after.domain
+            link_ms = LOCAL_MS if is_local else SLOW_MS
+            self._at(link_ms * CHUNK / 1000, self._visit, job)
+        else:
+            self._end_round(job)
+
+    def _end_round(self, job: Job) -> None:
+        job.best_round_s = min(job.best_round_s, self.now_s - job.round_s)
+        job.round_s, job.stage = self.now_s, 0
+        job.n_rounds -= 1
+        if job.n_rounds:
+            self._visit(job)
+            return
+        self.finished.append(job)
+        job.round_s = self.now_s
+        daemon = job.daemon
+        for server in job.plan:
+            server.n_resident -= 1
+            daemon.n_own[server.engine.target] -= 1
+        daemon.tracker.end([s.engine.target for s in job.plan], self.now_s)
+        stages = [RoundTime(s.engine, s.engine.step_ms) for s in job.plan]
+        observe_round(daemon.links, stages, job.best_round_s / CHUNK * 1000)
+        if self.has_gate:
+            elapsed_s = self.now_s - job.admitted_s
+            daemon.gate.forecast.note(job.n_tokens, job.n_tokens, elapsed_s)
+            self._apply(daemon.gate.finish(job.ticket, self.now_s))
+
+    def _report(self) -> None:
+        loads = {name: s.n_resident for name, s in self.servers.items()}
+        self._at(REPORT_LAG_S, self._hear, loads, self.now_s)
+        self._at(REPORT_INTERVAL_S, self._report)
+
+    def _hear(self, loads, taken_s) -> None:
+        for daemon in self.daemons:
+            daemon.reported = loads
+            for name, n_resident in loads.items():
+                daemon.tracker.report(name, n_resident, taken_s, self.now_s)
+
+    def _gossip(self) -> None:
+        demands = [daemon.gate.demand() for daemon in self.daemons]
+        for index, daemon in enumerate(self.daemons):
+            # What peers say is one round old.
+            peers = [d for i, d in daemon.heard.items() if i != index]
+            peers = peers or [Demand()] * (N_DAEMONS - 1)
+            share = divide_capacity(
+                self._capacity, demands[index], peers, lambda organisation: 1.0
+            )
+            self._apply(daemon.gate.set_share(share, self.now_s))
+            self._apply(daemon.gate.expire(self.now_s))
+            daemon.heard = dict(enumerate(demands))
+        self._at(GOSSIP_INTERVAL_S, self._gossip)
--- a/packages/cassiaspread-core/src/cassiaspread_core/admission/_fair_queue.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/_fair_queue.py
@@ -86,8 +86,15 @@
         if not self._starts:
             self._advance(start)
 
-    def pop(self) -> Ticket | None:
-        """Remove and return the next request, ``None`` when none waits."""
+    def pop(
+        self, accepts: Callable[[OrganisationId], bool] | None = None
+    ) -> Ticket | None:
+        """Remove and return the next request, ``None`` when none waits.
+
+        :param accepts: tells which organisations' requests to look at; all if none.
+        """
+        if accepts is not None:
+            return self._pop_accepted(accepts)
         while self._heap:
             start, number, ticket = heapq.heappop(self._heap)
             if number in self._removed:
@@ -109,6 +116,18 @@
                 self._forget_start(start)
                 return
 
+    def _pop_accepted(self, accepts: Callable[[OrganisationId], bool]) -> Ticket | None:
+        ticket = min(
+            (item for item in self._heap if accepts(item[2].organisation)),
+            default=None,
+            key=lambda item: (item[1] in self._removed, item[:2]),
+        )
+        if ticket is None or ticket[1] in self._removed:
+            return None
+        self._removed.add(ticket[1])
+        self._forget_start(ticket[0])
+        return ticket[2]
+
     def _start_of(self, organisation: OrganisationId) -> float:
         return max(self._virtual, self._ends.get(organisation, 0.0))
 
--- a/packages/cassiaspread-core/src/cassiaspread_core/admission/_gate.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/_gate.py
@@ -14,6 +14,10 @@
 MAX_QUEUED = 2_000
 MIN_RETRY_AFTER_S = 1.0
 
+# Requests in progress up to which organisations within their share are admitted, as a
+# ratio to the quota.
+RESERVE_RATIO = 1.25
+
 
 class Decision(Enum):
     """What becomes of a request."""
@@ -89,7 +93,7 @@
         :param ticket: the request.
         :param now_s: present time in seconds.
         """
-        is_free = not self._queue and self._n_running < self._share.quota
+        is_free = self._is_free(ticket.organisation)
         wait_s = 0.0 if is_free else self._predict_wait(ticket.organisation)
         excess_s = wait_s + self._duration_s(ticket) - (ticket.deadline_s - now_s)
         if excess_s > 0 or len(self._queue) >= MAX_QUEUED:
@@ -138,12 +142,24 @@
         late = [t for t in self._queue if self._is_late(t, now_s)]
         return [self._give_up(ticket, now_s) for ticket in late]
 
+    def _is_free(self, organisation: OrganisationId) -> bool:
+        """Tell whether a request may run at once.
+
+        An organisation that wants no more than its share doesn't wait for those that
+        use what it left over: it may go beyond the quota.
+        """
+        if not self._queue and self._n_running < self._share.quota:
+            return True
+        is_over_share = organisation in self._share.weights
+        return (
+            not is_over_share
+            and not self._waiting[organisation]
+            and self._has_reserve()
+        )
+
     def _drain(self, now_s: float) -> list[Verdict]:
         verdicts = []
-        while self._n_running < self._share.quota:
-            ticket = self._queue.pop()
-            if ticket is None:
-                break
+        while (ticket := self._take_next()) is not None:
             _decrease(self._waiting, ticket.organisation)
             if self._is_late(ticket, now_s):
                 verdicts.append(self._refuse(ticket, 0.0))
@@ -152,6 +168,18 @@
             verdicts.append(Verdict(ticket, Decision.ADMITTED))
         return verdicts
 
+    def _take_next(self) -> Ticket | None:
+        if self._n_running < self._share.quota:
+            return self._queue.pop()
+        if not self._has_reserve():
+            return None
+        if all(o in self._share.weights for o in self._waiting):
+            return None
+        return self._queue.pop(lambda o: o not in self._share.weights)
+
+    def _has_reserve(self) -> bool:
+        return self._n_running + 1 <= RESERVE_RATIO * self._share.quota
+
     def _admit(self, ticket: Ticket) -> None:
         self._n_running += 1
         self._running[ticket.organisation] += 1
--- a/packages/cassiaspread-core/src/cassiaspread_core/admission/_shares.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/_shares.py
@@ -43,8 +43,8 @@
     """What one daemon may use of a domain's capacity.
 
     :param quota: requests in progress.
-    :param weights: factor on the weight of each organisation whose demand is spread
-        over several daemons: the part of it that is here.
+    :param weights: factor on the weight of each organisation that wants more than its
+        share: the part of its demand that is here. The others get all they want.
     """
 
     quota: float
@@ -119,7 +119,8 @@
     )
     spare = max(0.0, capacity - unnamed - sum(wanted.values()))
     quota += spare * min(1.0, SPARE_OVERCOMMIT / len(everyone))
-    return Share(max(1.0, quota), parts)
+    limited = {o: p for o, p in parts.items() if wanted[o] > level * weight_of(o)}
+    return Share(max(1.0, quota), limited)
 
 
 def domain_capacity(engines: Iterable[EngineReport], n_layers: int) -> float:
--- /dev/null
+++ b/packages/cassiaspread-core/src/cassiaspread_core/load/__init__.py
@@ -0,0 +1,26 @@
+"""What the planner knows of the load of engines and of the links between them."""
+
+from cassiaspread_core.load._cost import (
+    make_stage_cost,
+    sample_candidates,
+    step_time_ms,
+)
+from cassiaspread_core.load._links import (
+    LinkTable,
+    RoundTime,
+    make_link_cost,
+    observe_round,
+)
+from cassiaspread_core.load._tracker import LoadTracker, n_sequences
+
+__all__ = [
+    "LinkTable",
+    "LoadTracker",
+    "RoundTime",
+    "make_link_cost",
+    "make_stage_cost",
+    "n_sequences",
+    "observe_round",
+    "sample_candidates",
+    "step_time_ms",
+]
