Token streams are read by tornado alone, at a higher cost

Cause: the relay wrote an HTTP/1.0 request line itself and read token bodies from the raw socket. The users ask for HTTP by library and for no transport of ours, and an engine that answers HTTP/1.0 with chunks would have broken it. Ruled out: tornado's curl client, which can't end a silent stream. Change: HTTP1Connection reads the chunks; a callback that fails ends the exchange. The kept library goes first.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -20,8 +20,6 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
-from cassiaspread_daemon._body_reader import BodyReader
-
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
@@ -47,13 +45,13 @@
 
 
 class _ResponseReader(HTTPMessageDelegate):
-    def __init__(self, on_stream: Callable[[], None] | None) -> None:
+    def __init__(self, on_data: Callable[[bytes], None] | None) -> None:
         self.status = 0
         self.headers = HTTPHeaders()
         self.chunks: list[bytes] = []
         self.started = asyncio.get_running_loop().create_future()
         self.finished = asyncio.get_running_loop().create_future()
-        self._on_stream = on_stream
+        self._on_data = on_data
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -65,11 +63,12 @@
         self.headers = headers
         if not self.started.done():
             self.started.set_result(None)
-        if self._on_stream is not None and self.status == 200:
-            self._on_stream()
 
     def data_received(self, chunk: bytes) -> None:
-        self.chunks.append(chunk)
+        if self._on_data is not None and self.status == 200:
+            self._on_data(chunk)
+        else:
+            self.chunks.append(chunk)
 
     def finish(self) -> None:
         self._settle(None)
@@ -105,7 +104,6 @@
         )
         self._reader: _ResponseReader | None = None
         self._reading: asyncio.Task[None] | None = None
-        self._body_reader: BodyReader | None = None
 
     def __enter__(self) -> "Exchange":
         return self
@@ -139,8 +137,6 @@
 
     def close(self) -> None:
         """Close the connection at once."""
-        if self._body_reader is not None:
-            self._body_reader.close()
         self._stream.close()
         if self._reading is not None:
             self._reading.cancel()
@@ -155,10 +151,6 @@
     ) -> int:
         """Send the request and wait for the status of the response.
 
-        With ``on_data`` the request is one of HTTP/1.0, whose response ends with its
-        connection: reading a body without chunks costs a third of the time. Whether
-        such a body is whole has to be seen from itself.
-
         :param method: HTTP method.
         :param path: path and query.
         :param body: request body.
@@ -168,20 +160,15 @@
         :returns: the status code.
         :raises ExchangeBroken: the connection ended before the status.
         """
-        self._reader = _ResponseReader(
-            None if on_data is None else lambda: self._detach(on_data)
-        )
+        self._reader = _ResponseReader(on_data)
         all_headers = HTTPHeaders({"Host": "target", "Connection": "close"})
         all_headers.update(headers or {})
         all_headers["Content-Length"] = str(len(body))
         try:
-            if on_data is None:
-                await self._connection.write_headers(
-                    RequestStartLine(method, path, "HTTP/1.1"), all_headers, body
-                )
-                self._connection.finish()
-            else:
-                await self._write_unchunked(method, path, all_headers, body)
+            await self._connection.write_headers(
+                RequestStartLine(method, path, "HTTP/1.1"), all_headers, body
+            )
+            self._connection.finish()
         except StreamClosedError:
             raise ExchangeBroken("connection closed while sending") from None
         self._reading = asyncio.create_task(self._read(self._reader))
@@ -199,28 +186,13 @@
         reader = self._reader
         return Response(reader.status, reader.headers, b"".join(reader.chunks))
 
-    async def _write_unchunked(
-        self, method: str, path: str, headers: HTTPHeaders, body: bytes
-    ) -> None:
-        lines = [f"{method} {path} HTTP/1.0"]
-        lines += [f"{name}: {value}" for name, value in headers.get_all()]
-        head = "\r\n".join(lines) + "\r\n\r\n"
-        await self._stream.write(head.encode() + body)
-
     async def _read(self, reader: _ResponseReader) -> None:
-        with suppress(StreamClosedError):
-            await self._connection.read_response(reader)
-        if self._body_reader is not None:
-            await self._body_reader.run()
-        else:
+        try:
+            with suppress(StreamClosedError):
+                await self._connection.read_response(reader)
+        finally:
             reader.on_connection_close()
 
-    def _detach(self, on_data: Callable[[bytes], None]) -> None:
-        assert self._reader is not None
-        self._body_reader = BodyReader(
-            self._connection.detach(), on_data, self._reader.finish
-        )
-
 
 async def fetch(
     address: str,
