Silence is seen from the first token on; a dead neighbour holds up no takeover

Change: until the first token the bound is looked at every min_engine_silence_ms; the first neighbour that names a head decides. Choosing engines for further attempts is a module of its own; an engine that answers but was named at fault is avoided only when the attempt before brought no token (it had been avoided after any earlier failure).

--- a/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_attempt.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_attempt.py
@@ -29,6 +29,8 @@
     >>> budget = AttemptBudget(n_attempts=2)
     >>> budget.fail(position=0), budget.fail(position=5), budget.fail(position=5)
     (True, True, False)
+    >>> budget.is_fruitless(position=5), budget.is_fruitless(position=6)
+    (True, False)
     """
 
     def __init__(self, n_attempts: int) -> None:
@@ -36,10 +38,12 @@
         self._n_fruitless = 0
         self._position = 0
 
-    @property
-    def n_fruitless(self) -> int:
-        """Failed attempts since the last one that brought a token."""
-        return self._n_fruitless
+    def is_fruitless(self, position: int) -> bool:
+        """Tell whether attempts have failed since the last token.
+
+        :param position: position of the next token.
+        """
+        return self._n_fruitless > 0 and position <= self._position
 
     def fail(self, position: int) -> bool:
         """Count a failed attempt.
--- a/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_silence.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_silence.py
@@ -53,6 +53,16 @@
         """Time at which the stream becomes silent unless a token comes."""
         return self._heard_s + self.bound_s
 
+    def check_again_s(self, now_s: float) -> float:
+        """Return after how many seconds the stream may have become silent.
+
+        The first token shortens the bound, so that until then it is looked at sooner.
+
+        :param now_s: present time in seconds.
+        """
+        wait_s = self.deadline_s - now_s
+        return wait_s if self._has_begun else min(wait_s, self._min_silence_s)
+
     def is_silent(self, now_s: float) -> bool:
         """Tell whether the bound has passed.
 
--- a/packages/cassiaspread-core/tests/test_pipeline.py
+++ b/packages/cassiaspread-core/tests/test_pipeline.py
@@ -132,6 +132,15 @@
         assert not monitor.is_silent(now_s + 0.19)
 
 
+def test_first_token_shortens_the_bound_in_time():
+    monitor = SilenceMonitor(0.03, 0.2, 1.0, now_s=0.0)
+    assert monitor.check_again_s(0.0) == pytest.approx(0.2)
+    monitor.note_tokens(1, 0.1)
+    assert monitor.check_again_s(0.2) == pytest.approx(0.1)
+    assert not monitor.is_silent(0.29)
+    assert monitor.is_silent(0.31)
+
+
 def test_slow_engine_is_probed_less_often():
     monitor = SilenceMonitor(0.03, 0.2, 1.0, now_s=0.0)
     monitor.note_tokens(1, 0.0)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_attempt.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_attempt.py
@@ -125,7 +125,8 @@
             now_s = time.monotonic()
             if self._monitor.is_silent(now_s):
                 return AttemptEnd(kind=EndKind.SILENT, reason="silent")
-            await asyncio.wait((self._end,), timeout=self._monitor.deadline_s - now_s)
+            timeout_s = self._monitor.check_again_s(now_s)
+            await asyncio.wait((self._end,), timeout=timeout_s)
         return self._end.result()
 
     def note_slow(self) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
@@ -3,10 +3,9 @@
 import asyncio
 
 import msgspec
-from cassiaspread_core.base import Outcome, Refusal, TargetId
+from cassiaspread_core.base import Outcome, Refusal
 from cassiaspread_core.pipeline import (
     AttemptBudget,
-    Plan,
     Stage,
     TokenSequence,
     TokenStep,
@@ -25,11 +24,11 @@
     EndKind,
 )
 from cassiaspread_daemon.relay._judge import Diagnosis, diagnose
-from cassiaspread_daemon.relay._planner import EngineStart, PlannedChain
+from cassiaspread_daemon.relay._planner import PlannedChain
+from cassiaspread_daemon.relay._replanner import Replanner
 from cassiaspread_daemon.relay._request import GenerationRequest
 from cassiaspread_daemon.relay._services import RelayServices
 
-REPLAN_POLL_S = 0.02
 NO_ENGINE_RETRY_S = 1.0
 MILLISECONDS_PER_SECOND = 1000
 
@@ -74,7 +73,9 @@
         self._texts: list[str] = []
         self._seen = 0
         self._may_have_run = request.start > 0
-        self._avoided: set[EngineStart] = set()
+        self._replanner = Replanner(
+            request, limits, services.planner, services.targets, watch
+        )
         self._attempt: Attempt | None = None
 
     async def run(self) -> None:
@@ -158,7 +159,7 @@
     async def _first_attempt(self) -> NextAttempt:
         if self._request.start:
             return await self._take_over()
-        chain = await self._choose([], set())
+        chain = await self._replanner.choose([])
         if chain is None:
             raise self._refuse_without_engines()
         return self._generate(chain, [])
@@ -179,17 +180,9 @@
         return self._resume(self._services.planner.describe(self._request, plan))
 
     async def _recover(self, chain: PlannedChain, diagnosis: Diagnosis) -> NextAttempt:
-        end = diagnosis.end
         if diagnosis.verdict is Verdict.SUPERSEDED:
-            self._check_not_superseded(end)
-        await self._note_suspects(chain, diagnosis)
-        if not self._budget.fail(self._sequence.position):
-            raise self._refuse(
-                502,
-                "engines-failed",
-                f"{self._limits.n_attempts} attempts brought nothing, the last "
-                f"failed with: {end.reason}.",
-            )
+            self._check_not_superseded(diagnosis.end)
+        await self._note_failure(chain, diagnosis)
         if diagnosis.verdict is Verdict.PATH_DEAD:
             return self._resume(chain)
         if self._sequence.position < self._request.start:
@@ -197,53 +190,26 @@
         holders = diagnosis.find_holders(chain.plan, self._sequence.position)
         if diagnosis.is_cache_missing:
             holders = []
-        replanned = await self._replan(holders)
+        replanned = await self._replanner.replace(holders)
+        if replanned is None:
+            raise self._refuse_without_engines()
         if replanned.plan[0] != chain.plan[0]:
             self._cancel_at(chain)
         return self._generate(replanned, holders)
 
-    async def _note_suspects(self, chain: PlannedChain, diagnosis: Diagnosis) -> None:
-        """Avoid the engines at fault; the one place where engines are found lost."""
-        suspects = set(diagnosis.unanswered)
-        if diagnosis.end.engine is not None and self._budget.n_fruitless:
-            suspects.add(diagnosis.end.engine)
-        self._avoided |= {(engine, chain.starts.get(engine, "")) for engine in suspects}
-        for engine in diagnosis.lost:
-            self._services.targets.forget(engine)
+    async def _note_failure(self, chain: PlannedChain, diagnosis: Diagnosis) -> None:
         position = self._sequence.position
-        for stage in chain.plan:
-            start = chain.starts.get(stage.engine, "")
-            arguments = (stage.engine, stage.address, start, position)
-            if diagnosis.end.kind is EndKind.SILENT:
-                if stage.engine in diagnosis.lost:
-                    await self._watch.lose(*arguments)
-            elif stage.engine == diagnosis.end.engine:
-                await self._watch.judge(*arguments)
-
-    async def _choose(
-        self, holders: list[Stage], avoided: set[EngineStart]
-    ) -> PlannedChain | None:
-        """Choose a chain; a request under suspicion waits here for one of its own."""
-        planner = self._services.planner
-
-        def choose(crowded: frozenset[TargetId]) -> Plan | None:
-            return planner.choose(self._request, holders, avoided, crowded)
-
-        plan = await self._watch.choose(choose, self._request.deadline_s)
-        return None if plan is None else planner.describe(self._request, plan)
-
-    async def _replan(self, holders: list[Stage]) -> PlannedChain:
-        """Choose a new chain, waiting a while for engines that fill the gap."""
-        loop = asyncio.get_running_loop()
-        timeout_s = self._limits.replan_timeout_ms / MILLISECONDS_PER_SECOND
-        began_s = loop.time()
-        while (waited_s := loop.time() - began_s) < timeout_s:
-            avoided = self._avoided if waited_s < timeout_s / 2 else set()
-            chain = await self._choose(holders, avoided)
-            if chain is not None:
-                return chain
-            await asyncio.sleep(REPLAN_POLL_S)
-        raise self._refuse_without_engines()
+        is_repeated = self._budget.is_fruitless(position)
+        await self._replanner.note_failure(
+            chain, diagnosis, position, is_repeated=is_repeated
+        )
+        if not self._budget.fail(position):
+            raise self._refuse(
+                502,
+                "engines-failed",
+                f"{self._limits.n_attempts} attempts brought nothing, the last "
+                f"failed with: {diagnosis.end.reason}.",
+            )
 
     def _generate(self, chain: PlannedChain, holders: list[Stage]) -> NextAttempt:
         restore = choose_restore(chain.plan, holders)
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_replanner.py
@@ -0,0 +1,122 @@
+"""Chooses the engines of each attempt of one request."""
+
+import asyncio
+
+from cassiaspread_core.base import TargetId
+from cassiaspread_core.pipeline import Plan, Stage
+from cassiaspread_core.policy import Limits
+
+from cassiaspread_daemon.fleet import TargetRegistry
+from cassiaspread_daemon.load import Watch
+from cassiaspread_daemon.relay._attempt import EndKind
+from cassiaspread_daemon.relay._judge import Diagnosis
+from cassiaspread_daemon.relay._planner import EngineStart, PlannedChain, Planner
+from cassiaspread_daemon.relay._request import GenerationRequest
+
+REPLAN_POLL_S = 0.02
+MILLISECONDS_PER_SECOND = 1000
+
+
+class Replanner:
+    """Remembers which engines failed the request and plans around them.
+
+    :param request: what is run.
+    :param limits: limits in force for it.
+    :param planner: chooses plans.
+    :param targets: known targets.
+    :param watch: keeps the request off targets if it crashes them.
+    """
+
+    def __init__(
+        self,
+        request: GenerationRequest,
+        limits: Limits,
+        planner: Planner,
+        targets: TargetRegistry,
+        watch: Watch,
+    ) -> None:
+        self._request = request
+        self._timeout_s = limits.replan_timeout_ms / MILLISECONDS_PER_SECOND
+        self._planner = planner
+        self._targets = targets
+        self._watch = watch
+        self._avoided: set[EngineStart] = set()
+
+    async def choose(
+        self, holders: list[Stage], *, may_avoid: bool = True
+    ) -> PlannedChain | None:
+        """Choose a chain; a request under suspicion waits here for one of its own.
+
+        :param holders: stages that hold the request's KV cache, which are kept.
+        :param may_avoid: whether engines that failed the request are left out.
+        :returns: the chain, or ``None`` when no chain covers the model.
+        :raises Refusal: the request is quarantined, or found no place in time.
+        """
+        avoided = self._avoided if may_avoid else set()
+
+        def choose(crowded: frozenset[TargetId]) -> Plan | None:
+            return self._planner.choose(self._request, holders, avoided, crowded)
+
+        plan = await self._watch.choose(choose, self._request.deadline_s)
+        return None if plan is None else self._planner.describe(self._request, plan)
+
+    async def replace(self, holders: list[Stage]) -> PlannedChain | None:
+        """Choose a new chain, waiting a while for engines that fill the gap.
+
+        Engines that failed the request are tried again in the second half of the
+        wait, when nothing else was found.
+
+        :param holders: stages that hold the request's KV cache, which are kept.
+        :returns: the chain, or ``None`` when none was found in time.
+        :raises Refusal: the request is quarantined, or found no place in time.
+        """
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        while (waited_s := loop.time() - began_s) < self._timeout_s:
+            is_early = waited_s < self._timeout_s / 2
+            chain = await self.choose(holders, may_avoid=is_early)
+            if chain is not None:
+                return chain
+            await asyncio.sleep(REPLAN_POLL_S)
+        return None
+
+    async def note_failure(
+        self,
+        chain: PlannedChain,
+        diagnosis: Diagnosis,
+        position: int,
+        *,
+        is_repeated: bool,
+    ) -> None:
+        """Avoid the engines at fault; the one place where engines are found lost.
+
+        :param chain: the plan that failed.
+        :param diagnosis: what interrupted it.
+        :param position: position of the next token.
+        :param is_repeated: whether the attempt before brought no token either, so
+            that an engine which answers but was named at fault is avoided too.
+        :raises Refusal: the request is quarantined now.
+        """
+        suspects = set(diagnosis.unanswered)
+        if diagnosis.end.engine is not None and is_repeated:
+            suspects.add(diagnosis.end.engine)
+        self._avoided |= {(engine, chain.starts.get(engine, "")) for engine in suspects}
+        for engine in diagnosis.lost:
+            self._targets.forget(engine)
+        for stage in chain.plan:
+            await self._tell_watch(stage, chain, diagnosis, position)
+
+    async def _tell_watch(
+        self,
+        stage: Stage,
+        chain: PlannedChain,
+        diagnosis: Diagnosis,
+        position: int,
+    ) -> None:
+        start = chain.starts.get(stage.engine, "")
+        if diagnosis.end.kind is EndKind.SILENT:
+            # The probe of the silent stream has shown it already.
+            if stage.engine in diagnosis.lost:
+                await self._watch.lose(stage.engine, stage.address, start, position)
+        elif stage.engine == diagnosis.end.engine:
+            await self._watch.judge(stage.engine, stage.address, start, position)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_trace.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_trace.py
@@ -144,11 +144,10 @@
         :param request: the repeated request.
         :returns: its trace, ``None`` when there is none.
         """
-        heads = [self._hints.find(request.request).head]
-        heads += await self._ask_neighbours(request.request)
-        for head in dict.fromkeys(heads):
-            if head and (state := await self._ask_head(head, request.request)):
-                return self._found(request, head, state, "hint")
+        identity = request.request
+        head = self._hints.find(identity).head or await self._ask_neighbours(identity)
+        if head and (state := await self._ask_head(head, identity)):
+            return self._found(request, head, state, "hint")
         return await self._ask_engines(request)
 
     def _found(
@@ -164,9 +163,18 @@
             if peer.sender.domain == self._domain
         ]
 
-    async def _ask_neighbours(self, request: RequestId) -> list[str]:
+    async def _ask_neighbours(self, request: RequestId) -> str:
+        """Return the first answer that names a head; the dead daemon gives none."""
         keepers = rank_keepers(request, self._neighbours())[:N_KEEPERS_ASKED]
-        return await asyncio.gather(*(self._ask_keeper(k, request) for k in keepers))
+        asked = [asyncio.create_task(self._ask_keeper(k, request)) for k in keepers]
+        try:
+            for answer in asyncio.as_completed(asked):
+                if head := await answer:
+                    return head
+            return ""
+        finally:
+            for task in asked:
+                task.cancel()
 
     async def _ask_keeper(self, address: str, request: RequestId) -> str:
         try:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -275,3 +275,14 @@
     second.finish()
     assert second.problem["type"].endswith(":key-reused")
     first.check_whole()
+
+
+def test_refused_before_any_engine_ran_says_so(fleet):
+    (daemon,) = start(fleet, n_replicas=1)
+    fleet.processes["h0"].kill()
+    body = {"model": "draft", "prompt": "rack", "max_tokens": 4}
+    path, caller = "/v1/completions", bearer("osorno-token")
+    status, _, answer = request("POST", daemon.address, path, body, caller)
+    assert status in (502, 503)
+    assert json.loads(answer)["outcome"] == "not-run"
+    assert len(fleet.history("t0")) == 1, "only the warm-up ran"
