--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -7,6 +7,7 @@
 import asyncio
 import socket
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from typing import NamedTuple
 
 from cassiaspread_core.base import CassiaspreadError
@@ -207,7 +208,8 @@
         await self._stream.write(head.encode() + body)
 
     async def _read(self, reader: _ResponseReader) -> None:
-        await self._connection.read_response(reader)
+        with suppress(StreamClosedError):
+            await self._connection.read_response(reader)
         if self._body_reader is not None:
             await self._body_reader.run()
         else:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_replanner.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_replanner.py
@@ -103,20 +103,22 @@
         self._avoided |= {(engine, chain.starts.get(engine, "")) for engine in suspects}
         for engine in diagnosis.lost:
             self._targets.forget(engine)
-        for stage in chain.plan:
-            await self._tell_watch(stage, chain, diagnosis, position)
+        await self._count_loss(chain, diagnosis, position)
 
-    async def _tell_watch(
-        self,
-        stage: Stage,
-        chain: PlannedChain,
-        diagnosis: Diagnosis,
-        position: int,
+    async def _count_loss(
+        self, chain: PlannedChain, diagnosis: Diagnosis, position: int
     ) -> None:
-        start = chain.starts.get(stage.engine, "")
-        if diagnosis.end.kind is EndKind.SILENT:
-            # The probe of the silent stream has shown it already.
-            if stage.engine in diagnosis.lost:
-                await self._watch.lose(stage.engine, stage.address, start, position)
-        elif stage.engine == diagnosis.end.engine:
-            await self._watch.judge(stage.engine, stage.address, start, position)
+        """Count the loss of an engine against the request.
+
+        Engines that are lost in one attempt count once: a VM or rack takes several
+        stages with it, and none of their requests is to blame. What a silent stream's
+        probe has shown is not probed again.
+        """
+        is_silent = diagnosis.end.kind is EndKind.SILENT
+        count = self._watch.lose if is_silent else self._watch.judge
+        suspects = diagnosis.lost if is_silent else (diagnosis.end.engine,)
+        for stage in chain.plan:
+            if stage.engine in suspects:
+                start = chain.starts.get(stage.engine, "")
+                await count(stage.engine, stage.address, start, position)
+                return
