--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_trace.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_trace.py
@@ -22,6 +22,7 @@
 
 HINT_INTERVAL_S = 0.2
 ASK_TIMEOUT_S = 0.3
+NEIGHBOUR_WAIT_S = 0.05
 N_KEEPERS_ASKED = 3
 N_ENGINES_ASKED_AT_ONCE = 16
 MAX_HINTS = 50_000
@@ -125,15 +126,19 @@
         hint = Hint(request, head)
         self._hints.add([hint])
         self._unsent[request] = hint
+        if len(self._unsent) > MAX_HINTS:
+            del self._unsent[next(iter(self._unsent))]
 
     async def run(self) -> None:
         """Send the hints in batches until cancelled."""
         while True:
             await asyncio.sleep(HINT_INTERVAL_S)
+            addresses = self._neighbours()
+            if not addresses:
+                continue
             hints, self._unsent = list(self._unsent.values()), {}
             batches: dict[str, list[Hint]] = {}
-            addresses = self._neighbours()
-            for hint in hints if addresses else ():
+            for hint in hints:
                 keeper = rank_keepers(hint.request, addresses)[0]
                 batches.setdefault(keeper, []).append(hint)
             await asyncio.gather(*(self._send(a, h) for a, h in batches.items()))
@@ -164,13 +169,18 @@
         ]
 
     async def _ask_neighbours(self, request: RequestId) -> str:
-        """Return the first answer that names a head; the dead daemon gives none."""
+        """Return the first answer that names a head.
+
+        The daemon that died may be among those asked: the wait for it is short, since
+        the engines can be asked instead.
+        """
         keepers = rank_keepers(request, self._neighbours())[:N_KEEPERS_ASKED]
         asked = [asyncio.create_task(self._ask_keeper(k, request)) for k in keepers]
         try:
-            for answer in asyncio.as_completed(asked):
-                if head := await answer:
-                    return head
+            with suppress(TimeoutError):
+                for answer in asyncio.as_completed(asked, timeout=NEIGHBOUR_WAIT_S):
+                    if head := await answer:
+                        return head
             return ""
         finally:
             for task in asked:
