Daemon: admission within shares, planner's costs, retry budget

Cause: requests beyond the engines' speed were all sent on and ended late; plans of several daemons met on the same engines.

--- a/packages/cassiaspread-core/src/cassiaspread_core/load/_tracker.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/load/_tracker.py
@@ -9,7 +9,7 @@
 from cassiaspread_core.pipeline import EngineReport
 
 # Longest lag of a report that is made up for.
-MAX_LAG_S = 10.0
+MAX_LAG_S = 5.0
 
 
 class _Change(msgspec.Struct):
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
@@ -43,6 +43,8 @@
     :param dedupe_window_s: age up to which an idempotency key is accepted;
         shorter than the retention of the log.
     :param priority: engine priority, higher goes first.
+    :param slot_ratio: requests in progress per slot of a model's scarcest layer;
+        higher where engines work on some sequences while others are on their way.
     :param quarantine_s: how long the loss of a target counts against a request.
     """
 
@@ -60,6 +62,7 @@
     claim_timeout_ms: Positive = 2_000
     dedupe_window_s: Positive = 86_400
     priority: int = 0
+    slot_ratio: Weight = 1.25
     quarantine_s: Positive = 3_600
 
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
@@ -4,6 +4,7 @@
 
 import msgspec
 from cassiaspread_core.base import Outcome, Refusal
+from cassiaspread_core.load import PaceMeter
 from cassiaspread_core.pipeline import (
     AttemptBudget,
     Stage,
@@ -75,6 +76,7 @@
         self._may_have_run = request.start > 0
         self._avoided: set[EngineStart] = set()
         self._attempt: Attempt | None = None
+        self._pace = PaceMeter()
 
     async def run(self) -> None:
         """Deliver the whole answer.
@@ -104,13 +106,15 @@
                 self._take,
             )
             self._attempt = attempt
+            self._pace = PaceMeter()
+            engines = [stage.engine for stage in following.chain.plan]
             with (
                 attempt,
-                self._services.targets.in_flight(
-                    [stage.engine for stage in following.chain.plan]
-                ),
+                self._services.targets.in_flight(engines),
+                self._services.costs.running(engines),
             ):
                 diagnosis = await self._run_attempt(attempt, following.order)
+            self._services.costs.note_pace(engines, self._pace.best_ms)
             if diagnosis is None:
                 self._watch.complete()
                 return
@@ -206,6 +210,7 @@
             return self._resume(chain)
         if self._sequence.position < self._request.start:
             raise self._refuse_lost_stream()
+        self._check_retry_budget()
         holders = diagnosis.find_holders(chain.plan, self._sequence.position)
         if diagnosis.is_cache_missing:
             holders = []
@@ -230,7 +235,9 @@
         Engines that are lost in one attempt count once: a VM or rack takes several
         stages with it, and none of their requests is to blame.
         """
-        lost = [stage for stage in chain.plan if stage.engine in diagnosis.unanswered]
+        # The engine named at fault is asked even if it answers: it may have restarted.
+        suspects = (diagnosis.end.engine, *diagnosis.unanswered)
+        lost = [stage for stage in chain.plan if stage.engine in suspects]
         if not lost:
             return
         named = [stage for stage in lost if stage.engine == diagnosis.end.engine]
@@ -294,6 +301,8 @@
             if step.finish_reason is None:
                 self._texts.append(step.text)
         self._watch.progress(self._sequence.position)
+        loop = asyncio.get_running_loop()
+        self._pace.note(self._sequence.position, loop.time())
         start = self._request.start
         if start and steps[0].position < start:
             steps = [
@@ -311,6 +320,15 @@
             409, "superseded", "The request was repeated at another daemon."
         )
 
+    def _check_retry_budget(self) -> None:
+        if not self._services.admission.take_retry(self._request.model):
+            raise self._refuse(
+                503,
+                "retries-exhausted",
+                "Too many requests are being retried.",
+                retry_after_s=NO_ENGINE_RETRY_S,
+            )
+
     def _cancel(self) -> None:
         if self._attempt is None or not self._may_have_run:
             return
