--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
@@ -42,6 +42,8 @@
     :param claim_timeout_ms: longest wait for a claim to be seen in the log.
     :param dedupe_window_s: age up to which an idempotency key is accepted;
         shorter than the retention of the log.
+    :param uses_claim_committers: whether one daemon for each claims partition
+        appends for the others.
     :param priority: engine priority, higher goes first.
     :param slot_ratio: requests in progress per slot of a model's scarcest layer;
         higher where engines work on some sequences while others are on their way.
@@ -61,6 +63,7 @@
     retry_ratio: Ratio = 0.1
     claim_timeout_ms: Positive = 2_000
     dedupe_window_s: Positive = 86_400
+    uses_claim_committers: bool = True
     priority: int = 0
     slot_ratio: Weight = 1.25
     quarantine_s: Positive = 3_600
@@ -129,7 +132,7 @@
     :param organisation: only requests of this organisation.
     :param model: only requests for this model.
     :param service: only requests for this service.
-    :param expires_s: end of its force in seconds since the epoch, ``None`` for none.
+    :param expires_s: end of its force, in seconds since the epoch, if any.
     """
 
     reason: Text
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -4,13 +4,14 @@
 import random
 import time
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from enum import Enum
 from types import TracebackType
 from typing import Self
 
 import uuid6
 from absl import logging
-from cassiaspread_core.base import DomainId, Incarnation
+from cassiaspread_core.base import DomainId, Incarnation, Refusal
 from cassiaspread_core.membership import Member
 from cassiaspread_core.policy import CheckpointSchedule, Policy
 from cassiaspread_core.timeline import EventRing
@@ -20,6 +21,7 @@
 from cassiaspread_daemon._settings import Settings
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.adapters import EngineClient, LogClient, VmListClient
+from cassiaspread_daemon.claims import Call, ClaimService
 from cassiaspread_daemon.fleet import (
     ObservationSpread,
     PolicyCheckpointer,
@@ -85,9 +87,19 @@
         self._policy_peers = PolicyPeers(
             self.policy_follower, self.mesh, schedule, self.events, random_state
         )
+        self.claims = ClaimService(
+            self.log,
+            self.mesh,
+            self.targets,
+            self.events,
+            random_state,
+            self.supervisor.add_child("claims"),
+            lambda: self.policy,
+        )
         self.quarantine = build_quarantine(
             self.mesh, self.log, self.events, self.engines, lambda: self.policy.limits
         )
+        self.claims.tell_losses(self._judge_lost_call)
         self.admission = Admission(
             self.mesh,
             self.events,
@@ -112,7 +124,9 @@
         )
         self._is_leaving = False
         self._requests = RequestCount()
-        self.settle_callbacks: list[Callable[[], Awaitable[None]]] = []
+        self.settle_callbacks: list[Callable[[], Awaitable[None]]] = [
+            self.claims.settle
+        ]
 
     def _observe_targets(self, own: Member) -> None:
         interval_s = self.settings.poll_interval_ms / MILLISECONDS_PER_SECOND
@@ -138,6 +152,7 @@
         self.supervisor.start("policy-checkpoints", self._policy_checkpointer.run)
         self.supervisor.start("vm-list", self.list_reader.run)
         self.supervisor.start("poller", self.poller.run)
+        self.claims.start()
         self.quarantine.start(self.supervisor)
         self.admission.start(self.supervisor)
         self.relay.start(self.supervisor)
@@ -177,6 +192,13 @@
             reasons.append("leaving")
         return reasons + self.policy_follower.not_ready_reasons()
 
+    async def _judge_lost_call(self, call: Call, address: str) -> None:
+        watch = self.quarantine.watch_call(
+            call.organisation, call.service, call.method, call.path, call.body
+        )
+        with suppress(Refusal):
+            await watch.judge_service(address)
+
     def _daemon_addresses(self) -> dict[str, DomainId | None]:
         seeds = dict.fromkeys(map(str, self.settings.seeds))
         return seeds | self.targets.daemon_addresses()
@@ -184,6 +206,7 @@
     def leave(self) -> None:
         """Stop being ready; requests are still taken while the balancer lags."""
         self._is_leaving = True
+        self.claims.leave()
         self.mesh.leave()
         self.events.record("node.leaving")
 
@@ -201,6 +224,7 @@
         try:
             async with asyncio.timeout(timeout_s or None):
                 await self._requests.wait_quiet(QUIET_S)
+                await self.claims.wait_sent()
         except TimeoutError:
             n_requests = self._requests.n_requests
             logging.warning("drain timeout with %d requests in progress", n_requests)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
@@ -28,6 +28,7 @@
     to_message_choice,
     to_text_choice,
 )
+from cassiaspread_daemon.handlers._event_writer import EventWriter
 from cassiaspread_daemon.load import Watch
 from cassiaspread_daemon.relay import Generation, GenerationRequest
 
@@ -55,6 +56,8 @@
         """Answer whole or as a stream of events."""
         body = check_body(bytes(self.body), self.body_type)
         request = self._check_request(body)
+        self.watch = self._watch(request)
+        self.watch.check()
         self.node.events.record(
             "answer.began", request.request, model=body.model, start=request.start
         )
@@ -96,6 +99,14 @@
             deadline_s=self.deadline_s,
         )
 
+    def _watch(self, request: GenerationRequest) -> Watch:
+        fingerprint = fingerprint_of(
+            request.organisation, request.model, request.prompt.encode()
+        )
+        return self.node.quarantine.watch(
+            fingerprint, request.organisation, request.model, request.request
+        )
+
     def _request_id(self) -> RequestId:
         key = self.idempotency_key()
         if key is None:
@@ -130,28 +141,21 @@
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("Cache-Control", "no-store")
 
+        writer = EventWriter(self)
+
         def write_steps(steps: list[TokenStep]) -> None:
-            self.write(b"".join([format_event(step) for step in steps]))
-            self.flush()
+            writer.write(b"".join([format_event(step) for step in steps]))
 
         try:
             await self._generate(request, write_steps)
             end = STREAM_END
         except Refusal as refusal:
-            if not self._headers_written:
+            if not writer.has_begun:
                 self.clear()
                 raise
             end = format_error(refusal)
         await self.finish(end)
 
-    def _watch(self, request: GenerationRequest) -> Watch:
-        fingerprint = fingerprint_of(
-            request.organisation, request.model, request.prompt.encode()
-        )
-        return self.node.quarantine.watch(
-            fingerprint, request.organisation, request.model, request.request
-        )
-
     async def _generate(self, request: GenerationRequest, deliver: Deliver) -> None:
         self._running = asyncio.ensure_future(self._run_admitted(request, deliver))
         try:
@@ -162,8 +166,6 @@
             ) from None
 
     async def _run_admitted(self, request: GenerationRequest, deliver: Deliver) -> None:
-        watch = self._watch(request)
-        watch.check()
         async with self.node.admission.enter(
             request.model,
             request.organisation,
@@ -178,7 +180,9 @@
                 slot.note(len(steps) - is_whole, is_whole)
                 deliver(steps)
 
-            generation = Generation(request, self.limits, self.node.relay, watch, take)
+            generation = Generation(
+                request, self.limits, self.node.relay, self.watch, take
+            )
             await generation.run()
 
     def _note_steps(self, steps: list[TokenStep]) -> bool:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_quarantine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_quarantine.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable
-from typing import Protocol, TypeVar
 
 from cassiaspread_core.base import (
     Incarnation,
@@ -11,6 +10,7 @@
     Outcome,
     Refusal,
     RequestId,
+    ServiceId,
     TargetId,
 )
 from cassiaspread_core.pipeline import Plan
@@ -21,6 +21,7 @@
     Loss,
     SuspectRecord,
     TrialClaim,
+    fingerprint_of,
 )
 from cassiaspread_core.timeline import EventRing
 
@@ -37,17 +38,7 @@
 # Longest time after a loss in which the target may turn out to be alive.
 REPROBE_AGE_S = 60.0
 
-
-class HasPlan(Protocol):
-    """What a plan is chosen as."""
-
-    @property
-    def plan(self) -> Plan:
-        """Stages in order."""
-
-
-Planned = TypeVar("Planned", bound=HasPlan)
-Choose = Callable[[frozenset[TargetId]], Planned | None]
+Choose = Callable[[frozenset[TargetId]], Plan | None]
 
 
 def build_quarantine(
@@ -118,6 +109,26 @@
         """
         return Watch(self, fingerprint, organisation, subject, request)
 
+    def watch_call(
+        self,
+        organisation: OrganisationId,
+        service: ServiceId,
+        method: str,
+        path: str,
+        body: bytes,
+    ) -> "Watch":
+        """Watch one call of a plain service.
+
+        :param organisation: who calls.
+        :param service: the service.
+        :param method: method of the call.
+        :param path: path and query of the call.
+        :param body: body of the call.
+        """
+        content = b"\n".join((method.encode(), path.encode(), body))
+        fingerprint = fingerprint_of(organisation, service, content)
+        return self.watch(fingerprint, organisation, service, RequestId(""))
+
     async def release(self, fingerprint: Fingerprint) -> SuspectRecord | None:
         """Let requests with a fingerprint run again, on every daemon.
 
@@ -236,9 +247,7 @@
                 self._outcome(),
             )
 
-    async def choose(
-        self, choose: Choose[Planned], deadline_s: float
-    ) -> Planned | None:
+    async def choose(self, choose: Choose, deadline_s: float) -> Plan | None:
         """Choose the plan of the next attempt, alone if the request is a suspect.
 
         :param choose: chooses a plan without the given targets.
@@ -282,10 +291,35 @@
                 "suspect.target_alive", self._request, target=target
             )
             return
+        await self.lose(target, address, incarnation, position)
+
+    async def lose(
+        self, target: TargetId, address: str, incarnation: str, position: int
+    ) -> None:
+        """Note a loss that was found out already; it is refuted if the target lives.
+
+        :param target: the target that failed the request.
+        :param address: its ``host:port``.
+        :param incarnation: the start of the target that the request ran on.
+        :param position: tokens of the answer that had arrived.
+        :raises Refusal: the request is quarantined now.
+        """
         loss = Loss(target, incarnation, position, time.time())
         await self._quarantine.note_loss(self._record, address, loss, self._request)
         self.check()
 
+    async def judge_service(self, address: str) -> None:
+        """Find out whether a target of a plain service died and, if so, note it.
+
+        Services tell no incarnation: one that restarted before it was asked counts
+        as alive.
+
+        :param address: ``host:port`` of the target that lost the call.
+        :raises Refusal: the call is quarantined now.
+        """
+        self._has_run = True
+        await self.judge(TargetId(address), address, "", 0)
+
     def complete(self) -> None:
         """Clear the request: it ran to its end."""
         self.end_trial()
@@ -304,9 +338,7 @@
     def _outcome(self) -> Outcome:
         return Outcome.UNKNOWN if self._has_run else Outcome.NOT_RUN
 
-    async def _choose_alone(
-        self, choose: Choose[Planned], deadline_s: float
-    ) -> Planned | None:
+    async def _choose_alone(self, choose: Choose, deadline_s: float) -> Plan | None:
         loop = asyncio.get_running_loop()
         busy: frozenset[TargetId] = frozenset()
         while loop.time() < deadline_s:
@@ -314,7 +346,7 @@
             if plan is None and choose(frozenset()) is None:
                 return None
             if plan is not None:
-                blockers = await self._try_claim(plan.plan)
+                blockers = await self._try_claim(plan)
                 self.check()
                 if self._claim is not None:
                     return plan
@@ -332,9 +364,7 @@
             retry_after_s=SUSPECT_RETRY_S,
         )
 
-    def _find_place(
-        self, choose: Choose[Planned], busy: frozenset[TargetId]
-    ) -> Planned | None:
+    def _find_place(self, choose: Choose, busy: frozenset[TargetId]) -> Plan | None:
         taken = busy | self._exchange.trials.targets()
         lost = self._exchange.book.targets_lost(self._fingerprint)
         return choose(taken | lost) or choose(taken)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_judge.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_judge.py
@@ -5,6 +5,7 @@
 import msgspec
 from cassiaspread_core.base import RequestId, TargetId
 from cassiaspread_core.pipeline import (
+    Interruption,
     Plan,
     Stage,
     States,
@@ -13,16 +14,17 @@
     find_holders,
     find_lost,
     judge_interruption,
+    needs_confirmation,
+    settle_verdict,
 )
 
 from cassiaspread_daemon.adapters import EngineClient
 from cassiaspread_daemon.relay._attempt import AttemptEnd, EndKind
 from cassiaspread_daemon.relay._probe import probe_plan
 
-# After a closed connection the other stages are asked only to see what they hold.
-CLOSED_PROBE_TIMEOUT_S = 0.05
-# Two states taken at slightly different times can look like a broken chain.
-CONFIRM_DELAY_S = 0.02
+# Once one stage is known to be lost, the others are asked only for what they hold.
+ENOUGH_S = 0.05
+CONFIRM_DELAY_S = 0.01
 CACHE_MISSING = "kv-missing"
 
 
@@ -80,23 +82,22 @@
     :param plan: stages in order.
     :param sequence: the stream's tokens so far.
     :param end: how the attempt ended.
-    :param timeout_s: longest wait in seconds for the states of a silent stream.
+    :param timeout_s: longest wait in seconds for the states of the stages.
     """
+    interruption = Interruption(end.kind.value)
     position = sequence.position
-    if end.kind is not EndKind.SILENT:
-        timeout_s = min(timeout_s, CLOSED_PROBE_TIMEOUT_S)
-    states = await probe_plan(engines, plan, request, timeout_s)
-    verdict = judge_interruption(plan, states, sequence.attempt, sequence.position)
-    if end.kind is EndKind.SILENT:
-        if verdict in (Verdict.PATH_DEAD, Verdict.CHAIN_BROKEN):
-            await asyncio.sleep(CONFIRM_DELAY_S)
-            states = await probe_plan(engines, plan, request, timeout_s)
-            verdict = judge_interruption(plan, states, sequence.attempt, position)
-        if sequence.position != position:
-            verdict = Verdict.SLOW
-    elif end.kind is EndKind.CLOSED and verdict is Verdict.SLOW:
-        verdict = Verdict.PATH_DEAD
-    elif end.kind is EndKind.FAILED and verdict in (Verdict.SLOW, Verdict.PATH_DEAD):
-        verdict = Verdict.CHAIN_BROKEN
+
+    async def ask() -> tuple[States, Verdict]:
+        states = await probe_plan(engines, plan, request, timeout_s, ENOUGH_S)
+        verdict = judge_interruption(plan, states, sequence.attempt, position)
+        return states, verdict
+
+    states, verdict = await ask()
+    if needs_confirmation(interruption, verdict):
+        await asyncio.sleep(CONFIRM_DELAY_S)
+        states, verdict = await ask()
+    verdict = settle_verdict(interruption, verdict)
+    if interruption is Interruption.SILENT and sequence.position != position:
+        verdict = Verdict.SLOW
     unanswered = find_lost(plan, states)
     return Diagnosis(end=end, verdict=verdict, states=states, unanswered=unanswered)
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -1,10 +1,12 @@
 """A plain service without deduplication: each call that it receives is run.
 
 The history gets one line when a call is run. ``POST /control`` sets ``delay_s``
-(before the answer) and ``lose_answers`` (the call runs, the connection closes).
+(before the answer), ``lose_answers`` (the call runs, the connection closes) and
+``crash_on`` (a text in the body that ends the process).
 """
 
 import asyncio
+import os
 import time
 
 from tests.standins._server import History, JsonHandler, parser, serve
@@ -16,6 +18,7 @@
         self.history = history
         self.delay_s = 0.0
         self.lose_answers = False
+        self.crash_on = ""
         self.n_runs = 0
 
 
@@ -26,14 +29,18 @@
         service = self.standin
         service.n_runs += 1
         key = self.request.headers.get("Idempotency-Key")
+        confirmation = f"{service.name}-{service.n_runs}"
         service.history.write(
             key=key,
+            claim=self.request.headers.get("Cassiaspread-Claim"),
+            confirmation=confirmation,
             method=self.request.method,
             path=path,
             body=self.request.body.decode(),
             time_s=time.time(),
         )
-        confirmation = f"{service.name}-{service.n_runs}"
+        if service.crash_on and service.crash_on in self.request.body.decode():
+            os._exit(70)
         await asyncio.sleep(service.delay_s)
         if service.lose_answers:
             self.request.connection.stream.close()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -6,6 +6,8 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+import uuid6
+from cassiaspread_core.policy import EntryKind
 
 from tests.fleet import Fleet, bearer, request, wait_for
 from tests.standins.engine import expected_token
@@ -69,7 +71,7 @@
     return json.loads(answer[2])
 
 
-def suspects(fleet, kind):
+def events_of(fleet, kind):
     """Return the fields of all daemons' events of a kind."""
     found = []
     for daemon in daemons_of(fleet):
@@ -139,7 +141,7 @@
     for status, _, problem, _ in later:
         assert (status, problem["outcome"]) == (422, "not-run")
         assert problem["type"].endswith(":quarantined")
-    noted = suspects(fleet, "suspect.noted")
+    noted = events_of(fleet, "suspect.noted")
     assert len({e["target"] for e in noted}) == 2
 
 
@@ -176,19 +178,69 @@
         fleet.processes["h0"].kill()
         wait_for(lambda: n_beyond(fleet, earlier, 60) == len(prompts))
         # The next engine to die has taken over a request from the first.
-        second = suspects(fleet, "suspect.alone")[0]["targets"].split(",")[0]
+        second = events_of(fleet, "suspect.alone")[0]["targets"].split(",")[0]
         fleet.processes[second].kill()
         for prompt, answer in zip(prompts, answers, strict=True):
             assert is_whole(answer.result(), prompt, N_LONG)
     for daemon in daemons:
         assert listing(daemon)["quarantined"] == []
-    noted = suspects(fleet, "suspect.noted")
+    noted = events_of(fleet, "suspect.noted")
     assert {e["target"] for e in noted} == {"h0", second}
     assert any(e["n_losses"] == 2 for e in noted)
     for daemon in daemons:
         wait_for(lambda d=daemon: not listing(d)["suspects"], FLEET_TIMEOUT_S)
 
 
+@pytest.mark.parametrize("method", ["PUT", "POST"])
+def test_call_that_crashes_services_is_quarantined(fleet, method):
+    fleet.publish(EntryKind.SERVICE, "status", {"idempotent_methods": ["PUT"]})
+    services = [
+        fleet.start_service(f"s{i}", "cautin", service="status") for i in range(4)
+    ]
+    for service in services:
+        wait_for(service.answers)
+        service.control(crash_on=POISON)
+    daemons = daemons_of(fleet)
+    names = {service.name for service in services}
+    wait_for(lambda: n_usable(fleet, names) == len(daemons) * len(services))
+    answers = [call(daemons[n % 3], method, POISON) for n in range(6)]
+    assert [a[0] for a in answers[2:]] == [422] * 4
+    assert {a[1]["outcome"] for a in answers[:2]} == {"unknown"}
+    assert sum(s.popen.poll() is not None for s in services) == 2
+    assert call(daemons[0], method, "ordinary")[0] == 200
+
+
+def n_usable(fleet, names):
+    """Count the daemons' findings that a target can be used."""
+    return sum(e["target"] in names for e in events_of(fleet, "target.usable"))
+
+
+def call(daemon, method, body):
+    headers = CALLER | {"Idempotency-Key": str(uuid6.uuid7())}
+    path = "/v1/services/status/packs"
+    answer = request(method, daemon.address, path, body.encode(), headers)
+    return answer[0], json.loads(answer[2])
+
+
+def test_lost_connection_is_no_crash(tmp_path):
+    with Fleet(tmp_path) as fleet:
+        fleet.publish_basics()
+        engine = fleet.start_engine("h0", "cautin", 0, 8, step_ms=10)
+        wait_for(engine.answers)
+        route = fleet.start_proxy("h0", engine.address)
+        engine.control(advertise=route.address)
+        daemon = fleet.start_daemon("d0", "cautin")
+        wait_for(lambda: complete(daemon, "warm")[0] == 200)
+        fleet.list_vm("h0", "engine", "h0", route.address, "cautin")
+        with ThreadPoolExecutor(1) as pool:
+            answer = pool.submit(complete, daemon, "cut", CALLER, N_LONG)
+            wait_for(lambda: len(fleet.history("h0")) > N_TOKENS + 40)
+            route.set("cut")
+            route.set("pass")
+            assert is_whole(answer.result(), "cut", N_LONG)
+        assert listing(daemon) == {"quarantined": [], "suspects": []}
+
+
 def progress(fleet):
     """Return the position that each request has reached."""
     reached = {}
