--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_service.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_service.py
@@ -29,7 +29,7 @@
 from cassiaspread_daemon.claims._forward import TicketForwarder
 from cassiaspread_daemon.claims._journal import PartitionJournal
 from cassiaspread_daemon.claims._reader import LogHealth, PartitionReader
-from cassiaspread_daemon.claims._sender import HeldSender, SendOrder
+from cassiaspread_daemon.claims._sender import HeldSender, OnLost, SendOrder
 from cassiaspread_daemon.claims._tickets import LocalTickets
 from cassiaspread_daemon.fleet import TargetRegistry
 from cassiaspread_daemon.mesh import Mesh
@@ -113,6 +113,14 @@
         self._forwarder = TicketForwarder(mesh, self._tickets, events, self._next_claim)
         self._is_leaving = False
 
+    def tell_losses(self, on_lost: OnLost) -> None:
+        """Tell of each call whose connection was lost after the send.
+
+        :param on_lost: gets the call and the ``host:port`` of its target, before
+            the caller is answered.
+        """
+        self._sender.on_lost = on_lost
+
     def start(self) -> None:
         """Start reading and appending."""
         for partition, journal in self._journals.items():
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
@@ -157,12 +157,7 @@
         await self.finish(end)
 
     async def _generate(self, request: GenerationRequest, deliver: Deliver) -> None:
-        def take(steps: list[TokenStep]) -> None:
-            self._note_steps(steps)
-            deliver(steps)
-
-        generation = Generation(request, self.limits, self.node.relay, self.watch, take)
-        self._running = asyncio.ensure_future(generation.run())
+        self._running = asyncio.ensure_future(self._run_admitted(request, deliver))
         try:
             await self._running
         except asyncio.CancelledError:
@@ -170,13 +165,35 @@
                 499, "caller-gone", "The caller left.", Outcome.UNKNOWN
             ) from None
 
-    def _note_steps(self, steps: list[TokenStep]) -> None:
-        n_ends = steps[-1].finish_reason is not None
-        self.node.metrics.count_tokens(len(steps) - n_ends)
+    async def _run_admitted(self, request: GenerationRequest, deliver: Deliver) -> None:
+        async with self.node.admission.enter(
+            request.model,
+            request.organisation,
+            request.request,
+            request.max_tokens,
+            request.deadline_s,
+            is_resumed=request.start > 0,
+        ) as slot:
+
+            def take(steps: list[TokenStep]) -> None:
+                is_whole = self._note_steps(steps)
+                slot.note(len(steps) - is_whole, is_whole)
+                deliver(steps)
+
+            generation = Generation(
+                request, self.limits, self.node.relay, self.watch, take
+            )
+            await generation.run()
+
+    def _note_steps(self, steps: list[TokenStep]) -> bool:
+        """Count tokens; return whether they end the answer."""
+        is_whole = steps[-1].finish_reason is not None
+        self.node.metrics.count_tokens(len(steps) - is_whole)
         if not self._has_first_step:
             self._has_first_step = True
             waited_s = time.monotonic() - self.received_s
             self.node.metrics.record_first_token(waited_s)
+        return is_whole
 
 
 class CompletionsHandler(GenerationHandler):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_services.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_services.py
@@ -52,6 +52,14 @@
         self.limits = self.find_limits(service=service_id)
         query = f"?{self.request.query}" if self.request.query else ""
         target_path = (path or "/") + query
+        self.watch = self.node.quarantine.watch_call(
+            self.organisation,
+            service_id,
+            self.request.method or "GET",
+            target_path,
+            bytes(self.body),
+        )
+        self.watch.check()
         if self.request.method in policy.idempotent_methods:
             await self._forward(service_id, target_path)
         else:
@@ -98,6 +106,7 @@
         answer = await self.node.claims.run(
             call, self.limits, self.deadline_s, lambda: self.is_counted
         )
+        self.watch.complete()
         self._write_answer(answer)
 
     def _check_key(self) -> IdempotencyKey:
@@ -145,6 +154,7 @@
             response = await self._exchange(service, path, headers)
         except (ExchangeBroken, TimeoutError) as error:
             raise Refusal(504, "target-silent", f"{error}.", Outcome.UNKNOWN) from None
+        self.watch.complete()
         content_type = response.headers.get("Content-Type", "")
         self._write_result(CallResult(response.status, content_type, response.body))
 
@@ -157,8 +167,12 @@
             self.deadline_s,
         )
         with exchange:
-            async with asyncio.timeout(self.deadline_s - time.monotonic()):
-                await exchange.send(
-                    self.request.method or "GET", path, bytes(self.body), headers
-                )
-                return await exchange.finish()
+            try:
+                async with asyncio.timeout(self.deadline_s - time.monotonic()):
+                    await exchange.send(
+                        self.request.method or "GET", path, bytes(self.body), headers
+                    )
+                    return await exchange.finish()
+            except ExchangeBroken:
+                await self.watch.judge_service(exchange.address)
+                raise
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
@@ -124,6 +124,12 @@
         view, now_s = self._members.view, time.monotonic()
         return [self._peer(m) for m in view.members(now_s, MemberState.ALIVE)]
 
+    def audience(self) -> list[Peer]:
+        """List the daemons that may be at work, those not heard lately among them."""
+        view, now_s = self._members.view, time.monotonic()
+        members = view.members(now_s, MemberState.ALIVE, MemberState.SUSPECT)
+        return [self._peer(member) for member in members]
+
     def find_peer(self, incarnation: Incarnation) -> Peer | None:
         """Return a daemon that can be asked, if it can; also one that leaves.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
@@ -4,6 +4,7 @@
 
 import msgspec
 from cassiaspread_core.base import Outcome, Refusal
+from cassiaspread_core.load import PaceMeter
 from cassiaspread_core.pipeline import (
     AttemptBudget,
     Stage,
@@ -77,6 +78,7 @@
             request, limits, services.planner, services.targets, watch
         )
         self._attempt: Attempt | None = None
+        self._pace = PaceMeter()
 
     async def run(self) -> None:
         """Deliver the whole answer.
@@ -106,13 +108,15 @@
                 self._take,
             )
             self._attempt = attempt
+            self._pace = PaceMeter()
+            engines = [stage.engine for stage in following.chain.plan]
             with (
                 attempt,
-                self._services.targets.in_flight(
-                    [stage.engine for stage in following.chain.plan]
-                ),
+                self._services.targets.in_flight(engines),
+                self._services.costs.running(engines),
             ):
                 diagnosis = await self._run_attempt(attempt, following.order)
+            self._services.costs.note_pace(engines, self._pace.best_ms)
             if diagnosis is None:
                 self._watch.complete()
                 return
@@ -187,6 +191,7 @@
             return self._resume(chain)
         if self._sequence.position < self._request.start:
             raise self._refuse_lost_stream()
+        self._check_retry_budget()
         holders = diagnosis.find_holders(chain.plan, self._sequence.position)
         if diagnosis.is_cache_missing:
             holders = []
@@ -247,6 +252,8 @@
 
     def _take(self, steps: list[TokenStep]) -> None:
         self._watch.progress(self._sequence.position)
+        loop = asyncio.get_running_loop()
+        self._pace.note(self._sequence.position, loop.time())
         for step in steps:
             if step.finish_reason is None:
                 self._texts.append(step.text)
@@ -267,6 +274,15 @@
             409, "superseded", "The request was repeated at another daemon."
         )
 
+    def _check_retry_budget(self) -> None:
+        if not self._services.admission.take_retry(self._request.model):
+            raise self._refuse(
+                503,
+                "retries-exhausted",
+                "Too many requests are being retried.",
+                retry_after_s=NO_ENGINE_RETRY_S,
+            )
+
     def _cancel(self) -> None:
         if self._attempt is None or not self._may_have_run:
             return
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_planner.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_planner.py
@@ -3,9 +3,8 @@
 from collections.abc import Collection
 
 import msgspec
-from cassiaspread_core.base import DomainId, TargetId
+from cassiaspread_core.base import TargetId
 from cassiaspread_core.pipeline import (
-    EngineReport,
     Plan,
     Stage,
     check_plan,
@@ -14,10 +13,9 @@
 )
 
 from cassiaspread_daemon.fleet import TargetRegistry
+from cassiaspread_daemon.load import PlanCosts
 from cassiaspread_daemon.relay._request import GenerationRequest
 
-LOCAL_LINK_COST_MS = 0.1
-REMOTE_LINK_COST_MS = 1.0
 MILLISECONDS_PER_SECOND = 1000
 
 # An engine and its start: one that restarted is another one.
@@ -41,12 +39,12 @@
     """Chooses plans.
 
     :param targets: known targets.
-    :param domain: failure domain of this daemon.
+    :param costs: costs of stages and links.
     """
 
-    def __init__(self, targets: TargetRegistry, domain: DomainId) -> None:
+    def __init__(self, targets: TargetRegistry, costs: PlanCosts) -> None:
         self._targets = targets
-        self._domain = domain
+        self._costs = costs
 
     def choose(
         self,
@@ -69,11 +67,12 @@
             if (engine.target, engine.incarnation) not in avoided
             and engine.target not in crowded
         ]
+        self._costs.observe(engines)
         plan = choose_plan(
-            engines,
+            self._costs.candidates(engines, keep=holders),
             request.n_layers,
-            prefer_holders(self._stage_cost, holders),
-            self._link_cost,
+            prefer_holders(self._costs.stage_cost, holders),
+            self._costs.link_cost,
         )
         if plan is not None:
             check_plan(plan, request.n_layers)
@@ -90,12 +89,3 @@
         step_ms = sum(engine.step_ms for engine in known)
         starts = {engine.target: engine.incarnation for engine in known}
         return PlannedChain(plan, starts, step_ms / MILLISECONDS_PER_SECOND)
-
-    def _stage_cost(self, engine: EngineReport) -> float:
-        n_ahead = self._targets.n_in_flight(engine.target)
-        return engine.step_ms * (1 + n_ahead / engine.n_slots)
-
-    def _link_cost(self, before: EngineReport, after: EngineReport) -> float:
-        if before.domain == after.domain:
-            return LOCAL_LINK_COST_MS
-        return REMOTE_LINK_COST_MS
