Claims partitions that nobody waits for are read each 10 s

Cause: 8 partitions each 5 s are 1.6 reads a second for every idle daemon. Change: 10 s. Health of the log is still seen within about a second, by the first of the 8 reads.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_reader.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_reader.py
@@ -19,7 +19,7 @@
 RETRY_DELAY_S = 0.2
 LONG_POLL_S = 0.2
 READ_TIMEOUT_S = 1.0
-REFRESH_INTERVAL_S = 5.0
+REFRESH_INTERVAL_S = 10.0
 FORGET_INTERVAL_S = 60.0
 
 
