--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
@@ -63,7 +63,7 @@
     dedupe_window_s: Positive = 86_400
     uses_claim_committers: bool = True
     priority: int = 0
-    quarantine_s: int = 3_600
+    quarantine_s: Positive = 3_600
 
 
 class Organisation(
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -30,7 +30,7 @@
     TargetRegistry,
     VmListReader,
 )
-from cassiaspread_daemon.load import Quarantine, SuspectExchange, TargetProbe
+from cassiaspread_daemon.load import build_quarantine
 from cassiaspread_daemon.mesh import Mesh, Sender, to_member
 from cassiaspread_daemon.relay import RelayServices
 
@@ -95,13 +95,8 @@
             self.supervisor.add_child("claims"),
             lambda: self.policy,
         )
-        self.quarantine = Quarantine(
-            SuspectExchange(
-                self.mesh, self.log, self.events, lambda: self.policy.limits
-            ),
-            TargetProbe(self.engines),
-            self.events,
-            self.incarnation,
+        self.quarantine = build_quarantine(
+            self.mesh, self.log, self.events, self.engines, lambda: self.policy.limits
         )
         self.relay = RelayServices(
             self.engines,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/__init__.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/__init__.py
@@ -1,7 +1,13 @@
 """Quarantine, admission and shares of one daemon."""
 
 from cassiaspread_daemon.load._probe import TargetProbe
-from cassiaspread_daemon.load._quarantine import Quarantine, Watch
+from cassiaspread_daemon.load._quarantine import Quarantine, Watch, build_quarantine
 from cassiaspread_daemon.load._suspects import SuspectExchange
 
-__all__ = ["Quarantine", "SuspectExchange", "TargetProbe", "Watch"]
+__all__ = [
+    "Quarantine",
+    "SuspectExchange",
+    "TargetProbe",
+    "Watch",
+    "build_quarantine",
+]
