Fold of claims keeps texts that repeat once

Change: holders, organisations and content types are interned, a key without void claims has no set of its own.

--- a/packages/cassiaspread-core/src/cassiaspread_core/claims/_fold.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/claims/_fold.py
@@ -7,10 +7,11 @@
 """
 
 from enum import Enum
+from sys import intern
 
 import msgspec
 
-from cassiaspread_core.base import Offset
+from cassiaspread_core.base import Incarnation, Offset, OrganisationId
 from cassiaspread_core.claims._key import (
     MAX_CLOCK_SKEW_S,
     KeyAge,
@@ -52,7 +53,7 @@
     holder: ClaimId | None = None
     fingerprint: Fingerprint | None = None
     result: CallResult | None = None
-    void: set[ClaimId] = msgspec.field(default_factory=set)
+    void: frozenset[ClaimId] = frozenset()
 
 
 class PartitionFold:
@@ -110,7 +111,9 @@
 
         :param record: the record.
         """
-        state = self._keys.setdefault(record.key, KeyState())
+        state = self._keys.get(record.key)
+        if state is None:
+            state = self._keys[_share_key(record.key)] = KeyState()
         if isinstance(record, ClaimRecord):
             self._apply_claim(state, record)
         elif isinstance(record, AbandonRecord):
@@ -179,15 +182,15 @@
             return
         is_ticket = ticket_incarnation(record.key.key) is not None
         if is_ticket or state.holder is not None:
-            state.void.add(record.claim)
+            state.void |= {record.claim}
             return
-        state.holder = record.claim
+        state.holder = _share_claim(record.claim)
         state.fingerprint = record.fingerprint
 
     def _apply_abandon(self, state: KeyState, record: AbandonRecord) -> None:
         if state.result is not None and state.holder == record.claim:
             return
-        state.void.add(record.claim)
+        state.void |= {record.claim}
         if state.holder == record.claim:
             state.holder = state.fingerprint = None
 
@@ -199,4 +202,19 @@
             state.holder = record.claim
             state.fingerprint = record.fingerprint
         if state.holder == record.claim:
-            state.result = record.result
+            state.result = _share_result(record.result)
+
+
+# Texts that many records repeat are kept once.
+
+
+def _share_key(key: ScopedKey) -> ScopedKey:
+    return ScopedKey(OrganisationId(intern(key.organisation)), key.key)
+
+
+def _share_claim(claim: ClaimId) -> ClaimId:
+    return ClaimId(Incarnation(intern(claim.holder)), claim.sequence)
+
+
+def _share_result(result: CallResult) -> CallResult:
+    return CallResult(result.status, intern(result.content_type), result.body)
