Fold of claims: records that are not understood are skipped one by one

Cause: a batch with one record of a later release's kind was skipped whole by an older daemon, so that two releases would have seen different holders. A record with a key that carries no time would have ended the reader's task (found in review). Change: each record of a batch is decoded by itself; records with bad keys are skipped and counted; a malformed answer of the log to an append counts as ambiguous. Before/After: test_records_of_later_releases_leave_the_others_of_a_batch fails on the old decoder (whole batch skipped) and passes now.

--- a/packages/cassiaspread-core/src/cassiaspread_core/claims/_fold.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/claims/_fold.py
@@ -15,6 +15,7 @@
 from cassiaspread_core.claims._key import (
     MAX_CLOCK_SKEW_S,
     KeyAge,
+    is_readable,
     judge_age,
     key_time_s,
     ticket_incarnation,
@@ -86,7 +87,7 @@
 
     @property
     def n_bad(self) -> int:
-        """How many records of the log were skipped as malformed."""
+        """How many records were skipped as malformed."""
         return self._n_bad
 
     def apply(self, offset: Offset, value: bytes) -> None:
@@ -99,12 +100,16 @@
             return
         self._next = Offset(offset + 1)
         try:
-            records = decode_batch(value)
+            batch = decode_batch(value)
         except BadBatch:
             self._n_bad += 1
             return
-        for record in records:
-            self.apply_record(record)
+        self._n_bad += batch.n_bad
+        for record in batch.records:
+            if record.key in self._keys or is_readable(record.key.key):
+                self.apply_record(record)
+            else:
+                self._n_bad += 1
 
     def apply_record(self, record: Record) -> None:
         """Take in one record of a batch.
--- a/packages/cassiaspread-core/src/cassiaspread_core/claims/_key.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/claims/_key.py
@@ -71,6 +71,21 @@
     return IdempotencyKey(text)
 
 
+def is_readable(key: IdempotencyKey) -> bool:
+    """Tell whether a key from the log carries its time.
+
+    :param key: the key, not checked yet.
+
+    >>> is_readable(IdempotencyKey("slot-1"))
+    False
+    """
+    try:
+        check_key(key)
+    except BadKey:
+        return False
+    return True
+
+
 def key_time_s(key: IdempotencyKey) -> float:
     """Return when a key was made, in seconds since the epoch.
 
--- a/packages/cassiaspread-core/src/cassiaspread_core/claims/_record.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/claims/_record.py
@@ -1,6 +1,6 @@
 """Records of a claims partition and their encoding."""
 
-from typing import NewType
+from typing import NamedTuple, NewType
 
 import msgspec
 
@@ -106,7 +106,19 @@
 
 Record = ClaimRecord | AbandonRecord | OutcomeRecord
 
-_DECODER = msgspec.msgpack.Decoder(tuple[Record, ...])
+_BATCH_DECODER = msgspec.msgpack.Decoder(tuple[msgspec.Raw, ...])
+_RECORD_DECODER = msgspec.msgpack.Decoder(Record)
+
+
+class DecodedBatch(NamedTuple):
+    """What one record of the log carries.
+
+    :param records: the records that are understood, in order.
+    :param n_bad: how many are not, such as kinds of a later release.
+    """
+
+    records: tuple[Record, ...]
+    n_bad: int
 
 
 class BadBatch(CassiaspreadError):
@@ -121,7 +133,7 @@
     return msgspec.msgpack.encode(records)
 
 
-def decode_batch(value: bytes) -> tuple[Record, ...]:
+def decode_batch(value: bytes) -> DecodedBatch:
     """Decode one record of the log.
 
     :param value: the record's bytes.
@@ -129,10 +141,19 @@
 
     >>> key = ScopedKey("savinja", "k")
     >>> batch = (AbandonRecord(key, ClaimId("i", 1)),)
-    >>> decode_batch(encode_batch(batch)) == batch
+    >>> decode_batch(encode_batch(batch)) == (batch, 0)
     True
     """
     try:
-        return _DECODER.decode(value)
+        parts = _BATCH_DECODER.decode(value)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise BadBatch(str(error)) from None
+    records = tuple(record for part in parts if (record := _decode_record(part)))
+    return DecodedBatch(records, len(parts) - len(records))
+
+
+def _decode_record(part: msgspec.Raw) -> Record | None:
+    try:
+        return _RECORD_DECODER.decode(part)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
--- a/packages/cassiaspread-core/tests/test_claims_fold.py
+++ b/packages/cassiaspread-core/tests/test_claims_fold.py
@@ -1,5 +1,6 @@
 """The fold gives every reader the same holder of a key."""
 
+import msgspec
 import pytest
 from cassiaspread_core.base import IdempotencyKey, Incarnation, OrganisationId
 from cassiaspread_core.claims import (
@@ -131,6 +132,14 @@
     assert (fold.n_bad, fold.find(K).holder, fold.next_offset) == (1, A, 2)
 
 
+def test_records_of_later_releases_leave_the_others_of_a_batch():
+    known = msgspec.msgpack.decode(encode_batch((claim(K, A),)))[0]
+    later, bad_key = ["later", 1], ["claim", ["o", "no-uuid"], list(known[2]), "f"]
+    fold = fold_of(msgspec.msgpack.encode([later, known, bad_key]))
+    assert (fold.n_bad, fold.find(K).holder, fold.n_keys) == (2, A, 1)
+    assert fold.forget_expired(key_time_s(K.key), 100) == 0
+
+
 @pytest.mark.parametrize(
     ("kept_since_s", "is_judged"), [(-10.0, False), (-200.0, True)]
 )
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_committer.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_committer.py
@@ -139,12 +139,14 @@
         self._events.record("claims.committer_avoided", committer=peer.sender.vm)
 
     async def _append_directly(self, partition: int, batch: Batch) -> None:
-        await self._log.append(
-            f"claims-{partition}", encode_batch(batch.records), APPEND_TIMEOUT_S
-        )
+        value = encode_batch(batch.records)
+        try:
+            await self._log.append(f"claims-{partition}", value, APPEND_TIMEOUT_S)
+        except msgspec.MsgspecError as error:
+            raise AppendAmbiguous(f"answer of the log: {error}") from None
 
     async def _accept(self, request: CommitRequest, sender: Sender) -> Empty:
-        self._journals[request.partition].add(decode_batch(request.batch))
+        self._journals[request.partition].add(decode_batch(request.batch).records)
         return Empty()
 
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_services.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_services.py
@@ -144,7 +144,8 @@
         try:
             response = await self._exchange(service, path, headers)
         except (ExchangeBroken, TimeoutError) as error:
-            raise Refusal(504, "target-silent", f"{error}.", Outcome.UNKNOWN) from None
+            detail = f"{error or 'no answer in time'}."
+            raise Refusal(504, "target-silent", detail, Outcome.UNKNOWN) from None
         content_type = response.headers.get("Content-Type", "")
         self._write_result(CallResult(response.status, content_type, response.body))
 
