--- a/packages/cassiaspread-core/src/cassiaspread_core/claims/_fold.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/claims/_fold.py
@@ -7,13 +7,15 @@
 """
 
 from enum import Enum
+from sys import intern
 
 import msgspec
 
-from cassiaspread_core.base import Offset
+from cassiaspread_core.base import Incarnation, Offset, OrganisationId
 from cassiaspread_core.claims._key import (
     MAX_CLOCK_SKEW_S,
     KeyAge,
+    is_readable,
     judge_age,
     key_time_s,
     ticket_incarnation,
@@ -52,7 +54,7 @@
     holder: ClaimId | None = None
     fingerprint: Fingerprint | None = None
     result: CallResult | None = None
-    void: set[ClaimId] = msgspec.field(default_factory=set)
+    void: frozenset[ClaimId] = frozenset()
 
 
 class PartitionFold:
@@ -85,7 +87,7 @@
 
     @property
     def n_bad(self) -> int:
-        """How many records of the log were skipped as malformed."""
+        """How many records were skipped as malformed."""
         return self._n_bad
 
     def apply(self, offset: Offset, value: bytes) -> None:
@@ -98,19 +100,25 @@
             return
         self._next = Offset(offset + 1)
         try:
-            records = decode_batch(value)
+            batch = decode_batch(value)
         except BadBatch:
             self._n_bad += 1
             return
-        for record in records:
-            self.apply_record(record)
+        self._n_bad += batch.n_bad
+        for record in batch.records:
+            if record.key in self._keys or is_readable(record.key.key):
+                self.apply_record(record)
+            else:
+                self._n_bad += 1
 
     def apply_record(self, record: Record) -> None:
         """Take in one record of a batch.
 
         :param record: the record.
         """
-        state = self._keys.setdefault(record.key, KeyState())
+        state = self._keys.get(record.key)
+        if state is None:
+            state = self._keys[_share_key(record.key)] = KeyState()
         if isinstance(record, ClaimRecord):
             self._apply_claim(state, record)
         elif isinstance(record, AbandonRecord):
@@ -179,15 +187,15 @@
             return
         is_ticket = ticket_incarnation(record.key.key) is not None
         if is_ticket or state.holder is not None:
-            state.void.add(record.claim)
+            state.void |= {record.claim}
             return
-        state.holder = record.claim
+        state.holder = _share_claim(record.claim)
         state.fingerprint = record.fingerprint
 
     def _apply_abandon(self, state: KeyState, record: AbandonRecord) -> None:
         if state.result is not None and state.holder == record.claim:
             return
-        state.void.add(record.claim)
+        state.void |= {record.claim}
         if state.holder == record.claim:
             state.holder = state.fingerprint = None
 
@@ -199,4 +207,19 @@
             state.holder = record.claim
             state.fingerprint = record.fingerprint
         if state.holder == record.claim:
-            state.result = record.result
+            state.result = _share_result(record.result)
+
+
+# Texts that many records repeat are kept once.
+
+
+def _share_key(key: ScopedKey) -> ScopedKey:
+    return ScopedKey(OrganisationId(intern(key.organisation)), key.key)
+
+
+def _share_claim(claim: ClaimId) -> ClaimId:
+    return ClaimId(Incarnation(intern(claim.holder)), claim.sequence)
+
+
+def _share_result(result: CallResult) -> CallResult:
+    return CallResult(result.status, intern(result.content_type), result.body)
