History with retention; entries' table and the search for checkpoints apart

Change: the stand-in log removes records after 4 s, a copy of the stream is judged; EntryTable and find_checkpoint; a test of an append that takes effect after its timeout.

--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_log.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_log.py
@@ -186,7 +186,7 @@
             body=body,
             raise_error=False,
             connect_timeout=CONNECT_TIMEOUT_S,
-            request_timeout=REQUEST_TIMEOUT_S + wait_s,
+            request_timeout=min(REQUEST_TIMEOUT_S, self._context.timeout_s) + wait_s,
         )
 
 
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/__init__.py
@@ -7,6 +7,7 @@
     Snapshot,
     split_snapshot,
 )
+from cassiaspread_core.policy._entries import EntryKey
 from cassiaspread_core.policy._file import read_policy_file
 from cassiaspread_core.policy._model import (
     Limits,
@@ -34,7 +35,7 @@
     InvalidEntry,
     check_entry,
 )
-from cassiaspread_core.policy._state import EntryKey, Folded, PolicyState, Verdict
+from cassiaspread_core.policy._state import Folded, PolicyState, Verdict
 from cassiaspread_core.policy._status import PolicyStatus, RejectedRecord
 
 __all__ = [
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_change.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_change.py
@@ -5,9 +5,10 @@
 import msgspec
 
 from cassiaspread_core.base import Offset
+from cassiaspread_core.policy._entries import EntryKey
 from cassiaspread_core.policy._record import EntryKind, EntryRecord
 from cassiaspread_core.policy._rules import EntryValue
-from cassiaspread_core.policy._state import EntryKey, PolicyState
+from cassiaspread_core.policy._state import PolicyState
 
 
 class Change(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_file.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_file.py
@@ -9,10 +9,10 @@
 import msgspec
 
 from cassiaspread_core.base import Finding, FindingsError
+from cassiaspread_core.policy._entries import EntryKey
 from cassiaspread_core.policy._model import Limits, LimitsException
 from cassiaspread_core.policy._record import MAX_NAME_LENGTH, EntryKind
 from cassiaspread_core.policy._rules import ENTRY_TYPES, EntryValue
-from cassiaspread_core.policy._state import EntryKey
 
 SECTIONS = {
     "organisations": EntryKind.ORGANISATION,
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_state.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_state.py
@@ -4,11 +4,9 @@
 from enum import Enum
 from typing import NamedTuple
 
-import msgspec
-import xxhash
-
 from cassiaspread_core.base import Offset
 from cassiaspread_core.policy._checkpoint import Snapshot
+from cassiaspread_core.policy._entries import EntryKey, EntryTable, tokens_of
 from cassiaspread_core.policy._policy import Policy
 from cassiaspread_core.policy._record import (
     BadRecord,
@@ -27,25 +25,6 @@
     check_entry,
 )
 
-_POLICY_FIELDS = {
-    EntryKind.ORGANISATION: "organisations",
-    EntryKind.OPERATOR: "operators",
-    EntryKind.MODEL: "models",
-    EntryKind.SERVICE: "services",
-    EntryKind.TARGET: "targets",
-    EntryKind.EXCEPTION: "exceptions",
-}
-
-
-class EntryKey(NamedTuple):
-    """Names one entry."""
-
-    kind: EntryKind
-    name: str
-
-    def __str__(self) -> str:
-        return f"{self.kind.value} {self.name}".strip()
-
 
 class Verdict(Enum):
     """What the fold made of a record."""
@@ -85,18 +64,8 @@
         self._latest_rules = latest_rules
         self._next = Offset(0)
         self._halt: str | None = None
-        self._reset(1)
-
-    def _reset(self, rules: int) -> None:
-        self._rules = rules
-        self._entries: dict[EntryKey, Entry] = {}
-        self._values: dict[EntryKind, dict[str, EntryValue]] = {
-            k: {} for k in EntryKind
-        }
-        self._owners: dict[str, EntryKey] = {}
-        self._organisations: dict[str, str] = {}
-        self._digest = 0
-        self._policy = Policy()
+        self._rules = 1
+        self._table = EntryTable()
 
     @property
     def next_offset(self) -> Offset:
@@ -106,7 +75,7 @@
     @property
     def policy(self) -> Policy:
         """The configuration in force."""
-        return self._policy
+        return self._table.policy
 
     @property
     def latest_rules(self) -> int:
@@ -126,21 +95,23 @@
     @property
     def entries(self) -> dict[EntryKey, Entry]:
         """The accepted entries, removed ones too."""
-        return self._entries
+        return self._table.entries
 
     @property
     def digest(self) -> str:
         """Equal for two readers of one stream that accepted the same records."""
-        return f"{self._digest:016x}"
+        return self._table.digest
 
     @property
     def last_accepted(self) -> Offset | None:
         """Offset of the latest accepted entry, if any."""
-        return max((entry.offset for entry in self._entries.values()), default=None)
+        return max(
+            (entry.offset for entry in self._table.entries.values()), default=None
+        )
 
     def snapshot(self) -> Snapshot:
         """Return the whole state, for a checkpoint or a peer."""
-        entries = tuple(self._entries.values())
+        entries = tuple(self._table.entries.values())
         return Snapshot(covered=self._next, rules=self._rules, entries=entries)
 
     def fold(
@@ -169,7 +140,7 @@
                 result.record, EntryRecord
             ):
                 changed.add(result.record.kind)
-        self._rebuild(changed)
+        self._table.rebuild(changed)
         return folded
 
     def take_over(self, snapshot: Snapshot) -> bool:
@@ -187,11 +158,12 @@
         checked = [
             (entry, _check_in_snapshot(entry, snapshot)) for entry in snapshot.entries
         ]
-        self._reset(snapshot.rules)
+        self._rules = snapshot.rules
+        self._table = EntryTable()
         for entry, value in checked:
-            self._set(EntryKey(entry.kind, entry.name), entry, value)
+            self._table.set(EntryKey(entry.kind, entry.name), entry, value)
         self._next = snapshot.covered
-        self._rebuild(set(EntryKind))
+        self._table.rebuild(set(EntryKind))
         return True
 
     def contradicts(self, snapshot: Snapshot) -> bool:
@@ -200,10 +172,10 @@
         :param snapshot: a state that covers no more than this one.
         """
         theirs = {EntryKey(e.kind, e.name): e for e in snapshot.entries}
-        for key, entry in self._entries.items():
+        for key, entry in self._table.entries.items():
             if entry.offset < snapshot.covered and theirs.get(key) != entry:
                 return True
-        return not theirs.keys() <= self._entries.keys()
+        return not theirs.keys() <= self._table.entries.keys()
 
     def _apply(self, offset: Offset, value: bytes) -> Folded:
         try:
@@ -237,7 +209,7 @@
 
     def _apply_entry(self, offset: Offset, record: EntryRecord) -> Folded:
         key = EntryKey(record.kind, record.name)
-        present = self._entries.get(key)
+        present = self._table.entries.get(key)
         reason = self._find_conflict(key, record, present)
         if reason is None and record.value is None and present is not None:
             value = present.value
@@ -258,7 +230,7 @@
             change=record.change,
             is_removed=record.value is None,
         )
-        self._set(key, entry, checked)
+        self._table.set(key, entry, checked)
         return Folded(offset, Verdict.ACCEPTED, record=record)
 
     def _find_conflict(
@@ -270,58 +242,14 @@
             return f"{present.author} changed {key} at offset {present.offset}"
         if record.value is None and (present is None or present.is_removed):
             return f"there is no {key} to remove"
-        for token in _tokens(record.value):
-            owner = self._owners.get(token, key)
+        for token in tokens_of(record.value):
+            owner = self._table.owner_of(token) or key
             if owner != key:
                 return f"a token of {key} belongs to {owner}"
         return None
 
-    def _set(self, key: EntryKey, entry: Entry, value: EntryValue) -> None:
-        present = self._entries.get(key)
-        if present is not None:
-            self._digest ^= _hash(present)
-            for token in _tokens(present.value):
-                self._owners.pop(token, None)
-                self._organisations.pop(token, None)
-        self._entries[key] = entry
-        self._digest ^= _hash(entry)
-        if entry.is_removed:
-            self._values[key.kind].pop(key.name, None)
-            return
-        self._values[key.kind][key.name] = value
-        for token in _tokens(entry.value):
-            self._owners[token] = key
-            if key.kind is EntryKind.ORGANISATION:
-                self._organisations[token] = key.name
-
-    def _rebuild(self, changed: set[EntryKind]) -> None:
-        if not changed:
-            return
-        fields: dict = {
-            field: dict(self._values[kind])
-            for kind, field in _POLICY_FIELDS.items()
-            if kind in changed
-        }
-        if EntryKind.LIMITS in changed:
-            fields["limits"] = self._values[EntryKind.LIMITS].get("", Policy().limits)
-        if EntryKind.ORGANISATION in changed:
-            fields["token_owners"] = dict(self._organisations)
-        self._policy = msgspec.structs.replace(self._policy, **fields)
-
 
 def _check_in_snapshot(entry: Entry, snapshot: Snapshot) -> EntryValue:
     if entry.offset >= snapshot.covered:
         raise InvalidEntry(f"offset {entry.offset} lies past what the snapshot covers")
     return check_entry(entry.kind, entry.name, entry.value, snapshot.rules)
-
-
-def _tokens(value: dict | None) -> tuple[str, ...]:
-    tokens = (value or {}).get("token_sha256", ())
-    if not isinstance(tokens, (list, tuple)):
-        return ()
-    return tuple(token for token in tokens if isinstance(token, str))
-
-
-def _hash(entry: Entry) -> int:
-    text = f"{entry.kind.value}\n{entry.name}\n{entry.offset}"
-    return xxhash.xxh3_64_intdigest(text.encode())
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_checkpoint.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_checkpoint.py
@@ -10,7 +10,8 @@
 from cassiaspread_core.timeline import EventRing
 
 from cassiaspread_daemon.adapters import AppendAmbiguous, AppendNotSent, LogClient
-from cassiaspread_daemon.fleet._policy import POLICY_STREAM, PolicyFollower
+from cassiaspread_daemon.fleet._find_checkpoint import POLICY_STREAM
+from cassiaspread_daemon.fleet._policy import PolicyFollower
 
 APPEND_TIMEOUT_S = 5.0
 CHECK_INTERVAL_S = 1.0
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_policy.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_policy.py
@@ -30,9 +30,9 @@
     LogUnavailable,
     Truncated,
 )
+from cassiaspread_daemon.fleet._find_checkpoint import POLICY_STREAM, find_checkpoint
 from cassiaspread_daemon.fleet._recent_records import RecentRecords
 
-POLICY_STREAM = "policy"
 WAIT_S = 3.0
 RETRY_DELAY_S = 0.2
 RECOVERY_DELAY_S = 1.0
@@ -111,10 +111,7 @@
         if self._state.halt is not None:
             reasons.append(self._state.halt)
         if not self._is_current:
-            source = self._log_error or "reading the log"
-            reasons.append(
-                f"the configuration was not read yet ({source}; no peer has it)"
-            )
+            reasons.append(f"the configuration was not read yet ({self._progress()})")
         if self.lag_s() > MAX_LAG_S and self._state.halt is None:
             reasons.append(
                 f"the configuration is at offset {self._state.next_offset}, a peer "
@@ -122,6 +119,12 @@
             )
         return reasons
 
+    def _progress(self) -> str:
+        log = self._log_error or "the log is being read"
+        if self._known > self._state.next_offset:
+            return f"{log}; a peer has it up to offset {self._known}"
+        return f"{log}; no peer has it"
+
     def status(self) -> PolicyStatus:
         """Report the state of the configuration."""
         return PolicyStatus(
@@ -229,33 +232,20 @@
 
     async def _recover(self, earliest: Offset) -> None:
         start = self._state.next_offset
+        error = (
+            f"the log lost offsets {start} to {earliest - 1} and has no "
+            "checkpoint that covers them"
+        )
         try:
-            if await self._read_checkpoint(earliest):
-                return
-        except (LogUnavailable, Truncated) as error:
-            self._note_log_error(str(error))
-        else:
-            self._note_log_error(
-                f"the log lost offsets {start} to {earliest - 1} and has no "
-                "checkpoint that covers them"
-            )
+            snapshot = await find_checkpoint(self._log, earliest)
+            if snapshot is not None:
+                self.take_over(snapshot, "checkpoint")
+        except (LogUnavailable, Truncated) as failure:
+            error = str(failure)
         if self._state.next_offset < earliest:
+            self._note_log_error(error)
             await asyncio.sleep(RECOVERY_DELAY_S)
 
-    async def _read_checkpoint(self, earliest: Offset) -> bool:
-        assembler = CheckpointAssembler()
-        offset = earliest
-        while self._state.next_offset < earliest:
-            page = await self._log.read(POLICY_STREAM, offset)
-            for record in page.records:
-                snapshot = assembler.add_record(record.offset, record.value)
-                if snapshot is not None and snapshot.covered >= page.earliest:
-                    return self.take_over(snapshot, "checkpoint")
-            if not page.records:
-                return False
-            offset = Offset(page.records[-1].offset + 1)
-        return True
-
     def _check_checkpoint(self, part: CheckpointPart, time_s: float) -> None:
         snapshot = self._assembler.add(part)
         if snapshot is None:
--- a/tests/policy_fleet.py
+++ b/tests/policy_fleet.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+from contextlib import suppress
 from pathlib import Path
 from typing import NamedTuple
 
@@ -104,12 +105,20 @@
     return done.returncode, done.stdout, done.stderr
 
 
-def read_stream(fleet: Fleet) -> list[tuple[int, bytes]]:
-    path = "/streams/policy?start=0&n_records=1000000"
+def read_stream(fleet: Fleet, start: int = 0) -> list[tuple[int, bytes]]:
+    path = f"/streams/policy?start={start}&n_records=1000000"
     page = json.loads(request("GET", fleet.log.address, path)[2])
     return [(r["offset"], base64.b64decode(r["value"])) for r in page["records"]]
 
 
+def copy_stream(fleet: Fleet, copy: list[tuple[int, bytes]], stop) -> None:
+    """Copy records before retention removes them, until told to stop."""
+    while not stop.is_set():
+        with suppress(OSError, KeyError):
+            copy += read_stream(fleet, len(copy))
+        time.sleep(0.1)
+
+
 class Sample(NamedTuple):
     """What a daemon had in force at a time."""
 
--- a/tests/standins/log.py
+++ b/tests/standins/log.py
@@ -1,8 +1,8 @@
 """The platform's append-only log: streams of records with offsets, in memory.
 
 ``POST /control`` sets faults: ``available`` (false answers 503), ``lose_answers``
-(appends take effect, the connection closes without an answer), ``delay_s``, and
-``truncate`` ({stream: earliest}).
+(appends take effect, the connection closes without an answer), ``delay_s`` (appends
+take effect later), ``retention_s`` (0 keeps all) and ``truncate`` ({stream: earliest}).
 """
 
 import asyncio
@@ -31,6 +31,12 @@
         self.changed = asyncio.Event()
         return offset
 
+    def expire(self, retention_s: float) -> None:
+        while retention_s and self.records:
+            if self.records[0]["time_s"] > time.time() - retention_s:
+                break
+            self.truncate(self.earliest + 1)
+
     def truncate(self, earliest: int) -> None:
         self.records = self.records[earliest - self.earliest :]
         self.earliest = earliest
@@ -42,6 +48,7 @@
         self.available = True
         self.lose_answers = False
         self.delay_s = 0.0
+        self.retention_s = 0.0
         self.n_appends = 0
 
     def stream(self, name: str) -> Stream:
@@ -68,6 +75,7 @@
             self.reply({"error": "unavailable"}, 503)
             return
         stream = self.standin.stream(name)
+        stream.expire(self.standin.retention_s)
         start = int(self.get_query_argument("start"))
         wait_s = int(self.get_query_argument("wait_ms", "0")) / 1000
         if start >= stream.end and wait_s:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -28,6 +28,7 @@
     Judge,
     SplitFleet,
     command,
+    copy_stream,
     operator_get,
     policy_status,
     read_stream,
@@ -36,6 +37,7 @@
 
 DOMAINS = ("osorno-norte", "cautin", "llanquihue")
 HISTORY_S = float(os.environ.get("CASSIASPREAD_HISTORY_S", "10"))
+RETENTION_S = 4
 SEED = int(os.environ.get("CASSIASPREAD_HISTORY_SEED", "1"))
 
 
@@ -219,6 +221,19 @@
     assert len(read_stream(fleet)) == 6
 
 
+def test_append_that_takes_effect_after_its_timeout(fleet):
+    path = models_file(fleet, "a.toml", 9)
+    fleet.log.control(delay_s=2.0)
+    arguments = ("policy", "apply", path, "--json", "--timeout-s", "1")
+    status, output, _ = command(fleet, [], *arguments)
+    (change,) = json.loads(output)["changes"]
+    assert (status, change["outcome"]) == (4, "unknown")
+    fleet.log.control(delay_s=0.0)
+    wait_for(lambda: len(read_stream(fleet)) == 6)
+    status, output, _ = command(fleet, [], "policy", "apply", path)
+    assert (status, output.strip()) == (0, "nothing to publish: no entry differs")
+
+
 class History:
     """Operators race while faults come; everything is recorded."""
 
@@ -227,6 +242,7 @@
         self.random_state = random.Random(seed)
         self.stop = threading.Event()
         self.samples, self.changes, self.isolations = [], [], []
+        self.stream = []
         self.domains = {}
         self.n_daemons = 0
         self.operator_route = fleet.start_proxy("operators", fleet.log.address)
@@ -236,7 +252,7 @@
         self.n_daemons += 1
         name = f"d{self.n_daemons}"
         self.domains[name] = domain
-        self.split.start(name, domain)
+        self.split.start(name, domain, log_retention_s=RETENTION_S)
 
     def operate(self, author):
         n_layers = 1000 * author
@@ -286,7 +302,7 @@
         begin_s = time.time()
         self.split.logs[domain].set("cut")
         self.split.set_peers(domain, "cut")
-        time.sleep(1.5)
+        time.sleep(self.random_state.choice([1.5, RETENTION_S + 1.0]))
         self.split.set_peers(domain, "pass")
         self.split.logs[domain].set("pass")
         self.isolations.append(Isolation(domain, begin_s, time.time()))
@@ -302,17 +318,20 @@
     def run(self):
         for domain in DOMAINS * 2:
             self.start_daemon(domain)
-        sampler = threading.Thread(
-            target=sample_daemons, args=(self.split, self.samples, self.stop)
-        )
-        operators = [
-            threading.Thread(target=self.operate, args=(i,)) for i in (1, 2, 3)
+        threads = [
+            threading.Thread(target=target, args=arguments)
+            for target, arguments in (
+                (copy_stream, (self.fleet, self.stream, self.stop)),
+                (sample_daemons, (self.split, self.samples, self.stop)),
+                *((self.operate, (author,)) for author in (1, 2, 3)),
+            )
         ]
-        for thread in (sampler, *operators):
+        for thread in threads:
             thread.start()
+        self.fleet.log.control(retention_s=RETENTION_S)
         try:
             self.inject()
-            end = len(read_stream(self.fleet))
+            end = len(self.stream)
             daemons = [daemon for _, daemon in self.split.daemons.values()]
             wait_for(
                 lambda: all(policy_status(d)["next_offset"] >= end for d in daemons),
@@ -320,14 +339,15 @@
             )
         finally:
             self.stop.set()
-            for thread in (sampler, *operators):
+            for thread in threads:
                 thread.join()
+            self.stream += read_stream(self.fleet, len(self.stream))
 
 
 def test_history_of_racing_operators(fleet, split):
     history = History(fleet, split, SEED)
     history.run()
-    judge = Judge(read_stream(fleet))
+    judge = Judge(history.stream)
     judge.check_order(history.samples)
     judge.check_outcomes(history.changes)
     delays = judge.spread(history.samples, history.domains, history.isolations)
