--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_daemons.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_daemons.py
@@ -71,7 +71,7 @@
             f"http://{daemon}{path}",
             headers={"Authorization": f"Bearer {context.token}"},
             connect_timeout=CONNECT_TIMEOUT_S,
-            request_timeout=REQUEST_TIMEOUT_S,
+            request_timeout=min(REQUEST_TIMEOUT_S, context.timeout_s),
         )
         return Answer(daemon, msgspec.json.decode(response.body, type=value_type))
     except HTTPError as error:
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_status.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_status.py
@@ -81,6 +81,12 @@
             )
         if policy.log_error:
             problems.append(f"{report.vm} can't read the log: {policy.log_error}")
+    n_skipped = max(report.policy.n_skipped for report in reports)
+    if n_skipped:
+        problems.append(
+            f"{n_skipped} records of the stream are no configuration; "
+            "'policy history' shows where"
+        )
     for offset, owners in digests.items():
         if len(owners) > 1:
             vms = " and ".join(sorted(owners.values()))
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import signal
 import threading
 import time
 from argparse import Namespace
@@ -138,6 +139,30 @@
         status = policy_status(daemon)
         assert (status["n_skipped"], status["n_rejected"]) == (len(junk), 2)
         assert len(status["rejected"]) == len(junk) + 2
+    status, output, errors = command(fleet, daemons, "status")
+    assert (status, output.count("ready")) == (0, 1 + len(daemons))
+    assert f"{len(junk)} records of the stream are no configuration" in errors
+    lines = command(fleet, [], "policy", "history")[1]
+    assert (lines.count("skipped"), lines.count("rejected")) == (len(junk), 2)
+
+
+def test_part_of_the_fleet_that_cannot_be_reached_is_named(fleet, split):
+    daemons = [split.start(f"d{i}", domain) for i, domain in enumerate(DOMAINS)]
+    wait_same(daemons)
+    path = models_file(fleet, "a.toml", 9)
+    daemons[2].signal(signal.SIGSTOP)
+    for arguments in (("status",), ("targets",), ("policy", "apply", path, "--wait")):
+        arguments = (*arguments, "--timeout-s", "2")
+        status, output, errors = command(fleet, daemons, *arguments)
+        assert (status, daemons[2].address in errors) == (5, True)
+        assert output
+    assert "in force on 2 of 3" in output
+    fleet.log.control(available=False)
+    status, output, errors = command(
+        fleet, daemons, "policy", "show", "--timeout-s", "2"
+    )
+    assert (status, "n_layers=9" in output) == (0, True)
+    assert "the log can't be read, asking daemons" in errors
 
 
 def test_unknown_rules_keep_what_is_in_force(fleet, split):
