History of streams through random faults; certain and uncertain absence of a trace

Change: no trace is taken as certain only when every possible head has answered; else the search goes on for a second.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_trace.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_trace.py
@@ -23,6 +23,8 @@
 HINT_INTERVAL_S = 0.2
 ASK_TIMEOUT_S = 0.3
 NEIGHBOUR_WAIT_S = 0.05
+FIND_TIMEOUT_S = 1.0
+FIND_POLL_S = 0.05
 N_KEEPERS_ASKED = 3
 N_ENGINES_ASKED_AT_ONCE = 16
 MAX_HINTS = 50_000
@@ -151,9 +153,16 @@
         """
         identity = request.request
         head = self._hints.find(identity).head or await self._ask_neighbours(identity)
-        if head and (state := await self._ask_head(head, identity)):
+        state = await self._ask_head(head, identity) if head else None
+        if state is not None and state.plan:
             return self._found(request, head, state, "hint")
-        return await self._ask_engines(request)
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + FIND_TIMEOUT_S
+        while True:
+            trace, is_certain = await self._ask_engines(request)
+            if trace is not None or is_certain or loop.time() > end_s:
+                return trace
+            await asyncio.sleep(FIND_POLL_S)
 
     def _found(
         self, request: GenerationRequest, head: str, state: StageState, way: str
@@ -196,24 +205,30 @@
         return hint.head
 
     async def _ask_head(self, head: str, request: RequestId) -> StageState | None:
-        state = await probe_stage(self._engines, head, request, ASK_TIMEOUT_S)
-        return state if state is not None and state.plan else None
+        return await probe_stage(self._engines, head, request, ASK_TIMEOUT_S)
+
+    async def _ask_engines(
+        self, request: GenerationRequest
+    ) -> tuple[Trace | None, bool]:
+        """Ask all engines that can be the head.
 
-    async def _ask_engines(self, request: GenerationRequest) -> Trace | None:
+        That none knows the request is certain only if all have answered; a daemon
+        that has just started knows no engines.
+        """
         heads = [e.address for e in self._targets.engines(request.model) if not e.begin]
         limit = asyncio.Semaphore(N_ENGINES_ASKED_AT_ONCE)
 
-        async def ask(head: str) -> Trace | None:
+        async def ask(head: str) -> tuple[str, StageState | None]:
             async with limit:
-                state = await self._ask_head(head, request.request)
-            return Trace(head, state) if state is not None else None
+                return head, await self._ask_head(head, request.request)
 
-        traces = await asyncio.gather(*(ask(head) for head in heads))
-        found = [trace for trace in traces if trace is not None]
+        answers = await asyncio.gather(*(ask(head) for head in heads))
+        is_certain = bool(answers) and all(state is not None for _, state in answers)
+        found = [(h, state) for h, state in answers if state is not None and state.plan]
         if not found:
-            return None
-        latest = max(found, key=lambda trace: trace.state.attempt)
-        return self._found(request, latest.head, latest.state, "engines")
+            return None, is_certain
+        head, state = max(found, key=lambda answer: answer[1].attempt)
+        return self._found(request, head, state, "engines"), True
 
     async def _send(self, address: str, hints: list[Hint]) -> None:
         with suppress(PeerUnreachable):
