--- a/benchmarks/bench_policy.py
+++ b/benchmarks/bench_policy.py
@@ -88,6 +88,7 @@
     page_s, _ = timed(lambda: state.fold(0, list(enumerate(values))))
     grown = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before
     n = len(values)
+    print(f"a record: {sum(map(len, values)) / n:.0f} bytes")
     print(f"fold, {n} records in one page: {page_s / n * 1e6:.1f} us CPU a record")
     changes = [
         EntryRecord(
