Control messages carry only what the receiver lacks

A message of 400 B was a quarter sender, a fifth unchanged topics and half load updates of 60 B; a pair exchanged 1.25 to 1.5 times a second. Ruled out: longer gossip intervals (the bound of 3 s for a loss); a higher threshold of load changes. Change: known senders are named by 64-bit identifiers; all topics share one change log, also those consumed with every message, which are sent when they change; load updates name a slot (16 B); one side of a pair asks each second, the other every 10 s. Poll intervals are doubled to keep within 16 polls a second, and the two pollers of a target take turns.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module is one command."""
--- /dev/null
+++ b/benchmarks/bench_control.py
@@ -0,0 +1,215 @@
+"""What a daemon spends on control, against the number of peers and of engines.
+
+``.venv/bin/python -m benchmarks.bench_control`` starts real daemons before engines
+that answer their status only, lets them settle, and counts for some seconds the
+bytes of all messages between daemons and of all polls, the processor time and the
+resident memory. The slopes give the cost in a domain of the aimed size.
+"""
+
+import os
+import re
+import tempfile
+import time
+from pathlib import Path
+from statistics import linear_regression
+from typing import NamedTuple
+
+from cassiaspread_core.observations import N_POLLERS
+
+from tests.fleet import Fleet, Process, bearer, free_port, request, wait_for
+
+WINDOW_S = 6.0
+SETTLE_S = 6.0
+ENGINES_PER_PROCESS = 60
+
+BUDGET_CORE = 0.041
+BUDGET_BYTES_PER_S = 15_000.0
+BUDGET_MEMORY_BYTES = 256e6
+AIM_PEERS, AIM_ENGINES, AIM_DOMAINS = 28, 421, 14
+
+OPERATOR = bearer("operator-token")
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+class Case(NamedTuple):
+    """One measurement: daemons and engines of each of some domains."""
+
+    n_domains: int
+    n_daemons: int
+    n_engines: int
+
+
+CASES = (
+    Case(1, 3, 40),
+    Case(1, 9, 40),
+    Case(1, 9, 120),
+    Case(1, 18, 120),
+    Case(1, 29, 40),
+    Case(1, 29, 421),
+    Case(2, 9, 40),
+    Case(3, 9, 40),
+)
+
+
+class Usage(NamedTuple):
+    """Totals over all daemons; differences are taken of all but the memory."""
+
+    time_s: float
+    cpu_s: float
+    mesh_bytes: float
+    poll_bytes: float
+    n_polls: float
+    memory_bytes: float
+
+
+class Cost(NamedTuple):
+    """Cost of one daemon."""
+
+    core: float
+    mesh_bytes_per_s: float
+    poll_bytes_per_s: float
+    memory_bytes: float
+
+    @property
+    def bytes_per_s(self) -> float:
+        """All bytes that were counted, sent and received."""
+        return self.mesh_bytes_per_s + self.poll_bytes_per_s
+
+
+def start_engines(fleet: Fleet, domain: str, n_engines: int) -> list[Process]:
+    """Start engines, many in a process, and list them."""
+    processes, rows = [], []
+    for first in range(0, n_engines, ENGINES_PER_PROCESS):
+        count = min(ENGINES_PER_PROCESS, n_engines - first)
+        ports = [free_port() for _ in range(count)]
+        while ports != list(range(ports[0], ports[0] + count)):
+            ports = [free_port() for _ in range(count)]
+        name = f"{domain}-{first}"
+        flags = {"domain": domain, "first_port": ports[0], "n_engines": count}
+        processes.append(fleet.start_standin("engine_group", name, **flags))
+        for index, port in enumerate(ports):
+            target = f"{name}-{index}"
+            address = f"127.0.0.1:{port}"
+            rows.append((target, "engine", target, address, domain, "live"))
+    fleet.list_vms(rows)
+    return processes
+
+
+def is_settled(daemon: Process, case: Case) -> bool:
+    """Tell whether a daemon knows all others and can use all engines."""
+    members = request("GET", daemon.address, "/operators/members", headers=OPERATOR)
+    seen = request("GET", daemon.address, "/operators/observations", headers=OPERATOR)
+    n_peers = case.n_domains * case.n_daemons - 1
+    n_alive = members[2].count(b'"alive"')
+    n_usable = seen[2].count(b'"is_usable":true')
+    return n_alive == n_peers and n_usable == case.n_domains * case.n_engines
+
+
+def read_usage(daemons: list[Process], groups: list[Process]) -> Usage:
+    """Read the totals of all daemons."""
+    cpu_s = memory = mesh = n_bytes = n_polls = 0.0
+    for daemon in daemons:
+        proc = Path("/proc") / str(daemon.popen.pid)
+        fields = (proc / "stat").read_text().rpartition(")")[2].split()
+        cpu_s += (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+        memory += int((proc / "statm").read_text().split()[1]) * PAGE_BYTES
+        metrics = request("GET", daemon.address, "/metrics")[2].decode()
+        mesh += sum(map(float, re.findall(r"mesh_bytes_total{.*} (\S+)", metrics)))
+    for group in groups:
+        counts = request("GET", group.address, "/control")[2].decode()
+        n_polls += float(re.search(r'"n_polls": (\d+)', counts)[1])
+        n_bytes += float(re.search(r'"n_bytes": (\d+)', counts)[1])
+    return Usage(time.monotonic(), cpu_s, mesh, n_bytes, n_polls, memory)
+
+
+def measure(case: Case) -> Cost:
+    """Measure one case and print it."""
+    with tempfile.TemporaryDirectory() as directory, Fleet(Path(directory)) as fleet:
+        fleet.publish_basics()
+        domains = [f"domain-{i}" for i in range(case.n_domains)]
+        groups = [g for d in domains for g in start_engines(fleet, d, case.n_engines)]
+        daemons = [
+            fleet.start_daemon(f"{d}-entry-{i}", d, poll_interval_ms=500)
+            for d in domains
+            for i in range(case.n_daemons)
+        ]
+        started_s = time.monotonic()
+        for daemon in daemons:
+            wait_for(lambda d=daemon: is_settled(d, case), 60.0)
+        settled_s = time.monotonic() - started_s
+        time.sleep(SETTLE_S)
+        before = read_usage(daemons, groups)
+        time.sleep(WINDOW_S)
+        after = read_usage(daemons, groups)
+    return report(case, before, after, settled_s)
+
+
+def report(case: Case, before: Usage, after: Usage, settled_s: float) -> Cost:
+    """Print the cost of one daemon."""
+    span = after.time_s - before.time_s
+    n = case.n_domains * case.n_daemons
+    cost = Cost(
+        (after.cpu_s - before.cpu_s) / span / n,
+        (after.mesh_bytes - before.mesh_bytes) / span / n,
+        (after.poll_bytes - before.poll_bytes) / span / n,
+        after.memory_bytes / n,
+    )
+    n_polls = (after.n_polls - before.n_polls) / span / n
+    print(
+        f"{case.n_domains} domains x {case.n_daemons:2} daemons, "
+        f"{case.n_engines:3} engines: {100 * cost.core:5.2f} % of a core, "
+        f"{cost.memory_bytes / 1e6:5.1f} MB, mesh {cost.mesh_bytes_per_s:6.0f} B/s, "
+        f"polls {cost.poll_bytes_per_s:6.0f} B/s ({n_polls:4.1f}/s), "
+        f"all known after {settled_s:4.1f} s",
+        flush=True,
+    )
+    return cost
+
+
+def fit(costs: dict[Case, Cost], name: str) -> tuple[float, float, float]:
+    """Return the constant, the slope per peer and per engine that a daemon polls."""
+    few, many = Case(1, 9, 40), Case(1, 9, 120)
+    change = getattr(costs[many], name) - getattr(costs[few], name)
+    per_engine = change / (n_polled(many) - n_polled(few))
+    rest = {
+        case.n_daemons - 1: getattr(cost, name) - per_engine * n_polled(case)
+        for case, cost in costs.items()
+        if case.n_domains == 1
+    }
+    per_peer, base = linear_regression(list(rest), list(rest.values()))
+    return base, per_peer, per_engine
+
+
+def n_polled(case: Case) -> float:
+    """Return how many engines each daemon polls."""
+    return N_POLLERS * case.n_engines / case.n_daemons
+
+
+def main() -> None:
+    """Measure all cases, print slopes and the ratio to the budget."""
+    costs = {case: measure(case) for case in CASES}
+    ratios = {}
+    for name, budget, unit in (
+        ("core", BUDGET_CORE, "of a core"),
+        ("bytes_per_s", BUDGET_BYTES_PER_S, "B/s"),
+        ("memory_bytes", BUDGET_MEMORY_BYTES, "B"),
+    ):
+        base, per_peer, per_engine = fit(costs, name)
+        aimed = getattr(costs[Case(1, AIM_PEERS + 1, AIM_ENGINES)], name)
+        pairs = [getattr(costs[Case(n, 9, 40)], name) for n in (1, 2, 3)]
+        per_pair = 9 * (pairs[2] - pairs[0]) / 2
+        far = per_pair * (AIM_DOMAINS - 1) / (AIM_PEERS + 1)
+        print(
+            f"{name}: {base:.5g} + {per_peer:.4g} a peer + {per_engine:.4g} an engine "
+            f"polled; {per_pair:.4g} a pair of domains, shared by its daemons; "
+            f"domain of the aimed size {aimed:.5g} measured + {far:.4g} for the other "
+            f"domains; budget {budget:g} {unit}"
+        )
+        ratios[name] = (aimed + far) / budget
+    print(", ".join(f"{name} {ratio:.2f}" for name, ratio in ratios.items()))
+    print(f"ratio of the cost to the budget, the worst: {max(ratios.values()):.2f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/cassiaspread-core/src/cassiaspread_core/membership/_view.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/membership/_view.py
@@ -40,6 +40,7 @@
         self.learnt_s = now_s
         self.heard_s = NEVER_S
         self.answered_s = NEVER_S
+        self.is_failing = False
         self.state: MemberState | None = None
 
 
@@ -123,10 +124,20 @@
                 continue
             if entry.record.member.incarnation == record.member.incarnation:
                 entry.answered_s = now_s
+                entry.is_failing = False
             else:
                 entry.record = msgspec.structs.replace(entry.record, is_lost=True)
         return is_news
 
+    def miss(self, address: str) -> None:
+        """Note that nobody answered at an address.
+
+        :param address: address that was asked.
+        """
+        for entry in self._entries.values():
+            if entry.record.member.address == address:
+                entry.is_failing = True
+
     def hear_domain(self, domain: DomainId, age_s: float, now_s: float) -> None:
         """Note that a peer was in contact with another domain.
 
@@ -241,9 +252,9 @@
             return MemberState.LOST
         if entry.record.is_leaving:
             return MemberState.LEAVING
-        if now_s - entry.answered_s <= LOST_AFTER_S:
-            return MemberState.ALIVE
-        return MemberState.SUSPECT
+        if entry.is_failing or entry.answered_s == NEVER_S:
+            return MemberState.SUSPECT
+        return MemberState.ALIVE
 
     def _judge_far(self, entry: _Entry, now_s: float) -> MemberState:
         if entry.record.is_leaving:
--- a/packages/cassiaspread-core/src/cassiaspread_core/observations/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/observations/__init__.py
@@ -16,6 +16,7 @@
 from cassiaspread_core.observations._pollers import (
     N_POLLERS,
     choose_pollers,
+    next_poll_s,
     poll_interval_s,
 )
 
@@ -32,6 +33,7 @@
     "is_worth_telling",
     "judge_target",
     "merge_observations",
+    "next_poll_s",
     "poll_interval_s",
     "to_load_update",
 ]
--- a/packages/cassiaspread-core/src/cassiaspread_core/observations/_board.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/observations/_board.py
@@ -22,6 +22,7 @@
     def __init__(self, own: VmId) -> None:
         self._own = own
         self._seen: dict[TargetId, dict[VmId, Observation]] = {}
+        self._slots: dict[tuple[VmId, int], TargetId] = {}
         self._failures: dict[TargetId, Failure] = {}
         self._marks = LeavingMarks()
 
@@ -46,16 +47,19 @@
         if merged is None or merged == present:
             return False
         by_poller[observation.poller] = merged
+        self._slots[observation.poller, observation.slot] = observation.target
         return True
 
-    def add_load(self, update: LoadUpdate) -> Observation | None:
+    def add_load(self, poller: VmId, update: LoadUpdate) -> Observation | None:
         """Take in an update of an engine's load.
 
+        :param poller: VM of the daemon that polled.
         :param update: the update.
         :returns: the observation that it made, if it was news.
         """
-        present = self.seen_by(update.target, update.poller)
-        observation = update.apply(present)
+        target = self._slots.get((poller, update.slot))
+        present = None if target is None else self.seen_by(target, poller)
+        observation = None if present is None else update.apply(present)
         if observation is None or not self.add(observation):
             return None
         return observation
@@ -141,7 +145,7 @@
         dropped = []
         for target, by_poller in self._seen.items():
             if poller in by_poller and len(by_poller) > 1:
-                del by_poller[poller]
+                self._slots.pop((poller, by_poller.pop(poller).slot), None)
                 dropped.append(target)
         return dropped
 
@@ -150,5 +154,6 @@
 
         :param target: the target.
         """
-        self._seen.pop(target, None)
+        for poller, observation in self._seen.pop(target, {}).items():
+            self._slots.pop((poller, observation.slot), None)
         self._failures.pop(target, None)
--- a/packages/cassiaspread-core/src/cassiaspread_core/observations/_change.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/observations/_change.py
@@ -18,17 +18,12 @@
     :param told: the observation that they were told last, if any.
     :param seen: the new one.
     """
-    if told is None:
+    if told is None or not is_load_change(told, seen):
         return True
-    if not is_load_change(told, seen):
-        return True
-    before, after = told.report, seen.report
-    if before is None or after is None:
+    if told.report is None or seen.report is None:
         return False
-    n_changed = abs(_n_sequences(after) - _n_sequences(before))
-    if n_changed >= max(1.0, LOAD_THRESHOLD * after.n_slots):
-        return True
-    return abs(after.step_ms - before.step_ms) > STEP_THRESHOLD * before.step_ms
+    n_changed = abs(_n_sequences(seen.report) - _n_sequences(told.report))
+    return n_changed >= max(1.0, LOAD_THRESHOLD * seen.report.n_slots)
 
 
 def is_load_change(told: Observation, seen: Observation) -> bool:
@@ -39,6 +34,11 @@
     """
     if told.incarnation != seen.incarnation:
         return False
+    if told.report is None or seen.report is None:
+        return told.report is seen.report
+    change_ms = abs(seen.report.step_ms - told.report.step_ms)
+    if change_ms > STEP_THRESHOLD * told.report.step_ms:
+        return False
     return _without_load(told.report) == _without_load(seen.report)
 
 
@@ -46,7 +46,5 @@
     return report.n_running + report.n_queued
 
 
-def _without_load(report: EngineReport | None) -> EngineReport | None:
-    if report is None:
-        return None
+def _without_load(report: EngineReport) -> EngineReport:
     return msgspec.structs.replace(report, step_ms=0.0, n_running=0, n_queued=0)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_metrics.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_metrics.py
@@ -1,9 +1,14 @@
 """Metrics of one daemon."""
 
+from collections.abc import Iterable
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import REGISTRY, generate_latest
 
+from cassiaspread_daemon.mesh import Traffic
+
 
 class Metrics:
     """Instruments of one daemon, read in Prometheus' text format.
@@ -47,6 +52,26 @@
         """
         self._first_token.record(seconds, self._attributes)
 
+    def observe_gossip(self, traffic: Traffic) -> None:
+        """Report the traffic between daemons.
+
+        :param traffic: counts kept by the mesh.
+        """
+
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            for direction, n_bytes in (
+                ("sent", traffic.sent_bytes),
+                ("received", traffic.received_bytes),
+            ):
+                yield Observation(n_bytes, {**self._attributes, "direction": direction})
+
+        self._meter.create_observable_counter(
+            "cassiaspread.mesh",
+            [observe],
+            unit="By",
+            description="Bytes of messages between daemons.",
+        )
+
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
         return generate_latest(REGISTRY)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -80,6 +80,7 @@
             self._daemon_addresses,
             str(settings.peer_listen),
         )
+        self.metrics.observe_gossip(self.mesh.traffic)
         self._observe_targets(to_member(sender))
         self._policy_peers = PolicyPeers(
             self.policy_follower, self.mesh, schedule, self.events, random_state
@@ -99,7 +100,7 @@
     def _observe_targets(self, own: Member) -> None:
         interval_s = self.settings.poll_interval_ms / MILLISECONDS_PER_SECOND
         vm_list = VmListClient(str(self.settings.vm_list))
-        self.list_reader = VmListReader(vm_list, self.targets, interval_s)
+        self.list_reader = VmListReader(vm_list, self.targets, 2 * interval_s)
         spread = ObservationSpread(own, self.targets, self.mesh)
         self.poller = Poller(
             own,
@@ -108,7 +109,6 @@
             self.mesh.pollers,
             self.supervisor.add_child("polls"),
             interval_s,
-            self.random_state,
         )
         self.poller.observation_callbacks.append(spread.tell)
         self.poller.release_callbacks.append(spread.stop_telling)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_poller.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_poller.py
@@ -1,13 +1,19 @@
 """Polls the targets that fall to this daemon."""
 
 import asyncio
-import random
+import time
 from collections.abc import Awaitable, Callable
 
 import msgspec
 from cassiaspread_core.base import TargetId, TargetKind, VmId
 from cassiaspread_core.membership import Member
-from cassiaspread_core.observations import Observation, choose_pollers, poll_interval_s
+from cassiaspread_core.observations import (
+    N_POLLERS,
+    Observation,
+    choose_pollers,
+    next_poll_s,
+    poll_interval_s,
+)
 
 from cassiaspread_daemon._exchange import ConnectFailed, Exchange, ExchangeBroken
 from cassiaspread_daemon._supervisor import Supervisor
@@ -17,8 +23,7 @@
 
 REPORT_TIMEOUT_S = 1.0
 MAX_WAIT_S = 1.0
-# Share of the interval by which polls are moved, so that two pollers don't coincide.
-JITTER = 0.1
+MIN_WAIT_S = 0.02
 
 
 class Poller:
@@ -30,7 +35,6 @@
     :param running: returns the daemons that take work.
     :param supervisor: runs the polls.
     :param min_interval_s: shortest time between two polls of a target, in seconds.
-    :param random_state: generator for the jitter.
     """
 
     def __init__(
@@ -41,7 +45,6 @@
         running: Callable[[], list[Member]],
         supervisor: Supervisor,
         min_interval_s: float,
-        random_state: random.Random,
     ) -> None:
         self._own = own
         self._targets = targets
@@ -49,7 +52,6 @@
         self._running = running
         self._supervisor = supervisor
         self._min_interval_s = min_interval_s
-        self._random_state = random_state
         self._pollers: dict[KnownTarget, tuple[VmId, ...]] = {}
         self._chosen_from: list[Member] = []
         self._due_s: dict[TargetId, float] = {}
@@ -81,20 +83,27 @@
 
     async def run(self) -> None:
         """Poll until cancelled."""
-        loop = asyncio.get_running_loop()
         while True:
             self.update_members()
             assigned = self._assigned()
             interval_s = poll_interval_s(len(assigned), self._min_interval_s)
-            now_s = loop.time()
+            now_s = time.time()
             for known in assigned:
-                if self._due_s.setdefault(known.target, now_s) <= now_s:
-                    self._due_s[known.target] = now_s + self._jitter(interval_s)
-                    self._supervisor.start_once(known.target, self._poll_task(known))
+                self._poll_if_due(known, interval_s, now_s)
             self._forget_others(assigned)
             next_s = min(self._due_s.values(), default=now_s + MAX_WAIT_S)
-            wait_s = min(next_s - now_s, self._min_interval_s, MAX_WAIT_S)
-            await asyncio.sleep(max(0.01, wait_s))
+            wait_s = min(next_s - now_s, self._min_interval_s)
+            await asyncio.sleep(max(MIN_WAIT_S, wait_s))
+
+    def _poll_if_due(self, known: KnownTarget, interval_s: float, now_s: float) -> None:
+        due_s = self._due_s.get(known.target, now_s)
+        # A clock that was set back must not stop the polls.
+        if now_s < due_s <= now_s + interval_s:
+            return
+        pollers = self.pollers_of(known)
+        rank = pollers.index(self._own.vm) if self._own.vm in pollers else N_POLLERS
+        self._due_s[known.target] = next_poll_s(known.target, rank, interval_s, now_s)
+        self._supervisor.start_once(known.target, self._poll_task(known))
 
     def _assigned(self) -> list[KnownTarget]:
         return [
@@ -111,9 +120,6 @@
             for callback in self.release_callbacks:
                 callback(target)
 
-    def _jitter(self, interval_s: float) -> float:
-        return interval_s * self._random_state.uniform(1 - JITTER, 1 + JITTER)
-
     def _poll_task(self, known: KnownTarget) -> Callable[[], Awaitable[None]]:
         async def poll() -> None:
             for observation in await self._poll(known):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_spread.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_spread.py
@@ -1,5 +1,8 @@
 """Tells peers what this daemon sees of targets, and takes in what they tell."""
 
+from itertools import count
+
+import msgspec
 from cassiaspread_core.base import TargetId, VmId
 from cassiaspread_core.membership import Member, MemberState, Transition
 from cassiaspread_core.observations import (
@@ -31,6 +34,8 @@
         self._own = own
         self._targets = targets
         self._mesh = mesh
+        self._slots: dict[TargetId, int] = {}
+        self._next_slot = count(1)
         self._told: dict[TargetId, Observation] = {}
         self._told_far: dict[TargetId, Observation] = {}
         self._observations = DeltaTopic(Observation, LoadUpdate, self._consume)
@@ -47,12 +52,16 @@
         :param observation: what it saw.
         """
         told = self._told.get(observation.target)
+        slot = self._slots.get(observation.target)
+        if slot is None:
+            slot = self._slots[observation.target] = next(self._next_slot)
+        observation = msgspec.structs.replace(observation, slot=slot)
         if not is_worth_telling(told, observation):
             return
         self._told[observation.target] = observation
         partial = None
-        if told is not None and told.is_up and is_load_change(told, observation):
-            partial = to_load_update(observation) if observation.report else None
+        if told is not None and is_load_change(told, observation):
+            partial = to_load_update(observation)
         self._observations.put(_key(observation), observation, partial)
         if told is not None and told.is_up and not observation.is_up:
             self._mesh.hurry()
@@ -62,15 +71,16 @@
 
         :param target: the target.
         """
+        self._slots.pop(target, None)
         observation = self._told.pop(target, None)
         if observation is not None:
             self._observations.discard(_key(observation))
 
     def _consume(self, heard: Observation | LoadUpdate, sender: Sender) -> None:
-        if heard.poller == self._own.vm:
-            return
         if isinstance(heard, LoadUpdate):
-            self._targets.observe_load(heard)
+            self._targets.observe_load(sender.vm, heard)
+            return
+        if heard.poller == self._own.vm:
             return
         self._targets.observe(heard)
         if sender.domain != self._own.domain:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_targets.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_targets.py
@@ -163,13 +163,15 @@
             self.mark_leaving(LeavingMark(report.target, observation.incarnation))
         self.refresh(observation.target)
 
-    def observe_load(self, update: LoadUpdate) -> None:
+    def observe_load(self, poller: VmId, update: LoadUpdate) -> None:
         """Take in a peer's update of an engine's load.
 
+        :param poller: VM of the peer.
         :param update: the update.
         """
-        if self._board.add_load(update) is not None:
-            self.refresh(update.target)
+        observation = self._board.add_load(poller, update)
+        if observation is not None:
+            self.refresh(observation.target)
 
     def drain(self, target: TargetId) -> LeavingMark:
         """Give a target no new work, on the word of an operator.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/__init__.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/__init__.py
@@ -4,7 +4,7 @@
 from cassiaspread_daemon.mesh._members import to_member
 from cassiaspread_daemon.mesh._mesh import Mesh, Peer
 from cassiaspread_daemon.mesh._message import Empty, Sender
-from cassiaspread_daemon.mesh._transport import PeerUnreachable
+from cassiaspread_daemon.mesh._transport import PeerUnreachable, Traffic
 
 __all__ = [
     "DeltaTopic",
@@ -13,5 +13,6 @@
     "Peer",
     "PeerUnreachable",
     "Sender",
+    "Traffic",
     "to_member",
 ]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_members.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_members.py
@@ -11,6 +11,7 @@
 from cassiaspread_core.timeline import EventRing, Timestamp
 
 from cassiaspread_daemon.mesh._deltas import DeltaTopic
+from cassiaspread_daemon.mesh._gossip import Topics
 from cassiaspread_daemon.mesh._message import Sender
 
 
@@ -26,14 +27,16 @@
     """Membership of one daemon.
 
     :param own: this daemon.
+    :param topics: where its records are told.
     :param events: the time line.
     """
 
-    def __init__(self, own: Member, events: EventRing) -> None:
+    def __init__(self, own: Member, topics: Topics, events: EventRing) -> None:
         self._own = own
         self._events = events
         self._view = MembershipView(own)
         self._topic = DeltaTopic(MemberRecord, None, self._learn)
+        topics.add_delta("members", self._topic)
         self._topic.put(own.incarnation, MemberRecord(own))
         self._topic.put(own.incarnation, MemberRecord(own), is_far=True)
         self._now_s = 0.0
@@ -43,11 +46,6 @@
         """What is held of every other daemon."""
         return self._view
 
-    @property
-    def topic(self) -> DeltaTopic:
-        """The records that peers get."""
-        return self._topic
-
     def leave(self) -> None:
         """Tell that this daemon takes no new work."""
         record = MemberRecord(self._own, is_leaving=True)
@@ -74,6 +72,13 @@
             self._tell(sender.incarnation)
         return is_news
 
+    def miss(self, address: str) -> None:
+        """Note that nobody answered at an address.
+
+        :param address: ``host:port``.
+        """
+        self._view.miss(address)
+
     def tick(self, now_s: float) -> list[Transition]:
         """Let time pass and record what changed.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
@@ -27,7 +27,8 @@
 from cassiaspread_daemon.mesh._deltas import DeltaTopic
 from cassiaspread_daemon.mesh._gossip import Gossip, Topic, Topics
 from cassiaspread_daemon.mesh._members import Members, to_member
-from cassiaspread_daemon.mesh._message import Envelope, Sender
+from cassiaspread_daemon.mesh._message import Envelope, Sender, short_id
+from cassiaspread_daemon.mesh._senders import SenderTable, UnknownSender
 from cassiaspread_daemon.mesh._transport import PeerUnreachable, Traffic, Transport
 
 GOSSIP_INTERVAL_S = 1.0
@@ -35,6 +36,7 @@
 N_GOSSIP_TRIES = 2
 HURRY_DELAY_S = 0.1
 GOSSIP_KIND = "gossip"
+UNKNOWN_SENDER = "unknown sender"
 
 Body = TypeVar("Body")
 Handler = Callable[[Any, Sender], Awaitable[Any]]
@@ -71,15 +73,16 @@
         listen: str,
     ) -> None:
         self._sender = sender
+        self._own_id = short_id(sender)
         self._events = events
         self._supervisor = supervisor
         self._hints = hints
         self._transport = Transport(listen, self._answer, supervisor)
         self._handlers: dict[str, tuple[Any, Handler]] = {}
         self._topics = Topics()
-        self._members = Members(to_member(sender), events)
-        self._topics.add_delta("members", self._members.topic)
+        self._members = Members(to_member(sender), self._topics, events)
         self._contacts = Contacts()
+        self._senders = SenderTable()
         self._hurry = asyncio.Event()
         self._n_round = 0
         self.transition_callbacks: list[Callable[[Transition], None]] = []
@@ -111,6 +114,7 @@
     def leave(self) -> None:
         """Tell the peers at once that this daemon takes no new work."""
         self._sender = msgspec.structs.replace(self._sender, is_leaving=True)
+        self._own_id = short_id(self._sender)
         self._members.leave()
         self.hurry()
 
@@ -207,52 +211,83 @@
         :param timeout_s: longest wait in seconds.
         :raises PeerUnreachable: no reply came, or the peer could not answer.
         """
-        reply = await self._exchange(address, self._envelope(kind, body), timeout_s)
+        reply = await self._exchange(address, kind, body, timeout_s)
         if reply.error is not None:
             raise PeerUnreachable(f"{address}: {reply.error}")
         return msgspec.msgpack.decode(reply.body, type=reply_type)
 
     async def _exchange(
-        self, address: str, envelope: Envelope, timeout_s: float
+        self, address: str, kind: str, body: Any, timeout_s: float
     ) -> Envelope:
-        data = msgspec.msgpack.encode(envelope)
+        is_known = self._contacts.knows(address, self._own_id)
+        reply = await self._send(address, kind, body, timeout_s, is_known)
+        if reply.error == UNKNOWN_SENDER:
+            reply = await self._send(address, kind, body, timeout_s, is_known=False)
+        return reply
+
+    async def _send(
+        self, address: str, kind: str, body: Any, timeout_s: float, is_known: bool
+    ) -> Envelope:
+        request = Envelope(
+            self._own_id if is_known else self._sender,
+            self._events.stamp(),
+            kind,
+            msgspec.Raw(msgspec.msgpack.encode(body)),
+            self._contacts.sender_id(address),
+        )
+        data = msgspec.msgpack.encode(request)
+        answer = await self._transport.exchange(address, data, timeout_s)
         try:
-            answer = await self._transport.exchange(address, data, timeout_s)
             reply = msgspec.msgpack.decode(answer, type=Envelope)
-        except msgspec.MsgspecError as error:
+            sender = self._senders.resolve(reply.sender)
+        except (msgspec.MsgspecError, UnknownSender) as error:
             raise PeerUnreachable(f"{address}: {error}") from None
-        self._note(reply, address)
-        return reply
+        self._events.receive(reply.stamp)
+        now_s = time.monotonic()
+        self._contacts.note_answer(address, sender, self._own_id, now_s)
+        if self._members.hear(sender, now_s, address):
+            self.hurry()
+        return msgspec.structs.replace(reply, sender=sender)
 
-    def _envelope(self, kind: str, body: Any) -> Envelope:
-        encoded = msgspec.Raw(msgspec.msgpack.encode(body))
-        return Envelope(self._sender, self._events.stamp(), kind, encoded)
+    def _reply(
+        self, request: Envelope | None, body: Any, error: str | None = None
+    ) -> Envelope:
+        is_known = request is not None and request.expects == self._own_id
+        return Envelope(
+            self._own_id if is_known else self._sender,
+            self._events.stamp(),
+            "" if request is None else request.kind,
+            msgspec.Raw(msgspec.msgpack.encode(body)),
+            error=error,
+        )
 
-    def _note(self, envelope: Envelope, address: str | None = None) -> None:
-        self._events.receive(envelope.stamp)
+    def _hear_request(self, request: Envelope) -> Sender:
+        sender = self._senders.resolve(request.sender)
+        self._events.receive(request.stamp)
         now_s = time.monotonic()
-        if self._members.hear(envelope.sender, now_s, address):
+        self._contacts.note_request(sender, now_s)
+        if self._members.hear(sender, now_s):
             self.hurry()
-        self._contacts.note(envelope.sender, now_s, address)
+        return sender
 
     async def _answer(self, data: bytes) -> bytes:
         return msgspec.msgpack.encode(await self._handle(data))
 
     async def _handle(self, data: bytes) -> Envelope:
-        kind = ""
+        request = None
         try:
-            envelope = msgspec.msgpack.decode(data, type=Envelope)
-            kind = envelope.kind
-            body_type, handler = self._handlers[kind]
-            body = msgspec.msgpack.decode(envelope.body, type=body_type)
-            self._note(envelope)
-            return self._envelope(kind, await handler(body, envelope.sender))
+            request = msgspec.msgpack.decode(data, type=Envelope)
+            body_type, handler = self._handlers[request.kind]
+            body = msgspec.msgpack.decode(request.body, type=body_type)
+            sender = self._hear_request(request)
+            return self._reply(request, await handler(body, sender))
+        except UnknownSender:
+            return self._reply(request, None, UNKNOWN_SENDER)
         except (KeyError, msgspec.MsgspecError) as error:
-            reason = f"bad message: {error}"
+            return self._reply(request, None, f"bad message: {error}")
         except Exception:
-            logging.exception("handler of %s failed", kind)
-            reason = "the handler failed"
-        return msgspec.structs.replace(self._envelope(kind, None), error=reason)
+            logging.exception("handler of %s failed", request and request.kind)
+            return self._reply(request, None, "the handler failed")
 
     async def _gossip(self) -> None:
         while True:
@@ -294,21 +329,23 @@
         return run
 
     async def _gossip_with(self, address: str) -> None:
-        peer = self._contacts.sender(address)
-        envelope = self._envelope(GOSSIP_KIND, self._produce(peer))
-        reply = await self._try_gossip(address, envelope)
+        reply = await self._try_gossip(address)
         if reply is None:
             self._contacts.miss(address, time.monotonic())
+            self._members.miss(address)
         elif (
             reply.error is None and reply.sender.incarnation != self._sender.incarnation
         ):
             self._consume(msgspec.msgpack.decode(reply.body, type=Gossip), reply.sender)
 
-    async def _try_gossip(self, address: str, envelope: Envelope) -> Envelope | None:
+    async def _try_gossip(self, address: str) -> Envelope | None:
         """Try again over a new connection if the one in use may have gone silent."""
         for _ in range(N_GOSSIP_TRIES):
+            gossip = self._produce(self._contacts.sender(address))
             with suppress(PeerUnreachable):
-                return await self._exchange(address, envelope, GOSSIP_TIMEOUT_S)
+                return await self._exchange(
+                    address, GOSSIP_KIND, gossip, GOSSIP_TIMEOUT_S
+                )
             if not self._contacts.answered_lately(address, time.monotonic()):
                 break
         return None
