--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -110,6 +110,7 @@
             self.supervisor.add_child("polls"),
             interval_s,
         )
+        self.mesh.transition_callbacks.append(lambda _: self.poller.invalidate())
         self.poller.observation_callbacks.append(spread.tell)
         self.poller.release_callbacks.append(spread.stop_telling)
 
@@ -165,6 +166,7 @@
         """Stop being ready; requests are still taken while the balancer lags."""
         self._is_leaving = True
         self.mesh.leave()
+        self.poller.invalidate()
         self.events.record("node.leaving")
 
     def begin_request(self) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_poller.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_poller.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
-from cassiaspread_core.base import TargetId, TargetKind, VmId
+from cassiaspread_core.base import DomainId, TargetId, TargetKind, VmId
 from cassiaspread_core.membership import Member
 from cassiaspread_core.observations import (
     N_POLLERS,
@@ -52,8 +52,11 @@
         self._running = running
         self._supervisor = supervisor
         self._min_interval_s = min_interval_s
-        self._pollers: dict[KnownTarget, tuple[VmId, ...]] = {}
-        self._chosen_from: list[Member] = []
+        self._pollers: dict[tuple[TargetId, DomainId], tuple[VmId, ...]] = {}
+        self._members: list[Member] = []
+        self._is_outdated = True
+        self._assigned: list[KnownTarget] = []
+        self._assigned_version = -1
         self._due_s: dict[TargetId, float] = {}
         self.observation_callbacks: list[Callable[[Observation], None]] = []
         self.release_callbacks: list[Callable[[TargetId], None]] = []
@@ -64,33 +67,42 @@
 
         :param known: the target.
         """
-        pollers = self._pollers.get(known)
+        key = (known.target, known.domain)
+        pollers = self._pollers.get(key)
         if pollers is None:
             members = choose_pollers(
-                known.target, known.domain, self._own, self._chosen_from
+                known.target, known.domain, self._own, self._members
             )
-            pollers = self._pollers[known] = tuple(member.vm for member in members)
+            pollers = tuple(member.vm for member in members)
+            self._pollers[key] = pollers
         return pollers
 
-    def update_members(self) -> None:
-        """Choose the pollers anew if other daemons run than before."""
-        running = sorted(self._running())
-        if running != self._chosen_from:
-            self._chosen_from = running
+    def invalidate(self) -> None:
+        """Choose the pollers anew, since other daemons may run than before."""
+        self._is_outdated = True
+
+    def _update(self) -> None:
+        if self._is_outdated:
+            self._is_outdated = False
+            self._members = self._running()
             self._pollers.clear()
+            self._assigned_version = -1
             for known in self._targets.known():
                 self._targets.refresh(known.target)
+        if self._assigned_version != self._targets.version:
+            self._assigned_version = self._targets.version
+            self._assigned = self._choose_assigned()
+            self._forget_others()
 
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-            self.update_members()
-            assigned = self._assigned()
+            self._update()
+            assigned = self._assigned
             interval_s = poll_interval_s(len(assigned), self._min_interval_s)
             now_s = time.time()
             for known in assigned:
                 self._poll_if_due(known, interval_s, now_s)
-            self._forget_others(assigned)
             next_s = min(self._due_s.values(), default=now_s + MAX_WAIT_S)
             wait_s = min(next_s - now_s, self._min_interval_s)
             await asyncio.sleep(max(MIN_WAIT_S, wait_s))
@@ -105,7 +117,7 @@
         self._due_s[known.target] = next_poll_s(known.target, rank, interval_s, now_s)
         self._supervisor.start_once(known.target, self._poll_task(known))
 
-    def _assigned(self) -> list[KnownTarget]:
+    def _choose_assigned(self) -> list[KnownTarget]:
         return [
             known
             for known in self._targets.known()
@@ -113,8 +125,8 @@
             or self._targets.board.failure(known.target) is not None
         ]
 
-    def _forget_others(self, assigned: list[KnownTarget]) -> None:
-        kept = {known.target for known in assigned}
+    def _forget_others(self) -> None:
+        kept = {known.target for known in self._assigned}
         for target in self._due_s.keys() - kept:
             del self._due_s[target]
             for callback in self.release_callbacks:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_targets.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_targets.py
@@ -46,6 +46,7 @@
         self._known: dict[TargetId, KnownTarget] = {}
         self._usable: dict[TargetId, Observation] = {}
         self._in_flight: dict[TargetId, int] = {}
+        self._version = 0
         self.pollers_of: Callable[[KnownTarget], Iterable[VmId]] = lambda _: ()
         self.change_callbacks: list[Callable[[TargetId], None]] = []
         self.mark_callbacks: list[Callable[[LeavingMark], None]] = []
@@ -56,6 +57,11 @@
         """All that is known of targets."""
         return self._board
 
+    @property
+    def version(self) -> int:
+        """Grows when the known targets or the failures seen here change."""
+        return self._version
+
     def engines(self, model: ModelId) -> list[EngineReport]:
         """List the engines of a model that take new work.
 
@@ -140,6 +146,7 @@
         :param target: a target that this daemon saw failing.
         """
         self._board.fail(target, self.stamp())
+        self._version += 1
         self._events.record("target.failed", target=target)
         self.refresh(target)
         for callback in self.failure_callbacks:
@@ -155,10 +162,14 @@
         :param observation: what was seen.
         """
         report = observation.report
-        if report is not None:
-            self._known.setdefault(observation.target, from_report(report))
+        if report is not None and observation.target not in self._known:
+            self._known[observation.target] = from_report(report)
+            self._version += 1
+        was_failing = self._board.failure(observation.target) is not None
         if not self._board.add(observation):
             return
+        if was_failing and self._board.failure(observation.target) is None:
+            self._version += 1
         if report is not None and report.state is VmState.LEAVING:
             self.mark_leaving(LeavingMark(report.target, observation.incarnation))
         self.refresh(observation.target)
@@ -170,8 +181,19 @@
         :param update: the update.
         """
         observation = self._board.add_load(poller, update)
-        if observation is not None:
-            self.refresh(observation.target)
+        if observation is None:
+            return
+        target = observation.target
+        used = self._usable.get(target)
+        if used is not None and used.incarnation == observation.incarnation:
+            if observation.stamp > used.stamp and self._counts(poller, target):
+                self._usable[target] = observation
+        else:
+            self.refresh(target)
+
+    def _counts(self, poller: VmId, target: TargetId) -> bool:
+        is_poller = poller in self.pollers_of(self._known[target])
+        return is_poller and self._board.failure(target) is None
 
     def drain(self, target: TargetId) -> LeavingMark:
         """Give a target no new work, on the word of an operator.
@@ -207,6 +229,7 @@
         if listed == self._listed:
             return
         self._listed = listed
+        self._version += 1
         targets = [from_list(vm) for vm in listed if vm.role in TARGET_ROLES]
         former, self._known = self._known, {t.target: t for t in targets}
         for target, known in former.items():
@@ -271,6 +294,7 @@
 
     def _drop(self, target: TargetId) -> None:
         self._known.pop(target, None)
+        self._version += 1
         self._use(target, None)
         self._board.forget(target)
 
