--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import ipaddress
+import socket
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
@@ -19,6 +21,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 
+IPV4 = 4
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
@@ -118,9 +121,8 @@
         :param timeout_s: longest wait in seconds.
         :raises ConnectFailed: no connection was opened.
         """
-        host, _, port = address.rpartition(":")
         try:
-            stream = await TCPClient().connect(host, int(port), timeout=timeout_s)
+            stream = await _connect(address, timeout_s)
         except (OSError, StreamClosedError, TimeoutError) as error:
             raise ConnectFailed(f"{address}: {error or type(error).__name__}") from None
         stream.set_nodelay(True)
@@ -182,6 +184,23 @@
         reader.on_connection_close()
 
 
+async def _connect(address: str, timeout_s: float) -> IOStream:
+    host, _, port = address.rpartition(":")
+    try:
+        version = ipaddress.ip_address(host).version
+    except ValueError:
+        return await TCPClient().connect(host, int(port), timeout=timeout_s)
+    # Without the resolver of TCPClient, which takes a thread for each connection.
+    family = socket.AF_INET if version == IPV4 else socket.AF_INET6
+    stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await stream.connect((host, int(port)))
+    except BaseException:
+        stream.close()
+        raise
+
+
 async def fetch(
     address: str,
     method: str,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -31,6 +31,7 @@
 )
 from cassiaspread_daemon.load import Quarantine, SuspectExchange, TargetProbe
 from cassiaspread_daemon.mesh import Mesh, Sender, to_member
+from cassiaspread_daemon.relay import RelayServices
 
 # A connection without a request for this long counts as idle.
 QUIET_S = 1.0
@@ -93,6 +94,14 @@
             self.events,
             self.incarnation,
         )
+        self.relay = RelayServices(
+            self.engines,
+            self.targets,
+            self.mesh,
+            settings.domain,
+            self.events,
+            random_state,
+        )
         self._is_leaving = False
         self._requests = RequestCount()
         self.settle_callbacks: list[Callable[[], Awaitable[None]]] = []
@@ -122,6 +131,7 @@
         self.supervisor.start("vm-list", self.list_reader.run)
         self.supervisor.start("poller", self.poller.run)
         self.quarantine.start(self.supervisor)
+        self.relay.start(self.supervisor)
         self.events.record("node.started", incarnation=self.incarnation)
         return self
 
