A refused continuation of a stream is 'unknown', never 'not-run'

The request had run. Ruled out the relay: the refusal came from the header checks. Change: a refusal of a request with a valid Last-Event-ID says unknown. Before: the new case in test_whole_path failed. After: it passes. Conclusion: one place, for all refusals of callers' requests.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_base.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_base.py
@@ -213,6 +213,15 @@
         """End of the request's time, on the monotonic clock in seconds."""
         return self.received_s + self.timeout_s
 
+    def write_refusal(self, refusal: Refusal) -> None:
+        """Answer with problem details; a stream that goes on has run before.
+
+        :param refusal: why the request is not answered.
+        """
+        if self.request.headers.get("Last-Event-ID", "").isdigit():
+            refusal.outcome = Outcome.UNKNOWN
+        super().write_refusal(refusal)
+
     def idempotency_key(self) -> str | None:
         """Return the caller's idempotency key, if any.
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -142,6 +142,14 @@
     assert problem["outcome"] == "not-run"
 
 
+def test_refused_continuation_is_not_called_not_run(fleet):
+    headers = CALLER | {"Last-Event-ID": "3", "X-Request-Timeout": "-1"}
+    address = fleet.processes["d1"].address
+    body = {"model": "draft", "prompt": "x", "stream": True}
+    status, _, answer = request("POST", address, "/v1/completions", body, headers)
+    assert (status, json.loads(answer)["outcome"]) == (400, "unknown")
+
+
 @pytest.mark.parametrize("path", ["/healthz", "/readyz", "/metrics"])
 def test_operations_answer(fleet, path):
     assert request("GET", fleet.processes["d1"].address, path)[0] == 200
