--- a/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_verdict.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_verdict.py
@@ -125,9 +125,12 @@
     :param interruption: how the stream was interrupted.
     :param verdict: the verdict on the first answers.
     """
-    if interruption is Interruption.SILENT:
-        return verdict in (Verdict.PATH_DEAD, Verdict.CHAIN_BROKEN)
-    return verdict is Verdict.STAGE_LOST
+    doubtful = {
+        Interruption.SILENT: (Verdict.PATH_DEAD, Verdict.CHAIN_BROKEN),
+        Interruption.CLOSED: (Verdict.STAGE_LOST, Verdict.CHAIN_BROKEN),
+        Interruption.FAILED: (Verdict.STAGE_LOST,),
+    }
+    return verdict in doubtful[interruption]
 
 
 def settle_verdict(interruption: Interruption, verdict: Verdict) -> Verdict:
