--- a/benchmarks/planner_model.py
+++ b/benchmarks/planner_model.py
@@ -39,6 +39,8 @@
 REPORT_INTERVAL_S = 0.5
 GOSSIP_INTERVAL_S = 1.0
 MEAN_TOKENS = 64
+# A sequence is on one of its four stages at a time, so that a slot serves four.
+SLOT_RATIO = 1.25 * 4
 LOCAL_MS, SLOW_MS = 0.1, 10.0
 KINDS = {"a": (8.0, 16), "b": (16.0, 8), "c": (32.0, 8), "d": (12.0, 12)}
 RANGES = [(0, 8), (8, 16), (16, 24), (24, 32), (0, 16), (16, 32)]
@@ -171,7 +173,7 @@
         self.daemons = [Daemon(self, seed * 100 + n) for n in range(N_DAEMONS)]
         self.finished: list[Job] = []
         self.n_refused = 0
-        self._capacity = domain_capacity(engines, N_LAYERS)
+        self._capacity = domain_capacity(engines, N_LAYERS, SLOT_RATIO)
         self._events: list = []
         self._n_events = 0
         self._jobs: dict[int, Job] = {}
--- a/packages/cassiaspread-core/src/cassiaspread_core/admission/_gate.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/_gate.py
@@ -93,15 +93,15 @@
         :param ticket: the request.
         :param now_s: present time in seconds.
         """
-        is_free = self._is_free(ticket.organisation)
-        wait_s = 0.0 if is_free else self._predict_wait(ticket.organisation)
-        excess_s = wait_s + self._duration_s(ticket) - (ticket.deadline_s - now_s)
-        if excess_s > 0 or len(self._queue) >= MAX_QUEUED:
-            return self._refuse(ticket, excess_s)
-        if is_free:
+        if self._is_free(ticket.organisation):
+            # Its duration is uncertain, and nobody waits for the place.
             self._queue.charge(ticket)
             self._admit(ticket)
             return Verdict(ticket, Decision.ADMITTED)
+        wait_s = self._predict_wait(ticket.organisation)
+        excess_s = wait_s + self._duration_s(ticket) - (ticket.deadline_s - now_s)
+        if excess_s > 0 or len(self._queue) >= MAX_QUEUED:
+            return self._refuse(ticket, excess_s)
         self._queue.push(ticket)
         self._waiting[ticket.organisation] += 1
         return Verdict(ticket, Decision.QUEUED)
--- a/packages/cassiaspread-core/src/cassiaspread_core/admission/_shares.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/_shares.py
@@ -19,9 +19,6 @@
 # before the others hear of it, but not everywhere at once.
 SPARE_OVERCOMMIT = 2.0
 
-# Requests in progress beyond those that keep the bottleneck busy, as a ratio.
-CAPACITY_HEADROOM = 1.25
-
 
 class Demand(msgspec.Struct, frozen=True, array_like=True):
     """Requests of one class that one daemon has in progress or waiting.
@@ -123,34 +120,25 @@
     return Share(max(1.0, quota), limited)
 
 
-def domain_capacity(engines: Iterable[EngineReport], n_layers: int) -> float:
-    """Return how many requests in progress keep the engines of a model busy.
-
-    The rate is that of the layer with the least rated speed; by Little's law, the
-    number in progress is the rate times the time that a token takes through all
-    layers.
+def domain_capacity(
+    engines: Iterable[EngineReport], n_layers: int, slot_ratio: float
+) -> float:
+    """Return how many requests may be in progress on the engines of a model.
 
     :param engines: engines of the model.
     :param n_layers: layers of the model.
+    :param slot_ratio: requests per slot of the layer that has the fewest.
     :returns: requests; 0 when a layer has no engine.
 
     >>> engine = EngineReport(
     ...     target="e", address="", link="", domain="d", model="m",
-    ...     begin=0, end=8, step_ms=10.0, n_slots=8,
+    ...     begin=0, end=8, n_slots=8,
     ... )
-    >>> domain_capacity([engine], 8)
+    >>> domain_capacity([engine], 8, slot_ratio=1.25)
     10.0
     """
-    rates = [0.0] * n_layers
-    works = [0.0] * n_layers
+    n_slots = [0] * n_layers
     for engine in engines:
-        n_held = engine.end - engine.begin
-        step_ms = max(engine.step_ms, 1e-3)
-        rate = engine.n_slots / step_ms
         for layer in range(engine.begin, min(engine.end, n_layers)):
-            rates[layer] += rate
-            works[layer] += rate * step_ms / n_held
-    if not all(rates):
-        return 0.0
-    token_ms = sum(work / rate for work, rate in zip(works, rates, strict=True))
-    return CAPACITY_HEADROOM * min(rates) * token_ms
+            n_slots[layer] += engine.n_slots
+    return slot_ratio * min(n_slots)
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
@@ -45,6 +45,8 @@
     :param uses_claim_committers: whether one daemon for each claims partition
         appends for the others.
     :param priority: engine priority, higher goes first.
+    :param slot_ratio: requests in progress per slot of a model's scarcest layer;
+        higher where engines work on some sequences while others are on their way.
     :param quarantine_s: how long the loss of a target counts against a request.
     """
 
@@ -63,6 +65,7 @@
     dedupe_window_s: Positive = 86_400
     uses_claim_committers: bool = True
     priority: int = 0
+    slot_ratio: Weight = 1.25
     quarantine_s: Positive = 3_600
 
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_sender.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_sender.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 from cassiaspread_core.base import Outcome, Refusal, ServiceId
@@ -70,6 +70,10 @@
     )
 
 
+# Told of a call whose connection was lost, and where to it was.
+OnLost = Callable[[Call, str], Awaitable[None]]
+
+
 class SendOrder(msgspec.Struct, frozen=True):
     """A call on its way through one daemon.
 
@@ -114,6 +118,7 @@
         self._random_state = random_state
         self._events = events
         self._sent: set[asyncio.Task[CallResult]] = set()
+        self.on_lost: OnLost | None = None
 
     @property
     def n_sent(self) -> int:
@@ -173,13 +178,16 @@
     ) -> CallResult:
         key, claim = order.call.key.key, str(order.claim)
         self._events.record("claims.sent", key, claim=claim)
-        result = CallResult(None)
+        result, is_broken = CallResult(None), False
         try:
             result = await self._exchange(exchange, order)
         except (ExchangeBroken, TimeoutError) as error:
+            is_broken = isinstance(error, ExchangeBroken)
             self._events.record("claims.answer_lost", key, error=str(error))
         self._events.record("claims.settled", key, claim=claim, status=result.status)
         on_result(result)
+        if is_broken and self.on_lost is not None:
+            await self.on_lost(order.call, exchange.address)
         return result
 
     async def _exchange(self, exchange: Exchange, order: SendOrder) -> CallResult:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/__init__.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/__init__.py
@@ -1,11 +1,16 @@
 """Quarantine, admission and shares of one daemon."""
 
+from cassiaspread_daemon.load._admission import Admission, Slot
+from cassiaspread_daemon.load._costs import PlanCosts
 from cassiaspread_daemon.load._probe import TargetProbe
 from cassiaspread_daemon.load._quarantine import Quarantine, Watch, build_quarantine
 from cassiaspread_daemon.load._suspects import SuspectExchange
 
 __all__ = [
+    "Admission",
+    "PlanCosts",
     "Quarantine",
+    "Slot",
     "SuspectExchange",
     "TargetProbe",
     "Watch",
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_quarantine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_quarantine.py
@@ -10,6 +10,7 @@
     Outcome,
     Refusal,
     RequestId,
+    ServiceId,
     TargetId,
 )
 from cassiaspread_core.pipeline import Plan
@@ -20,6 +21,7 @@
     Loss,
     SuspectRecord,
     TrialClaim,
+    fingerprint_of,
 )
 from cassiaspread_core.timeline import EventRing
 
@@ -107,6 +109,26 @@
         """
         return Watch(self, fingerprint, organisation, subject, request)
 
+    def watch_call(
+        self,
+        organisation: OrganisationId,
+        service: ServiceId,
+        method: str,
+        path: str,
+        body: bytes,
+    ) -> "Watch":
+        """Watch one call of a plain service.
+
+        :param organisation: who calls.
+        :param service: the service.
+        :param method: method of the call.
+        :param path: path and query of the call.
+        :param body: body of the call.
+        """
+        content = b"\n".join((method.encode(), path.encode(), body))
+        fingerprint = fingerprint_of(organisation, service, content)
+        return self.watch(fingerprint, organisation, service, RequestId(""))
+
     async def release(self, fingerprint: Fingerprint) -> SuspectRecord | None:
         """Let requests with a fingerprint run again, on every daemon.
 
@@ -286,6 +308,18 @@
         await self._quarantine.note_loss(self._record, address, loss, self._request)
         self.check()
 
+    async def judge_service(self, address: str) -> None:
+        """Find out whether a target of a plain service died and, if so, note it.
+
+        Services tell no incarnation: one that restarted before it was asked counts
+        as alive.
+
+        :param address: ``host:port`` of the target that lost the call.
+        :raises Refusal: the call is quarantined now.
+        """
+        self._has_run = True
+        await self.judge(TargetId(address), address, "", 0)
+
     def complete(self) -> None:
         """Clear the request: it ran to its end."""
         self.end_trial()
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_replanner.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_replanner.py
@@ -112,8 +112,11 @@
 
         Engines that are lost in one attempt count once: a VM or rack takes several
         stages with it, and none of their requests is to blame. What a silent stream's
-        probe has shown is not probed again.
+        probe has shown is not probed again. An engine that the request never reached
+        was lost without it.
         """
+        if not diagnosis.end.was_reached:
+            return
         is_silent = diagnosis.end.kind is EndKind.SILENT
         count = self._watch.lose if is_silent else self._watch.judge
         suspects = diagnosis.lost if is_silent else (diagnosis.end.engine,)
