--- a/packages/cassiaspread-core/src/cassiaspread_core/admission/_gate.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/_gate.py
@@ -87,6 +87,17 @@
         self._share = share
         return self._drain(now_s)
 
+    def engine_priority(self, organisation: OrganisationId, priority: int) -> int:
+        """Return the priority that engines get for a request.
+
+        Between two priorities of the policy lies room for one more: requests of an
+        organisation that wants more than its share go after those of the others.
+
+        :param organisation: who asks.
+        :param priority: the policy's priority, higher goes first.
+        """
+        return 2 * priority - (organisation in self._share.weights)
+
     def offer(self, ticket: Ticket, now_s: float) -> Verdict:
         """Decide on a new request, at once.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
@@ -180,9 +180,8 @@
                 slot.note(len(steps) - is_whole, is_whole)
                 deliver(steps)
 
-            generation = Generation(
-                request, self.limits, self.node.relay, self.watch, take
-            )
+            limits = slot.set_priority(self.limits)
+            generation = Generation(request, limits, self.node.relay, self.watch, take)
             await generation.run()
 
     def _note_steps(self, steps: list[TokenStep]) -> bool:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_trace.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_trace.py
@@ -22,6 +22,7 @@
 
 HINT_INTERVAL_S = 0.2
 ASK_TIMEOUT_S = 0.3
+NEIGHBOUR_WAIT_S = 0.05
 N_KEEPERS_ASKED = 3
 N_ENGINES_ASKED_AT_ONCE = 16
 MAX_HINTS = 50_000
@@ -125,15 +126,19 @@
         hint = Hint(request, head)
         self._hints.add([hint])
         self._unsent[request] = hint
+        if len(self._unsent) > MAX_HINTS:
+            del self._unsent[next(iter(self._unsent))]
 
     async def run(self) -> None:
         """Send the hints in batches until cancelled."""
         while True:
             await asyncio.sleep(HINT_INTERVAL_S)
+            addresses = self._neighbours()
+            if not addresses:
+                continue
             hints, self._unsent = list(self._unsent.values()), {}
             batches: dict[str, list[Hint]] = {}
-            addresses = self._neighbours()
-            for hint in hints if addresses else ():
+            for hint in hints:
                 keeper = rank_keepers(hint.request, addresses)[0]
                 batches.setdefault(keeper, []).append(hint)
             await asyncio.gather(*(self._send(a, h) for a, h in batches.items()))
@@ -144,11 +149,10 @@
         :param request: the repeated request.
         :returns: its trace, ``None`` when there is none.
         """
-        heads = [self._hints.find(request.request).head]
-        heads += await self._ask_neighbours(request.request)
-        for head in dict.fromkeys(heads):
-            if head and (state := await self._ask_head(head, request.request)):
-                return self._found(request, head, state, "hint")
+        identity = request.request
+        head = self._hints.find(identity).head or await self._ask_neighbours(identity)
+        if head and (state := await self._ask_head(head, identity)):
+            return self._found(request, head, state, "hint")
         return await self._ask_engines(request)
 
     def _found(
@@ -164,9 +168,23 @@
             if peer.sender.domain == self._domain
         ]
 
-    async def _ask_neighbours(self, request: RequestId) -> list[str]:
+    async def _ask_neighbours(self, request: RequestId) -> str:
+        """Return the first answer that names a head.
+
+        The daemon that died may be among those asked: the wait for it is short, since
+        the engines can be asked instead.
+        """
         keepers = rank_keepers(request, self._neighbours())[:N_KEEPERS_ASKED]
-        return await asyncio.gather(*(self._ask_keeper(k, request) for k in keepers))
+        asked = [asyncio.create_task(self._ask_keeper(k, request)) for k in keepers]
+        try:
+            with suppress(TimeoutError):
+                for answer in asyncio.as_completed(asked, timeout=NEIGHBOUR_WAIT_S):
+                    if head := await answer:
+                        return head
+            return ""
+        finally:
+            for task in asked:
+                task.cancel()
 
     async def _ask_keeper(self, address: str, request: RequestId) -> str:
         try:
