--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_admission.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_admission.py
@@ -26,7 +26,7 @@
     RequestId,
 )
 from cassiaspread_core.pipeline import EngineReport
-from cassiaspread_core.policy import Policy
+from cassiaspread_core.policy import Limits, Policy
 from cassiaspread_core.timeline import EventRing
 
 from cassiaspread_daemon._supervisor import Supervisor
@@ -56,14 +56,24 @@
 
     :param ticket: the request.
     :param n_wanted: most tokens that the caller asked for.
+    :param gate: the gate that admitted it.
     """
 
-    def __init__(self, ticket: Ticket, n_wanted: int) -> None:
+    def __init__(self, ticket: Ticket, n_wanted: int, gate: Gate) -> None:
         self.ticket = ticket
         self.n_wanted = n_wanted
+        self._gate = gate
         self.n_tokens = 0
         self.is_whole = False
 
+    def set_priority(self, limits: Limits) -> Limits:
+        """Return limits with the priority that the engines get.
+
+        :param limits: limits in force for the request.
+        """
+        priority = self._gate.engine_priority(self.ticket.organisation, limits.priority)
+        return msgspec.structs.replace(limits, priority=priority)
+
     def note(self, n_tokens: int, is_whole: bool) -> None:
         """Note tokens that arrived.
 
@@ -159,7 +169,7 @@
             gate.force(ticket)
         else:
             await self._wait(gate, ticket, request)
-        slot = Slot(ticket, n_tokens)
+        slot = Slot(ticket, n_tokens, gate)
         admitted_s = time.monotonic()
         try:
             yield slot
