--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; each module is one command."""
+"""Benchmarks, each one command."""
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -20,6 +20,7 @@
 from cassiaspread_daemon._settings import Settings
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.adapters import EngineClient, LogClient, VmListClient
+from cassiaspread_daemon.claims import ClaimService
 from cassiaspread_daemon.fleet import (
     ObservationSpread,
     PolicyCheckpointer,
@@ -29,7 +30,7 @@
     TargetRegistry,
     VmListReader,
 )
-from cassiaspread_daemon.load import Quarantine, SuspectExchange, TargetProbe
+from cassiaspread_daemon.load import build_quarantine
 from cassiaspread_daemon.mesh import Mesh, Sender, to_member
 from cassiaspread_daemon.relay import RelayServices
 
@@ -86,13 +87,17 @@
         self._policy_peers = PolicyPeers(
             self.policy_follower, self.mesh, schedule, self.events, random_state
         )
-        self.quarantine = Quarantine(
-            SuspectExchange(
-                self.mesh, self.log, self.events, lambda: self.policy.limits
-            ),
-            TargetProbe(self.engines),
+        self.claims = ClaimService(
+            self.log,
+            self.mesh,
+            self.targets,
             self.events,
-            self.incarnation,
+            random_state,
+            self.supervisor.add_child("claims"),
+            lambda: self.policy,
+        )
+        self.quarantine = build_quarantine(
+            self.mesh, self.log, self.events, self.engines, lambda: self.policy.limits
         )
         self.relay = RelayServices(
             self.engines,
@@ -104,7 +109,9 @@
         )
         self._is_leaving = False
         self._requests = RequestCount()
-        self.settle_callbacks: list[Callable[[], Awaitable[None]]] = []
+        self.settle_callbacks: list[Callable[[], Awaitable[None]]] = [
+            self.claims.settle
+        ]
 
     def _observe_targets(self, own: Member) -> None:
         interval_s = self.settings.poll_interval_ms / MILLISECONDS_PER_SECOND
@@ -130,6 +137,7 @@
         self.supervisor.start("policy-checkpoints", self._policy_checkpointer.run)
         self.supervisor.start("vm-list", self.list_reader.run)
         self.supervisor.start("poller", self.poller.run)
+        self.claims.start()
         self.quarantine.start(self.supervisor)
         self.relay.start(self.supervisor)
         self.events.record("node.started", incarnation=self.incarnation)
@@ -159,7 +167,7 @@
     @property
     def n_requests(self) -> int:
         """Requests in progress."""
-        return self._n_requests
+        return self._requests.n_requests
 
     def not_ready_reasons(self) -> list[str]:
         """List why the balancer should send no requests here."""
@@ -175,6 +183,7 @@
     def leave(self) -> None:
         """Stop being ready; requests are still taken while the balancer lags."""
         self._is_leaving = True
+        self.claims.leave()
         self.mesh.leave()
         self.poller.invalidate()
         self.events.record("node.leaving")
@@ -193,6 +202,7 @@
         try:
             async with asyncio.timeout(timeout_s or None):
                 await self._requests.wait_quiet(QUIET_S)
+                await self.claims.wait_sent()
         except TimeoutError:
             n_requests = self._requests.n_requests
             logging.warning("drain timeout with %d requests in progress", n_requests)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_application.py
@@ -27,6 +27,7 @@
     ReleaseHandler,
 )
 from cassiaspread_daemon.handlers._services import ServiceHandler
+from cassiaspread_daemon.handlers._tickets import KeyHandler, TicketsHandler
 
 
 def build_application(node: Node) -> Application:
@@ -40,6 +41,7 @@
             (r"/v1/completions", CompletionsHandler, arguments),
             (r"/v1/chat/completions", ChatCompletionsHandler, arguments),
             (r"/v1/services/([^/]+)(/.*)?", ServiceHandler, arguments),
+            (r"/v1/tickets", TicketsHandler, arguments),
             (r"/healthz", HealthHandler, arguments),
             (r"/readyz", ReadyHandler, arguments),
             (r"/metrics", MetricsHandler, arguments),
@@ -47,6 +49,7 @@
             (r"/operators/drain", DrainHandler, arguments),
             (r"/operators/members", MembersHandler, arguments),
             (r"/operators/observations", ObservationsHandler, arguments),
+            (r"/operators/keys/([^/]+)/([^/]+)", KeyHandler, arguments),
             (r"/operators/status", StatusHandler, arguments),
             (r"/operators/targets", TargetsHandler, arguments),
             (r"/operators/policy", PolicyHandler, arguments),
