--- /dev/null
+++ b/packages/cassiaspread-daemon/tests/test_mesh_parts.py
@@ -0,0 +1,100 @@
+"""Topics, contacts and senders of the mesh, without sockets."""
+
+import pytest
+from cassiaspread_daemon.mesh import DeltaTopic, Sender
+from cassiaspread_daemon.mesh._contacts import Contacts
+from cassiaspread_daemon.mesh._gossip import Topic, Topics
+from cassiaspread_daemon.mesh._message import short_id
+from cassiaspread_daemon.mesh._senders import SenderTable, UnknownSender
+
+A = Sender("entry-a", "celje", "ia", "a:1")
+B = Sender("entry-b", "celje", "ib", "b:1")
+
+
+class Side:
+    """One daemon with a whole topic and a topic of changes."""
+
+    def __init__(self, own):
+        self.own, self.state = own, 0
+        self.whole, self.changes = [], []
+        self.topics = Topics()
+        take = self.whole.append
+        self.topics.add("t", Topic(lambda: self.state, int, lambda v, _: take(v)))
+        self.delta = DeltaTopic(int, int, lambda v, _: self.changes.append(v))
+        self.topics.add_delta("d", self.delta)
+        self.now_s = 0.0
+
+    def tell(self, other, is_lost=False):
+        self.now_s += 1.0
+        gossip = self.topics.produce(other.own.incarnation, False, {}, self.now_s)
+        if not is_lost:
+            other.topics.consume(gossip, self.own)
+        return gossip
+
+
+def test_whole_topic_is_sent_when_it_changes_and_consumed_each_time():
+    a, b = Side(A), Side(B)
+    for _ in range(3):
+        a.tell(b)
+        b.tell(a)
+    assert "whole" not in a.tell(b).deltas.full
+    assert b.whole == [0] * 4
+    a.state = 7
+    a.tell(b, is_lost=True)
+    a.tell(b)
+    assert b.whole[-1] == 7
+
+
+def test_entries_survive_lost_messages_and_are_not_repeated():
+    a, b = Side(A), Side(B)
+    a.delta.put("k", 1)
+    a.tell(b, is_lost=True)
+    a.tell(b)
+    b.tell(a)
+    a.tell(b)
+    assert b.changes == [1]
+    a.delta.put("k", 2, partial=20)
+    a.tell(b)
+    assert b.changes == [1, 20]
+    b.topics.forget("ia")
+    a.tell(b)
+    b.tell(a)
+    a.tell(b)
+    assert b.changes[-1] == 2
+
+
+@pytest.mark.parametrize(
+    ("calls", "now_s", "is_due"),
+    [
+        ([], 0.0, True),
+        ([("answer", 0.0)], 0.5, False),
+        ([("answer", 0.0)], 1.0, True),
+        ([("answer", 0.0), ("request", 0.5)], 1.5, False),
+        ([("answer", 0.0), ("request", 0.5)], 2.0, True),
+        ([("answer", 0.0), ("request", 2.0)], 2.6, True),
+        ([("answer", 0.0), ("miss", 0.2)], 0.3, True),
+        ([("miss", 0.0)], 1.0, False),
+        ([("miss", 0.0)], 2.0, True),
+    ],
+)
+def test_whose_turn_it_is(calls, now_s, is_due):
+    contacts = Contacts()
+    for call, at_s in calls:
+        if call == "answer":
+            contacts.note_answer("b:1", B, short_id(A), at_s)
+        elif call == "request":
+            contacts.note_request(B, at_s)
+        else:
+            contacts.miss("b:1", at_s)
+    assert contacts.is_due("b:1", now_s, is_hurry=False) is is_due
+
+
+def test_short_identifier_is_used_only_for_whom_the_peer_knows():
+    contacts, table = Contacts(), SenderTable()
+    assert not contacts.knows("b:1", short_id(A))
+    contacts.note_answer("b:1", B, short_id(A), 0.0)
+    assert contacts.knows("b:1", short_id(A))
+    contacts.note_request(Sender("other", "celje", "ic", "b:1"), 1.0)
+    assert not contacts.knows("b:1", short_id(A))
+    with pytest.raises(UnknownSender):
+        table.resolve(short_id(A))
