--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -4,13 +4,14 @@
 import random
 import time
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from enum import Enum
 from types import TracebackType
 from typing import Self
 
 import uuid6
 from absl import logging
-from cassiaspread_core.base import DomainId, Incarnation
+from cassiaspread_core.base import DomainId, Incarnation, Refusal
 from cassiaspread_core.membership import Member
 from cassiaspread_core.policy import CheckpointSchedule, Policy
 from cassiaspread_core.timeline import EventRing
@@ -20,7 +21,7 @@
 from cassiaspread_daemon._settings import Settings
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.adapters import EngineClient, LogClient, VmListClient
-from cassiaspread_daemon.claims import ClaimService
+from cassiaspread_daemon.claims import Call, ClaimService
 from cassiaspread_daemon.fleet import (
     ObservationSpread,
     PolicyCheckpointer,
@@ -30,7 +31,7 @@
     TargetRegistry,
     VmListReader,
 )
-from cassiaspread_daemon.load import build_quarantine
+from cassiaspread_daemon.load import Admission, PlanCosts, build_quarantine
 from cassiaspread_daemon.mesh import Mesh, Sender, to_member
 from cassiaspread_daemon.relay import RelayServices
 
@@ -99,9 +100,24 @@
         self.quarantine = build_quarantine(
             self.mesh, self.log, self.events, self.engines, lambda: self.policy.limits
         )
+        self.claims.tell_losses(self._judge_lost_call)
+        self.admission = Admission(
+            self.mesh,
+            self.events,
+            lambda: self.policy,
+            self.targets.engines,
+            random_state,
+        )
+        costs = PlanCosts(
+            random_state,
+            lambda: 1 + len(self.mesh.peers()),
+            self.quarantine.exchange.crowded_targets,
+        )
         self.relay = RelayServices(
             self.engines,
             self.targets,
+            costs,
+            self.admission,
             self.mesh,
             settings.domain,
             self.events,
@@ -139,6 +155,7 @@
         self.supervisor.start("poller", self.poller.run)
         self.claims.start()
         self.quarantine.start(self.supervisor)
+        self.admission.start(self.supervisor)
         self.relay.start(self.supervisor)
         self.events.record("node.started", incarnation=self.incarnation)
         return self
@@ -176,6 +193,13 @@
             reasons.append("leaving")
         return reasons + self.policy_follower.not_ready_reasons()
 
+    async def _judge_lost_call(self, call: Call, address: str) -> None:
+        watch = self.quarantine.watch_call(
+            call.organisation, call.service, call.method, call.path, call.body
+        )
+        with suppress(Refusal):
+            await watch.judge_service(address)
+
     def _daemon_addresses(self) -> dict[str, DomainId | None]:
         seeds = dict.fromkeys(map(str, self.settings.seeds))
         return seeds | self.targets.daemon_addresses()
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_admission.py
@@ -0,0 +1,294 @@
+"""Admission of requests at one daemon, within its share of the domain's capacity."""
+
+import asyncio
+import random
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import msgspec
+from cassiaspread_core.admission import (
+    Decision,
+    Demand,
+    Gate,
+    RetryBudget,
+    Ticket,
+    Verdict,
+    divide_capacity,
+    domain_capacity,
+)
+from cassiaspread_core.base import (
+    DomainId,
+    Incarnation,
+    ModelId,
+    OrganisationId,
+    Refusal,
+    RequestId,
+)
+from cassiaspread_core.pipeline import EngineReport
+from cassiaspread_core.policy import Policy
+from cassiaspread_core.timeline import EventRing
+
+from cassiaspread_daemon._supervisor import Supervisor
+from cassiaspread_daemon.mesh import Mesh, Sender
+
+TOPIC = "demand"
+SHARE_INTERVAL_S = 0.25
+HEARD_LIFETIME_S = 3.0
+
+# A capacity that was known counts on while the engines' reports are interrupted.
+CAPACITY_LIFETIME_S = 5.0
+
+# Callers that were refused together come back spread over this part of the time.
+RETRY_SPREAD = 0.25
+
+Demands = dict[ModelId, Demand]
+
+
+class _Heard(msgspec.Struct, frozen=True):
+    domain: DomainId
+    demands: Demands
+    heard_s: float
+
+
+class Slot:
+    """An admitted request's place; it tells how the request went.
+
+    :param ticket: the request.
+    :param n_wanted: most tokens that the caller asked for.
+    """
+
+    def __init__(self, ticket: Ticket, n_wanted: int) -> None:
+        self.ticket = ticket
+        self.n_wanted = n_wanted
+        self.n_tokens = 0
+        self.is_whole = False
+
+    def note(self, n_tokens: int, is_whole: bool) -> None:
+        """Note tokens that arrived.
+
+        :param n_tokens: how many.
+        :param is_whole: whether the answer is whole now.
+        """
+        self.n_tokens += n_tokens
+        self.is_whole = is_whole
+
+
+class Admission:
+    """Gates of all models at one daemon.
+
+    :param mesh: messages between daemons.
+    :param events: the time line.
+    :param policy: returns the configuration in force.
+    :param engines: returns the engines of a model that take new work.
+    :param random_state: spreads the times at which refused callers come back.
+    """
+
+    def __init__(
+        self,
+        mesh: Mesh,
+        events: EventRing,
+        policy: Callable[[], Policy],
+        engines: Callable[[ModelId], list[EngineReport]],
+        random_state: random.Random,
+    ) -> None:
+        self._mesh = mesh
+        self._events = events
+        self._policy = policy
+        self._engines = engines
+        self._random_state = random_state
+        self._gates: dict[ModelId, Gate] = {}
+        self._budgets: dict[ModelId, RetryBudget] = {}
+        self._capacities: dict[ModelId, tuple[float, float]] = {}
+        self._heard: dict[Incarnation, _Heard] = {}
+        self._waiting: dict[int, asyncio.Future[Verdict]] = {}
+        self._n_tickets = 0
+        mesh.add_topic(TOPIC, self._produce, Demands, self._consume)
+
+    def start(self, supervisor: Supervisor) -> None:
+        """Start the tasks.
+
+        :param supervisor: runs them.
+        """
+        supervisor.start("admission", self.run)
+
+    async def run(self) -> None:
+        """Keep the shares up to date until cancelled."""
+        while True:
+            for model in list(self._gates):
+                self._update(model)
+            await asyncio.sleep(SHARE_INTERVAL_S)
+
+    def take_retry(self, model: ModelId) -> bool:
+        """Use up one retry of the model's budget.
+
+        :param model: the model.
+        :returns: whether there was one.
+        """
+        return self._budget(model).take()
+
+    @asynccontextmanager
+    async def enter(
+        self,
+        model: ModelId,
+        organisation: OrganisationId,
+        request: RequestId,
+        n_tokens: int,
+        deadline_s: float,
+        is_resumed: bool = False,
+    ) -> AsyncIterator[Slot]:
+        """Wait for a place, hold it while the context lasts.
+
+        :param model: model asked for.
+        :param organisation: who asks.
+        :param request: identity of the request.
+        :param n_tokens: most tokens of the answer.
+        :param deadline_s: end of its time, on the monotonic clock in seconds.
+        :param is_resumed: whether it runs already: it waits for nothing.
+        :raises Refusal: it can't be answered in time.
+        """
+        gate = self._gate(model)
+        self._n_tickets += 1
+        ticket = Ticket(
+            number=self._n_tickets,
+            organisation=organisation,
+            cost=gate.forecast.expected_tokens(n_tokens),
+            deadline_s=deadline_s,
+        )
+        if is_resumed:
+            gate.force(ticket)
+        else:
+            await self._wait(gate, ticket, request)
+        slot = Slot(ticket, n_tokens)
+        admitted_s = time.monotonic()
+        try:
+            yield slot
+        finally:
+            self._leave(model, slot, admitted_s)
+
+    async def _wait(self, gate: Gate, ticket: Ticket, request: RequestId) -> None:
+        verdict = gate.offer(ticket, time.monotonic())
+        if verdict.decision is Decision.QUEUED:
+            self._events.record("admission.queued", request, n_waiting=gate.n_waiting)
+            verdict = await self._wait_in_queue(gate, ticket)
+        if verdict.decision is Decision.REFUSED:
+            self._events.record(
+                "admission.refused",
+                request,
+                n_running=gate.n_running,
+                n_waiting=gate.n_waiting,
+                retry_after_s=verdict.retry_after_s,
+            )
+            raise self._refuse(verdict)
+
+    async def _wait_in_queue(self, gate: Gate, ticket: Ticket) -> Verdict:
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[ticket.number] = future
+        try:
+            return await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                # It was admitted in the same turn of the loop as it was cancelled.
+                if future.result().decision is Decision.ADMITTED:
+                    self._settle(gate.finish(ticket, time.monotonic()))
+            else:
+                gate.abandon(ticket)
+            raise
+        finally:
+            del self._waiting[ticket.number]
+
+    def _leave(self, model: ModelId, slot: Slot, admitted_s: float) -> None:
+        gate, now_s = self._gate(model), time.monotonic()
+        if slot.is_whole:
+            gate.forecast.note(slot.n_wanted, slot.n_tokens, now_s - admitted_s)
+            self._budget(model).note_success(self._policy().limits.retry_ratio)
+        self._settle(gate.finish(slot.ticket, now_s))
+
+    def _settle(self, verdicts: list[Verdict]) -> None:
+        for verdict in verdicts:
+            future = self._waiting.get(verdict.ticket.number)
+            if future is not None and not future.done():
+                future.set_result(verdict)
+
+    def _refuse(self, verdict: Verdict) -> Refusal:
+        spread = 1.0 + RETRY_SPREAD * self._random_state.random()
+        retry_after_s = verdict.retry_after_s * spread
+        if verdict.is_over_share:
+            return Refusal(
+                429,
+                "share-exceeded",
+                "The organisation's requests in progress exceed its share, and this "
+                "one would end too late.",
+                retry_after_s=retry_after_s,
+            )
+        return Refusal(
+            503,
+            "overloaded",
+            "The request would end too late.",
+            retry_after_s=retry_after_s,
+        )
+
+    def _gate(self, model: ModelId) -> Gate:
+        if model not in self._gates:
+            self._gates[model] = Gate(self._weight_of)
+            self._update(model)
+        return self._gates[model]
+
+    def _budget(self, model: ModelId) -> RetryBudget:
+        return self._budgets.setdefault(model, RetryBudget())
+
+    def _weight_of(self, organisation: OrganisationId) -> float:
+        known = self._policy().organisations.get(organisation)
+        return 1.0 if known is None else known.weight
+
+    def _update(self, model: ModelId) -> None:
+        """Compute the share anew and let those go on whom it admits."""
+        gate, now_s = self._gates[model], time.monotonic()
+        policy = self._policy().models.get(model)
+        if policy is None:
+            return
+        capacity, is_own = self._measure_capacity(model, policy.n_layers, now_s)
+        if capacity:
+            peers = self._peer_demands(model, is_own, now_s)
+            share = divide_capacity(capacity, gate.demand(), peers, self._weight_of)
+            self._settle(gate.set_share(share, now_s))
+        self._settle(gate.expire(now_s))
+
+    def _measure_capacity(
+        self, model: ModelId, n_layers: int, now_s: float
+    ) -> tuple[float, bool]:
+        """Return the capacity and whether it is that of the own domain alone."""
+        engines = self._engines(model)
+        domain = self._mesh.sender.domain
+        own = [engine for engine in engines if engine.domain == domain]
+        slot_ratio = self._policy().limits.slot_ratio
+        capacity = domain_capacity(own, n_layers, slot_ratio)
+        is_own = capacity > 0
+        capacity = capacity or domain_capacity(engines, n_layers, slot_ratio)
+        if capacity:
+            self._capacities[model] = capacity, now_s
+            return capacity, is_own
+        known, known_s = self._capacities.get(model, (0.0, 0.0))
+        return (known if now_s - known_s < CAPACITY_LIFETIME_S else 0.0), is_own
+
+    def _peer_demands(self, model: ModelId, is_own: bool, now_s: float) -> list[Demand]:
+        oldest_s = now_s - HEARD_LIFETIME_S
+        self._heard = {i: h for i, h in self._heard.items() if h.heard_s > oldest_s}
+        domain = self._mesh.sender.domain
+        return [
+            heard.demands.get(model, Demand())
+            for heard in self._heard.values()
+            if heard.domain == domain or not is_own
+        ]
+
+    def _produce(self) -> Demands:
+        return {
+            model: demand
+            for model, gate in self._gates.items()
+            if (demand := gate.demand()).total
+        }
+
+    def _consume(self, demands: Demands, sender: Sender) -> None:
+        self._heard[sender.incarnation] = _Heard(
+            sender.domain, demands, time.monotonic()
+        )
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_probe.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_probe.py
@@ -8,6 +8,7 @@
 from cassiaspread_daemon.adapters import EngineClient
 
 PROBE_TIMEOUT_S = 0.5
+CONFIRM_DELAY_S = 0.05
 
 
 class TargetProbe:
@@ -38,9 +39,15 @@
     async def _probe(self, address: str, incarnation: str) -> bool:
         try:
             if not incarnation:
-                with await Exchange.open(address, PROBE_TIMEOUT_S):
-                    return True
+                return await self._accepts(address)
             report = await self._engines.report(address, PROBE_TIMEOUT_S)
         except (ConnectFailed, ExchangeBroken, msgspec.MsgspecError):
             return False
         return report.incarnation == incarnation
+
+    async def _accepts(self, address: str) -> bool:
+        with await Exchange.open(address, PROBE_TIMEOUT_S):
+            await asyncio.sleep(CONFIRM_DELAY_S)
+        # A process that is ending may accept once more.
+        with await Exchange.open(address, PROBE_TIMEOUT_S):
+            return True
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_suspects.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_suspects.py
@@ -103,7 +103,10 @@
     async def share(
         self, records: Sequence[SuspectRecord], claim: TrialClaim | None = None
     ) -> list[TrialClaim]:
-        """Tell every live peer and wait for the answers, a short time at most.
+        """Tell every peer that may be at work and wait a short time for the answers.
+
+        A peer that joined just now, or that could not be asked lately, may run the
+        same request.
 
         :param records: records that changed.
         :param claim: claim to ask for, if any.
@@ -111,7 +114,7 @@
         """
         notice = Notice(tuple(records), claim)
         replies = await asyncio.gather(
-            *(self._ask(peer.sender.address, notice) for peer in self._mesh.peers())
+            *(self._ask(peer.sender.address, notice) for peer in self._mesh.audience())
         )
         blockers = []
         for reply in replies:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_services.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_services.py
@@ -8,6 +8,7 @@
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.adapters import EngineClient
 from cassiaspread_daemon.fleet import TargetRegistry
+from cassiaspread_daemon.load import Admission, PlanCosts
 from cassiaspread_daemon.mesh import Mesh
 from cassiaspread_daemon.relay._cancel import Canceller
 from cassiaspread_daemon.relay._planner import Planner
@@ -21,6 +22,8 @@
 
     :param engines: client of the engines.
     :param targets: known targets.
+    :param costs: costs of plans.
+    :param admission: keeps the budgets of retries.
     :param mesh: the other daemons.
     :param domain: failure domain of this daemon.
     :param events: the time line.
@@ -31,6 +34,8 @@
         self,
         engines: EngineClient,
         targets: TargetRegistry,
+        costs: PlanCosts,
+        admission: Admission,
         mesh: Mesh,
         domain: DomainId,
         events: EventRing,
@@ -38,9 +43,11 @@
     ) -> None:
         self.engines = engines
         self.targets = targets
+        self.costs = costs
+        self.admission = admission
         self.events = events
         self.owner = random_state.randrange(N_OWNERS)
-        self.planner = Planner(targets, domain)
+        self.planner = Planner(targets, costs)
         self.traces = TraceFinder(engines, targets, mesh, domain, events)
         self.canceller = Canceller(engines)
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_trace.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_trace.py
@@ -22,6 +22,9 @@
 
 HINT_INTERVAL_S = 0.2
 ASK_TIMEOUT_S = 0.3
+NEIGHBOUR_WAIT_S = 0.05
+FIND_TIMEOUT_S = 1.0
+FIND_POLL_S = 0.05
 N_KEEPERS_ASKED = 3
 N_ENGINES_ASKED_AT_ONCE = 16
 MAX_HINTS = 50_000
@@ -125,15 +128,19 @@
         hint = Hint(request, head)
         self._hints.add([hint])
         self._unsent[request] = hint
+        if len(self._unsent) > MAX_HINTS:
+            del self._unsent[next(iter(self._unsent))]
 
     async def run(self) -> None:
         """Send the hints in batches until cancelled."""
         while True:
             await asyncio.sleep(HINT_INTERVAL_S)
+            addresses = self._neighbours()
+            if not addresses:
+                continue
             hints, self._unsent = list(self._unsent.values()), {}
             batches: dict[str, list[Hint]] = {}
-            addresses = self._neighbours()
-            for hint in hints if addresses else ():
+            for hint in hints:
                 keeper = rank_keepers(hint.request, addresses)[0]
                 batches.setdefault(keeper, []).append(hint)
             await asyncio.gather(*(self._send(a, h) for a, h in batches.items()))
@@ -144,12 +151,18 @@
         :param request: the repeated request.
         :returns: its trace, ``None`` when there is none.
         """
-        heads = [self._hints.find(request.request).head]
-        heads += await self._ask_neighbours(request.request)
-        for head in dict.fromkeys(heads):
-            if head and (state := await self._ask_head(head, request.request)):
-                return self._found(request, head, state, "hint")
-        return await self._ask_engines(request)
+        identity = request.request
+        head = self._hints.find(identity).head or await self._ask_neighbours(identity)
+        state = await self._ask_head(head, identity) if head else None
+        if state is not None and state.plan:
+            return self._found(request, head, state, "hint")
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + FIND_TIMEOUT_S
+        while True:
+            trace, is_certain = await self._ask_engines(request)
+            if trace is not None or is_certain or loop.time() > end_s:
+                return trace
+            await asyncio.sleep(FIND_POLL_S)
 
     def _found(
         self, request: GenerationRequest, head: str, state: StageState, way: str
@@ -164,9 +177,23 @@
             if peer.sender.domain == self._domain
         ]
 
-    async def _ask_neighbours(self, request: RequestId) -> list[str]:
+    async def _ask_neighbours(self, request: RequestId) -> str:
+        """Return the first answer that names a head.
+
+        The daemon that died may be among those asked: the wait for it is short, since
+        the engines can be asked instead.
+        """
         keepers = rank_keepers(request, self._neighbours())[:N_KEEPERS_ASKED]
-        return await asyncio.gather(*(self._ask_keeper(k, request) for k in keepers))
+        asked = [asyncio.create_task(self._ask_keeper(k, request)) for k in keepers]
+        try:
+            with suppress(TimeoutError):
+                for answer in asyncio.as_completed(asked, timeout=NEIGHBOUR_WAIT_S):
+                    if head := await answer:
+                        return head
+            return ""
+        finally:
+            for task in asked:
+                task.cancel()
 
     async def _ask_keeper(self, address: str, request: RequestId) -> str:
         try:
@@ -178,24 +205,30 @@
         return hint.head
 
     async def _ask_head(self, head: str, request: RequestId) -> StageState | None:
-        state = await probe_stage(self._engines, head, request, ASK_TIMEOUT_S)
-        return state if state is not None and state.plan else None
+        return await probe_stage(self._engines, head, request, ASK_TIMEOUT_S)
 
-    async def _ask_engines(self, request: GenerationRequest) -> Trace | None:
+    async def _ask_engines(
+        self, request: GenerationRequest
+    ) -> tuple[Trace | None, bool]:
+        """Ask all engines that can be the head.
+
+        That none knows the request is certain only if all have answered; a daemon
+        that has just started knows no engines.
+        """
         heads = [e.address for e in self._targets.engines(request.model) if not e.begin]
         limit = asyncio.Semaphore(N_ENGINES_ASKED_AT_ONCE)
 
-        async def ask(head: str) -> Trace | None:
+        async def ask(head: str) -> tuple[str, StageState | None]:
             async with limit:
-                state = await self._ask_head(head, request.request)
-            return Trace(head, state) if state is not None else None
+                return head, await self._ask_head(head, request.request)
 
-        traces = await asyncio.gather(*(ask(head) for head in heads))
-        found = [trace for trace in traces if trace is not None]
+        answers = await asyncio.gather(*(ask(head) for head in heads))
+        is_certain = bool(answers) and all(state is not None for _, state in answers)
+        found = [(h, state) for h, state in answers if state is not None and state.plan]
         if not found:
-            return None
-        latest = max(found, key=lambda trace: trace.state.attempt)
-        return self._found(request, latest.head, latest.state, "engines")
+            return None, is_certain
+        head, state = max(found, key=lambda answer: answer[1].attempt)
+        return self._found(request, head, state, "engines"), True
 
     async def _send(self, address: str, hints: list[Hint]) -> None:
         with suppress(PeerUnreachable):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -180,7 +180,7 @@
                 events += msgspec.json.decode(answer[2], type=list[Event])
         return merge_events(events)
 
-    def render_timeline(self, n_events: int = 80) -> str:
+    def render_timeline(self, n_events: int = 200) -> str:
         """Return the latest events of all daemons as text."""
         return "\n".join(
             f"{e.timestamp} {e.process} {e.kind} {e.request} {e.fields}"
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -1,10 +1,12 @@
 """A plain service without deduplication: each call that it receives is run.
 
 The history gets one line when a call is run. ``POST /control`` sets ``delay_s``
-(before the answer) and ``lose_answers`` (the call runs, the connection closes).
+(before the answer), ``lose_answers`` (the call runs, the connection closes) and
+``crash_on`` (a text in the body that ends the process).
 """
 
 import asyncio
+import os
 import time
 
 from tests.standins._server import History, JsonHandler, parser, serve
@@ -16,6 +18,7 @@
         self.history = history
         self.delay_s = 0.0
         self.lose_answers = False
+        self.crash_on = ""
         self.n_runs = 0
 
 
@@ -36,6 +39,8 @@
             body=self.request.body.decode(),
             time_s=time.time(),
         )
+        if service.crash_on and service.crash_on in self.request.body.decode():
+            os._exit(70)
         await asyncio.sleep(service.delay_s)
         if service.lose_answers:
             self.request.connection.stream.close()
