--- a/packages/cassiaspread-core/src/cassiaspread_core/admission/_budget.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/_budget.py
@@ -1,7 +1,7 @@
 """Retries allowed as a share of successes."""
 
 # A target that fails with many requests in flight must not use up the budget at once.
-BURST = 32.0
+BURST = 128.0
 
 
 class RetryBudget:
--- a/packages/cassiaspread-core/src/cassiaspread_core/admission/_gate.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/_gate.py
@@ -87,21 +87,32 @@
         self._share = share
         return self._drain(now_s)
 
+    def engine_priority(self, organisation: OrganisationId, priority: int) -> int:
+        """Return the priority that engines get for a request.
+
+        Between two priorities of the policy lies room for one more: requests of an
+        organisation that wants more than its share go after those of the others.
+
+        :param organisation: who asks.
+        :param priority: the policy's priority, higher goes first.
+        """
+        return 2 * priority - (organisation in self._share.weights)
+
     def offer(self, ticket: Ticket, now_s: float) -> Verdict:
         """Decide on a new request, at once.
 
         :param ticket: the request.
         :param now_s: present time in seconds.
         """
-        is_free = self._is_free(ticket.organisation)
-        wait_s = 0.0 if is_free else self._predict_wait(ticket.organisation)
-        excess_s = wait_s + self._duration_s(ticket) - (ticket.deadline_s - now_s)
-        if excess_s > 0 or len(self._queue) >= MAX_QUEUED:
-            return self._refuse(ticket, excess_s)
-        if is_free:
+        if self._is_free(ticket.organisation):
+            # Its duration is uncertain, and nobody waits for the place.
             self._queue.charge(ticket)
             self._admit(ticket)
             return Verdict(ticket, Decision.ADMITTED)
+        wait_s = self._predict_wait(ticket.organisation)
+        excess_s = wait_s + self._duration_s(ticket) - (ticket.deadline_s - now_s)
+        if excess_s > 0 or len(self._queue) >= MAX_QUEUED:
+            return self._refuse(ticket, excess_s)
         self._queue.push(ticket)
         self._waiting[ticket.organisation] += 1
         return Verdict(ticket, Decision.QUEUED)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -91,10 +91,12 @@
     """Owns the connection of one request; a context manager.
 
     :param stream: an open connection.
+    :param address: ``host:port`` of the other end.
     """
 
-    def __init__(self, stream: IOStream) -> None:
+    def __init__(self, stream: IOStream, address: str = "") -> None:
         self._stream = stream
+        self._address = address
         self._connection = HTTP1Connection(
             stream,
             is_client=True,
@@ -111,6 +113,11 @@
     def __exit__(self, *exc_info: object) -> None:
         self.close()
 
+    @property
+    def address(self) -> str:
+        """``host:port`` of the other end."""
+        return self._address
+
     @classmethod
     async def open(cls, address: str, timeout_s: float) -> "Exchange":
         """Open a connection.
@@ -133,7 +140,7 @@
             stream.close()
             raise
         stream.set_nodelay(True)
-        return cls(stream)
+        return cls(stream, address)
 
     def close(self) -> None:
         """Close the connection at once."""
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_poller.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_poller.py
@@ -1,13 +1,19 @@
 """Polls the targets that fall to this daemon."""
 
 import asyncio
-import random
+import time
 from collections.abc import Awaitable, Callable
 
 import msgspec
-from cassiaspread_core.base import TargetId, TargetKind, VmId
+from cassiaspread_core.base import DomainId, TargetId, TargetKind, VmId
 from cassiaspread_core.membership import Member
-from cassiaspread_core.observations import Observation, choose_pollers, poll_interval_s
+from cassiaspread_core.observations import (
+    N_POLLERS,
+    Observation,
+    choose_pollers,
+    next_poll_s,
+    poll_interval_s,
+)
 
 from cassiaspread_daemon._exchange import ConnectFailed, Exchange, ExchangeBroken
 from cassiaspread_daemon._supervisor import Supervisor
@@ -17,8 +23,10 @@
 
 REPORT_TIMEOUT_S = 1.0
 MAX_WAIT_S = 1.0
-# Share of the interval by which polls are moved, so that two pollers don't coincide.
-JITTER = 0.1
+MIN_WAIT_S = 0.02
+
+# Targets whose pollers are chosen before other tasks get their turn.
+N_TARGETS_PER_STEP = 32
 
 
 class Poller:
@@ -30,7 +38,6 @@
     :param running: returns the daemons that take work.
     :param supervisor: runs the polls.
     :param min_interval_s: shortest time between two polls of a target, in seconds.
-    :param random_state: generator for the jitter.
     """
 
     def __init__(
@@ -41,7 +48,6 @@
         running: Callable[[], list[Member]],
         supervisor: Supervisor,
         min_interval_s: float,
-        random_state: random.Random,
     ) -> None:
         self._own = own
         self._targets = targets
@@ -49,9 +55,12 @@
         self._running = running
         self._supervisor = supervisor
         self._min_interval_s = min_interval_s
-        self._random_state = random_state
-        self._pollers: dict[KnownTarget, tuple[VmId, ...]] = {}
-        self._chosen_from: list[Member] = []
+        self._pollers: dict[tuple[TargetId, DomainId], tuple[VmId, ...]] = {}
+        self._members: list[Member] = []
+        self._far_domains: set[DomainId] = set()
+        self._is_outdated = True
+        self._assigned: list[KnownTarget] = []
+        self._assigned_version = -1
         self._due_s: dict[TargetId, float] = {}
         self.observation_callbacks: list[Callable[[Observation], None]] = []
         self.release_callbacks: list[Callable[[TargetId], None]] = []
@@ -60,43 +69,77 @@
     def pollers_of(self, known: KnownTarget) -> tuple[VmId, ...]:
         """Return the VMs of those who poll a target.
 
+        None are chosen for a target of another domain that is reached: its daemons
+        poll it, and its delegates tell of it.
+
         :param known: the target.
         """
-        pollers = self._pollers.get(known)
+        if known.domain in self._far_domains:
+            return ()
+        key = (known.target, known.domain)
+        pollers = self._pollers.get(key)
         if pollers is None:
             members = choose_pollers(
-                known.target, known.domain, self._own, self._chosen_from
+                known.target, known.domain, self._own, self._members
             )
-            pollers = self._pollers[known] = tuple(member.vm for member in members)
+            pollers = tuple(member.vm for member in members)
+            self._pollers[key] = pollers
         return pollers
 
-    def update_members(self) -> None:
-        """Choose the pollers anew if other daemons run than before."""
-        running = sorted(self._running())
-        if running != self._chosen_from:
-            self._chosen_from = running
-            self._pollers.clear()
-            for known in self._targets.known():
+    def invalidate(self) -> None:
+        """Choose the pollers anew, since other daemons may run than before."""
+        self._is_outdated = True
+
+    async def _update(self) -> None:
+        if self._is_outdated:
+            self._is_outdated = False
+            await self._choose_pollers()
+        if self._assigned_version != self._targets.version:
+            self._assigned_version = self._targets.version
+            self._assigned = self._choose_assigned()
+            self._forget_others()
+
+    async def _choose_pollers(self) -> None:
+        running = self._running()
+        own_domain = self._own.domain
+        near = sorted(m for m in running if m.domain == own_domain)
+        far_domains = {m.domain for m in running} - {own_domain}
+        if (near, far_domains) == (self._members, self._far_domains):
+            return
+        former = {known: self.pollers_of(known) for known in self._targets.known()}
+        self._members, self._far_domains = near, far_domains
+        self._pollers.clear()
+        self._assigned_version = -1
+        for index, (known, pollers) in enumerate(former.items()):
+            if self.pollers_of(known) != pollers:
                 self._targets.refresh(known.target)
+            if index % N_TARGETS_PER_STEP == 0:
+                await asyncio.sleep(0)
 
     async def run(self) -> None:
         """Poll until cancelled."""
-        loop = asyncio.get_running_loop()
         while True:
-            self.update_members()
-            assigned = self._assigned()
+            await self._update()
+            assigned = self._assigned
             interval_s = poll_interval_s(len(assigned), self._min_interval_s)
-            now_s = loop.time()
+            now_s = time.time()
             for known in assigned:
-                if self._due_s.setdefault(known.target, now_s) <= now_s:
-                    self._due_s[known.target] = now_s + self._jitter(interval_s)
-                    self._supervisor.start_once(known.target, self._poll_task(known))
-            self._forget_others(assigned)
+                self._poll_if_due(known, interval_s, now_s)
             next_s = min(self._due_s.values(), default=now_s + MAX_WAIT_S)
-            wait_s = min(next_s - now_s, self._min_interval_s, MAX_WAIT_S)
-            await asyncio.sleep(max(0.01, wait_s))
-
-    def _assigned(self) -> list[KnownTarget]:
+            wait_s = min(next_s - now_s, self._min_interval_s)
+            await asyncio.sleep(max(MIN_WAIT_S, wait_s))
+
+    def _poll_if_due(self, known: KnownTarget, interval_s: float, now_s: float) -> None:
+        due_s = self._due_s.get(known.target, now_s)
+        # A clock that was set back must not stop the polls.
+        if now_s < due_s <= now_s + interval_s:
+            return
+        pollers = self.pollers_of(known)
+        rank = pollers.index(self._own.vm) if self._own.vm in pollers else N_POLLERS
+        self._due_s[known.target] = next_poll_s(known.target, rank, interval_s, now_s)
+        self._supervisor.start_once(known.target, self._poll_task(known))
+
+    def _choose_assigned(self) -> list[KnownTarget]:
         return [
             known
             for known in self._targets.known()
@@ -104,16 +147,13 @@
             or self._targets.board.failure(known.target) is not None
         ]
 
-    def _forget_others(self, assigned: list[KnownTarget]) -> None:
-        kept = {known.target for known in assigned}
+    def _forget_others(self) -> None:
+        kept = {known.target for known in self._assigned}
         for target in self._due_s.keys() - kept:
             del self._due_s[target]
             for callback in self.release_callbacks:
                 callback(target)
 
-    def _jitter(self, interval_s: float) -> float:
-        return interval_s * self._random_state.uniform(1 - JITTER, 1 + JITTER)
-
     def _poll_task(self, known: KnownTarget) -> Callable[[], Awaitable[None]]:
         async def poll() -> None:
             for observation in await self._poll(known):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_attempt.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_attempt.py
@@ -25,6 +25,9 @@
 STALE_ATTEMPT = "stale-attempt"
 SUPERSEDED = "superseded"
 
+# A stage could open no connection to the next one.
+UNREACHABLE = "unreachable"
+
 Deliver = Callable[[list[TokenStep]], None]
 
 
@@ -50,12 +53,14 @@
     :param reason: short explanation.
     :param engine: the engine that is named at fault, if any.
     :param seen: highest attempt that an engine told of.
+    :param was_reached: whether that engine may have got the request.
     """
 
     kind: EndKind
     reason: str = ""
     engine: TargetId | None = None
     seen: int = 0
+    was_reached: bool = True
 
 
 class Attempt:
@@ -144,7 +149,7 @@
             self._close("the stream ended before its last token")
         except ConnectFailed as error:
             self._may_have_run = False
-            self._close(str(error))
+            self._close(str(error), was_reached=False)
         except ExchangeBroken as error:
             self._close(str(error))
         except AttemptRefused as error:
@@ -172,10 +177,12 @@
         kinds = {STALE_ATTEMPT: EndKind.STALE, SUPERSEDED: EndKind.SUPERSEDED}
         kind = kinds.get(event.error or "", EndKind.FAILED)
         reason = f"{event.engine or self._chain.plan[0].engine}: {event.error}"
-        self._settle(kind, reason, event.engine, event.attempt)
+        was_reached = event.error != UNREACHABLE
+        self._settle(kind, reason, event.engine, event.attempt, was_reached)
 
-    def _close(self, reason: str) -> None:
-        self._settle(EndKind.CLOSED, reason, self._chain.plan[0].engine)
+    def _close(self, reason: str, *, was_reached: bool = True) -> None:
+        head = self._chain.plan[0].engine
+        self._settle(EndKind.CLOSED, reason, head, was_reached=was_reached)
 
     def _settle(
         self,
@@ -183,7 +190,14 @@
         reason: str = "",
         engine: TargetId | None = None,
         seen: int = 0,
+        was_reached: bool = True,
     ) -> None:
         if not self._end.done():
-            end = AttemptEnd(kind=kind, reason=reason, engine=engine, seen=seen)
+            end = AttemptEnd(
+                kind=kind,
+                reason=reason,
+                engine=engine,
+                seen=seen,
+                was_reached=was_reached,
+            )
             self._end.set_result(end)
