--- a/packages/cassiaspread-core/tests/test_load.py
+++ b/packages/cassiaspread-core/tests/test_load.py
@@ -1,4 +1,5 @@
 import random
+from itertools import pairwise
 
 import pytest
 from cassiaspread_core.load import (
@@ -35,7 +36,7 @@
     links = LinkTable()
     for _ in range(200):
         plan = [random_state.choice(group) for group in stages]
-        pairs = list(zip(plan, plan[1:], strict=False))
+        pairs = list(pairwise(plan))
         round_ms = sum(SLOW_MS if pair == slow else FAST_MS for pair in pairs)
         links.observe(pairs, ["cautin"] * 3, round_ms)
     learned = {
