--- a/benchmarks/planner_model.py
+++ b/benchmarks/planner_model.py
@@ -1,14 +1,15 @@
 """Queues with rated speeds under the planner and the gates, time passed in.
 
 An engine serves ``n_slots`` sequences side by side, each for ``step_ms`` a token, and
-the others wait in the order of their arrival. A request goes round through its plan
-once for each ``CHUNK`` tokens. Daemons hear of loads ``REPORT_LAG_S`` late and of each
-other's demand every second, and choose plans with the code of the product.
+the others wait by priority, then in the order of their arrival. A request goes round
+through its plan once for each ``CHUNK`` tokens. Daemons hear of loads
+``REPORT_LAG_S`` late and of each other's demand every second, and choose plans with
+the code of the product.
 """
 
 import heapq
 import random
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -39,8 +40,9 @@
 REPORT_INTERVAL_S = 0.5
 GOSSIP_INTERVAL_S = 1.0
 MEAN_TOKENS = 64
-# A sequence is on one of its four stages at a time, so that a slot serves four.
-SLOT_RATIO = 1.25 * 4
+# A sequence is on one of its four stages at a time, so that a slot serves four; the
+# rest keeps the slots busy.
+SLOT_RATIO = 5.5
 LOCAL_MS, SLOW_MS = 0.1, 10.0
 KINDS = {"a": (8.0, 16), "b": (16.0, 8), "c": (32.0, 8), "d": (12.0, 12)}
 RANGES = [(0, 8), (8, 16), (16, 24), (24, 32), (0, 16), (16, 32)]
@@ -94,6 +96,7 @@
     n_rounds: int = 0
     admitted_s: float = 0.0
     round_s: float = 0.0
+    priority: int = 0
     best_round_s: float = float("inf")
 
 
@@ -104,7 +107,7 @@
     engine: EngineReport
     n_busy: int = 0
     n_resident: int = 0
-    waiting: deque = field(default_factory=deque)
+    waiting: list = field(default_factory=list)
 
 
 class Daemon:
@@ -230,6 +233,7 @@
         job.plan = [self.servers[stage.engine] for stage in plan]
         job.n_rounds = job.n_tokens // CHUNK
         job.admitted_s = job.round_s = self.now_s
+        job.priority = job.daemon.gate.engine_priority(job.organisation, 0)
         job.daemon.tracker.start([s.engine.target for s in job.plan], self.now_s)
         for server in job.plan:
             server.n_resident += 1
@@ -241,7 +245,9 @@
         if server.n_busy < server.engine.n_slots:
             self._serve(server, job)
         else:
-            server.waiting.append(job)
+            self._n_events += 1
+            item = (-job.priority, self._n_events, job)
+            heapq.heappush(server.waiting, item)
 
     def _serve(self, server: Server, job: Job) -> None:
         server.n_busy += 1
@@ -250,7 +256,7 @@
     def _leave(self, server: Server, job: Job) -> None:
         server.n_busy -= 1
         if server.waiting:
-            self._serve(server, server.waiting.popleft())
+            self._serve(server, heapq.heappop(server.waiting)[-1])
         job.stage += 1
         if job.stage < len(job.plan):
             after = job.plan[job.stage].engine
--- a/packages/cassiaspread-core/tests/test_admission.py
+++ b/packages/cassiaspread-core/tests/test_admission.py
@@ -192,6 +192,14 @@
     assert gate.n_waiting == 0
 
 
+def test_requests_over_the_share_go_after_others_of_the_same_priority():
+    gate = Gate(lambda organisation: 1.0)
+    gate.set_share(Share(10, {"large": 0.5}), NOW_S)
+    calls = [("large", 0), ("small", 0), ("large", 1), ("small", 1)]
+    priorities = [gate.engine_priority(*call) for call in calls]
+    assert priorities == sorted(set(priorities))
+
+
 def test_unknown_share_admits_all():
     gate = Gate(lambda organisation: 1.0)
     assert math.isinf(gate.share.quota)
