--- a/benchmarks/bench_claims.py
+++ b/benchmarks/bench_claims.py
@@ -17,7 +17,6 @@
 from typing import NamedTuple
 
 from cassiaspread_core.policy import EntryKind
-
 from tests.booking_history import CALLER, PATH, book, new_key
 from tests.fleet import Fleet, Process, request, wait_for
 
--- a/benchmarks/bench_claims_fold.py
+++ b/benchmarks/bench_claims_fold.py
@@ -7,6 +7,7 @@
 import tracemalloc
 
 import uuid6
+
 from cassiaspread_core.claims import (
     CallResult,
     ClaimId,
--- a/benchmarks/bench_control.py
+++ b/benchmarks/bench_control.py
@@ -18,7 +18,6 @@
 from typing import NamedTuple
 
 from cassiaspread_core.observations import N_POLLERS
-
 from tests.fleet import Fleet, Process, bearer, free_port, request, wait_for
 
 WINDOW_S = 8.0
--- a/benchmarks/bench_planner.py
+++ b/benchmarks/bench_planner.py
@@ -10,16 +10,6 @@
 import time
 import tracemalloc
 
-from cassiaspread_core.admission import Demand, count_demand, divide_capacity
-from cassiaspread_core.load import (
-    LinkTable,
-    LoadTracker,
-    make_link_cost,
-    make_stage_cost,
-    sample_candidates,
-)
-from cassiaspread_core.pipeline import choose_plan
-
 from benchmarks.planner_model import (
     MEAN_TOKENS,
     N_LAYERS,
@@ -31,6 +21,15 @@
     product_policy,
     random_policy,
 )
+from cassiaspread_core.admission import Demand, count_demand, divide_capacity
+from cassiaspread_core.load import (
+    LinkTable,
+    LoadTracker,
+    make_link_cost,
+    make_stage_cost,
+    sample_candidates,
+)
+from cassiaspread_core.pipeline import choose_plan
 
 SEEDS = (1, 2, 3)
 N_ENGINES = 40
--- a/benchmarks/bench_policy.py
+++ b/benchmarks/bench_policy.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 
 import msgspec
+
 from cassiaspread_core.policy import (
     CheckpointAssembler,
     EntryKind,
@@ -23,7 +24,6 @@
     hash_token,
     split_snapshot,
 )
-
 from tests.fleet import Fleet, Process, bearer, request, wait_for
 
 BOUND_S = 10.0
--- a/benchmarks/bench_relay.py
+++ b/benchmarks/bench_relay.py
@@ -18,7 +18,6 @@
 from pathlib import Path
 
 from cassiaspread_core.pipeline import Stage
-
 from tests.fleet import ROOT, Fleet, Process, bearer, free_port, request, wait_for
 
 AIM_TOKENS_PER_S = 12_000
--- a/benchmarks/planner_model.py
+++ b/benchmarks/planner_model.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 
 import networkx
+
 from cassiaspread_core.admission import (
     Decision,
     Demand,
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_apply.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_apply.py
@@ -6,6 +6,11 @@
 
 import msgspec
 import uuid6
+
+from cassiaspread_cli._context import CommandError, Context, ExitStatus
+from cassiaspread_cli._log import PolicyLog, read_patiently
+from cassiaspread_cli._output import format_value, print_json, print_table, warn
+from cassiaspread_cli._publish import Outcome, Published, publish, wait_in_force
 from cassiaspread_core.base import Offset
 from cassiaspread_core.policy import (
     Change,
@@ -17,11 +22,6 @@
     to_record,
 )
 
-from cassiaspread_cli._context import CommandError, Context, ExitStatus
-from cassiaspread_cli._log import PolicyLog, read_patiently
-from cassiaspread_cli._output import format_value, print_json, print_table, warn
-from cassiaspread_cli._publish import Outcome, Published, publish, wait_in_force
-
 
 class WaitReport(msgspec.Struct, frozen=True):
     """Which daemons have the change in force.
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_context.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_context.py
@@ -5,6 +5,7 @@
 from enum import IntEnum
 
 import msgspec
+
 from cassiaspread_core.base import CassiaspreadError
 
 DEFAULT_TIMEOUT_S = 10.0
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_hash_token.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_hash_token.py
@@ -5,10 +5,10 @@
 import sys
 
 import msgspec
-from cassiaspread_core.policy import hash_token
 
 from cassiaspread_cli._context import CommandError, Context, ExitStatus
 from cassiaspread_cli._output import print_json
+from cassiaspread_core.policy import hash_token
 
 
 class HashedToken(msgspec.Struct, frozen=True):
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_log.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_log.py
@@ -3,6 +3,10 @@
 import asyncio
 
 import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPResponse
+
+from cassiaspread_cli._context import Context
+from cassiaspread_cli._daemons import ask_all
 from cassiaspread_core.base import CassiaspreadError, LogPage, Offset
 from cassiaspread_core.policy import (
     CheckpointAssembler,
@@ -10,10 +14,6 @@
     PolicyState,
     Snapshot,
 )
-from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPResponse
-
-from cassiaspread_cli._context import Context
-from cassiaspread_cli._daemons import ask_all
 
 STREAM_PATH = "/streams/policy"
 CONNECT_TIMEOUT_S = 2.0
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_main.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_main.py
@@ -8,9 +8,17 @@
 from pathlib import Path
 
 import msgspec
-from cassiaspread_core.base import CassiaspreadError, FindingsError
 
-from cassiaspread_cli import _apply, _hash_token, _show, _status, _timeline
+from cassiaspread_cli import (
+    _apply,
+    _hash_token,
+    _key,
+    _quarantine,
+    _show,
+    _status,
+    _targets,
+    _timeline,
+)
 from cassiaspread_cli._context import (
     CommandError,
     Context,
@@ -20,6 +28,7 @@
 )
 from cassiaspread_cli._log import LogUnavailable
 from cassiaspread_cli._output import print_json, warn
+from cassiaspread_core.base import CassiaspreadError, FindingsError
 
 Command = Callable[[Context, argparse.Namespace], Awaitable[ExitStatus]]
 
@@ -61,6 +70,15 @@
     _add_policy(commands)
     _add(commands, "status", "show the state of the daemons", _status.status)
     _add(commands, "targets", "show the targets that daemons know", _status.targets)
+    _add(commands, "members", "show the daemons as each sees them", _targets.members)
+    drain = _add(commands, "drain", "give a target no new work", _targets.drain)
+    drain.add_argument(
+        "target", help="target identifier of an engine, VM of a plain service"
+    )
+    _add_quarantine(commands)
+    keys = _add(commands, "key", "show what became of a key", _key.show)
+    keys.add_argument("organisation", help="whose key it is")
+    keys.add_argument("key", help="the idempotency key")
     timeline = _add(
         commands, "timeline", "show events in causal order", _timeline.timeline
     )
@@ -111,6 +129,18 @@
     history.add_argument("--entry", help="only this one, such as 'model draft'")
 
 
+def _add_quarantine(commands: argparse._SubParsersAction) -> None:
+    quarantine = commands.add_parser(
+        "quarantine", help="requests that crash their targets"
+    )
+    actions = quarantine.add_subparsers(required=True, metavar="ACTION")
+    _add(actions, "list", "show suspected and refused requests", _quarantine.show)
+    release = _add(
+        actions, "release", "let a refused request run again", _quarantine.release
+    )
+    release.add_argument("fingerprint", help="fingerprint of the request")
+
+
 def _add(
     commands: argparse._SubParsersAction, name: str, help_text: str, run: Command
 ) -> argparse.ArgumentParser:
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_publish.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_publish.py
@@ -5,9 +5,6 @@
 from enum import Enum
 
 import msgspec
-from cassiaspread_core.base import Offset
-from cassiaspread_core.operations import DaemonReport
-from cassiaspread_core.policy import EntryKey, EntryRecord, Verdict
 
 from cassiaspread_cli._context import Context
 from cassiaspread_cli._daemons import Answer, ask_all
@@ -17,6 +14,9 @@
     LogUnavailable,
     PolicyLog,
 )
+from cassiaspread_core.base import Offset
+from cassiaspread_core.operations import DaemonReport
+from cassiaspread_core.policy import EntryKey, EntryRecord, Verdict
 
 RETRY_DELAY_S = 0.2
 READ_WAIT_S = 0.5
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_show.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_show.py
@@ -4,17 +4,6 @@
 import time
 
 import msgspec
-from cassiaspread_core.base import Offset
-from cassiaspread_core.policy import (
-    Entry,
-    EntryKey,
-    EntryKind,
-    EntryRecord,
-    PolicyState,
-    RulesRecord,
-    Snapshot,
-    Verdict,
-)
 
 from cassiaspread_cli._context import Context, ExitStatus
 from cassiaspread_cli._daemons import ask_all, split_answers
@@ -26,6 +15,17 @@
     print_table,
     warn,
 )
+from cassiaspread_core.base import Offset
+from cassiaspread_core.policy import (
+    Entry,
+    EntryKey,
+    EntryKind,
+    EntryRecord,
+    PolicyState,
+    RulesRecord,
+    Snapshot,
+    Verdict,
+)
 
 
 class HistoryLine(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_status.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_status.py
@@ -3,11 +3,11 @@
 import argparse
 
 import msgspec
-from cassiaspread_core.operations import DaemonReport, TargetReport
 
 from cassiaspread_cli._context import Context, ExitStatus
 from cassiaspread_cli._daemons import Answer, ask_all, split_answers
 from cassiaspread_cli._output import print_json, print_table, warn
+from cassiaspread_core.operations import DaemonReport, TargetReport
 
 
 class FleetReport(msgspec.Struct, frozen=True):
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_timeline.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_timeline.py
@@ -5,12 +5,12 @@
 from urllib.parse import urlencode
 
 import msgspec
-from cassiaspread_core.timeline import Event, merge_events
 
 from cassiaspread_cli._context import CommandError, Context, ExitStatus
 from cassiaspread_cli._daemons import ask_all, split_answers
 from cassiaspread_cli._output import print_json, warn
 from cassiaspread_cli._timeline_page import render_page
+from cassiaspread_core.timeline import Event, merge_events
 
 
 async def timeline(context: Context, arguments: argparse.Namespace) -> ExitStatus:
--- a/packages/cassiaspread-cli/tests/test_main.py
+++ b/packages/cassiaspread-cli/tests/test_main.py
@@ -4,6 +4,7 @@
 import json
 
 import pytest
+
 from cassiaspread_cli import main
 from cassiaspread_cli._context import read_context
 from cassiaspread_cli._main import build_parser
--- a/packages/cassiaspread-core/tests/test_admission.py
+++ b/packages/cassiaspread-core/tests/test_admission.py
@@ -3,6 +3,9 @@
 from collections import Counter
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from cassiaspread_core.admission import (
     Decision,
     Demand,
@@ -15,8 +18,6 @@
     fair_level,
 )
 from cassiaspread_core.pipeline import EngineReport
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
 NOW_S = 100.0
 
--- a/packages/cassiaspread-core/tests/test_claims_fold.py
+++ b/packages/cassiaspread-core/tests/test_claims_fold.py
@@ -2,6 +2,9 @@
 
 import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from cassiaspread_core.base import IdempotencyKey, Incarnation, OrganisationId
 from cassiaspread_core.claims import (
     AbandonRecord,
@@ -16,8 +19,6 @@
     encode_batch,
     key_time_s,
 )
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
 UUIDS = ("01a23e07-47d4-7b3f-8055-4254dc1ba464", "01a23e07-47d4-7b3f-8055-4254dc1ba465")
 KEYS = [ScopedKey(OrganisationId("osorno"), IdempotencyKey(u)) for u in UUIDS]
--- a/packages/cassiaspread-core/tests/test_claims_key.py
+++ b/packages/cassiaspread-core/tests/test_claims_key.py
@@ -3,6 +3,7 @@
 import uuid
 
 import pytest
+
 from cassiaspread_core.claims import (
     N_PARTITIONS,
     BadKey,
--- a/packages/cassiaspread-core/tests/test_load.py
+++ b/packages/cassiaspread-core/tests/test_load.py
@@ -2,6 +2,7 @@
 from itertools import pairwise
 
 import pytest
+
 from cassiaspread_core.load import (
     LinkTable,
     LoadTracker,
--- a/packages/cassiaspread-core/tests/test_membership.py
+++ b/packages/cassiaspread-core/tests/test_membership.py
@@ -1,6 +1,9 @@
 """Verdicts on daemons, merging of records, rendezvous choices and change logs."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from cassiaspread_core.membership import (
     ChangeCursor,
     ChangeLog,
@@ -13,8 +16,6 @@
     merge_records,
     rank_members,
 )
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
 
 def member(name, domain="celje", address=None):
--- a/packages/cassiaspread-core/tests/test_observations.py
+++ b/packages/cassiaspread-core/tests/test_observations.py
@@ -1,6 +1,9 @@
 """Merging of observations and the verdict on targets."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from cassiaspread_core.base import VmState
 from cassiaspread_core.membership import Member
 from cassiaspread_core.observations import (
@@ -16,8 +19,6 @@
 )
 from cassiaspread_core.pipeline import EngineReport
 from cassiaspread_core.timeline import Timestamp
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
 
 def report(incarnation="i1", **fields):
--- a/packages/cassiaspread-core/tests/test_pipeline.py
+++ b/packages/cassiaspread-core/tests/test_pipeline.py
@@ -1,6 +1,9 @@
 """Order of tokens, verdicts on interruptions, restored caches and silence."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from cassiaspread_core.pipeline import (
     Interruption,
     Phase,
@@ -18,8 +21,6 @@
     next_attempt,
     settle_verdict,
 )
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
 PLAN = tuple(Stage(n, f"{n}:1", "", i, i + 1) for i, n in enumerate("abc"))
 
--- a/packages/cassiaspread-core/tests/test_policy_file.py
+++ b/packages/cassiaspread-core/tests/test_policy_file.py
@@ -4,6 +4,7 @@
 
 import msgspec
 import pytest
+
 from cassiaspread_core.base import FindingsError
 from cassiaspread_core.policy import (
     EntryKey,
--- a/packages/cassiaspread-core/tests/test_policy_state.py
+++ b/packages/cassiaspread-core/tests/test_policy_state.py
@@ -4,6 +4,9 @@
 
 import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from cassiaspread_core.policy import (
     CheckpointAssembler,
     EntryKind,
@@ -16,8 +19,6 @@
     Verdict,
     split_snapshot,
 )
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
 HASHES = [digit * 64 for digit in "abc"]
 VALUES = {
--- a/packages/cassiaspread-core/tests/test_quarantine.py
+++ b/packages/cassiaspread-core/tests/test_quarantine.py
@@ -2,6 +2,9 @@
 from functools import reduce
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from cassiaspread_core.quarantine import (
     MAX_UNSEEN_TOKENS,
     Loss,
@@ -12,8 +15,6 @@
     merge_records,
 )
 from cassiaspread_core.timeline import Timestamp
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
 FAR = MAX_UNSEEN_TOKENS + 1
 
--- a/packages/cassiaspread-core/tests/test_timeline.py
+++ b/packages/cassiaspread-core/tests/test_timeline.py
@@ -1,9 +1,10 @@
 """Hybrid clock and event ring."""
 
-from cassiaspread_core.timeline import EventRing, HybridClock, Timestamp
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cassiaspread_core.timeline import EventRing, HybridClock, Timestamp
+
 ACTIONS = st.lists(
     st.tuples(st.integers(0, 2), st.integers(0, 2), st.floats(-5, 5, allow_nan=False)),
     max_size=40,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -10,7 +10,6 @@
 from contextlib import suppress
 from typing import NamedTuple
 
-from cassiaspread_core.base import CassiaspreadError
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
     HTTPHeaders,
@@ -20,6 +19,8 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
+from cassiaspread_core.base import CassiaspreadError
+
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_main.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_main.py
@@ -7,9 +7,9 @@
 import sys
 
 from absl import logging
-from cassiaspread_core.base import FindingsError
 from tornado.httpserver import HTTPServer
 
+from cassiaspread_core.base import FindingsError
 from cassiaspread_daemon._listener import Listener
 from cassiaspread_daemon._logs import configure_logs
 from cassiaspread_daemon._node import MILLISECONDS_PER_SECOND, Node
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -11,11 +11,11 @@
 
 import uuid6
 from absl import logging
+
 from cassiaspread_core.base import DomainId, Incarnation, Refusal
 from cassiaspread_core.membership import Member
 from cassiaspread_core.policy import CheckpointSchedule, Policy
 from cassiaspread_core.timeline import EventRing
-
 from cassiaspread_daemon._metrics import Metrics
 from cassiaspread_daemon._requests import RequestCount
 from cassiaspread_daemon._settings import Settings
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_settings.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_settings.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 import msgspec
+
 from cassiaspread_core.base import DomainId, Finding, FindingsError, VmId
 
 ENVIRONMENT_PREFIX = "CASSIASPREAD_"
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/__init__.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/__init__.py
@@ -1,7 +1,6 @@
 """Clients of the systems outside: one module for each."""
 
 from cassiaspread_core.base import LogPage, LogRecord
-
 from cassiaspread_daemon.adapters._engine import (
     AttemptRefused,
     CancelOrder,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_engine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_engine.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import msgspec
+
 from cassiaspread_core.base import CassiaspreadError, ModelId, RequestId, TargetId
 from cassiaspread_core.pipeline import (
     EngineReport,
@@ -11,7 +12,6 @@
     StageState,
     TokenStep,
 )
-
 from cassiaspread_daemon._exchange import Exchange, fetch
 
 EVENT_PREFIX = b"data: "
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_log.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_log.py
@@ -3,8 +3,8 @@
 from urllib.parse import quote
 
 import msgspec
-from cassiaspread_core.base import CassiaspreadError, LogPage, Offset
 
+from cassiaspread_core.base import CassiaspreadError, LogPage, Offset
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken, fetch
 
 CONNECT_TIMEOUT_S = 1.0
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_vm_list.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_vm_list.py
@@ -1,8 +1,8 @@
 """Client of the platform's list of live and leaving VMs."""
 
 import msgspec
-from cassiaspread_core.base import CassiaspreadError, DomainId, VmId, VmState
 
+from cassiaspread_core.base import CassiaspreadError, DomainId, VmId, VmState
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken, fetch
 
 CONNECT_TIMEOUT_S = 1.0
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/__init__.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/__init__.py
@@ -2,13 +2,12 @@
 
 from cassiaspread_daemon.claims._call import UNJUDGED_DETAIL, Call, CallAnswer
 from cassiaspread_daemon.claims._sender import connect
-from cassiaspread_daemon.claims._service import ClaimService, KeyReport
+from cassiaspread_daemon.claims._service import ClaimService
 
 __all__ = [
     "UNJUDGED_DETAIL",
     "Call",
     "CallAnswer",
     "ClaimService",
-    "KeyReport",
     "connect",
 ]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_call.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_call.py
@@ -1,6 +1,7 @@
 """A call of a plain service, its answer, and the refusals that it may meet."""
 
 import msgspec
+
 from cassiaspread_core.base import OrganisationId, Outcome, Refusal, ServiceId
 from cassiaspread_core.claims import (
     CallResult,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_claimed.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_claimed.py
@@ -13,7 +13,6 @@
     Verdict,
 )
 from cassiaspread_core.timeline import EventRing
-
 from cassiaspread_daemon.claims._call import (
     IN_PROGRESS_RETRY_S,
     UNKNOWN_RETRY_S,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_committer.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_committer.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 import msgspec
+
 from cassiaspread_core.base import Incarnation
 from cassiaspread_core.claims import (
     ClaimRecord,
@@ -18,7 +19,6 @@
     encode_batch,
 )
 from cassiaspread_core.timeline import EventRing
-
 from cassiaspread_daemon.adapters import AppendAmbiguous, AppendNotSent, LogClient
 from cassiaspread_daemon.claims._journal import Batch, PartitionJournal
 from cassiaspread_daemon.mesh import Empty, Mesh, Peer, PeerUnreachable, Sender
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_forward.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_forward.py
@@ -10,11 +10,11 @@
 from collections.abc import Callable
 
 import msgspec
+
 from cassiaspread_core.base import Incarnation, Outcome, Refusal
 from cassiaspread_core.claims import ClaimId, ticket_incarnation
 from cassiaspread_core.policy import Limits
 from cassiaspread_core.timeline import EventRing
-
 from cassiaspread_daemon.claims._call import (
     UNKNOWN_RETRY_S,
     Call,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_journal.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_journal.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 import msgspec
+
 from cassiaspread_core.base import CassiaspreadError, Incarnation
 from cassiaspread_core.claims import (
     AbandonRecord,
@@ -14,7 +15,6 @@
     Record,
     Verdict,
 )
-
 from cassiaspread_daemon.adapters import AppendAmbiguous, AppendNotSent
 from cassiaspread_daemon.claims._reader import LogHealth, PartitionReader
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_reader.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_reader.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from absl import logging
+
 from cassiaspread_core.base import Offset
 from cassiaspread_core.claims import (
     AbandonRecord,
@@ -13,7 +14,6 @@
     PartitionFold,
     Record,
 )
-
 from cassiaspread_daemon.adapters import LogClient, LogPage, LogUnavailable, Truncated
 
 RETRY_DELAY_S = 0.2
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_sender.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_sender.py
@@ -6,11 +6,11 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
+
 from cassiaspread_core.base import Outcome, Refusal, ServiceId
 from cassiaspread_core.claims import CallResult, ClaimId
 from cassiaspread_core.policy import Limits
 from cassiaspread_core.timeline import EventRing
-
 from cassiaspread_daemon._exchange import ConnectFailed, Exchange, ExchangeBroken
 from cassiaspread_daemon.claims._call import Call, CallAnswer
 from cassiaspread_daemon.fleet import TargetRegistry
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_service.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_service.py
@@ -6,7 +6,6 @@
 import time
 from collections.abc import Callable
 
-import msgspec
 from cassiaspread_core.base import Incarnation, OrganisationId, Refusal
 from cassiaspread_core.claims import (
     N_PARTITIONS,
@@ -18,9 +17,9 @@
     judge_age,
     ticket_incarnation,
 )
+from cassiaspread_core.operations import KeyReport
 from cassiaspread_core.policy import Limits, Policy
 from cassiaspread_core.timeline import EventRing
-
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.adapters import LogClient
 from cassiaspread_daemon.claims._call import Call, CallAnswer, refuse_unjudged
@@ -39,33 +38,6 @@
 FORGET_INTERVAL_S = 60.0
 
 
-class KeyReport(msgspec.Struct, frozen=True, kw_only=True):
-    """What this daemon knows of a key, for operators.
-
-    :param organisation: whose key it is.
-    :param key: the key.
-    :param partition: partition of the claims log that decides on it.
-    :param state: ``free``, ``held``, ``answered`` or ``outcome-unknown``.
-    :param claim: claim that holds the key.
-    :param is_holder_live: whether the holder's daemon was heard of lately.
-    :param status: status of the target's answer.
-    :param n_void_claims: claims that lost or were abandoned.
-    :param is_current: whether the partition could be read to its end just now.
-    :param is_judged: whether the log still keeps all records of the key.
-    """
-
-    organisation: str
-    key: str
-    partition: int
-    state: str
-    claim: str | None
-    is_holder_live: bool
-    status: int | None
-    n_void_claims: int
-    is_current: bool
-    is_judged: bool
-
-
 class ClaimService:
     """Runs non-idempotent calls, makes tickets, looks up keys.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_tickets.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_tickets.py
@@ -4,6 +4,7 @@
 from functools import partial
 
 import uuid6
+
 from cassiaspread_core.base import Incarnation, OrganisationId, Outcome, Refusal
 from cassiaspread_core.claims import (
     AbandonRecord,
@@ -16,7 +17,6 @@
     mint_ticket,
 )
 from cassiaspread_core.timeline import EventRing
-
 from cassiaspread_daemon.claims._call import (
     IN_PROGRESS_RETRY_S,
     Call,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_checkpoint.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_checkpoint.py
@@ -6,9 +6,9 @@
 import msgspec
 import uuid6
 from absl import logging
+
 from cassiaspread_core.policy import CheckpointSchedule, split_snapshot
 from cassiaspread_core.timeline import EventRing
-
 from cassiaspread_daemon.adapters import AppendAmbiguous, AppendNotSent, LogClient
 from cassiaspread_daemon.fleet._find_checkpoint import POLICY_STREAM
 from cassiaspread_daemon.fleet._policy import PolicyFollower
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_find_checkpoint.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_find_checkpoint.py
@@ -2,7 +2,6 @@
 
 from cassiaspread_core.base import Offset
 from cassiaspread_core.policy import CheckpointAssembler, Snapshot
-
 from cassiaspread_daemon.adapters import LogClient
 
 POLICY_STREAM = "policy"
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_known.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_known.py
@@ -4,7 +4,6 @@
 
 from cassiaspread_core.base import DomainId, TargetId, TargetKind, VmId, VmState
 from cassiaspread_core.pipeline import EngineReport
-
 from cassiaspread_daemon.adapters import ListedVm
 
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_policy.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_policy.py
@@ -5,6 +5,7 @@
 from collections import deque
 
 from absl import logging
+
 from cassiaspread_core.base import Offset
 from cassiaspread_core.policy import (
     CheckpointAssembler,
@@ -22,7 +23,6 @@
     Verdict,
 )
 from cassiaspread_core.timeline import EventRing
-
 from cassiaspread_daemon.adapters import (
     LogClient,
     LogPage,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_policy_peers.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_policy_peers.py
@@ -5,6 +5,7 @@
 
 import msgspec
 from absl import logging
+
 from cassiaspread_core.base import Offset
 from cassiaspread_core.policy import (
     CheckpointAssembler,
@@ -13,7 +14,6 @@
     split_snapshot,
 )
 from cassiaspread_core.timeline import EventRing
-
 from cassiaspread_daemon.fleet._policy import PolicyFollower
 from cassiaspread_daemon.fleet._recent_records import RecordsReply
 from cassiaspread_daemon.mesh import Mesh, PeerUnreachable, Sender
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_poller.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_poller.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
+
 from cassiaspread_core.base import DomainId, TargetId, TargetKind, VmId
 from cassiaspread_core.membership import Member
 from cassiaspread_core.observations import (
@@ -14,7 +15,6 @@
     next_poll_s,
     poll_interval_s,
 )
-
 from cassiaspread_daemon._exchange import ConnectFailed, Exchange, ExchangeBroken
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.adapters import EngineClient
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_recent_records.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_recent_records.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 
 import msgspec
-from cassiaspread_core.base import Offset
 
+from cassiaspread_core.base import Offset
 from cassiaspread_daemon.adapters import LogRecord
 
 MAX_KEPT_BYTES = 1_048_576
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_spread.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_spread.py
@@ -3,6 +3,7 @@
 from itertools import count
 
 import msgspec
+
 from cassiaspread_core.base import TargetId, VmId
 from cassiaspread_core.membership import Member, MemberState, Transition
 from cassiaspread_core.observations import (
@@ -13,7 +14,6 @@
     is_worth_telling,
     to_load_update,
 )
-
 from cassiaspread_daemon.fleet._targets import TargetRegistry
 from cassiaspread_daemon.mesh import DeltaTopic, Mesh, Sender
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_targets.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_targets.py
@@ -21,7 +21,6 @@
 )
 from cassiaspread_core.pipeline import EngineReport
 from cassiaspread_core.timeline import EventRing, Timestamp
-
 from cassiaspread_daemon.adapters import ListedVm
 from cassiaspread_daemon.fleet._known import KnownTarget, from_list, from_report
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_base.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_base.py
@@ -5,6 +5,8 @@
 
 import msgspec
 from absl import logging
+from tornado.web import RequestHandler, stream_request_body
+
 from cassiaspread_core.base import (
     ModelId,
     OrganisationId,
@@ -13,8 +15,6 @@
     ServiceId,
 )
 from cassiaspread_core.policy import Limits
-from tornado.web import RequestHandler, stream_request_body
-
 from cassiaspread_daemon._node import Node
 
 MAX_HEADER_BYTES = 32_768
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completion_body.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completion_body.py
@@ -3,6 +3,7 @@
 from typing import Annotated
 
 import msgspec
+
 from cassiaspread_core.base import Refusal
 
 DEFAULT_MAX_TOKENS = 16
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completion_format.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completion_format.py
@@ -8,9 +8,9 @@
 from typing import Any
 
 import msgspec
+
 from cassiaspread_core.base import Refusal
 from cassiaspread_core.pipeline import TokenStep
-
 from cassiaspread_daemon.handlers._base import to_problem
 
 STREAM_END = b"data: [DONE]\n\n"
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
@@ -6,10 +6,10 @@
 
 import uuid6
 import xxhash
+
 from cassiaspread_core.base import ModelId, Outcome, Refusal, RequestId
 from cassiaspread_core.pipeline import TokenStep
 from cassiaspread_core.quarantine import fingerprint_of
-
 from cassiaspread_daemon.handlers._base import CallerHandler
 from cassiaspread_daemon.handlers._completion_body import (
     AnyBody,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_drain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_drain.py
@@ -1,9 +1,13 @@
 """Operators' requests about targets and daemons."""
 
 import msgspec
-from cassiaspread_core.base import DomainId, Incarnation, Refusal, TargetId, VmId
-from cassiaspread_core.membership import MemberState
 
+from cassiaspread_core.base import Refusal, TargetId
+from cassiaspread_core.operations import (
+    DrainReport,
+    MemberReport,
+    ObservationReport,
+)
 from cassiaspread_daemon.fleet import UnknownTarget
 from cassiaspread_daemon.handlers._base import OperatorHandler
 
@@ -17,55 +21,6 @@
     target: TargetId
 
 
-class DrainAnswer(msgspec.Struct, frozen=True):
-    """Answer to ``POST /operators/drain``.
-
-    :param target: the target.
-    :param incarnation: its start that gets no new work.
-    :param n_in_flight: requests that this daemon still has on it.
-    """
-
-    target: TargetId
-    incarnation: str
-    n_in_flight: int
-
-
-class MemberAnswer(msgspec.Struct, frozen=True):
-    """One daemon in the answer to ``GET /operators/members``.
-
-    :param vm: its VM.
-    :param domain: its failure domain.
-    :param incarnation: its start.
-    :param address: ``host:port`` where it takes messages.
-    :param state: the verdict of the daemon that answers.
-    """
-
-    vm: VmId
-    domain: DomainId
-    incarnation: Incarnation
-    address: str
-    state: MemberState
-
-
-class ObservationAnswer(msgspec.Struct, frozen=True):
-    """One target in the answer to ``GET /operators/observations``.
-
-    :param target: the target.
-    :param domain: its failure domain.
-    :param is_usable: whether it gets new work from the daemon that answers.
-    :param incarnation: the start that is used, empty for none.
-    :param pollers: VMs of the daemons that poll it.
-    :param n_in_flight: requests that the daemon that answers has on it.
-    """
-
-    target: TargetId
-    domain: DomainId
-    is_usable: bool
-    incarnation: str
-    pollers: tuple[VmId, ...]
-    n_in_flight: int
-
-
 class DrainHandler(OperatorHandler):
     """``POST /operators/drain``: a target gets no new work from any daemon."""
 
@@ -80,7 +35,7 @@
         except UnknownTarget as error:
             raise Refusal(404, "unknown-target", f"{error}.") from None
         n_in_flight = self.node.targets.n_in_flight(mark.target)
-        answer = DrainAnswer(mark.target, mark.incarnation, n_in_flight)
+        answer = DrainReport(mark.target, mark.incarnation, n_in_flight)
         self.set_header("Content-Type", "application/json")
         self.finish(msgspec.json.encode(answer))
 
@@ -91,7 +46,7 @@
     def get(self) -> None:
         """Answer with every known daemon but this one."""
         members = [
-            MemberAnswer(m.vm, m.domain, m.incarnation, m.address, state)
+            MemberReport(m.vm, m.domain, m.incarnation, m.address, state)
             for m, state in self.node.mesh.states()
         ]
         self.set_header("Content-Type", "application/json")
@@ -108,7 +63,7 @@
         for known in targets.known():
             seen = targets.usable(known.target)
             answer.append(
-                ObservationAnswer(
+                ObservationReport(
                     known.target,
                     known.domain,
                     seen is not None,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_operations.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_operations.py
@@ -1,10 +1,10 @@
 """Health, metrics and the operators' interface."""
 
 import msgspec
+
 from cassiaspread_core.base import ServiceId, TargetId, VmState
 from cassiaspread_core.operations import DaemonReport, PeerReport, TargetReport
 from cassiaspread_core.policy import TargetPolicy
-
 from cassiaspread_daemon._node import Node
 from cassiaspread_daemon.fleet._known import KnownTarget
 from cassiaspread_daemon.handlers._base import BaseHandler, OperatorHandler
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_quarantine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_quarantine.py
@@ -1,9 +1,10 @@
 """The operators' view of quarantined requests."""
 
 import msgspec
+
 from cassiaspread_core.base import Refusal
+from cassiaspread_core.operations import QuarantineReport
 from cassiaspread_core.quarantine import Fingerprint
-
 from cassiaspread_daemon.handlers._base import OperatorHandler
 
 
@@ -24,10 +25,10 @@
             if record.is_suspect
         ]
         records.sort(key=lambda record: (not record.is_quarantined, -record.last_s))
-        listing = {
-            "quarantined": [r for r in records if r.is_quarantined],
-            "suspects": [r for r in records if not r.is_quarantined],
-        }
+        listing = QuarantineReport(
+            tuple(r for r in records if r.is_quarantined),
+            tuple(r for r in records if not r.is_quarantined),
+        )
         self.set_header("Content-Type", "application/json")
         self.finish(msgspec.json.encode(listing))
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_services.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_services.py
@@ -10,7 +10,6 @@
     ServiceId,
 )
 from cassiaspread_core.claims import BadKey, CallResult, ScopedKey, check_key
-
 from cassiaspread_daemon._exchange import ExchangeBroken, Response
 from cassiaspread_daemon.claims import UNJUDGED_DETAIL, Call, CallAnswer, connect
 from cassiaspread_daemon.handlers._base import MILLISECONDS_PER_SECOND, CallerHandler
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_tickets.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_tickets.py
@@ -1,9 +1,9 @@
 """Tickets for callers and the look-up of keys for operators."""
 
 import msgspec
+
 from cassiaspread_core.base import OrganisationId, Refusal
 from cassiaspread_core.claims import BadKey, ScopedKey, check_key
-
 from cassiaspread_daemon.handlers._base import CallerHandler, OperatorHandler
 
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_admission.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_admission.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 
 import msgspec
+
 from cassiaspread_core.admission import (
     Decision,
     Demand,
@@ -28,7 +29,6 @@
 from cassiaspread_core.pipeline import EngineReport
 from cassiaspread_core.policy import Limits, Policy
 from cassiaspread_core.timeline import EventRing
-
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.mesh import Mesh, Sender
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_quarantine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_quarantine.py
@@ -24,7 +24,6 @@
     fingerprint_of,
 )
 from cassiaspread_core.timeline import EventRing
-
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.adapters import EngineClient, LogClient
 from cassiaspread_daemon.load._probe import TargetProbe
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_suspects.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_suspects.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from absl import logging
+
 from cassiaspread_core.base import Offset, TargetId
 from cassiaspread_core.policy import Limits
 from cassiaspread_core.quarantine import (
@@ -16,7 +17,6 @@
     TrialClaim,
 )
 from cassiaspread_core.timeline import EventRing
-
 from cassiaspread_daemon.adapters import (
     AppendAmbiguous,
     AppendNotSent,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_contacts.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_contacts.py
@@ -1,7 +1,6 @@
 """When each address was last in contact, and who is there."""
 
 from cassiaspread_core.base import DomainId
-
 from cassiaspread_daemon.mesh._message import Sender, ShortId, short_id
 
 # Peers exchange messages once a second: whoever asked last asks again after the
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_deltas.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_deltas.py
@@ -5,9 +5,9 @@
 
 import msgspec
 from absl import logging
+
 from cassiaspread_core.base import Incarnation
 from cassiaspread_core.membership import ChangeCursor, ChangeLog
-
 from cassiaspread_daemon.mesh._message import Sender
 
 Entries = dict[str, list[msgspec.Raw]]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_gossip.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_gossip.py
@@ -5,8 +5,8 @@
 
 import msgspec
 from absl import logging
-from cassiaspread_core.base import DomainId, Incarnation
 
+from cassiaspread_core.base import DomainId, Incarnation
 from cassiaspread_daemon.mesh._deltas import DeltaBody, DeltaHub, DeltaTopic
 from cassiaspread_daemon.mesh._message import Sender
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_members.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_members.py
@@ -9,7 +9,6 @@
     Transition,
 )
 from cassiaspread_core.timeline import EventRing, Timestamp
-
 from cassiaspread_daemon.mesh._deltas import DeltaTopic
 from cassiaspread_daemon.mesh._gossip import Topics
 from cassiaspread_daemon.mesh._message import Sender
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
@@ -13,6 +13,7 @@
 
 import msgspec
 from absl import logging
+
 from cassiaspread_core.base import DomainId, Incarnation
 from cassiaspread_core.membership import (
     Member,
@@ -21,7 +22,6 @@
     choose_contacts,
 )
 from cassiaspread_core.timeline import EventRing
-
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.mesh._contacts import Contacts
 from cassiaspread_daemon.mesh._deltas import DeltaTopic
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_message.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_message.py
@@ -4,6 +4,7 @@
 
 import msgspec
 import xxhash
+
 from cassiaspread_core.base import DomainId, Incarnation, VmId
 
 # Stands for a sender that the receiver knows.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_senders.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_senders.py
@@ -1,7 +1,6 @@
 """Daemons that are named by short identifiers in messages."""
 
 from cassiaspread_core.base import CassiaspreadError
-
 from cassiaspread_daemon.mesh._message import Sender, ShortId, short_id
 
 MAX_SENDERS = 10_000
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_transport.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_transport.py
@@ -11,8 +11,8 @@
 from typing import Self
 
 import pynng
-from cassiaspread_core.base import CassiaspreadError
 
+from cassiaspread_core.base import CassiaspreadError
 from cassiaspread_daemon._supervisor import Supervisor
 
 # Handlers may wait for other systems; enough must stay free for gossip.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_attempt.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_attempt.py
@@ -6,10 +6,10 @@
 from enum import Enum
 
 import msgspec
+
 from cassiaspread_core.base import TargetId
 from cassiaspread_core.pipeline import SilenceMonitor, TokenSequence, TokenStep
 from cassiaspread_core.policy import Limits
-
 from cassiaspread_daemon._exchange import ConnectFailed, Exchange, ExchangeBroken
 from cassiaspread_daemon.adapters import (
     AttemptRefused,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_cancel.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_cancel.py
@@ -4,7 +4,6 @@
 from contextlib import suppress
 
 from cassiaspread_core.base import RequestId
-
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken
 from cassiaspread_daemon.adapters import CancelOrder, EngineClient
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import msgspec
+
 from cassiaspread_core.base import Outcome, Refusal
 from cassiaspread_core.load import PaceMeter
 from cassiaspread_core.pipeline import (
@@ -15,7 +16,6 @@
     next_attempt,
 )
 from cassiaspread_core.policy import Limits
-
 from cassiaspread_daemon.adapters import GenerateOrder, ResumeOrder
 from cassiaspread_daemon.load import Watch
 from cassiaspread_daemon.relay._attempt import (
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_judge.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_judge.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import msgspec
+
 from cassiaspread_core.base import RequestId, TargetId
 from cassiaspread_core.pipeline import (
     Interruption,
@@ -17,7 +18,6 @@
     needs_confirmation,
     settle_verdict,
 )
-
 from cassiaspread_daemon.adapters import EngineClient
 from cassiaspread_daemon.relay._attempt import AttemptEnd, EndKind
 from cassiaspread_daemon.relay._probe import probe_plan
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_planner.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_planner.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection
 
 import msgspec
+
 from cassiaspread_core.base import TargetId
 from cassiaspread_core.pipeline import (
     Plan,
@@ -11,7 +12,6 @@
     choose_plan,
     prefer_holders,
 )
-
 from cassiaspread_daemon.fleet import TargetRegistry
 from cassiaspread_daemon.load import PlanCosts
 from cassiaspread_daemon.relay._request import GenerationRequest
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_probe.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_probe.py
@@ -3,9 +3,9 @@
 import asyncio
 
 import msgspec
+
 from cassiaspread_core.base import RequestId
 from cassiaspread_core.pipeline import Plan, StageState, States
-
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken
 from cassiaspread_daemon.adapters import EngineClient
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_replanner.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_replanner.py
@@ -5,7 +5,6 @@
 from cassiaspread_core.base import TargetId
 from cassiaspread_core.pipeline import Plan, Stage
 from cassiaspread_core.policy import Limits
-
 from cassiaspread_daemon.fleet import TargetRegistry
 from cassiaspread_daemon.load import Watch
 from cassiaspread_daemon.relay._attempt import EndKind
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_request.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_request.py
@@ -2,6 +2,7 @@
 
 import msgspec
 import xxhash
+
 from cassiaspread_core.base import ModelId, OrganisationId, RequestId
 
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_services.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_services.py
@@ -4,7 +4,6 @@
 
 from cassiaspread_core.base import DomainId
 from cassiaspread_core.timeline import EventRing
-
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.adapters import EngineClient
 from cassiaspread_daemon.fleet import TargetRegistry
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_trace.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_trace.py
@@ -10,10 +10,10 @@
 from contextlib import suppress
 
 import msgspec
+
 from cassiaspread_core.base import DomainId, RequestId
 from cassiaspread_core.pipeline import StageState, rank_keepers
 from cassiaspread_core.timeline import EventRing
-
 from cassiaspread_daemon.adapters import EngineClient
 from cassiaspread_daemon.fleet import TargetRegistry
 from cassiaspread_daemon.mesh import Mesh, PeerUnreachable, Sender
--- a/packages/cassiaspread-daemon/tests/test_attempt.py
+++ b/packages/cassiaspread-daemon/tests/test_attempt.py
@@ -3,13 +3,13 @@
 import asyncio
 
 import pytest
+
 from cassiaspread_core.base import TargetId
 from cassiaspread_core.pipeline import Stage, TokenSequence
 from cassiaspread_core.policy import Limits
 from cassiaspread_daemon.adapters import EngineClient, ResumeOrder, StreamEvent
 from cassiaspread_daemon.relay._attempt import Attempt, AttemptEnd, EndKind
 from cassiaspread_daemon.relay._planner import PlannedChain
-
 from tests.fleet import free_port
 
 HEAD = Stage(TargetId("h"), f"127.0.0.1:{free_port()}", "", 0, 8)
--- a/packages/cassiaspread-daemon/tests/test_claims_journal.py
+++ b/packages/cassiaspread-daemon/tests/test_claims_journal.py
@@ -5,6 +5,7 @@
 
 import pytest
 import uuid6
+
 from cassiaspread_core.claims import (
     AbandonRecord,
     ClaimId,
--- a/packages/cassiaspread-daemon/tests/test_claims_sender.py
+++ b/packages/cassiaspread-daemon/tests/test_claims_sender.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+
 from cassiaspread_core.base import Outcome, Refusal
 from cassiaspread_core.claims import CallResult, ClaimId, ScopedKey
 from cassiaspread_core.policy import Limits
--- a/packages/cassiaspread-daemon/tests/test_listener.py
+++ b/packages/cassiaspread-daemon/tests/test_listener.py
@@ -3,9 +3,10 @@
 import asyncio
 import socket
 
-from cassiaspread_daemon._listener import Listener
 from tornado.httpserver import HTTPServer
 
+from cassiaspread_daemon._listener import Listener
+
 
 def test_connections_that_wait_are_served_when_the_listener_stops():
     """The loop gets no chance to accept between the connect and the stop."""
--- a/packages/cassiaspread-daemon/tests/test_mesh.py
+++ b/packages/cassiaspread-daemon/tests/test_mesh.py
@@ -4,11 +4,11 @@
 from contextlib import AsyncExitStack
 
 import pytest
+
 from cassiaspread_core.base import DomainId, Incarnation, VmId
 from cassiaspread_core.timeline import EventRing, merge_events
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.mesh import Empty, Mesh, PeerUnreachable, Sender
-
 from tests.fleet import free_port
 
 SKEW_S = 7.0
--- a/packages/cassiaspread-daemon/tests/test_mesh_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_mesh_parts.py
@@ -1,6 +1,7 @@
 """Topics, contacts and senders of the mesh, without sockets."""
 
 import pytest
+
 from cassiaspread_daemon.mesh import DeltaTopic, Sender
 from cassiaspread_daemon.mesh._contacts import Contacts
 from cassiaspread_daemon.mesh._gossip import Topic, Topics
--- a/packages/cassiaspread-daemon/tests/test_policy_follower.py
+++ b/packages/cassiaspread-daemon/tests/test_policy_follower.py
@@ -4,6 +4,7 @@
 
 import msgspec
 import pytest
+
 from cassiaspread_core.base import LogRecord
 from cassiaspread_core.policy import (
     CheckpointSchedule,
--- a/packages/cassiaspread-daemon/tests/test_settings.py
+++ b/packages/cassiaspread-daemon/tests/test_settings.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import pytest
+
 from cassiaspread_core.base import FindingsError
 from cassiaspread_daemon._settings import OPTIONS, Address, read_settings
 from cassiaspread_daemon.settings_reference import render_reference
--- a/packages/cassiaspread-daemon/tests/test_targets.py
+++ b/packages/cassiaspread-daemon/tests/test_targets.py
@@ -1,6 +1,7 @@
 """The registry of targets: the list, addresses that are used again, failures."""
 
 import pytest
+
 from cassiaspread_core.base import VmState
 from cassiaspread_core.observations import Observation
 from cassiaspread_core.pipeline import EngineReport
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -13,6 +13,7 @@
 from typing import ClassVar
 
 import msgspec
+
 from cassiaspread_core.policy import EntryKind, EntryRecord, hash_token
 from cassiaspread_core.timeline import Event, merge_events
 
--- a/tests/policy_fleet.py
+++ b/tests/policy_fleet.py
@@ -11,8 +11,8 @@
 from typing import NamedTuple
 
 import msgspec
-from cassiaspread_core.policy import Snapshot
 
+from cassiaspread_core.policy import Snapshot
 from tests.fleet import Fleet, Process, Route, bearer, free_port, request, wait_for
 
 OPERATOR = bearer("operator-token")
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -7,8 +7,8 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-from cassiaspread_core.claims import N_PARTITIONS
 
+from cassiaspread_core.claims import N_PARTITIONS
 from tests.booking_history import CALLER, PATH, book, find_violations, new_key
 from tests.fleet import Fleet, bearer, request, wait_for
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,6 +10,8 @@
 from argparse import Namespace
 
 import pytest
+from msgspec.json import encode
+
 from cassiaspread_cli._context import read_context
 from cassiaspread_cli._log import PolicyLog
 from cassiaspread_cli._publish import Outcome, publish
@@ -20,8 +22,6 @@
     read_policy_file,
     to_record,
 )
-from msgspec.json import encode
-
 from tests.fleet import Fleet, bearer, request, wait_for
 from tests.policy_fleet import (
     BOUND_S,
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -6,8 +6,8 @@
 from statistics import quantiles
 
 import pytest
-from cassiaspread_core.policy import EntryKind, hash_token
 
+from cassiaspread_core.policy import EntryKind, hash_token
 from tests.fleet import Fleet, bearer, request, wait_for
 
 N_TOKENS = 10
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,8 +7,8 @@
 
 import pytest
 import uuid6
-from cassiaspread_core.policy import EntryKind
 
+from cassiaspread_core.policy import EntryKind
 from tests.fleet import Fleet, bearer, request, wait_for
 from tests.standins.engine import expected_token
 
