--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_base.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_base.py
@@ -4,6 +4,8 @@
 from typing import Any
 
 import msgspec
+import uuid6
+import xxhash
 from absl import logging
 from tornado.web import RequestHandler, stream_request_body
 
@@ -12,6 +14,7 @@
     OrganisationId,
     Outcome,
     Refusal,
+    RequestId,
     ServiceId,
 )
 from cassiaspread_core.policy import Limits
@@ -137,6 +140,12 @@
     """Base of the handlers for callers: knows who asks, until when, with what body."""
 
     kind = "request"
+    request_id = RequestId("")
+
+    def set_default_headers(self) -> None:
+        """Name the request, so that the time line can be asked for it."""
+        if self.request_id:
+            self.set_header("X-Request-Id", self.request_id)
 
     def prepare(self) -> None:
         """Check the headers; a refusal waits for the end of a small body.
@@ -254,10 +263,20 @@
                 f"At most {MAX_HEADER_BYTES} bytes of headers.",
             )
         self.organisation = self._check_organisation()
+        self.request_id = self._identify()
+        self.set_default_headers()
         self.limits = self.find_limits()
         self._check_body_size(int(self.request.headers.get("Content-Length") or 0))
         self.timeout_s = self._check_timeout()
 
+    def _identify(self) -> RequestId:
+        """Return an identity that is the same at every daemon for the same key."""
+        key = self.request.headers.get("Idempotency-Key")
+        if key is None:
+            return RequestId(str(uuid6.uuid7()))
+        scoped = f"{self.organisation}\n{key}".encode()
+        return RequestId(xxhash.xxh3_128_hexdigest(scoped))
+
     def _check_organisation(self) -> OrganisationId:
         organisation = self.node.policy.organisation_of(self.bearer_token())
         if organisation is not None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
@@ -4,10 +4,7 @@
 import time
 from collections.abc import Callable
 
-import uuid6
-import xxhash
-
-from cassiaspread_core.base import ModelId, Outcome, Refusal, RequestId
+from cassiaspread_core.base import ModelId, Outcome, Refusal
 from cassiaspread_core.pipeline import TokenStep
 from cassiaspread_core.quarantine import fingerprint_of
 from cassiaspread_daemon.handlers._base import CallerHandler
@@ -89,7 +86,7 @@
                 400, "too-many-tokens", f"At most {self.limits.max_tokens} tokens."
             )
         return GenerationRequest(
-            request=self._request_id(),
+            request=self.request_id,
             organisation=self.organisation,
             model=ModelId(body.model),
             n_layers=model.n_layers,
@@ -107,17 +104,10 @@
             fingerprint, request.organisation, request.model, request.request
         )
 
-    def _request_id(self) -> RequestId:
-        key = self.idempotency_key()
-        if key is None:
-            return RequestId(str(uuid6.uuid7()))
-        return RequestId(
-            xxhash.xxh3_128_hexdigest(f"{self.organisation}\n{key}".encode())
-        )
-
     def _check_start(self, body: AnyBody) -> int:
+        key = self.idempotency_key()
         start = check_event_id(self.request.headers.get("Last-Event-ID"))
-        if start and (not body.stream or self.idempotency_key() is None):
+        if start and (not body.stream or key is None):
             raise Refusal(
                 400,
                 "bad-event-id",
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -4,6 +4,7 @@
 
 import pytest
 import uuid6
+from uuid6 import uuid7
 
 from tests.fleet import Fleet, bearer, request, wait_for
 from tests.standins.engine import expected_token
@@ -155,6 +156,20 @@
     assert request("GET", fleet.processes["d1"].address, path)[0] == 200
 
 
+@pytest.mark.parametrize("path", ["/v1/completions", "/v1/services/booking/slots"])
+def test_answer_names_the_request_alike_for_the_same_key(fleet, path):
+    address = fleet.processes["d1"].address
+    body = {"model": "draft", "prompt": "rib", "max_tokens": 1}
+    key = {"Idempotency-Key": str(uuid7())}
+    names = [
+        request("POST", address, path, body, CALLER | headers)[1]["X-Request-Id"]
+        for headers in (key, key, {})
+    ]
+    assert names[0] == names[1] != names[2]
+    events = fleet.events(names[0])
+    assert {event.request for event in events} <= {names[0]}
+
+
 def test_events_need_an_operator(fleet):
     address = fleet.processes["d1"].address
     assert request("GET", address, "/operators/events", headers=CALLER)[0] == 403
