--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -11,11 +11,11 @@
 
 import uuid6
 from absl import logging
+
 from cassiaspread_core.base import DomainId, Incarnation, Refusal
 from cassiaspread_core.membership import Member
 from cassiaspread_core.policy import CheckpointSchedule, Policy
 from cassiaspread_core.timeline import EventRing
-
 from cassiaspread_daemon._metrics import Metrics
 from cassiaspread_daemon._requests import RequestCount
 from cassiaspread_daemon._settings import Settings
@@ -83,6 +83,7 @@
             self._daemon_addresses,
             str(settings.peer_listen),
         )
+        self.metrics.observe_gossip(self.mesh.traffic)
         self._observe_targets(to_member(sender))
         self._policy_peers = PolicyPeers(
             self.policy_follower, self.mesh, schedule, self.events, random_state
@@ -131,7 +132,7 @@
     def _observe_targets(self, own: Member) -> None:
         interval_s = self.settings.poll_interval_ms / MILLISECONDS_PER_SECOND
         vm_list = VmListClient(str(self.settings.vm_list))
-        self.list_reader = VmListReader(vm_list, self.targets, interval_s)
+        self.list_reader = VmListReader(vm_list, self.targets, 2 * interval_s)
         spread = ObservationSpread(own, self.targets, self.mesh)
         self.poller = Poller(
             own,
@@ -140,8 +141,8 @@
             self.mesh.pollers,
             self.supervisor.add_child("polls"),
             interval_s,
-            self.random_state,
         )
+        self.mesh.transition_callbacks.append(lambda _: self.poller.invalidate())
         self.poller.observation_callbacks.append(spread.tell)
         self.poller.release_callbacks.append(spread.stop_telling)
 
@@ -208,6 +209,7 @@
         self._is_leaving = True
         self.claims.leave()
         self.mesh.leave()
+        self.poller.invalidate()
         self.events.record("node.leaving")
 
     def begin_request(self) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_base.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_base.py
@@ -5,6 +5,8 @@
 
 import msgspec
 from absl import logging
+from tornado.web import RequestHandler, stream_request_body
+
 from cassiaspread_core.base import (
     ModelId,
     OrganisationId,
@@ -13,8 +15,6 @@
     ServiceId,
 )
 from cassiaspread_core.policy import Limits
-from tornado.web import RequestHandler, stream_request_body
-
 from cassiaspread_daemon._node import Node
 
 MAX_HEADER_BYTES = 32_768
@@ -213,6 +213,15 @@
         """End of the request's time, on the monotonic clock in seconds."""
         return self.received_s + self.timeout_s
 
+    def write_refusal(self, refusal: Refusal) -> None:
+        """Answer with problem details; a stream that goes on has run before.
+
+        :param refusal: why the request is not answered.
+        """
+        if self.request.headers.get("Last-Event-ID", "").isdigit():
+            refusal.outcome = Outcome.UNKNOWN
+        super().write_refusal(refusal)
+
     def idempotency_key(self) -> str | None:
         """Return the caller's idempotency key, if any.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
@@ -6,10 +6,10 @@
 
 import uuid6
 import xxhash
+
 from cassiaspread_core.base import ModelId, Outcome, Refusal, RequestId
 from cassiaspread_core.pipeline import TokenStep
 from cassiaspread_core.quarantine import fingerprint_of
-
 from cassiaspread_daemon.handlers._base import CallerHandler
 from cassiaspread_daemon.handlers._completion_body import (
     AnyBody,
@@ -180,9 +180,8 @@
                 slot.note(len(steps) - is_whole, is_whole)
                 deliver(steps)
 
-            generation = Generation(
-                request, self.limits, self.node.relay, self.watch, take
-            )
+            limits = slot.set_priority(self.limits)
+            generation = Generation(request, limits, self.node.relay, self.watch, take)
             await generation.run()
 
     def _note_steps(self, steps: list[TokenStep]) -> bool:
