One place for the log's errors, the CLI's failure lines and the tests' reports

Cause: duplicates listed the log's exceptions twice, the same three lines in five commands and a reader of reports in two test files. Change: cassiaspread_core.base holds the exceptions, warn_of_failures and read_report serve the others. Conclusion: nothing but names moved.

--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_daemons.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_daemons.py
@@ -8,6 +8,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPError
 
 from cassiaspread_cli._context import CommandError, Context, ExitStatus
+from cassiaspread_cli._output import warn
 
 CONNECT_TIMEOUT_S = 2.0
 REQUEST_TIMEOUT_S = 5.0
@@ -73,6 +74,17 @@
     return reached, failed
 
 
+def warn_of_failures(failed: list[Answer[Any]]) -> ExitStatus:
+    """Name the daemons that gave no answer.
+
+    :param failed: answers without a value.
+    :returns: the exit status of a command whose other answers were shown.
+    """
+    for answer in failed:
+        warn(f"no answer from {answer.daemon}: {answer.error}")
+    return ExitStatus.PARTIAL if failed else ExitStatus.DONE
+
+
 async def ask_first(
     context: Context, path: str, value_type: Any, body: Any = None
 ) -> Answer[Any]:
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_log.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_log.py
@@ -7,7 +7,14 @@
 
 from cassiaspread_cli._context import Context
 from cassiaspread_cli._daemons import ask_all
-from cassiaspread_core.base import CassiaspreadError, LogPage, Offset
+from cassiaspread_core.base import (
+    AppendAmbiguous,
+    AppendNotSent,
+    LogPage,
+    LogUnavailable,
+    Offset,
+    Truncated,
+)
 from cassiaspread_core.policy import (
     CheckpointAssembler,
     Folded,
@@ -21,29 +28,6 @@
 N_RECORDS = 500
 
 
-class LogUnavailable(CassiaspreadError):
-    """The log could not be read."""
-
-
-class AppendNotSent(CassiaspreadError):
-    """The record is not in the stream and never will be."""
-
-
-class AppendAmbiguous(CassiaspreadError):
-    """The record may be in the stream, now or later."""
-
-
-class Truncated(CassiaspreadError):
-    """Records were asked for that retention has removed.
-
-    :param earliest: offset of the earliest record that is kept.
-    """
-
-    def __init__(self, earliest: Offset) -> None:
-        super().__init__(f"records before offset {earliest} are gone")
-        self.earliest = earliest
-
-
 class PastRecord(msgspec.Struct, frozen=True):
     """A record of the stream and what the fold made of it.
 
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_quarantine.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_quarantine.py
@@ -5,8 +5,13 @@
 import msgspec
 
 from cassiaspread_cli._context import Context, ExitStatus
-from cassiaspread_cli._daemons import ask_all, ask_first, split_answers
-from cassiaspread_cli._output import format_time, print_json, print_table, warn
+from cassiaspread_cli._daemons import (
+    ask_all,
+    ask_first,
+    split_answers,
+    warn_of_failures,
+)
+from cassiaspread_cli._output import format_time, print_json, print_table
 from cassiaspread_core.operations import QuarantineReport
 from cassiaspread_core.quarantine import SuspectRecord
 
@@ -32,9 +37,7 @@
         print_json(answers)
     else:
         _print_records(answer.value for answer in reached)
-    for answer in failed:
-        warn(f"no answer from {answer.daemon}: {answer.error}")
-    return ExitStatus.PARTIAL if failed else ExitStatus.DONE
+    return warn_of_failures(failed)
 
 
 async def release(context: Context, arguments: argparse.Namespace) -> ExitStatus:
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_show.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_show.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from cassiaspread_cli._context import Context, ExitStatus
-from cassiaspread_cli._daemons import ask_all, split_answers
+from cassiaspread_cli._daemons import ask_all, split_answers, warn_of_failures
 from cassiaspread_cli._log import LogUnavailable, PastRecord, PolicyLog
 from cassiaspread_cli._output import (
     format_time,
@@ -118,8 +118,7 @@
             warn(f"the log can't be read, asking daemons: {error}")
     answers = await ask_all(context, "/operators/policy", Snapshot)
     reached, failed = split_answers(answers)
-    for answer in failed:
-        warn(f"no answer from {answer.daemon}: {answer.error}")
+    warn_of_failures(failed)
     best = max(reached, key=lambda answer: answer.value.covered)
     return best.value, f"daemon {best.daemon}"
 
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_status.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_status.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from cassiaspread_cli._context import Context, ExitStatus
-from cassiaspread_cli._daemons import Answer, ask_all, split_answers
+from cassiaspread_cli._daemons import Answer, ask_all, split_answers, warn_of_failures
 from cassiaspread_cli._output import print_json, print_table, warn
 from cassiaspread_core.operations import DaemonReport, TargetReport
 
@@ -37,9 +37,7 @@
         print_json(report)
     else:
         _print_status(report, reached)
-    for answer in failed:
-        warn(f"no answer from {answer.daemon}: {answer.error}")
-    return ExitStatus.PARTIAL if failed else ExitStatus.DONE
+    return warn_of_failures(failed)
 
 
 async def targets(context: Context, arguments: argparse.Namespace) -> ExitStatus:
@@ -54,9 +52,7 @@
         print_json(answers)
     else:
         _print_targets(reached)
-    for answer in failed:
-        warn(f"no answer from {answer.daemon}: {answer.error}")
-    return ExitStatus.PARTIAL if failed else ExitStatus.DONE
+    return warn_of_failures(failed)
 
 
 def _find_unasked(reports: list[DaemonReport]) -> list[str]:
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_targets.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_targets.py
@@ -5,8 +5,13 @@
 import msgspec
 
 from cassiaspread_cli._context import Context, ExitStatus
-from cassiaspread_cli._daemons import ask_all, ask_first, split_answers
-from cassiaspread_cli._output import print_json, print_table, warn
+from cassiaspread_cli._daemons import (
+    ask_all,
+    ask_first,
+    split_answers,
+    warn_of_failures,
+)
+from cassiaspread_cli._output import print_json, print_table
 from cassiaspread_core.operations import DrainReport, MemberReport
 
 
@@ -54,6 +59,4 @@
             for m in sorted(answer.value, key=lambda m: (m.domain, m.vm))
         ]
         print_table(("seen by", "domain", "vm", "address", "state"), rows)
-    for answer in failed:
-        warn(f"no answer from {answer.daemon}: {answer.error}")
-    return ExitStatus.PARTIAL if failed else ExitStatus.DONE
+    return warn_of_failures(failed)
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_timeline.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_timeline.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from cassiaspread_cli._context import CommandError, Context, ExitStatus
-from cassiaspread_cli._daemons import ask_all, split_answers
-from cassiaspread_cli._output import print_json, warn
+from cassiaspread_cli._daemons import ask_all, split_answers, warn_of_failures
+from cassiaspread_cli._output import print_json
 from cassiaspread_cli._timeline_page import render_page
 from cassiaspread_core.timeline import Event, merge_events
 
@@ -31,9 +31,7 @@
     else:
         for event in events:
             print(_format(event))
-    for answer in failed:
-        warn(f"no answer from {answer.daemon}: {answer.error}")
-    return ExitStatus.PARTIAL if failed else ExitStatus.DONE
+    return warn_of_failures(failed)
 
 
 def _write_page(path: Path, page: str) -> None:
--- a/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
@@ -18,10 +18,19 @@
     TargetId,
     VmId,
 )
-from cassiaspread_core.base._log import LogPage, LogRecord
+from cassiaspread_core.base._log import (
+    AppendAmbiguous,
+    AppendNotSent,
+    LogPage,
+    LogRecord,
+    LogUnavailable,
+    Truncated,
+)
 from cassiaspread_core.base._states import Outcome, TargetKind, VmState
 
 __all__ = [
+    "AppendAmbiguous",
+    "AppendNotSent",
     "CassiaspreadError",
     "DomainId",
     "Finding",
@@ -30,6 +39,7 @@
     "Incarnation",
     "LogPage",
     "LogRecord",
+    "LogUnavailable",
     "ModelId",
     "Offset",
     "OrganisationId",
@@ -39,6 +49,7 @@
     "ServiceId",
     "TargetId",
     "TargetKind",
+    "Truncated",
     "VmId",
     "VmState",
 ]
--- a/packages/cassiaspread-core/src/cassiaspread_core/base/_log.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/_log.py
@@ -1,7 +1,8 @@
-"""Records of the platform's append-only log, as it serves them."""
+"""Records of the platform's append-only log, and how access to it fails."""
 
 import msgspec
 
+from cassiaspread_core.base._errors import CassiaspreadError
 from cassiaspread_core.base._ids import Offset
 
 
@@ -29,3 +30,26 @@
     earliest: Offset
     end: Offset
     records: tuple[LogRecord, ...]
+
+
+class LogUnavailable(CassiaspreadError):
+    """The log could not be read."""
+
+
+class AppendNotSent(CassiaspreadError):
+    """The append did not take effect and never will."""
+
+
+class AppendAmbiguous(CassiaspreadError):
+    """The append may have taken effect, or may still."""
+
+
+class Truncated(CassiaspreadError):
+    """Records were asked for that retention has removed.
+
+    :param earliest: offset of the earliest record that is kept.
+    """
+
+    def __init__(self, earliest: Offset) -> None:
+        super().__init__(f"records before offset {earliest} are gone")
+        self.earliest = earliest
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_log.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_log.py
@@ -4,35 +4,19 @@
 
 import msgspec
 
-from cassiaspread_core.base import CassiaspreadError, LogPage, Offset
+from cassiaspread_core.base import (
+    AppendAmbiguous,
+    AppendNotSent,
+    LogPage,
+    LogUnavailable,
+    Offset,
+    Truncated,
+)
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken, fetch
 
 CONNECT_TIMEOUT_S = 1.0
 
 
-class LogUnavailable(CassiaspreadError):
-    """The log could not be read."""
-
-
-class AppendNotSent(CassiaspreadError):
-    """The append did not take effect and never will."""
-
-
-class AppendAmbiguous(CassiaspreadError):
-    """The append may have taken effect, or may still."""
-
-
-class Truncated(CassiaspreadError):
-    """Records were asked for that retention has removed.
-
-    :param earliest: offset of the earliest record that is kept.
-    """
-
-    def __init__(self, earliest: Offset) -> None:
-        super().__init__(f"records before offset {earliest} are gone")
-        self.earliest = earliest
-
-
 class _Appended(msgspec.Struct):
     offset: Offset
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -288,3 +288,14 @@
 def bearer(token: str, **headers: str) -> dict[str, str]:
     """Return the headers of a caller or operator."""
     return {"Authorization": f"Bearer {token}"} | headers
+
+
+def read_report(daemon: Process, name: str):
+    """Return what a daemon reports to operators under a name."""
+    headers = bearer("operator-token")
+    status, _, body = request(
+        "GET", daemon.address, f"/operators/{name}", None, headers
+    )
+    if status != 200:
+        raise ValueError(f"{daemon.name} answered {status}")
+    return json.loads(body)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -9,7 +9,7 @@
 import pytest
 from uuid6 import uuid7
 
-from tests.fleet import Fleet, bearer, request, wait_for
+from tests.fleet import Fleet, bearer, read_report, request, wait_for
 from tests.standins.engine import expected_token
 
 CALLER = bearer("osorno-token")
@@ -127,20 +127,12 @@
     return False
 
 
-def read(daemon, what):
-    path = f"/operators/{what}"
-    status, _, body = request("GET", daemon.address, path, headers=OPERATOR)
-    if status != 200:
-        raise ValueError(f"{daemon.name} answered {status}")
-    return json.loads(body)
-
-
 def usable(daemon):
-    return {t["target"] for t in read(daemon, "observations") if t["is_usable"]}
+    return {t["target"] for t in read_report(daemon, "observations") if t["is_usable"]}
 
 
 def member_states(daemon):
-    return {m["vm"]: m["state"] for m in read(daemon, "members")}
+    return {m["vm"]: m["state"] for m in read_report(daemon, "members")}
 
 
 def requests_on(fleet, engine):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,13 +1,12 @@
 """Daemons that join, crash, freeze, are replaced or cut off, as real processes."""
 
-import json
 import signal
 import time
 from collections import defaultdict
 
 import pytest
 
-from tests.fleet import Fleet, bearer, free_port, request, wait_for
+from tests.fleet import Fleet, bearer, free_port, read_report, request, wait_for
 
 OPERATOR = bearer("operator-token")
 CALLER = bearer("osorno-token")
@@ -27,29 +26,21 @@
         yield fleet
 
 
-def read(daemon, what):
-    path = f"/operators/{what}"
-    status, _, body = request("GET", daemon.address, path, headers=OPERATOR)
-    if status != 200:
-        raise ValueError(f"{daemon.name} answered {status}")
-    return json.loads(body)
-
-
 def states(daemon):
     """Return the verdicts on the latest start of each VM's daemon.
 
     One that came after the loss of another never hears of it.
     """
-    members = sorted(read(daemon, "members"), key=lambda m: m["incarnation"])
+    members = sorted(read_report(daemon, "members"), key=lambda m: m["incarnation"])
     return defaultdict(lambda: "lost", {m["vm"]: m["state"] for m in members})
 
 
 def usable(daemon):
-    return {t["target"] for t in read(daemon, "observations") if t["is_usable"]}
+    return {t["target"] for t in read_report(daemon, "observations") if t["is_usable"]}
 
 
 def pollers(daemon, target):
-    found = [t for t in read(daemon, "observations") if t["target"] == target]
+    found = [t for t in read_report(daemon, "observations") if t["target"] == target]
     return set(found[0]["pollers"])
 
 
