--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
@@ -25,7 +25,6 @@
     to_message_choice,
     to_text_choice,
 )
-from cassiaspread_daemon.handlers._event_writer import EventWriter
 from cassiaspread_daemon.load import Watch
 from cassiaspread_daemon.relay import Generation, GenerationRequest
 
@@ -131,16 +130,15 @@
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("Cache-Control", "no-store")
 
-        writer = EventWriter(self)
-
         def write_steps(steps: list[TokenStep]) -> None:
-            writer.write(b"".join([format_event(step) for step in steps]))
+            self.write(b"".join([format_event(step) for step in steps]))
+            self.flush()
 
         try:
             await self._generate(request, write_steps)
             end = STREAM_END
         except Refusal as refusal:
-            if not writer.has_begun:
+            if not self._headers_written:
                 self.clear()
                 raise
             end = format_error(refusal)
