A refused connection forgets no target: taken back

Change: reverted; connect already tries the other targets. Conclusion: a failed try; the poll drops the target.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_sender.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_sender.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from cassiaspread_core.base import Outcome, Refusal, ServiceId, TargetId
+from cassiaspread_core.base import Outcome, Refusal, ServiceId
 from cassiaspread_core.claims import CallResult, ClaimId
 from cassiaspread_core.policy import Limits
 from cassiaspread_core.timeline import EventRing
@@ -61,7 +61,7 @@
         try:
             return await Exchange.open(target.address, timeout_s)
         except ConnectFailed:
-            targets.forget(TargetId(target.vm))
+            continue
     raise Refusal(
         502,
         "targets-unreachable",
