Dead code out: an unused view of domains, the benchmark's unchunked answers

Cause: the read-through of the whole change. MembershipView.domain_ages has no caller; the fast engine still answered HTTP/1.0 requests without chunks, which nothing sends since token streams are read by tornado alone. Ruled out: a use by name (grep over packages, tests, benchmarks). Change: both removed. Behaviour as before. The whole suite was not run again.

--- a/benchmarks/fast_engine.py
+++ b/benchmarks/fast_engine.py
@@ -9,19 +9,19 @@
 import json
 
 CHUNK = b"%x\r\n%b\r\n"
-HEADERS = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"
-CHUNKED = b"Transfer-Encoding: chunked\r\n"
+HEADERS = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
 N_PHASES = 30
 
 
 class Stream:
     """One token stream and its next position."""
 
-    def __init__(
-        self, transport: asyncio.Transport, order: dict, *, is_chunked: bool
-    ) -> None:
-        self.transport, self.is_chunked = transport, is_chunked
-        transport.write(HEADERS + CHUNKED * is_chunked + b"\r\n")
+    def __init__(self, transport: asyncio.Transport, order: dict) -> None:
+        self.transport = transport
+        transport.write(HEADERS)
         self.attempt = order["attempt"]
         self.position = order["start"]
         self.end = order["max_tokens"]
@@ -34,10 +34,10 @@
         is_last = self.position == self.end
         event |= {"finish_reason": "length"} if is_last else {"text": "brisket "}
         data = b"data: %b\n\n" % json.dumps(event).encode()
-        self.transport.write(CHUNK % (len(data), data) if self.is_chunked else data)
+        self.transport.write(CHUNK % (len(data), data))
         self.position += 1
         if is_last:
-            self.transport.write(b"0\r\n\r\n" * self.is_chunked)
+            self.transport.write(b"0\r\n\r\n")
             self.transport.close()
         return not is_last
 
@@ -84,9 +84,7 @@
         if head.startswith(b"POST /engine/generate"):
             n_bytes = int(head.lower().split(b"content-length:")[1].split()[0])
             if len(body) >= n_bytes:
-                is_chunked = b" HTTP/1.1\r\n" in head
-                order = json.loads(body)
-                self.pacer.add(Stream(self.transport, order, is_chunked=is_chunked))
+                self.pacer.add(Stream(self.transport, json.loads(body)))
             return
         answer = json.dumps(self.report).encode()
         self.transport.write(
--- a/packages/cassiaspread-core/src/cassiaspread_core/membership/_view.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/membership/_view.py
@@ -148,17 +148,6 @@
         heard_s = max(now_s - age_s, self._domain_heard_s.get(domain, NEVER_S))
         self._domain_heard_s[domain] = heard_s
 
-    def domain_ages(self, now_s: float) -> dict[DomainId, float]:
-        """Return how long ago each other domain was heard, in seconds.
-
-        :param now_s: present time in seconds.
-        """
-        return {
-            domain: now_s - heard_s
-            for domain, heard_s in self._domain_heard_s.items()
-            if domain != self._own.domain
-        }
-
     def state(self, incarnation: Incarnation, now_s: float) -> MemberState:
         """Judge one daemon.
 
