--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
-PACKAGES := packages/cassiaspread-core packages/cassiaspread-daemon packages/cassiaspread-cli
+PACKAGES := packages/cassiaspread-core packages/cassiaspread-daemon packages/cassiaspread-cli \
+	platform
 
 .PHONY: setup demo serve test lint format docs clean
 
@@ -10,7 +11,7 @@
 	python3 -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements.lock
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check --no-deps \
-		--no-build-isolation $(addprefix -e ,$(PACKAGES))
+		--no-build-isolation $(addprefix -e ./,$(PACKAGES))
 	touch $@
 
 demo: setup
--- /dev/null
+++ b/packages/cassiaspread-core/src/cassiaspread_core/chains/__init__.py
@@ -0,0 +1,21 @@
+"""Which engines a request passes through, and what is in progress on them."""
+
+from cassiaspread_core.chains._chain import (
+    Chain,
+    Demand,
+    Stage,
+    choose_chain,
+    stage_load,
+)
+from cassiaspread_core.chains._load import NO_LOAD, LoadLedger, StageLoad
+
+__all__ = [
+    "NO_LOAD",
+    "Chain",
+    "Demand",
+    "LoadLedger",
+    "Stage",
+    "StageLoad",
+    "choose_chain",
+    "stage_load",
+]
--- /dev/null
+++ b/packages/cassiaspread-core/src/cassiaspread_core/routing/__init__.py
@@ -0,0 +1,23 @@
+"""Which route, organisation and service a request belongs to."""
+
+from cassiaspread_core.routing._age import KnowledgeAge
+from cassiaspread_core.routing._table import (
+    Backend,
+    ClientLimits,
+    Organisation,
+    RequestKind,
+    Route,
+    RouteTable,
+    Service,
+)
+
+__all__ = [
+    "Backend",
+    "ClientLimits",
+    "KnowledgeAge",
+    "Organisation",
+    "RequestKind",
+    "Route",
+    "RouteTable",
+    "Service",
+]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -1,12 +1,12 @@
-"""One HTTP request over a connection of its own.
+"""One HTTP request over a connection, of its own or kept from an earlier request.
 
-A connection is never shared or used again, so that the caller knows whether any byte
-of a request can have left, and so that a silent connection harms one request only.
+A connection is never shared, so that the caller knows whether any byte of a request can
+have left, and so that a silent connection harms one request only.
 """
 
 import asyncio
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
 from typing import NamedTuple
 
@@ -22,6 +22,10 @@
 from cassiaspread_core.base import CassiaspreadError
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# A target that sends answers nobody asked for is not worth waiting for.
+MAX_STRAY_RESPONSES = 3
+
+DataCallback = Callable[[bytes], Awaitable[None] | None]
 
 
 class ConnectFailed(CassiaspreadError):
@@ -46,13 +50,21 @@
 
 
 class _ResponseReader(HTTPMessageDelegate):
-    def __init__(self, on_data: Callable[[bytes], None] | None) -> None:
+    def __init__(
+        self,
+        on_data: DataCallback | None,
+        is_expected: Callable[[HTTPHeaders], bool] | None,
+    ) -> None:
         self.status = 0
         self.headers = HTTPHeaders()
         self.chunks: list[bytes] = []
         self.started = asyncio.get_running_loop().create_future()
         self.finished = asyncio.get_running_loop().create_future()
+        self.n_strays = 0
+        self.is_stray = False
+        self.is_ended = False
         self._on_data = on_data
+        self._is_expected = is_expected
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -60,19 +72,44 @@
         assert isinstance(start_line, ResponseStartLine)
         if 100 <= start_line.code < 200:
             return
+        self.is_stray = self._is_expected is not None and not self._is_expected(headers)
+        if self.is_stray:
+            self.n_strays += 1
+            return
         self.status = start_line.code
         self.headers = headers
         if not self.started.done():
             self.started.set_result(None)
 
-    def data_received(self, chunk: bytes) -> None:
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        if self.is_stray:
+            return None
         if self._on_data is not None and self.status == 200:
-            self._on_data(chunk)
-        else:
-            self.chunks.append(chunk)
+            return self._on_data(chunk)
+        self.chunks.append(chunk)
+        return None
 
     def finish(self) -> None:
-        self._settle(None)
+        self.is_ended = True
+        if self.is_framed and not self.is_stray:
+            self._settle(None)
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the response ended as whole."""
+        # Whoever waited for the end may have been cancelled, and the future with it.
+        future = self.finished
+        return future.done() and not future.cancelled() and not future.exception()
+
+    @property
+    def is_framed(self) -> bool:
+        """Whether the response says where it ends."""
+        return "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+
+    def settle_at_close(self) -> None:
+        """End a response without a length, which the connection's close ended."""
+        if self.is_ended and not self.is_stray:
+            self._settle(None)
 
     def on_connection_close(self) -> None:
         self._settle(ExchangeBroken("connection closed before the response ended"))
@@ -93,11 +130,16 @@
 
     :param stream: an open connection.
     :param address: ``host:port`` of the other end.
+    :param keeps_connection: whether the connection may serve another request after
+        this one; see :meth:`release`.
     """
 
-    def __init__(self, stream: IOStream, address: str = "") -> None:
+    def __init__(
+        self, stream: IOStream, address: str = "", keeps_connection: bool = False
+    ) -> None:
         self._stream = stream
         self._address = address
+        self._keeps_connection = keeps_connection
         self._connection = HTTP1Connection(
             stream,
             is_client=True,
@@ -119,12 +161,44 @@
         """``host:port`` of the other end."""
         return self._address
 
+    @property
+    def headers(self) -> HTTPHeaders:
+        """Headers of the response, empty before it starts."""
+        return self._reader.headers if self._reader is not None else HTTPHeaders()
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether the connection may serve another request."""
+        reader = self._reader
+        return (
+            self._keeps_connection
+            and reader is not None
+            and reader.is_whole
+            and reader.is_framed
+            and reader.headers.get("Connection", "").lower() != "close"
+            and not self._stream.writing()
+            and not self._stream.closed()
+        )
+
+    def release(self) -> IOStream | None:
+        """Give the connection up after a whole response.
+
+        :returns: the connection if it is reusable; otherwise it is closed.
+        """
+        if self.is_reusable:
+            return self._stream
+        self.close()
+        return None
+
     @classmethod
-    async def open(cls, address: str, timeout_s: float) -> "Exchange":
+    async def open(
+        cls, address: str, timeout_s: float, keeps_connection: bool = False
+    ) -> "Exchange":
         """Open a connection.
 
         :param address: ``host:port``.
         :param timeout_s: longest wait in seconds.
+        :param keeps_connection: whether it may serve another request later.
         :raises ConnectFailed: no connection was opened.
         """
         host, _, port = address.rpartition(":")
@@ -141,7 +215,7 @@
             stream.close()
             raise
         stream.set_nodelay(True)
-        return cls(stream, address)
+        return cls(stream, address, keeps_connection)
 
     def close(self) -> None:
         """Close the connection at once."""
@@ -155,7 +229,8 @@
         path: str,
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
-        on_data: Callable[[bytes], None] | None = None,
+        on_data: DataCallback | None = None,
+        is_expected: Callable[[HTTPHeaders], bool] | None = None,
     ) -> int:
         """Send the request and wait for the status of the response.
 
@@ -165,20 +240,23 @@
         :param headers: further headers.
         :param on_data: called with each piece of the body of a 200 response, which
             is otherwise kept.
+        :param is_expected: tells from the headers whether a response answers this
+            request; others are left from earlier ones and dropped.
         :returns: the status code.
         :raises ExchangeBroken: the connection ended before the status.
         """
-        self._reader = _ResponseReader(on_data)
-        all_headers = HTTPHeaders({"Host": "target", "Connection": "close"})
+        self._reader = _ResponseReader(on_data, is_expected)
+        all_headers = HTTPHeaders({"Host": "target"})
+        if not self._keeps_connection:
+            all_headers["Connection"] = "close"
         all_headers.update(headers or {})
         all_headers["Content-Length"] = str(len(body))
-        try:
-            await self._connection.write_headers(
-                RequestStartLine(method, path, "HTTP/1.1"), all_headers, body
-            )
-            self._connection.finish()
-        except StreamClosedError:
-            raise ExchangeBroken("connection closed while sending") from None
+        # The response is read while the request is written: a target may refuse a long
+        # body before it has read it. A closed connection shows in the reading.
+        self._connection.write_headers(
+            RequestStartLine(method, path, "HTTP/1.1"), all_headers, body
+        )
+        self._connection.finish()
         self._reading = asyncio.create_task(self._read(self._reader))
         await self._reader.started
         return self._reader.status
@@ -197,7 +275,14 @@
     async def _read(self, reader: _ResponseReader) -> None:
         try:
             with suppress(StreamClosedError):
-                await self._connection.read_response(reader)
+                while await self._connection.read_response(reader):
+                    if not reader.is_stray:
+                        break
+                    if reader.n_strays >= MAX_STRAY_RESPONSES:
+                        return
+                # tornado ends a body without a length at a reset as at a close.
+                if self._stream.error is None:
+                    reader.settle_at_close()
         finally:
             reader.on_connection_close()
 
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_front.py
@@ -0,0 +1,192 @@
+"""Callers' connections: whole requests in, answers out."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from http import HTTPStatus
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import StreamClosedError
+
+from cassiaspread_core.base import CassiaspreadError
+
+
+class CallerGone(CassiaspreadError):
+    """The caller closed its connection."""
+
+
+class Ingress:
+    """One request of a caller and the way to answer it.
+
+    :param connection: where it came from.
+    :param start_line: method and target.
+    :param headers: the caller's headers.
+    :param body: the whole body.
+    :param arrived_s: when its headers were read, on the monotonic clock in seconds.
+    """
+
+    def __init__(
+        self,
+        connection: HTTP1Connection,
+        start_line: RequestStartLine,
+        headers: HTTPHeaders,
+        body: bytes,
+        arrived_s: float,
+    ) -> None:
+        self._connection = connection
+        self.method = start_line.method
+        self.target = start_line.path
+        self.headers = headers
+        self.body = body
+        self.arrived_s = arrived_s
+        self.status = 0
+
+    @property
+    def path(self) -> str:
+        """Path without the query."""
+        return self.target.partition("?")[0]
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the answer's headers were sent."""
+        return bool(self.status)
+
+    def start(self, status: int, headers: HTTPHeaders, data: bytes = b"") -> None:
+        """Send status and headers of an answer.
+
+        :param status: HTTP status code.
+        :param headers: headers; without a length the body is sent in chunks.
+        :param data: beginning of the body.
+        """
+        self.status = status
+        try:
+            reason = HTTPStatus(status).phrase
+        except ValueError:
+            reason = "Unknown"
+        start_line = ResponseStartLine("HTTP/1.1", status, reason)
+        self._connection.write_headers(start_line, headers, data)
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body and wait until the connection takes more.
+
+        :param data: the part.
+        :raises CallerGone: the connection is closed.
+        """
+        try:
+            await self._connection.write(data)
+        except StreamClosedError:
+            raise CallerGone("connection closed") from None
+
+    def end(self) -> None:
+        """End the answer as whole."""
+        self._connection.finish()
+
+    def abort(self) -> None:
+        """Close the connection, so that the answer does not look whole."""
+        self._connection.close()
+
+    def answer(
+        self, status: int, headers: Mapping[str, str], body: bytes = b""
+    ) -> None:
+        """Send a whole answer.
+
+        :param status: HTTP status code.
+        :param headers: headers without the length.
+        :param body: the body.
+        """
+        all_headers = HTTPHeaders(headers)
+        all_headers["Content-Length"] = str(len(body))
+        self.start(status, all_headers, body)
+        self.end()
+
+
+Handler = Callable[[Ingress], Awaitable[None]]
+
+
+class Front(HTTPServerConnectionDelegate):
+    """Starts one task for each request and cancels it when its caller is gone.
+
+    :param handler: answers a request.
+    """
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def n_requests(self) -> int:
+        """Requests in progress."""
+        return len(self._tasks)
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTP1Connection
+    ) -> HTTPMessageDelegate:
+        """Read one request.
+
+        :param server_conn: identifies the connection.
+        :param request_conn: the request's side of it.
+        """
+        return _RequestReader(self, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Take note of a closed connection; each request notices by itself.
+
+        :param server_conn: identifies the connection.
+        """
+
+    def run(self, ingress: Ingress) -> asyncio.Task[None]:
+        """Answer a request in a task of its own.
+
+        :param ingress: the request.
+        """
+        task = asyncio.create_task(self._run(ingress))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _run(self, ingress: Ingress) -> None:
+        try:
+            await self._handler(ingress)
+        except BaseException:
+            # An answer that is not whole must not look so.
+            ingress.abort()
+            raise
+
+
+class _RequestReader(HTTPMessageDelegate):
+    def __init__(self, front: Front, connection: HTTP1Connection) -> None:
+        self._front = front
+        self._connection = connection
+        self._chunks: list[bytes] = []
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        assert isinstance(start_line, RequestStartLine)
+        self._start_line = start_line
+        self._headers = headers
+        self._arrived_s = time.monotonic()
+
+    def data_received(self, chunk: bytes) -> None:
+        self._chunks.append(chunk)
+
+    def finish(self) -> None:
+        ingress = Ingress(
+            self._connection,
+            self._start_line,
+            self._headers,
+            b"".join(self._chunks),
+            self._arrived_s,
+        )
+        task = self._front.run(ingress)
+        self._connection.set_close_callback(task.cancel)
+
+    def on_connection_close(self) -> None:
+        self._chunks.clear()
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway_metrics.py
@@ -0,0 +1,103 @@
+"""Counters and latency histograms of the gateway."""
+
+from collections.abc import Callable, Iterable
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from prometheus_client import REGISTRY, generate_latest
+
+
+class GatewayMetrics:
+    """Instruments of one gateway, read in Prometheus' text format.
+
+    :param domain: failure domain, an attribute of every measurement.
+    """
+
+    def __init__(self, domain: str) -> None:
+        self._attributes = {"domain": domain}
+        provider = MeterProvider(metric_readers=[PrometheusMetricReader()])
+        self._meter = provider.get_meter("cassiaspread.gateway")
+        self._requests = self._meter.create_counter(
+            "cassiaspread.gateway.requests", description="Requests by kind and outcome."
+        )
+        self._durations = self._meter.create_histogram(
+            "cassiaspread.gateway.request.duration",
+            unit="s",
+            description="Time from a request's headers to the end of its answer.",
+        )
+        self._first_events = self._meter.create_histogram(
+            "cassiaspread.gateway.first_event",
+            unit="s",
+            description="Time from a stream's request to its first event.",
+        )
+        self._waits = self._meter.create_histogram(
+            "cassiaspread.gateway.wait",
+            unit="s",
+            description="Time that a request waited for room on a chain.",
+        )
+        self._attempts = self._meter.create_counter(
+            "cassiaspread.gateway.attempts", description="Requests sent, by result."
+        )
+        self._orders = self._meter.create_counter(
+            "cassiaspread.gateway.orders", description="Orders to engines, by outcome."
+        )
+
+    def note_request(
+        self, kind: str, outcome: str, status: int, duration_s: float
+    ) -> None:
+        """Count one answered request.
+
+        :param kind: what may be repeated of it.
+        :param outcome: ``answered`` or why not.
+        :param status: HTTP status of the answer, 0 if there was none.
+        :param duration_s: time until its end, in seconds.
+        """
+        attributes = {**self._attributes, "kind": kind, "outcome": outcome}
+        self._requests.add(1, {**attributes, "status": status})
+        self._durations.record(duration_s, attributes)
+
+    def note_first_event(self, elapsed_s: float) -> None:
+        """Record the time to a stream's first event.
+
+        :param elapsed_s: the time in seconds.
+        """
+        self._first_events.record(elapsed_s, self._attributes)
+
+    def note_wait(self, waited_s: float) -> None:
+        """Record how long a request waited for room.
+
+        :param waited_s: the time in seconds.
+        """
+        self._waits.record(waited_s, self._attributes)
+
+    def note_attempt(self, result: str) -> None:
+        """Count a request sent to a target.
+
+        :param result: what became of it.
+        """
+        self._attempts.add(1, {**self._attributes, "result": result})
+
+    def note_order(self, outcome: str) -> None:
+        """Count an order to an engine.
+
+        :param outcome: what became of it.
+        """
+        self._orders.add(1, {**self._attributes, "outcome": outcome})
+
+    def observe(self, name: str, description: str, read: Callable[[], float]) -> None:
+        """Report a value that is read when metrics are.
+
+        :param name: name of the instrument.
+        :param description: what the value says.
+        :param read: returns the value.
+        """
+
+        def callback(options: CallbackOptions) -> Iterable[Observation]:
+            return [Observation(read(), self._attributes)]
+
+        self._meter.create_observable_gauge(name, [callback], description=description)
+
+    def render(self) -> bytes:
+        """Return all metrics in Prometheus' text format."""
+        return generate_latest(REGISTRY)
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_knowledge.py
@@ -0,0 +1,199 @@
+"""What a daemon believes about configuration and targets, and how old that is."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+from cassiaspread_core.base import LogUnavailable, ServiceId, TargetId, Truncated
+from cassiaspread_core.placement import Engine
+from cassiaspread_core.routing import KnowledgeAge, RouteTable
+from cassiaspread_daemon.gateway._decision_log import DecisionLog
+from cassiaspread_daemon.gateway._terms import EngineChange, Feed, FeedPage
+
+Item = TypeVar("Item")
+
+MIN_RETRY_DELAY_S = 0.1
+MAX_RETRY_DELAY_S = 0.8
+
+
+def suspended_clock_s() -> float:
+    """Return seconds of a clock that also counts time spent suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Knowledge:
+    """The configuration in force and the targets that are known.
+
+    :param log: gets a line for each change.
+    :param configuration_bound_s: longest time in seconds that a configuration may be
+        acted upon after it was last known to be current.
+    :param engines_bound_s: the same for the list of targets.
+    """
+
+    def __init__(
+        self, log: DecisionLog, configuration_bound_s: float, engines_bound_s: float
+    ) -> None:
+        self._log = log
+        self.table: RouteTable | None = None
+        self.configuration_age = KnowledgeAge(configuration_bound_s)
+        self.engines: dict[TargetId, Engine] = {}
+        self.engines_age = KnowledgeAge(engines_bound_s)
+        self.engine_callbacks: list[Callable[[Engine | None, Engine | None], None]] = []
+        self.table_callbacks: list[Callable[[RouteTable], None]] = []
+
+    def apply_table(self, table: RouteTable) -> None:
+        """Put a configuration into force unless a newer one is.
+
+        :param table: the configuration.
+        """
+        if self.table is not None and table.version <= self.table.version:
+            return
+        before = None if self.table is None else self.table.version
+        self.table = table
+        self._log.record("configuration.in_force", version=table.version, before=before)
+        for callback in self.table_callbacks:
+            callback(table)
+
+    def apply_change(self, change: EngineChange) -> None:
+        """Take in what a target says of itself.
+
+        :param change: the change.
+        """
+        before = self.engines.get(change.target)
+        after = change.engine
+        if before == after:
+            return
+        if after is None:
+            del self.engines[change.target]
+        else:
+            self.engines[change.target] = after
+        self._log_change(change.target, before, after)
+        for callback in self.engine_callbacks:
+            callback(before, after)
+
+    def retain(self, targets: set[TargetId]) -> None:
+        """Drop the targets that a snapshot does not contain.
+
+        :param targets: those that it contains.
+        """
+        for target in self.engines.keys() - targets:
+            self.apply_change(EngineChange(target, None))
+
+    def engines_of(self, service: ServiceId) -> list[Engine]:
+        """List the targets of a service that take work.
+
+        :param service: name of the service.
+        """
+        return [
+            engine
+            for engine in self.engines.values()
+            if engine.service == service and not engine.is_leaving
+        ]
+
+    def _log_change(
+        self, target: TargetId, before: Engine | None, after: Engine | None
+    ) -> None:
+        if after is None:
+            self._log.record("engine.gone", target=target)
+        elif before is None or before.incarnation != after.incarnation:
+            self._log.record(
+                "engine.seen",
+                target=target,
+                address=after.address,
+                domain=after.domain,
+                layers=[after.layers.begin, after.layers.end],
+                is_leaving=after.is_leaving,
+            )
+        elif after.is_leaving != before.is_leaving or after.layers != before.layers:
+            self._log.record(
+                "engine.changed",
+                target=target,
+                layers=[after.layers.begin, after.layers.end],
+                is_leaving=after.is_leaving,
+            )
+
+
+class FeedFollower(Generic[Item]):
+    """Keeps a copy of a feed current.
+
+    :param name: name of the feed, for log lines.
+    :param feed: the feed.
+    :param apply: takes in one item.
+    :param replace: takes in a snapshot.
+    :param age: told when the copy was current.
+    :param log: gets a line when the feed is lost or back.
+    :param wait_s: how long the store may wait for changes, in seconds.
+    :param interval_s: pause between two reads, in seconds.
+    :param random_state: spreads the retries of many daemons.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        feed: Feed[Item],
+        apply: Callable[[Item], None],
+        replace: Callable[[tuple[Item, ...]], None],
+        age: KnowledgeAge,
+        log: DecisionLog,
+        wait_s: float,
+        interval_s: float,
+        random_state: random.Random,
+    ) -> None:
+        self._name = name
+        self._feed = feed
+        self._apply = apply
+        self._replace = replace
+        self._age = age
+        self._log = log
+        self._wait_s = wait_s
+        self._interval_s = interval_s
+        self._random_state = random_state
+        self._position: int | None = None
+        self._is_lost = False
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        delay_s = MIN_RETRY_DELAY_S
+        while True:
+            try:
+                await self._read()
+            except Truncated as error:
+                self._log.record("feed.truncated", feed=self._name, reason=str(error))
+                self._position = None
+                continue
+            except LogUnavailable as error:
+                self._note_lost(str(error))
+                await asyncio.sleep(delay_s * self._random_state.uniform(0.5, 1.0))
+                delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
+                continue
+            delay_s = MIN_RETRY_DELAY_S
+            self._note_regained()
+            if self._interval_s:
+                await asyncio.sleep(self._interval_s)
+
+    async def _read(self) -> None:
+        asked_s = suspended_clock_s()
+        if self._position is None:
+            page: FeedPage[Item] = await self._feed.snapshot()
+            self._replace(page.items)
+            self._age.confirm(asked_s)
+        else:
+            page = await self._feed.changes(self._position, self._wait_s)
+            for item in page.items:
+                self._apply(item)
+            # An empty page is only sent after the whole wait.
+            waited_s = 0.0 if page.items else self._wait_s
+            self._age.confirm(min(asked_s + waited_s, suspended_clock_s()))
+        self._position = page.position
+
+    def _note_lost(self, reason: str) -> None:
+        if not self._is_lost:
+            self._log.record("store.lost", feed=self._name, reason=reason)
+        self._is_lost = True
+
+    def _note_regained(self) -> None:
+        if self._is_lost:
+            self._log.record("store.regained", feed=self._name)
+        self._is_lost = False
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_loads.py
@@ -0,0 +1,75 @@
+"""Work in progress on engines, told among daemons by gossip.
+
+Daemons of a domain tell each other their own work. Other domains are told the sum of
+the domain's, by whichever of its daemons they hear.
+"""
+
+import msgspec
+
+from cassiaspread_core.base import DomainId, TargetId
+from cassiaspread_core.chains import LoadLedger, StageLoad
+from cassiaspread_daemon.gateway._job import now
+from cassiaspread_daemon.mesh import Mesh, Sender
+
+TOPIC = "engine-loads"
+# Work of a daemon that says nothing for this long is taken to have ended, in seconds.
+SILENCE_S = 3.0
+
+# Sequences, cache in tokens times layers, and requests headed, by engine.
+Row = tuple[int, int, int]
+
+
+class LoadNews(msgspec.Struct, frozen=True, array_like=True):
+    """What a daemon tells of the work in progress.
+
+    :param own: its own work by engine.
+    :param domain: the work of all daemons of its domain by engine.
+    """
+
+    own: dict[TargetId, Row]
+    domain: dict[TargetId, Row]
+
+
+class LoadSharing:
+    """Tells and hears the work in progress.
+
+    :param domain: failure domain of this daemon.
+    :param mesh: messages between daemons.
+    :param ledger: work in progress.
+    """
+
+    def __init__(self, domain: DomainId, mesh: Mesh, ledger: LoadLedger) -> None:
+        self._domain = domain
+        self._ledger = ledger
+        self._near = LoadLedger()
+        mesh.add_topic(TOPIC, self._produce, LoadNews, self._consume)
+
+    def _produce(self) -> LoadNews:
+        own = self._ledger.own
+        self._near.forget_silent(now(), SILENCE_S)
+        self._ledger.forget_silent(now(), SILENCE_S)
+        domain = {target: _to_row(load) for target, load in own.items()}
+        for target in self._near.targets():
+            load = self._near.total(target)
+            if target in own:
+                load = StageLoad(0, 0.0, 0)
+                load.add(self._near.total(target))
+                load.add(own[target])
+            domain[target] = _to_row(load)
+        return LoadNews({t: _to_row(load) for t, load in own.items()}, domain)
+
+    def _consume(self, news: LoadNews, sender: Sender) -> None:
+        if sender.domain == self._domain:
+            loads = _to_loads(news.own)
+            self._near.hear(sender.incarnation, loads, now())
+            self._ledger.hear(sender.incarnation, loads, now())
+        else:
+            self._ledger.hear(sender.domain, _to_loads(news.domain), now())
+
+
+def _to_row(load: StageLoad) -> Row:
+    return load.n_sequences, round(load.token_layers), load.n_heads
+
+
+def _to_loads(rows: dict[TargetId, Row]) -> dict[TargetId, StageLoad]:
+    return {target: StageLoad(*row) for target, row in rows.items()}
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -0,0 +1,183 @@
+"""Requests to plain services: one answer, sent on when it is whole."""
+
+import asyncio
+import random
+
+import msgspec
+
+from cassiaspread_core.admission import RetryBudget
+from cassiaspread_core.base import Refusal, TargetId
+from cassiaspread_core.targets import TargetHealth
+from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken, Response
+from cassiaspread_daemon.gateway._decision_log import DecisionLog
+from cassiaspread_daemon.gateway._dispatch import Assignment, Dispatcher
+from cassiaspread_daemon.gateway._job import Job, broken_off, now, timed_out
+from cassiaspread_daemon.gateway._pool import ConnectionPool
+from cassiaspread_daemon.gateway._terms import AnswerTerms, ForwardTerms, Wire
+
+# A target in the same region answers a connection attempt in a few milliseconds.
+CONNECT_TIMEOUT_S = 0.25
+# When another target has room again is not known: about the time of a short request.
+RETRY_AFTER_S = 0.1
+# Targets that one request is offered to at most. A target that refuses one has not run
+# it, so this does not count as an attempt.
+MAX_OFFERS = 3
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """What a target answered.
+
+    :param response: the whole response.
+    :param terms: what its status and headers say.
+    """
+
+    response: Response
+    terms: AnswerTerms
+
+
+class PlainForwarder:
+    """Sends requests to plain services.
+
+    :param wire: headers of requests and answers.
+    :param pool: connections to targets.
+    :param dispatcher: chooses targets.
+    :param health: verdicts on targets.
+    :param log: gets a line for each decision.
+    :param random_state: spreads callers' returns.
+    """
+
+    def __init__(
+        self,
+        wire: Wire,
+        pool: ConnectionPool,
+        dispatcher: Dispatcher,
+        health: TargetHealth,
+        log: DecisionLog,
+        random_state: random.Random,
+    ) -> None:
+        self._wire = wire
+        self._pool = pool
+        self._dispatcher = dispatcher
+        self._health = health
+        self._log = log
+        self._random_state = random_state
+
+    async def forward(self, job: Job, budget: RetryBudget) -> None:
+        """Send a request and answer its caller.
+
+        :param job: the request.
+        :param budget: retries that this daemon may still make.
+        :raises Refusal: it is not answered by a target.
+        """
+        answer = await self._run(job, budget)
+        headers = self._wire.answer_headers(answer.response.headers)
+        job.ingress.answer(answer.response.status, headers, answer.response.body)
+
+    async def _run(self, job: Job, budget: RetryBudget) -> Answer:
+        tried: list[TargetId] = []
+        n_runs = 0
+        failed: Answer | None = None
+        error: ExchangeBroken | None = None
+        while len(tried) < MAX_OFFERS and n_runs < job.route.max_attempts:
+            if job.remaining_s(now()) <= 0:
+                break
+            if tried and not budget.take():
+                self._log.record("retry.denied", request=job.terms.request_id)
+                break
+            assignment = self._dispatcher.assign(
+                job.service, job.demand, now(), avoid=tried
+            )
+            if assignment is None:
+                break
+            tried.append(assignment.head.target)
+            try:
+                answer = await self._offer(job, assignment)
+            except ConnectFailed as failure:
+                self._note_unreachable(job, assignment, str(failure))
+                continue
+            except ExchangeBroken as failure:
+                self._note_unreachable(job, assignment, str(failure))
+                error = failure
+                n_runs += 1
+                if not job.route.may_repeat:
+                    break
+                continue
+            if answer.terms.is_not_run:
+                self._note_failure(job, assignment, answer)
+                continue
+            n_runs += 1
+            if answer.terms.status < 500:
+                self._health.note_success(assignment.head.target)
+                return answer
+            self._note_failure(job, assignment, answer)
+            failed = answer
+            if not job.route.may_repeat:
+                break
+        if failed is not None and failed.terms.is_sealed:
+            return failed
+        raise self._refusal(job, error, n_runs)
+
+    def _refusal(self, job: Job, error: ExchangeBroken | None, n_runs: int) -> Refusal:
+        if job.remaining_s(now()) <= 0:
+            return timed_out(is_sent=n_runs > 0)
+        if n_runs:
+            return broken_off(str(error or "the target failed"))
+        return Refusal(
+            503, "no-capacity", "No target took it.", retry_after_s=RETRY_AFTER_S
+        )
+
+    async def _offer(self, job: Job, assignment: Assignment) -> Answer:
+        head = assignment.head
+        terms = ForwardTerms(
+            timeout_s=job.remaining_s(now()),
+            target=head.target,
+            organisation=job.organisation,
+            priority=job.priority,
+            chain=assignment.chain,
+        )
+        headers = self._wire.forward_headers(job.ingress.headers, terms)
+        timeout_s = min(CONNECT_TIMEOUT_S, terms.timeout_s)
+        # A kept connection may be closed by the target just as the request leaves,
+        # which can't be told from a request that ran.
+        is_new = not job.route.may_repeat
+        try:
+            async with (
+                self._pool.exchange(head.address, timeout_s, is_new) as exchange,
+                asyncio.timeout(job.remaining_s(now())),
+            ):
+                status = await exchange.send(
+                    job.ingress.method,
+                    job.ingress.target,
+                    job.ingress.body,
+                    headers,
+                    is_expected=lambda h: self._wire.answers(h, job.terms.request_id),
+                )
+                response = await exchange.finish()
+        except TimeoutError:
+            raise ExchangeBroken("no answer in time") from None
+        finally:
+            self._dispatcher.release(assignment)
+        answer = self._wire.read_answer(status, response.headers)
+        if not answer.is_sealed and not answer.is_not_run and status < 400:
+            raise ExchangeBroken(f"answer {status} without a signature")
+        return Answer(response, answer)
+
+    def _note_unreachable(self, job: Job, assignment: Assignment, reason: str) -> None:
+        self._health.note_unreachable(assignment.head.target, now())
+        self._log.record(
+            "attempt.broken",
+            request=job.terms.request_id,
+            target=assignment.head.target,
+            reason=reason,
+        )
+
+    def _note_failure(self, job: Job, assignment: Assignment, answer: Answer) -> None:
+        is_suspect = self._health.note_failure(assignment.head.target, now())
+        self._log.record(
+            "attempt.failed",
+            request=job.terms.request_id,
+            target=assignment.head.target,
+            status=answer.terms.status,
+            is_not_run=answer.terms.is_not_run,
+            is_suspect=is_suspect,
+        )
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_pool.py
@@ -0,0 +1,104 @@
+"""Connections to targets and to the platform, kept open between requests."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from tornado.iostream import IOStream
+
+from cassiaspread_daemon._exchange import Exchange
+
+# A target closes a connection that was idle for the time that it announces; requests
+# sent just then are lost.
+IDLE_MARGIN_S = 1.0
+# Used where a target announces no time.
+DEFAULT_IDLE_S = 4.0
+MAX_IDLE_PER_ADDRESS = 32
+
+
+class ConnectionPool:
+    """Owns idle connections; a context manager."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[tuple[float, IOStream]]] = {}
+        self.n_opened = 0
+
+    def __enter__(self) -> "ConnectionPool":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for address in list(self._idle):
+            self.drop(address)
+
+    @asynccontextmanager
+    async def exchange(
+        self, address: str, connect_timeout_s: float, is_new: bool = False
+    ) -> AsyncIterator[Exchange]:
+        """Lend a connection for one request and keep it if it stays usable.
+
+        :param address: ``host:port``.
+        :param connect_timeout_s: longest wait for a new connection, in seconds.
+        :param is_new: whether an idle connection will not do.
+        :raises ConnectFailed: no connection could be opened.
+        """
+        stream = None if is_new else self._take(address)
+        if stream is None:
+            self.n_opened += 1
+            exchange = await Exchange.open(
+                address, connect_timeout_s, keeps_connection=True
+            )
+        else:
+            exchange = Exchange(stream, address, keeps_connection=True)
+        try:
+            yield exchange
+        finally:
+            self._give_back(exchange)
+
+    def drop(self, address: str) -> None:
+        """Close the idle connections to an address.
+
+        :param address: ``host:port``.
+        """
+        for _, stream in self._idle.pop(address, ()):
+            stream.set_close_callback(None)
+            stream.close()
+
+    def _take(self, address: str) -> IOStream | None:
+        now_s = asyncio.get_running_loop().time()
+        idle = self._idle.get(address, [])
+        while idle:
+            expires_s, stream = idle.pop()
+            stream.set_close_callback(None)
+            if expires_s > now_s and not stream.closed():
+                return stream
+            stream.close()
+        return None
+
+    def _give_back(self, exchange: Exchange) -> None:
+        headers = exchange.headers
+        stream = exchange.release()
+        if stream is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        expires_s = now_s + _idle_time_s(headers.get("Keep-Alive", ""))
+        idle = self._idle.setdefault(exchange.address, [])
+        if expires_s <= now_s or len(idle) >= MAX_IDLE_PER_ADDRESS:
+            stream.close()
+            return
+        entry = (expires_s, stream)
+        idle.append(entry)
+        # The callback also makes the stream notice that the other end closes it.
+        stream.set_close_callback(lambda: self._forget(exchange.address, entry))
+
+    def _forget(self, address: str, entry: tuple[float, IOStream]) -> None:
+        idle = self._idle.get(address, [])
+        if entry in idle:
+            idle.remove(entry)
+
+
+def _idle_time_s(keep_alive: str) -> float:
+    for part in keep_alive.split(","):
+        name, _, value = part.strip().partition("=")
+        if name == "timeout" and value.isdigit():
+            return float(value) - IDLE_MARGIN_S
+    return DEFAULT_IDLE_S
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -0,0 +1,214 @@
+"""From a caller's request to its answer: route, key, service, forwarding, refusal."""
+
+import random
+
+from cassiaspread_core.admission import RetryBudget
+from cassiaspread_core.base import Outcome, Refusal, RequestId, ServiceId
+from cassiaspread_core.chains import Demand
+from cassiaspread_core.routing import (
+    Organisation,
+    RequestKind,
+    Route,
+    RouteTable,
+    Service,
+)
+from cassiaspread_daemon.gateway._decision_log import DecisionLog
+from cassiaspread_daemon.gateway._dispatch import Dispatcher
+from cassiaspread_daemon.gateway._front import CallerGone, Ingress
+from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
+from cassiaspread_daemon.gateway._job import Job, now, refuse
+from cassiaspread_daemon.gateway._knowledge import Knowledge, suspended_clock_s
+from cassiaspread_daemon.gateway._plain import PlainForwarder
+from cassiaspread_daemon.gateway._stream import StreamForwarder
+from cassiaspread_daemon.gateway._terms import RequestTerms, Wire
+
+# Until the daemon has read the configuration for the first time, or again.
+RETRY_AFTER_UNKNOWN_S = 0.5
+LOWEST_PRIORITY = 9
+# Longest time taken from a caller that names none, in seconds.
+DEFAULT_TIMEOUT_S = 60.0
+
+
+class RetryLimits:
+    """Retries allowed to this daemon, by service.
+
+    :param ratio: retries for each request.
+    :param burst: retries that may be saved up.
+    """
+
+    def __init__(self, ratio: float, burst: float) -> None:
+        self._ratio = ratio
+        self._burst = burst
+        self._budgets: dict[ServiceId, RetryBudget] = {}
+
+    def note_request(self, service: ServiceId) -> RetryBudget:
+        """Earn part of a retry with a new request.
+
+        :param service: service that runs it.
+        :returns: the service's budget.
+        """
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(self._burst)
+        budget.note_success(self._ratio)
+        return budget
+
+
+class Router:
+    """Answers callers' requests.
+
+    :param wire: headers of requests and answers.
+    :param knowledge: configuration and targets.
+    :param dispatcher: chooses targets.
+    :param plain: sends requests to plain services.
+    :param stream: relays streams.
+    :param retries: retries allowed.
+    :param settled_s: age in seconds from which a configuration may lack routes and
+        keys that are in force elsewhere.
+    :param log: gets a line for each decision.
+    :param metrics: counts requests.
+    :param random_state: chooses among a route's services, spreads returns.
+    """
+
+    def __init__(
+        self,
+        wire: Wire,
+        knowledge: Knowledge,
+        dispatcher: Dispatcher,
+        plain: PlainForwarder,
+        stream: StreamForwarder,
+        retries: RetryLimits,
+        settled_s: float,
+        log: DecisionLog,
+        metrics: GatewayMetrics,
+        random_state: random.Random,
+    ) -> None:
+        self._wire = wire
+        self._knowledge = knowledge
+        self._dispatcher = dispatcher
+        self._plain = plain
+        self._stream = stream
+        self._retries = retries
+        self._settled_s = settled_s
+        self._log = log
+        self._metrics = metrics
+        self._random_state = random_state
+
+    async def handle(self, ingress: Ingress) -> None:
+        """Answer one request.
+
+        :param ingress: the request.
+        """
+        terms = RequestTerms(request_id=RequestId(""))
+        kind = "unrouted"
+        outcome = "answered"
+        try:
+            try:
+                terms = self._wire.read_request(ingress.headers)
+            except ValueError as error:
+                raise Refusal(400, "bad-request", str(error)) from None
+            job = self._prepare(ingress, terms)
+            kind = job.route.kind.value
+            budget = self._retries.note_request(job.service.name)
+            if job.route.kind is RequestKind.STREAM:
+                await self._stream.forward(job, budget)
+            else:
+                await self._plain.forward(job, budget)
+        except Refusal as refusal:
+            outcome = refusal.code
+            self._refuse(ingress, terms, refusal)
+        except CallerGone:
+            outcome = "caller-gone"
+        except BaseException:
+            outcome = "cancelled"
+            raise
+        finally:
+            self._note_end(ingress, terms, kind, outcome)
+
+    def _prepare(self, ingress: Ingress, terms: RequestTerms) -> Job:
+        table = self._knowledge.table
+        if table is None:
+            raise _not_known("No configuration is known yet.")
+        route = table.find_route(ingress.headers.get("Host", ""), ingress.path)
+        if route is None:
+            self._check_settled()
+            raise Refusal(404, "unknown-route", "No route matches host and path.")
+        organisation = self._find_organisation(table, route, terms)
+        service = self._choose_service(table, route)
+        timeout_s = (
+            terms.timeout_s if terms.timeout_s is not None else DEFAULT_TIMEOUT_S
+        )
+        priority = route.priority
+        if organisation is not None and organisation.priority is not None:
+            priority = organisation.priority
+        return Job(
+            ingress=ingress,
+            terms=terms,
+            route=route,
+            service=service,
+            demand=self._demand(service, terms),
+            deadline_s=ingress.arrived_s + min(timeout_s, route.timeout_s),
+            organisation=None if organisation is None else organisation.name,
+            priority=min(LOWEST_PRIORITY, priority),
+        )
+
+    def _find_organisation(
+        self, table: RouteTable, route: Route, terms: RequestTerms
+    ) -> Organisation | None:
+        if not table.has_keys or route.is_anonymous:
+            return None
+        if not self._knowledge.configuration_age.is_valid(suspended_clock_s()):
+            raise _not_known("It is not known whether the key is still in force.")
+        organisation = table.find_organisation(terms.key or "")
+        if organisation is None:
+            self._check_settled()
+            raise Refusal(401, "unknown-key", "The key belongs to no organisation.")
+        return organisation
+
+    def _check_settled(self) -> None:
+        age_s = self._knowledge.configuration_age.age_s(suspended_clock_s())
+        if age_s > self._settled_s:
+            raise _not_known("The configuration may have changed since it was read.")
+
+    def _choose_service(self, table: RouteTable, route: Route) -> Service:
+        weights = [backend.weight for backend in route.backends]
+        if sum(weights) <= 0:
+            weights = [1.0] * len(weights)
+        backend = self._random_state.choices(route.backends, weights)[0]
+        return table.services.get(backend.service, Service(backend.service))
+
+    def _demand(self, service: Service, terms: RequestTerms) -> Demand:
+        usual = service.model
+        answer = terms.answer_hint or (usual.usual_answer if usual else 0)
+        if terms.max_answer_tokens:
+            answer = min(answer, terms.max_answer_tokens)
+        return Demand(terms.prompt_tokens, answer, self._dispatcher.domain)
+
+    def _refuse(self, ingress: Ingress, terms: RequestTerms, refusal: Refusal) -> None:
+        if ingress.is_started:
+            ingress.abort()
+            return
+        refuse(ingress, self._wire, terms, refusal, self._random_state)
+
+    def _note_end(
+        self, ingress: Ingress, terms: RequestTerms, kind: str, outcome: str
+    ) -> None:
+        elapsed_s = now() - ingress.arrived_s
+        table = self._knowledge.table
+        self._metrics.note_request(kind, outcome, ingress.status, elapsed_s)
+        self._log.record(
+            "request.ended",
+            request=terms.request_id,
+            kind=kind,
+            path=ingress.path,
+            status=ingress.status,
+            outcome=outcome,
+            elapsed_ms=round(elapsed_s * 1000, 1),
+            configuration=None if table is None else table.version,
+        )
+
+
+def _not_known(detail: str) -> Refusal:
+    return Refusal(
+        503, "not-known", detail, Outcome.NOT_RUN, retry_after_s=RETRY_AFTER_UNKNOWN_S
+    )
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_settings.py
@@ -0,0 +1,42 @@
+"""Settings of a gateway."""
+
+import msgspec
+
+from cassiaspread_core.base import DomainId, VmId
+from cassiaspread_daemon._settings import Address
+
+
+class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Checked settings of one gateway.
+
+    :param vm: name of its VM.
+    :param domain: its failure domain.
+    :param listen: where callers connect.
+    :param readiness: where the balancer asks whether it is ready.
+    :param metrics: where metrics are served, if anywhere.
+    :param peer_listen: where other daemons connect, if they talk.
+    :param seeds: where some other daemons listen.
+    :param configuration_bound_s: longest time that keys are accepted after the
+        configuration was last known to be current, in seconds.
+    :param settled_s: time within which a configuration comes into force, in seconds.
+    :param leaving_bound_s: time within which a leaving target gets no more work.
+    :param retry_ratio: retries allowed for each request, over all daemons.
+    :param retry_burst: retries allowed beyond that, over all daemons.
+    :param n_daemons: how many daemons share the retries at most.
+    :param exit_timeout_s: time from SIGTERM to the end of the process, in seconds.
+    """
+
+    vm: VmId
+    domain: DomainId
+    listen: Address
+    readiness: Address
+    metrics: Address | None = None
+    peer_listen: Address | None = None
+    seeds: tuple[Address, ...] = ()
+    configuration_bound_s: float = 5.0
+    settled_s: float = 2.0
+    leaving_bound_s: float = 2.0
+    retry_ratio: float = 0.2
+    retry_burst: float = 128.0
+    n_daemons: int = 16
+    exit_timeout_s: float = 8.0
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_base.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_base.py
@@ -19,39 +19,12 @@
 )
 from cassiaspread_core.policy import Limits
 from cassiaspread_daemon._node import Node
+from cassiaspread_daemon._problem import PROBLEM_CONTENT_TYPE, to_problem
 
 MAX_HEADER_BYTES = 32_768
 MAX_KEY_LENGTH = 128
 MAX_DISCARDED_BYTES = 16_777_216
 MILLISECONDS_PER_SECOND = 1000
-PROBLEM_CONTENT_TYPE = "application/problem+json"
-PROBLEM_TYPE_PREFIX = "urn:cassiaspread:problem:"
-
-
-class Problem(msgspec.Struct, omit_defaults=True):
-    """Problem details of a refusal (RFC 9457)."""
-
-    type: str
-    title: str
-    status: int
-    detail: str
-    outcome: Outcome
-    retry_after_s: float | None = None
-
-
-def to_problem(refusal: Refusal) -> Problem:
-    """Return the problem details of a refusal.
-
-    :param refusal: the refusal.
-    """
-    return Problem(
-        type=PROBLEM_TYPE_PREFIX + refusal.code,
-        title=refusal.code.replace("-", " ").capitalize(),
-        status=refusal.status,
-        detail=refusal.detail,
-        outcome=refusal.outcome,
-        retry_after_s=refusal.retry_after_s,
-    )
 
 
 class BaseHandler(RequestHandler):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completion_format.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completion_format.py
@@ -11,7 +11,7 @@
 
 from cassiaspread_core.base import Refusal
 from cassiaspread_core.pipeline import TokenStep
-from cassiaspread_daemon.handlers._base import to_problem
+from cassiaspread_daemon._problem import to_problem
 
 STREAM_END = b"data: [DONE]\n\n"
 TEXT_MARK = "\x00"
