Idle kept connections are closed while a daemon leaves

Ruled out: the listener (closed after 3 s); answers begun after SIGTERM (they close their connection); the connections left were idle or busy with answers begun before it. Change: once the listener has stopped, connections without a request are closed, and those that become idle after it. Conclusion: a leaving daemon takes no request that it could not finish.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_front.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_front.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
 
-from tornado.http1connection import HTTP1Connection
+from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httputil import (
     HTTPHeaders,
     HTTPMessageDelegate,
@@ -119,6 +119,8 @@
     def __init__(self, handler: Handler) -> None:
         self._handler = handler
         self._tasks: set[asyncio.Task[None]] = set()
+        # Connections that are open, and whether a request is in progress on them.
+        self._connections: dict[HTTP1ServerConnection, bool] = {}
 
     @property
     def n_requests(self) -> int:
@@ -126,29 +128,50 @@
         return len(self._tasks)
 
     def start_request(
-        self, server_conn: object, request_conn: HTTP1Connection
+        self, server_conn: HTTP1ServerConnection, request_conn: HTTP1Connection
     ) -> HTTPMessageDelegate:
         """Read one request.
 
         :param server_conn: identifies the connection.
         :param request_conn: the request's side of it.
         """
-        return _RequestReader(self, request_conn)
+        self._connections.setdefault(server_conn, False)
+        return _RequestReader(self, server_conn, request_conn)
 
-    def on_close(self, server_conn: object) -> None:
-        """Take note of a closed connection; each request notices by itself.
+    def on_close(self, server_conn: HTTP1ServerConnection) -> None:
+        """Forget a closed connection; its request notices by itself.
 
         :param server_conn: identifies the connection.
         """
+        self._connections.pop(server_conn, None)
 
-    def run(self, ingress: Ingress) -> asyncio.Task[None]:
+    def note_busy(self, server_conn: HTTP1ServerConnection, is_busy: bool) -> None:
+        """Take note that a request begins or ends on a connection.
+
+        :param server_conn: identifies the connection.
+        :param is_busy: whether a request is in progress.
+        """
+        if server_conn in self._connections:
+            self._connections[server_conn] = is_busy
+
+    async def close_idle(self) -> None:
+        """Close the connections on which no request is in progress."""
+        for server_conn, is_busy in list(self._connections.items()):
+            if not is_busy and not server_conn.stream.writing():
+                await server_conn.close()
+
+    def run(
+        self, ingress: Ingress, server_conn: HTTP1ServerConnection
+    ) -> asyncio.Task[None]:
         """Answer a request in a task of its own.
 
         :param ingress: the request.
+        :param server_conn: identifies its connection.
         """
         task = asyncio.create_task(self._run(ingress))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda _: self.note_busy(server_conn, False))
         return task
 
     async def _run(self, ingress: Ingress) -> None:
@@ -161,8 +184,14 @@
 
 
 class _RequestReader(HTTPMessageDelegate):
-    def __init__(self, front: Front, connection: HTTP1Connection) -> None:
+    def __init__(
+        self,
+        front: Front,
+        server_conn: HTTP1ServerConnection,
+        connection: HTTP1Connection,
+    ) -> None:
         self._front = front
+        self._server_conn = server_conn
         self._connection = connection
         self._chunks: list[bytes] = []
 
@@ -173,6 +202,7 @@
         self._start_line = start_line
         self._headers = headers
         self._arrived_s = time.monotonic()
+        self._front.note_busy(self._server_conn, True)
 
     def data_received(self, chunk: bytes) -> None:
         self._chunks.append(chunk)
@@ -185,7 +215,7 @@
             b"".join(self._chunks),
             self._arrived_s,
         )
-        task = self._front.run(ingress)
+        task = self._front.run(ingress, self._server_conn)
         self._connection.set_close_callback(task.cancel)
 
     def on_connection_close(self) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -256,8 +256,11 @@
         await asyncio.sleep(BALANCER_LAG_S)
         listener.stop()
         limit_s = leaving_s + self._settings.exit_timeout_s - EXIT_MARGIN_S
+        # A request that still came over a kept connection could not be finished.
+        await self._front.close_idle()
         while self._front.n_requests and now() < limit_s:
             await asyncio.sleep(DRAIN_POLL_S)
+            await self._front.close_idle()
 
     def _note_reload(self) -> None:
         # Addresses and domain of a running process do not change; what else the
