Domains get their lost layers back; silent engines stay suspect until they renew

Dark engines got new streams again a second after each verdict; each daemon learnt alone. Ruled out: detection of stalls (heads list them within 0.4 s); too little memory (the domain still held 90 layers of 80). Change: plan_moves lets engines whose layers others hold take over uncovered ones; the cache room is chosen by domain; a crossing weighs 40 transfers; a silent engine stays suspect until it renews its entry; peers are told of it.

--- a/packages/cassiaspread-core/src/cassiaspread_core/chains/_chain.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/chains/_chain.py
@@ -18,7 +18,7 @@
 LOCAL_HOP_MS = 0.1
 # The link between domains is shared by all chains that cross it, and full before the
 # engines are: a crossing weighs as much as this many transfers of the prompt.
-LINK_WEIGHT = 8.0
+LINK_WEIGHT = 40.0
 # Part of an engine's cache that may be promised to requests. Answers shorter than
 # announced leave the rest.
 USABLE_CACHE = 0.9
--- a/packages/cassiaspread-core/src/cassiaspread_core/placement/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/placement/__init__.py
@@ -15,6 +15,7 @@
     ModelSpec,
     cache_capacity,
 )
+from cassiaspread_core.placement._rebalance import plan_moves
 
 __all__ = [
     "NO_LAYERS",
@@ -28,4 +29,5 @@
     "choose_cache_sequences",
     "layers_that_fit",
     "plan_layout",
+    "plan_moves",
 ]
--- a/packages/cassiaspread-core/src/cassiaspread_core/placement/_layout.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/placement/_layout.py
@@ -33,38 +33,35 @@
     return min(model.n_layers, int(kind.memory_mb / mb_per_layer))
 
 
-def choose_cache_sequences(model: ModelSpec, engines: Sequence[Engine]) -> float:
-    """Choose the cache room that still leaves a whole copy to each domain.
+def choose_cache_sequences(
+    model: ModelSpec, engines: Sequence[Engine]
+) -> dict[DomainId, float]:
+    """Choose the most cache room that still leaves a whole copy to each domain.
 
-    Where no room does, the whole fleet together must hold a copy.
+    A domain that can't hold a copy takes the room at which the whole fleet holds one.
 
     :param model: the model.
     :param engines: engines that can hold layers.
-    :returns: sequences of usual length.
+    :returns: sequences of usual length, by domain.
     """
-    for is_enough in (_covers_each_domain, _covers_fleet):
-        for n_sequences in CACHE_SEQUENCES:
-            if is_enough(model, engines, n_sequences):
-                return n_sequences
-    return CACHE_SEQUENCES[-1]
-
-
-def _covers_each_domain(
-    model: ModelSpec, engines: Sequence[Engine], n_sequences: float
-) -> bool:
-    held: dict[DomainId, int] = {}
+    by_domain: dict[DomainId, list[Engine]] = {}
     for engine in engines:
-        fitting = layers_that_fit(model, engine.accelerator, n_sequences)
-        held[engine.domain] = held.get(engine.domain, 0) + fitting
-    return bool(held) and min(held.values()) >= model.n_layers
+        by_domain.setdefault(engine.domain, []).append(engine)
+    shared = _most_sequences(model, engines)
+    fallback = CACHE_SEQUENCES[-1] if shared is None else shared
+    chosen: dict[DomainId, float] = {}
+    for domain, own in by_domain.items():
+        n_sequences = _most_sequences(model, own)
+        chosen[domain] = fallback if n_sequences is None else n_sequences
+    return chosen
 
 
-def _covers_fleet(
-    model: ModelSpec, engines: Sequence[Engine], n_sequences: float
-) -> bool:
-    return model.n_layers <= sum(
-        layers_that_fit(model, engine.accelerator, n_sequences) for engine in engines
-    )
+def _most_sequences(model: ModelSpec, engines: Sequence[Engine]) -> float | None:
+    for n_sequences in CACHE_SEQUENCES:
+        fitting = (layers_that_fit(model, e.accelerator, n_sequences) for e in engines)
+        if sum(fitting) >= model.n_layers:
+            return n_sequences
+    return None
 
 
 class Coverage:
@@ -147,7 +144,8 @@
         else:
             empty.append(engine)
     sizes = {
-        e.target: layers_that_fit(model, e.accelerator, n_sequences) for e in empty
+        e.target: layers_that_fit(model, e.accelerator, n_sequences[e.domain])
+        for e in empty
     }
     chosen: dict[TargetId, LayerRange] = {}
     for engine in sorted(empty, key=lambda e: (-sizes[e.target], e.target)):
--- /dev/null
+++ b/packages/cassiaspread-core/src/cassiaspread_core/placement/_rebalance.py
@@ -0,0 +1,106 @@
+"""Moves that give a failure domain its whole copy of the model back.
+
+Load pattern: a large engine is lost for good, and with it the only copy of many layers
+in its domain. Every request there would cross the link between domains twice until
+that link is full; engines that hold layers a second time take them over instead.
+"""
+
+from collections.abc import Collection, Mapping, Sequence
+
+import msgspec
+
+from cassiaspread_core.base import DomainId, TargetId
+from cassiaspread_core.placement._layout import Coverage, Move
+from cassiaspread_core.placement._model import Engine, LayerRange, ModelSpec
+
+# Engines of one domain that move at the same time: each is lost to its requests while
+# it loads.
+MAX_MOVING_PER_DOMAIN = 2
+
+
+class _Choice(msgspec.Struct, frozen=True):
+    gain: float
+    move: Move
+
+
+def plan_moves(
+    model: ModelSpec,
+    engines: Sequence[Engine],
+    held: Mapping[TargetId, LayerRange],
+    moving: Collection[TargetId],
+) -> list[Move]:
+    """Choose engines that should hold other layers than they do.
+
+    :param model: the model.
+    :param engines: live engines.
+    :param held: layers that engines hold or are loading.
+    :param moving: engines that are loading already.
+    :returns: at most one move for each domain.
+    """
+    coverage = Coverage(model.n_layers)
+    by_domain: dict[DomainId, list[Engine]] = {}
+    n_moving: dict[DomainId, int] = {}
+    for engine in engines:
+        layers = held.get(engine.target)
+        if not layers or engine.is_leaving:
+            continue
+        coverage.add(engine.domain, layers)
+        if engine.target in moving:
+            n_moving[engine.domain] = n_moving.get(engine.domain, 0) + 1
+        else:
+            by_domain.setdefault(engine.domain, []).append(engine)
+    moves = []
+    for domain, candidates in by_domain.items():
+        if n_moving.get(domain, 0) < MAX_MOVING_PER_DOMAIN:
+            choice = _best_move(coverage, domain, candidates, held)
+            if choice is not None:
+                moves.append(choice.move)
+    return moves
+
+
+def _best_move(
+    coverage: Coverage,
+    domain: DomainId,
+    engines: Sequence[Engine],
+    held: Mapping[TargetId, LayerRange],
+) -> _Choice | None:
+    counts = coverage.domain(domain)
+    if min(counts) > 0:
+        return None
+    best: _Choice | None = None
+    for engine in engines:
+        layers = held[engine.target]
+        coverage.add(domain, layers, -1)
+        before = _n_covered(counts, layers)
+        chosen = coverage.choose_range(domain, len(layers))
+        gained = _n_covered(counts, chosen) - before
+        is_kept = all(
+            coverage.fleet[layer] for layer in range(*_dropped(layers, chosen))
+        )
+        coverage.add(domain, layers)
+        # Few layers to load for each one that is covered again.
+        n_loaded = len(layers) - len(range(*_common(layers, chosen)))
+        if gained <= 0 or not n_loaded or not is_kept:
+            continue
+        gain = gained - n_loaded / (len(layers) + 1)
+        if best is None or gain > best.gain:
+            best = _Choice(gain, Move(engine, chosen))
+    return best
+
+
+def _n_covered(counts: Sequence[int], layers: LayerRange) -> int:
+    """Return how many layers of a range have no other copy."""
+    return sum(counts[layer] == 0 for layer in range(layers.begin, layers.end))
+
+
+def _common(one: LayerRange, other: LayerRange) -> tuple[int, int]:
+    begin, end = max(one.begin, other.begin), min(one.end, other.end)
+    return begin, max(begin, end)
+
+
+def _dropped(before: LayerRange, after: LayerRange) -> tuple[int, int]:
+    if after.begin <= before.begin < after.end:
+        return max(before.begin, min(after.end, before.end)), before.end
+    if after.begin < before.end <= after.end:
+        return before.begin, max(after.begin, before.begin)
+    return before.begin, before.end
--- a/packages/cassiaspread-core/src/cassiaspread_core/targets/_health.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/targets/_health.py
@@ -15,6 +15,10 @@
 # others, in seconds. Doubles with each failure in a row.
 MIN_SUSPECT_S = 1.0
 MAX_SUSPECT_S = 8.0
+# A target's renewal may have been written this long before it was read, in seconds.
+RENEWAL_LAG_S = 1.2
+# What others say of a target counts less than an own success within this time.
+OWN_SUCCESS_S = 1.0
 # Part of a slowness that one more measurement replaces.
 SLOWNESS_WEIGHT = 0.3
 
@@ -23,6 +27,9 @@
     failure_rate: float = 0.0
     suspect_until_s: float = 0.0
     suspect_s: float = 0.0
+    unreachable_s: float = float("-inf")
+    renewed_s: float = float("-inf")
+    success_s: float = float("-inf")
     slowness: float = 1.0
 
 
@@ -31,8 +38,11 @@
 
     >>> health = TargetHealth()
     >>> health.note_unreachable("t", now_s=0.0)
-    >>> health.is_suspect("t", now_s=0.5), health.is_suspect("t", now_s=1.5)
-    (True, False)
+    >>> health.is_suspect("t", now_s=1.5)
+    True
+    >>> health.note_renewal("t", now_s=1.6)
+    >>> health.is_suspect("t", now_s=1.6)
+    False
     """
 
     def __init__(self) -> None:
@@ -45,7 +55,26 @@
         :param now_s: present time.
         """
         verdict = self._verdicts.get(target)
-        return verdict is not None and now_s < verdict.suspect_until_s
+        if verdict is None:
+            return False
+        # A target that fell silent for everyone also stops renewing its entry.
+        is_silent = (
+            verdict.renewed_s < verdict.unreachable_s + RENEWAL_LAG_S
+            and now_s < verdict.unreachable_s + MAX_SUSPECT_S
+        )
+        return is_silent or now_s < verdict.suspect_until_s
+
+    def unreachable_ages_s(self, now_s: float) -> dict[TargetId, float]:
+        """Return how long ago targets were found unreachable by this daemon.
+
+        :param now_s: present time.
+        :returns: seconds, of the targets that are suspect for it.
+        """
+        return {
+            target: now_s - verdict.unreachable_s
+            for target, verdict in self._verdicts.items()
+            if now_s - verdict.unreachable_s < MIN_SUSPECT_S
+        }
 
     def slowness(self, target: TargetId) -> float:
         """Return a target's time relative to what is usual for its kind.
@@ -55,13 +84,35 @@
         verdict = self._verdicts.get(target)
         return 1.0 if verdict is None else verdict.slowness
 
-    def note_success(self, target: TargetId) -> None:
+    def note_renewal(self, target: TargetId, now_s: float) -> None:
+        """Take in that a target renewed its entry in the list of targets.
+
+        :param target: the target.
+        :param now_s: present time.
+        """
+        self._verdicts.setdefault(target, _Verdict()).renewed_s = now_s
+
+    def hear_unreachable(self, target: TargetId, at_s: float, now_s: float) -> None:
+        """Take in that another daemon found a target unreachable.
+
+        :param target: the target.
+        :param at_s: when it found it so.
+        :param now_s: present time.
+        """
+        verdict = self._verdicts.setdefault(target, _Verdict())
+        if verdict.success_s < at_s - OWN_SUCCESS_S:
+            self._suspect(verdict, now_s)
+
+    def note_success(self, target: TargetId, now_s: float) -> None:
         """Take in a request that was answered.
 
         :param target: the target.
+        :param now_s: present time.
         """
-        verdict = self._verdicts.get(target)
-        if verdict is not None:
+        verdict = self._verdicts.setdefault(target, _Verdict())
+        verdict.success_s = now_s
+        if verdict.failure_rate:
+            verdict.unreachable_s = float("-inf")
             verdict.failure_rate *= 1.0 - RESULT_WEIGHT
             if verdict.failure_rate < SUSPECT_FAILURE_RATE:
                 verdict.suspect_s = 0.0
@@ -89,6 +140,7 @@
         """
         verdict = self._verdicts.setdefault(target, _Verdict())
         verdict.failure_rate += RESULT_WEIGHT * (1.0 - verdict.failure_rate)
+        verdict.unreachable_s = now_s
         self._suspect(verdict, now_s)
 
     def note_slowness(self, target: TargetId, slowness: float) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_duty.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_duty.py
@@ -7,7 +7,13 @@
 import msgspec
 
 from cassiaspread_core.base import LogUnavailable, TargetId
-from cassiaspread_core.placement import Engine, LayerRange, Move, plan_layout
+from cassiaspread_core.placement import (
+    Engine,
+    LayerRange,
+    Move,
+    plan_layout,
+    plan_moves,
+)
 from cassiaspread_core.routing import Service
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
@@ -118,24 +124,32 @@
         held = self._held(engines)
         if not held and now() - self._changed_s < SETTLE_S:
             return []
-        chosen = plan_layout(service.model, engines, held)
         by_target = {engine.target: engine for engine in engines}
-        return [
+        chosen = plan_layout(service.model, engines, held)
+        moves = [
             Move(by_target[target], layers)
             for target, layers in chosen.items()
             if not by_target[target].is_loading
         ]
+        if moves:
+            return moves
+        moving = {e.target for e in engines if e.is_loading or self._book(e).given}
+        return plan_moves(service.model, engines, held, moving)
 
     def _held(self, engines: list[Engine]) -> Mapping[TargetId, LayerRange]:
         now_s = now()
         held: dict[TargetId, LayerRange] = {}
         for engine in engines:
             book = self._book(engine)
-            if engine.layers:
+            given = book.given
+            if given is not None and (
+                engine.layers == given.layers or now_s > given.expires_s
+            ):
+                book.given = given = None
+            if given is not None:
+                held[engine.target] = given.layers
+            elif engine.layers:
                 held[engine.target] = engine.layers
-                book.given = None
-            elif book.given is not None and now_s < book.given.expires_s:
-                held[engine.target] = book.given.layers
         return held
 
     def _book(self, engine: Engine) -> _OrderBook:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -91,6 +91,9 @@
             settings.domain, self._knowledge, self._ledger, self._health, random_state
         )
         self._knowledge.engine_callbacks.append(self._note_engine)
+        self._knowledge.renewal_callbacks.append(
+            lambda target: self._health.note_renewal(target, now())
+        )
         self._duty = PlacementDuty(
             platform.duty,
             platform.engine_calls,
@@ -150,7 +153,7 @@
             self._peer_hints,
             address,
         )
-        LoadSharing(settings.domain, mesh, self._ledger)
+        LoadSharing(settings.domain, mesh, self._ledger, self._health)
         return mesh
 
     def _peer_hints(self) -> dict[str, DomainId | None]:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_knowledge.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_knowledge.py
@@ -41,6 +41,7 @@
         self.engines: dict[TargetId, Engine] = {}
         self.engines_age = KnowledgeAge(engines_bound_s)
         self.engine_callbacks: list[Callable[[Engine | None, Engine | None], None]] = []
+        self.renewal_callbacks: list[Callable[[TargetId], None]] = []
         self.table_callbacks: list[Callable[[RouteTable], None]] = []
 
     def apply_table(self, table: RouteTable) -> None:
@@ -63,6 +64,9 @@
         """
         before = self.engines.get(change.target)
         after = change.engine
+        if after is not None:
+            for renewed in self.renewal_callbacks:
+                renewed(change.target)
         if before == after:
             return
         if after is None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_loads.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_loads.py
@@ -1,4 +1,4 @@
-"""Work in progress on engines, told among daemons by gossip.
+"""Work in progress on engines and verdicts on them, told among daemons by gossip.
 
 Daemons of a domain tell each other their own work. Other domains are told the sum of
 the domain's, by whichever of its daemons they hear.
@@ -8,12 +8,14 @@
 
 from cassiaspread_core.base import DomainId, TargetId
 from cassiaspread_core.chains import LoadLedger, StageLoad
+from cassiaspread_core.targets import TargetHealth
 from cassiaspread_daemon.gateway._job import now
 from cassiaspread_daemon.mesh import Mesh, Sender
 
 TOPIC = "engine-loads"
 # Work of a daemon that says nothing for this long is taken to have ended, in seconds.
 SILENCE_S = 3.0
+MILLISECONDS_PER_SECOND = 1000
 
 # Sequences, cache in tokens times layers, and requests headed, by engine.
 Row = tuple[int, int, int]
@@ -24,10 +26,12 @@
 
     :param own: its own work by engine.
     :param domain: the work of all daemons of its domain by engine.
+    :param unreachable_ms: how long ago it found targets unreachable, in milliseconds.
     """
 
     own: dict[TargetId, Row]
     domain: dict[TargetId, Row]
+    unreachable_ms: dict[TargetId, int] = {}
 
 
 class LoadSharing:
@@ -36,11 +40,15 @@
     :param domain: failure domain of this daemon.
     :param mesh: messages between daemons.
     :param ledger: work in progress.
+    :param health: verdicts on targets.
     """
 
-    def __init__(self, domain: DomainId, mesh: Mesh, ledger: LoadLedger) -> None:
+    def __init__(
+        self, domain: DomainId, mesh: Mesh, ledger: LoadLedger, health: TargetHealth
+    ) -> None:
         self._domain = domain
         self._ledger = ledger
+        self._health = health
         self._near = LoadLedger()
         mesh.add_topic(TOPIC, self._produce, LoadNews, self._consume)
 
@@ -56,9 +64,18 @@
                 load.add(self._near.total(target))
                 load.add(own[target])
             domain[target] = _to_row(load)
-        return LoadNews({t: _to_row(load) for t, load in own.items()}, domain)
+        ages_s = self._health.unreachable_ages_s(now())
+        return LoadNews(
+            {t: _to_row(load) for t, load in own.items()},
+            domain,
+            {t: round(age_s * MILLISECONDS_PER_SECOND) for t, age_s in ages_s.items()},
+        )
 
     def _consume(self, news: LoadNews, sender: Sender) -> None:
+        now_s = now()
+        for target, age_ms in news.unreachable_ms.items():
+            at_s = now_s - age_ms / MILLISECONDS_PER_SECOND
+            self._health.hear_unreachable(target, at_s, now_s)
         if sender.domain == self._domain:
             loads = _to_loads(news.own)
             self._near.hear(sender.incarnation, loads, now())
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -107,7 +107,7 @@
                 continue
             n_runs += 1
             if answer.terms.status < 500:
-                self._health.note_success(assignment.head.target)
+                self._health.note_success(assignment.head.target, now())
                 return answer
             self._note_failure(job, assignment, answer)
             failed = answer
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -278,7 +278,7 @@
             await ingress.write(stream.events.rest)
         ingress.end()
         for target in assignment.targets:
-            self._health.note_success(target)
+            self._health.note_success(target, now())
         return _End.WHOLE
 
     async def _take_failure(
