Orders are waited for as long as their load takes; more cache room for each copy

Change: an order's effect is waited for as long as its load may take; the room tried first is for 60 sequences.

--- a/packages/cassiaspread-core/src/cassiaspread_core/placement/_layout.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/placement/_layout.py
@@ -14,7 +14,7 @@
 
 # Sequences of usual length for which a copy of the model has cache room, tried in
 # turn until each domain holds a whole copy.
-CACHE_SEQUENCES = (40, 30, 20, 12, 6, 2)
+CACHE_SEQUENCES = (60, 50, 40, 30, 20, 12, 6, 2)
 
 
 def layers_that_fit(model: ModelSpec, accelerator: str, n_sequences: float) -> int:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_duty.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_duty.py
@@ -10,6 +10,7 @@
 from cassiaspread_core.placement import (
     Engine,
     LayerRange,
+    ModelSpec,
     Move,
     plan_layout,
     plan_moves,
@@ -28,9 +29,11 @@
 # waits for them can place the large ones first.
 SETTLE_S = 1.5
 ORDER_TIMEOUT_S = 1.0
-# An order whose effect does not show in the engine's own words within this time is
-# taken not to have been carried out.
+# An order whose effect does not show in the engine's own words within this time beyond
+# the usual time of the load is taken not to have been carried out, in seconds.
 ORDER_EFFECT_S = 4.0
+# Loads that run side by side slow each other down by up to this factor.
+LOAD_TIME_FACTOR = 2.0
 
 
 class _Given(msgspec.Struct):
@@ -116,8 +119,9 @@
     async def _place_service(self, service: Service) -> None:
         engines = self._knowledge.engines_of(service.name)
         moves = self._plan(service, engines)
-        if moves:
-            await asyncio.gather(*(self._order(move) for move in moves))
+        if moves and service.model is not None:
+            model = service.model
+            await asyncio.gather(*(self._order(model, move) for move in moves))
 
     def _plan(self, service: Service, engines: list[Engine]) -> list[Move]:
         assert service.model is not None
@@ -158,9 +162,11 @@
             book = self._books[engine.target] = _OrderBook(engine.incarnation)
         return book
 
-    async def _order(self, move: Move) -> None:
+    async def _order(self, model: ModelSpec, move: Move) -> None:
         engine, book = move.engine, self._book(move.engine)
-        book.given = _Given(move.layers, now() + ORDER_EFFECT_S)
+        load_s = model.load_s * len(move.layers) / model.n_layers
+        effect_s = LOAD_TIME_FACTOR * load_s + ORDER_EFFECT_S
+        book.given = _Given(move.layers, now() + effect_s)
         outcome = await self._send(engine, move.layers, book.n_orders)
         self._metrics.note_order(outcome.value)
         self._log.record(
