One daemon a domain reads the list of engines; cut domains are avoided as a whole

Ruled out: longer waits for the configuration alone (the engines' renewals answer at once). Change: the first daemon of a domain by rendezvous hash reads the engines' entries and tells changes and renewals to its neighbours; one that hears nothing for 1.2 s reads itself. The wait for a configuration is 1.8 s, so that keys can still be served for 3 s after the store is lost. Two unreachable targets of a domain without an answer mark it as cut. Domains that lost engines hold more layers on the rest.

--- a/packages/cassiaspread-core/src/cassiaspread_core/placement/_rebalance.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/placement/_rebalance.py
@@ -10,7 +10,12 @@
 import msgspec
 
 from cassiaspread_core.base import DomainId, TargetId
-from cassiaspread_core.placement._layout import Coverage, Move
+from cassiaspread_core.placement._layout import (
+    Coverage,
+    Move,
+    choose_cache_sequences,
+    layers_that_fit,
+)
 from cassiaspread_core.placement._model import Engine, LayerRange, ModelSpec
 
 # Engines of one domain that move at the same time: each is lost to its requests while
@@ -50,9 +55,17 @@
         else:
             by_domain.setdefault(engine.domain, []).append(engine)
     moves = []
+    n_sequences = choose_cache_sequences(model, engines)
     for domain, candidates in by_domain.items():
         if n_moving.get(domain, 0) < MAX_MOVING_PER_DOMAIN:
-            choice = _best_move(coverage, domain, candidates, held)
+            # Only a domain that lost engines needs more layers on those that are left.
+            is_short = sum(coverage.domain(domain)) < model.n_layers
+            sizes = {
+                e.target: layers_that_fit(model, e.accelerator, n_sequences[domain])
+                for e in candidates
+                if is_short
+            }
+            choice = _best_move(coverage, domain, candidates, held, sizes)
             if choice is not None:
                 moves.append(choice.move)
     return moves
@@ -63,6 +76,7 @@
     domain: DomainId,
     engines: Sequence[Engine],
     held: Mapping[TargetId, LayerRange],
+    sizes: Mapping[TargetId, int],
 ) -> _Choice | None:
     counts = coverage.domain(domain)
     if min(counts) > 0:
@@ -71,25 +85,26 @@
     for engine in engines:
         layers = held[engine.target]
         coverage.add(domain, layers, -1)
-        before = _n_covered(counts, layers)
-        chosen = coverage.choose_range(domain, len(layers))
-        gained = _n_covered(counts, chosen) - before
+        before = _n_alone(counts, layers)
+        n_held = max(len(layers), sizes.get(engine.target, 0))
+        chosen = coverage.choose_range(domain, n_held)
+        gained = _n_alone(counts, chosen) - before
         is_kept = all(
             coverage.fleet[layer] for layer in range(*_dropped(layers, chosen))
         )
         coverage.add(domain, layers)
         # Few layers to load for each one that is covered again.
-        n_loaded = len(layers) - len(range(*_common(layers, chosen)))
+        n_loaded = len(chosen) - len(range(*_common(layers, chosen)))
         if gained <= 0 or not n_loaded or not is_kept:
             continue
-        gain = gained - n_loaded / (len(layers) + 1)
+        gain = gained - n_loaded / (len(chosen) + 1)
         if best is None or gain > best.gain:
             best = _Choice(gain, Move(engine, chosen))
     return best
 
 
-def _n_covered(counts: Sequence[int], layers: LayerRange) -> int:
-    """Return how many layers of a range have no other copy."""
+def _n_alone(counts: Sequence[int], layers: LayerRange) -> int:
+    """Return how many layers of a range no engine that is counted holds."""
     return sum(counts[layer] == 0 for layer in range(layers.begin, layers.end))
 
 
--- a/packages/cassiaspread-core/src/cassiaspread_core/targets/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/targets/__init__.py
@@ -1,5 +1,5 @@
 """How well targets answer."""
 
-from cassiaspread_core.targets._health import TargetHealth
+from cassiaspread_core.targets._health import DomainReach, TargetHealth
 
-__all__ = ["TargetHealth"]
+__all__ = ["DomainReach", "TargetHealth"]
--- a/packages/cassiaspread-core/src/cassiaspread_core/targets/_health.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/targets/_health.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cassiaspread_core.base import TargetId
+from cassiaspread_core.base import DomainId, TargetId
 
 # Part of a failure rate that one more result replaces.
 RESULT_WEIGHT = 0.2
@@ -19,6 +19,10 @@
 RENEWAL_LAG_S = 1.2
 # What others say of a target counts less than an own success within this time.
 OWN_SUCCESS_S = 1.0
+# Targets of one domain that are unreachable within a time, in seconds, while none of
+# it answers, show that the way to the domain is cut.
+CUT_TARGETS = 2
+CUT_WINDOW_S = 1.5
 # Part of a slowness that one more measurement replaces.
 SLOWNESS_WEIGHT = 0.3
 
@@ -33,6 +37,53 @@
     slowness: float = 1.0
 
 
+class DomainReach:
+    """Tells which failure domains cannot be reached.
+
+    Load pattern: a whole domain is cut off, and each of its targets would cost every
+    request a connection attempt before the next one is tried.
+
+    >>> reach = DomainReach()
+    >>> for target in ("a", "b"):
+    ...     reach.note_unreachable("d", target, now_s=1.0)
+    >>> reach.is_cut("d", now_s=2.0), reach.is_cut("d", now_s=4.0)
+    (True, False)
+    """
+
+    def __init__(self) -> None:
+        self._failures: dict[DomainId, dict[TargetId, float]] = {}
+
+    def note_unreachable(
+        self, domain: DomainId, target: TargetId, now_s: float
+    ) -> None:
+        """Take in a target that took no connection.
+
+        :param domain: its failure domain.
+        :param target: the target.
+        :param now_s: present time.
+        """
+        self._failures.setdefault(domain, {})[target] = now_s
+
+    def note_success(self, domain: DomainId) -> None:
+        """Take in that a target of a domain answered.
+
+        :param domain: the failure domain.
+        """
+        self._failures.pop(domain, None)
+
+    def is_cut(self, domain: DomainId, now_s: float) -> bool:
+        """Return whether other domains should be preferred.
+
+        :param domain: the failure domain.
+        :param now_s: present time.
+        """
+        failures = self._failures.get(domain)
+        if not failures:
+            return False
+        recent = sum(now_s - at_s < CUT_WINDOW_S for at_s in failures.values())
+        return recent >= CUT_TARGETS
+
+
 class TargetHealth:
     """Keeps one verdict for each target.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
@@ -17,7 +17,7 @@
 )
 from cassiaspread_core.placement import Engine
 from cassiaspread_core.routing import Service
-from cassiaspread_core.targets import TargetHealth
+from cassiaspread_core.targets import DomainReach, TargetHealth
 from cassiaspread_daemon.gateway._knowledge import Knowledge
 
 PLAIN_LOAD = StageLoad(n_sequences=1, token_layers=0.0, n_heads=1)
@@ -63,6 +63,7 @@
         self._knowledge = knowledge
         self._ledger = ledger
         self._health = health
+        self._reach = DomainReach()
         self._random_state = random_state
         self._freed = asyncio.Event()
 
@@ -87,7 +88,12 @@
             for e in self._knowledge.engines_of(service.name)
             if e.target not in avoided
         ]
-        sound = [e for e in engines if not self._health.is_suspect(e.target, now_s)]
+        sound = [
+            e
+            for e in engines
+            if not self._health.is_suspect(e.target, now_s)
+            and (e.domain == self.domain or not self._reach.is_cut(e.domain, now_s))
+        ]
         for candidates in (sound, engines):
             assignment = self._choose(service, demand, candidates)
             if assignment is not None:
@@ -107,6 +113,27 @@
             self._ledger.remove(target, load)
         self._freed.set()
 
+    def note_unreachable(self, engine: Engine, now_s: float) -> None:
+        """Take in a target that took no connection or fell silent.
+
+        :param engine: the target.
+        :param now_s: present time.
+        """
+        self._health.note_unreachable(engine.target, now_s)
+        self._reach.note_unreachable(engine.domain, engine.target, now_s)
+
+    def note_success(self, assignment: Assignment, now_s: float) -> None:
+        """Take in a request that was answered.
+
+        :param assignment: where it went.
+        :param now_s: present time.
+        """
+        for target in assignment.targets:
+            self._health.note_success(target, now_s)
+        self._reach.note_success(assignment.head.domain)
+        for stage in assignment.chain:
+            self._reach.note_success(stage.engine.domain)
+
     async def wait_freed(self) -> None:
         """Wait until a request ends or targets change."""
         self._freed.clear()
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -23,6 +23,7 @@
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._dispatch import Dispatcher
 from cassiaspread_daemon.gateway._duty import PlacementDuty
+from cassiaspread_daemon.gateway._engine_relay import EngineFollower
 from cassiaspread_daemon.gateway._front import Front, Ingress
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
 from cassiaspread_daemon.gateway._job import now
@@ -43,9 +44,9 @@
 
 # The store waits this long for a new configuration before it says that there is none:
 # knowledge of keys is never older in normal operation.
-CONFIGURATION_WAIT_S = 1.2
-# Half of the time in which a leaving target must get no more work.
-ENGINES_INTERVAL_SHARE = 0.5
+CONFIGURATION_WAIT_S = 1.8
+# Part of the time in which a leaving target must get no more work.
+ENGINES_INTERVAL_SHARE = 0.4
 # The balancer asks once a second and gives up after two misses.
 BALANCER_LAG_S = 3.0
 # Part of the time to the end of the process that is kept for ending it.
@@ -103,9 +104,9 @@
             random_state,
         )
         self._front = Front(self._build_router(random_state).handle)
-        self._followers = self._build_followers(random_state)
         self._exits = ExitStack()
         self._mesh = self._build_mesh()
+        self._followers = self._build_followers(random_state)
 
     def _build_router(self, random_state: random.Random) -> Router:
         wire, settings = self._platform.wire, self._settings
@@ -173,15 +174,15 @@
                 0.0,
                 random_state,
             ),
-            FeedFollower(
-                "engines",
+            EngineFollower(
+                self._settings.domain,
+                self._mesh,
+                knowledge,
                 self._platform.engines,
-                knowledge.apply_change,
                 self._replace_engines,
-                knowledge.engines_age,
                 self._log,
-                0.0,
                 self._settings.leaving_bound_s * ENGINES_INTERVAL_SHARE,
+                self._supervisor.add_child("relay"),
                 random_state,
             ),
         ]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_knowledge.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_knowledge.py
@@ -57,18 +57,18 @@
         for callback in self.table_callbacks:
             callback(table)
 
-    def apply_change(self, change: EngineChange) -> None:
+    def apply_change(self, change: EngineChange) -> bool:
         """Take in what a target says of itself.
 
         :param change: the change.
+        :returns: whether it says anything new.
         """
         before = self.engines.get(change.target)
         after = change.engine
         if after is not None:
-            for renewed in self.renewal_callbacks:
-                renewed(change.target)
+            self.note_renewed(change.target)
         if before == after:
-            return
+            return False
         if after is None:
             del self.engines[change.target]
         else:
@@ -76,6 +76,15 @@
         self._log_change(change.target, before, after)
         for callback in self.engine_callbacks:
             callback(before, after)
+        return True
+
+    def note_renewed(self, target: TargetId) -> None:
+        """Take in that a target renewed its entry.
+
+        :param target: the target.
+        """
+        for callback in self.renewal_callbacks:
+            callback(target)
 
     def retain(self, targets: set[TargetId]) -> None:
         """Drop the targets that a snapshot does not contain.
@@ -137,7 +146,7 @@
         self,
         name: str,
         feed: Feed[Item],
-        apply: Callable[[Item], None],
+        apply: Callable[[Item], object],
         replace: Callable[[tuple[Item, ...]], None],
         age: KnowledgeAge,
         log: DecisionLog,
@@ -162,6 +171,7 @@
         delay_s = MIN_RETRY_DELAY_S
         while True:
             try:
+                await self._wait_turn()
                 await self._read()
             except Truncated as error:
                 self._log.record("feed.truncated", feed=self._name, reason=str(error))
@@ -177,6 +187,12 @@
             if self._interval_s:
                 await asyncio.sleep(self._interval_s)
 
+    async def _wait_turn(self) -> None:
+        """Wait until this daemon is to read; here always at once."""
+
+    def _note_page(self, start: int | None, page: FeedPage[Item]) -> None:
+        """Take note of a page that was read and applied."""
+
     async def _read(self) -> None:
         asked_s = suspended_clock_s()
         if self._position is None:
@@ -190,7 +206,8 @@
             # An empty page is only sent after the whole wait.
             waited_s = 0.0 if page.items else self._wait_s
             self._age.confirm(min(asked_s + waited_s, suspended_clock_s()))
-        self._position = page.position
+        start, self._position = self._position, page.position
+        self._note_page(start, page)
 
     def _note_lost(self, reason: str) -> None:
         if not self._is_lost:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -107,7 +107,7 @@
                 continue
             n_runs += 1
             if answer.terms.status < 500:
-                self._health.note_success(assignment.head.target, now())
+                self._dispatcher.note_success(assignment, now())
                 return answer
             self._note_failure(job, assignment, answer)
             failed = answer
@@ -163,7 +163,7 @@
         return Answer(response, answer)
 
     def _note_unreachable(self, job: Job, assignment: Assignment, reason: str) -> None:
-        self._health.note_unreachable(assignment.head.target, now())
+        self._dispatcher.note_unreachable(assignment.head, now())
         self._log.record(
             "attempt.broken",
             request=job.terms.request_id,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -159,7 +159,7 @@
         try:
             return await self._relay(stream, assignment)
         except ConnectFailed as error:
-            self._health.note_unreachable(assignment.head.target, now())
+            self._dispatcher.note_unreachable(assignment.head, now())
             self._note_broken(stream, assignment, str(error))
             return _End.NOT_RUN
         except ExchangeBroken as error:
@@ -277,8 +277,7 @@
         if stream.events.rest:
             await ingress.write(stream.events.rest)
         ingress.end()
-        for target in assignment.targets:
-            self._health.note_success(target, now())
+        self._dispatcher.note_success(assignment, now())
         return _End.WHOLE
 
     async def _take_failure(
