Tests of the whole path on the platform's stand-ins

Ruled out: tests beside platform/ (pytest then takes the folder for the standard library's module of that name). Before: none.

--- /dev/null
+++ b/tests/users_platform/deployment.py
@@ -0,0 +1,237 @@
+"""A small deployment on the platform's stand-ins, as real processes."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+STANDINS = Path(__file__).parent / "standins"
+HOST = "shop.example"
+MODEL = "model-pool"
+PLAIN = "booking-pool"
+N_LAYERS = 8
+KEY = "key-of-celje"
+DOMAINS = ("celje", "velenje")
+WAIT_S = 15.0
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def wait_for(condition, timeout_s=WAIT_S):
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.05)
+    raise AssertionError(f"{condition} stayed false for {timeout_s} s")
+
+
+def route(name, prefix, kind, service, **fields):
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": prefix,
+        "route_kind": kind,
+        "timeout_ms": 8000,
+        "latency_slo_ms": 500,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        **fields,
+    }
+
+
+def configuration(version, **changes):
+    engine = {
+        "slots": 4,
+        "kv_token_bytes": 1_000_000,
+        "step_ms": 1.0,
+        "read_per_s": 100_000,
+        "layers": N_LAYERS,
+        "layer_mb": 100.0,
+        "kinds": [
+            {"name": "large", "size_mb": 900.0 + 60_000},
+            {"name": "small", "size_mb": 400.0 + 30_000},
+        ],
+        "models": [{"name": "m", "load_s": 1.0}],
+        "usual": {"prompt": 100, "answer": 40},
+    }
+    return {
+        "version": version,
+        "routes": [
+            route("draft", "/draft/", "streaming", MODEL, resumable=True),
+            route("book", "/book/", "non_idempotent", PLAIN, max_attempts=1),
+            route("stock", "/stock/", "idempotent", PLAIN),
+            route("open", "/open/", "idempotent", PLAIN, anonymous=True),
+        ],
+        "services": [{"name": MODEL, "engine": engine}, {"name": PLAIN}],
+        "limits": {"idle_timeout_ms": 15000},
+        "tenants": [{"name": "celje-shops", "api_keys": [KEY], "priority": 1}],
+        **changes,
+    }
+
+
+class Answer:
+    def __init__(self, response, body, is_whole):
+        self.status = response.status
+        self.headers = response.headers
+        self.body = body
+        self.is_whole = is_whole
+
+    @property
+    def event_ids(self):
+        lines = self.body.decode().split("\n")
+        return [int(line[4:]) for line in lines if line.startswith("id: ")]
+
+
+class Deployment:
+    """Starts and ends processes; each is ended by its own id."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.processes = {}
+        self.ports = {}
+        self.store_port = free_port()
+        self.history_path = folder / "history.jsonl"
+        self.history_path.touch()
+        self.start("store", STANDINS / "store.py", "--port", self.store_port)
+        wait_for(lambda: self.reaches(self.store_port))
+
+    def start(self, name, *command, environment=None):
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, *map(str, command)],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env={**os.environ, **(environment or {})},
+            )
+
+    def reaches(self, port):
+        with socket.socket() as probe:
+            return probe.connect_ex(("127.0.0.1", port)) == 0
+
+    def call(self, port, method, path, body=b"", headers=None, timeout_s=10.0):
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout_s)
+        try:
+            connection.request(method, path, body, headers or {})
+            response = connection.getresponse()
+            try:
+                return Answer(response, response.read(), True)
+            except http.client.IncompleteRead as error:
+                return Answer(response, error.partial, False)
+        finally:
+            connection.close()
+
+    def control(self, name, **values):
+        body = json.dumps(values).encode()
+        return json.loads(self.call(self.ports[name], "POST", "/control", body).body)
+
+    def put(self, topic, key, value):
+        path = f"/put?topic={topic}&key={key}"
+        self.call(self.store_port, "POST", path, value)
+
+    def publish(self, version, **changes):
+        value = json.dumps(configuration(version, **changes)).encode()
+        self.put("keyed.op", "config", value)
+
+    def add_engine(self, name, service, zone, kind=""):
+        self.ports[name] = free_port()
+        self.start(
+            name,
+            STANDINS / "engine.py",
+            "--port",
+            self.ports[name],
+            "--id",
+            name,
+            "--service",
+            service,
+            "--zone",
+            zone,
+            "--kind",
+            kind,
+            "--store",
+            f"127.0.0.1:{self.store_port}",
+            "--history",
+            self.history_path,
+        )
+
+    def add_gateway(self, name, zone, peer_port=None, **bounds):
+        self.ports["store"] = self.store_port
+        port, ready = free_port(), free_port()
+        peer_port = peer_port or free_port()
+        self.ports[name], self.ports[f"{name}/ready"] = port, ready
+        boot = {
+            "node_name": name,
+            "ip": "127.0.0.1",
+            "zone": zone,
+            "listen": {
+                "frontend": f"127.0.0.1:{port}",
+                "readiness": f"127.0.0.1:{ready}",
+            },
+            "internal_ports": [peer_port, peer_port],
+            "seeds": [],
+            "heartbeat_ms": 400,
+            "something_new": {"is": "ignored"},
+            "bounds": {"revoke_ms": 5000, "grace_s": 8, "retry_budget_slack": 400}
+            | bounds,
+            "platform": {
+                "address": f"127.0.0.1:{self.store_port}",
+                "ttl_min_ms": 500,
+            },
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(boot))
+        self.start(
+            name,
+            "-m",
+            "cassiaspread_platform",
+            environment={"CASSIASPREAD_BOOT": str(path)},
+        )
+        wait_for(lambda: self.reaches(port))
+
+    def is_ready(self, name):
+        port = self.ports[f"{name}/ready"]
+        return self.call(port, "GET", "/-/readyz").status == 200
+
+    def request(self, name, path, method="POST", body=b"order", **headers):
+        wire = {
+            "Host": HOST,
+            "Attempt-Id": os.urandom(8).hex(),
+            "Deadline-Ms": "5000",
+            "Authorization": f"Bearer {KEY}",
+            **{k.replace("_", "-"): v for k, v in headers.items()},
+        }
+        return self.call(self.ports[name], method, path, body, wire)
+
+    def stream(self, name, n_events=10, **headers):
+        tokens = {"Token_Count": f"100,{4 * n_events}", "Model": "m", **headers}
+        return self.request(name, "/draft/x?q=1", **tokens)
+
+    def history(self, kind):
+        lines = self.history_path.read_text().splitlines()
+        return [row for row in map(json.loads, lines) if row["kind"] == kind]
+
+    def decisions(self, name, event):
+        lines = (self.folder / f"{name}.log").read_text().splitlines()
+        rows = (json.loads(line) for line in lines if line.startswith("{"))
+        return [row for row in rows if row["event"] == event]
+
+    def kill(self, name, number=signal.SIGKILL):
+        self.processes[name].send_signal(number)
+
+    def close(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
--- /dev/null
+++ b/tests/users_platform/standins/engine.py
@@ -0,0 +1,253 @@
+"""Stand-in of an engine or plain service: entries, orders, reports, requests, faults.
+
+``POST /control`` sets ``full`` (503, not run), ``lose`` (run, close without answer),
+``cut_after`` (close the stream after so many events), ``fail`` (500), ``spoil`` (no
+signature), ``state`` and ``event_s`` (pause between events). The history gets one line
+for each run, each order and each run that its caller left.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import time
+from pathlib import Path
+
+from tornado.httpclient import AsyncHTTPClient
+from tornado.iostream import StreamClosedError
+from tornado.web import Application, RequestHandler
+
+HEARTBEAT_S = 0.4
+STALL_S = 3.0
+LOAD_S = 0.2
+
+
+class Engine:
+    def __init__(self, arguments):
+        self.id = arguments.id
+        self.arguments = arguments
+        self.address = f"127.0.0.1:{arguments.port}"
+        self.born = int(time.time() * 1000)
+        self.layers = None
+        self.busy = False
+        self.n_orders = 0
+        self.fence = 0
+        self.stalled = {}
+        self.full = self.lose = self.fail = self.spoil = False
+        self.cut_after = None
+        self.event_s = 0.02
+        self.state = "ready"
+        self.renewals = 0
+
+    def note(self, **fields):
+        with Path(self.arguments.history).open("a") as file:
+            file.write(json.dumps({"engine": self.id, **fields}) + "\n")
+
+    def entry(self):
+        self.renewals += 1
+        return {
+            "service": self.arguments.service,
+            "address": self.address,
+            "zone": self.arguments.zone,
+            "version": "v1",
+            "slots": 4,
+            "state": self.state,
+            "cold_remaining_ms": 0,
+            "sequence": self.renewals,
+            "born": self.born,
+            "busy": self.busy,
+            "route_kind": self.arguments.kind,
+            "layers": self.layers,
+        }
+
+    async def renew(self):
+        target = f"http://{self.arguments.store}/put?topic=keyed.servers&key={self.id}"
+        while True:
+            with contextlib.suppress(OSError):
+                await AsyncHTTPClient().fetch(
+                    target, method="POST", body=json.dumps(self.entry())
+                )
+            await asyncio.sleep(HEARTBEAT_S)
+
+
+class Base(RequestHandler):
+    def initialize(self, engine):
+        self.engine = engine
+
+
+class Control(Base):
+    def post(self):
+        for name, value in json.loads(self.request.body).items():
+            setattr(self.engine, name, value)
+        self.finish({})
+
+
+class Report(Base):
+    def get(self):
+        engine = self.engine
+        stalled = [{"id": i, "address": a} for i, a in engine.stalled.items()]
+        self.finish(
+            {
+                "phase": "unified",
+                "models": [],
+                "busy": engine.busy,
+                "sequence": engine.n_orders,
+                "waiting": 0,
+                "running": 0,
+                "kv_used_tokens": 0,
+                "kv_total_tokens": 1,
+                "request_handles": 0,
+                "layers": engine.layers,
+                "stalled": stalled,
+                "born": engine.born,
+            }
+        )
+
+
+class Order(Base):
+    async def post(self):
+        engine, order = self.engine, json.loads(self.request.body)
+        status = self.judge(order)
+        engine.note(kind="order", status=status, **order)
+        self.set_status(status)
+        self.finish()
+        if status == 202:
+            engine.n_orders += 1
+            engine.busy = True
+            await asyncio.sleep(LOAD_S)
+            engine.layers = {"from": order["from"], "to": order["to"], "version": 1}
+            engine.busy = False
+
+    def judge(self, order):
+        engine = self.engine
+        fence = order.get("fencing_token", 0)
+        if fence < engine.fence:
+            return 412
+        engine.fence = fence
+        if order["op"] != "place":
+            return 400
+        if order.get("expected", engine.n_orders) != engine.n_orders or engine.busy:
+            return 409
+        return 202
+
+
+class Request(Base):
+    async def run(self, path):
+        engine = self.engine
+        self.set_header("Attempt-Id", self.request.headers.get("Attempt-Id", ""))
+        if self.request.headers.get("Expect-Instance", engine.id) != engine.id:
+            self.refuse(421)
+        elif engine.full:
+            self.refuse(503)
+        else:
+            fault = await self.find_fault()
+            if fault is not None:
+                await self.stall(fault)
+                self.set_header("At-Server", fault)
+                self.refuse(503)
+            else:
+                await self.answer()
+
+    get = post = put = delete = run
+
+    def refuse(self, status):
+        self.set_status(status)
+        self.set_header("Not-Executed", "1")
+        self.set_header("Instance-Id", self.engine.id)
+        self.finish()
+
+    def hops(self):
+        path = self.request.headers.get("Hop-Count")
+        for part in path.split(",") if path else []:
+            address, _, layers = part.partition("=")
+            begin, _, end = layers.partition("-")
+            yield address, int(begin), int(end)
+
+    async def find_fault(self):
+        for address, begin, end in self.hops():
+            try:
+                response = await AsyncHTTPClient().fetch(
+                    f"http://{address}/-/report", request_timeout=0.5
+                )
+            except OSError:
+                return address
+            held = json.loads(response.body)["layers"]
+            if held is None or held["from"] > begin or held["to"] < end:
+                return address
+        return None
+
+    async def stall(self, address):
+        request_id = self.request.headers["Attempt-Id"]
+        self.engine.stalled[request_id] = address
+        await asyncio.sleep(STALL_S)
+        self.engine.stalled.pop(request_id, None)
+
+    async def answer(self):
+        engine, headers = self.engine, self.request.headers
+        engine.note(
+            kind="run",
+            method=self.request.method,
+            uri=self.request.uri,
+            body=self.request.body.decode(),
+            hops=list(self.hops()),
+            headers=dict(headers.get_all()),
+        )
+        if engine.lose:
+            self.request.connection.stream.close()
+            return
+        if not engine.spoil:
+            self.set_header("Response-Seal", f"seal-{engine.id}")
+        if engine.fail:
+            self.set_status(500)
+            self.finish("failed")
+        elif "Token-Count" in headers:
+            await self.stream()
+        else:
+            self.finish({"by": engine.id, "path": self.request.uri})
+
+    async def stream(self):
+        engine, headers = self.engine, self.request.headers
+        n_events = int(headers["Token-Count"].split(",")[1]) // 4
+        begin = int(headers.get("Last-Event-Id", 0)) + 1
+        self.set_header("Content-Type", "text/event-stream")
+        for n, number in enumerate(range(begin, n_events + 1)):
+            if engine.cut_after is not None and n >= engine.cut_after:
+                self.write(f"id: {number}\nda")
+                await self.flush()
+                self.request.connection.stream.close()
+                return
+            fault = await self.find_fault()
+            if fault is not None:
+                await self.stall(fault)
+                self.request.connection.stream.close()
+                return
+            self.write(f"id: {number}\ndata: token {number}\n\n")
+            try:
+                await self.flush()
+            except StreamClosedError:
+                engine.note(kind="left", id=headers["Attempt-Id"], n_events=n)
+                return
+            await asyncio.sleep(engine.event_s)
+        self.finish()
+
+
+async def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    for name in ("id", "service", "zone", "store", "history"):
+        parser.add_argument(f"--{name}", required=True)
+    parser.add_argument("--kind", default="")
+    engine = Engine(parser.parse_args())
+    routes = [
+        ("/control", Control),
+        ("/-/report", Report),
+        ("/-/order", Order),
+        ("(/.*)", Request),
+    ]
+    application = Application([(p, h, {"engine": engine}) for p, h in routes])
+    application.listen(engine.arguments.port, "127.0.0.1")
+    await engine.renew()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/tests/users_platform/standins/store.py
@@ -0,0 +1,167 @@
+"""Stand-in of the platform's store: keyed topics, long reads, groups, faults.
+
+``POST /control`` sets ``refuse`` (503 to all calls), ``silent`` (no answer), ``first``
+(offset before which records are gone) and ``rebalance`` (a new generation).
+``POST /put?topic=&key=`` writes a record for the operator and the engines.
+"""
+
+import argparse
+import asyncio
+import base64
+import json
+import struct
+import time
+
+from tornado.web import Application, RequestHandler
+
+
+class Store:
+    def __init__(self):
+        self.topics = {}
+        self.changed = asyncio.Event()
+        self.refuse = False
+        self.silent = False
+        self.first = 0
+        self.generation = 0
+        self.members = {}
+        self.n_calls = 0
+
+    def put(self, topic, key, value):
+        record = bytes([len(key)]) + key.encode() + value
+        self.topics.setdefault(topic, []).append(record)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def join(self, member, ttl_s, now_s):
+        before = list(self.members)
+        self.members = {m: at for m, at in self.members.items() if at > now_s}
+        self.members[member] = now_s + ttl_s
+        if list(self.members) != before:
+            self.generation += 1
+        return next(iter(self.members)) == member
+
+
+class Call(RequestHandler):
+    def initialize(self, store):
+        self.store = store
+
+    async def prepare(self):
+        self.store.n_calls += 1
+        if self.store.silent:
+            await asyncio.sleep(3600)
+        if self.store.refuse:
+            self.set_status(503)
+            self.finish()
+
+
+class Read(Call):
+    async def get(self):
+        topic = self.get_argument("topic")
+        start = int(self.get_argument("from"))
+        deadline = time.monotonic() + int(self.get_argument("wait_ms", "0")) / 1000
+        while True:
+            records = self.store.topics.get(topic, [])
+            if start < self.store.first:
+                self.set_status(410)
+                self.finish({"first_offset": self.store.first})
+                return
+            if len(records) > start or time.monotonic() >= deadline:
+                break
+            try:
+                async with asyncio.timeout(deadline - time.monotonic()):
+                    await self.store.changed.wait()
+            except TimeoutError:
+                pass
+        body = struct.pack(">QQ", len(records), self.store.first)
+        for record in records[start:]:
+            body += struct.pack(">I", len(record)) + record
+        self.finish(body)
+
+
+class Newest(Call):
+    def get(self):
+        records = self.store.topics.get(self.get_argument("topic"), [])
+        newest = {}
+        for offset, record in enumerate(records):
+            key, value = record[1 : 1 + record[0]], record[1 + record[0] :]
+            newest[key] = (offset, value)
+        items = [
+            {"key": k.decode(), "value": base64.b64encode(v).decode(), "offset": o}
+            for k, (o, v) in newest.items()
+            if v
+        ]
+        # Two items a page, so that readers have to go on.
+        after = self.get_argument("after", None)
+        keys = [item["key"] for item in items]
+        begin = keys.index(after) + 1 if after in keys else 0
+        page = items[begin : begin + 2]
+        self.finish(
+            {
+                "items": page,
+                "has_more": begin + 2 < len(items),
+                "end_offset": len(records),
+            }
+        )
+
+
+class Join(Call):
+    def post(self):
+        body = json.loads(self.request.body)
+        now_s = time.monotonic()
+        is_holder = self.store.join(body["member"], body["ttl_ms"] / 1000, now_s)
+        parts = [[body["topics"][0], 0, 0]] if is_holder else []
+        self.finish({"generation": self.store.generation, "parts": parts})
+
+
+class Leave(Call):
+    def post(self):
+        member = json.loads(self.request.body)["member"]
+        if self.store.members.pop(member, None) is not None:
+            self.store.generation += 1
+        self.finish({})
+
+
+class Put(RequestHandler):
+    def initialize(self, store):
+        self.store = store
+
+    def post(self):
+        topic, key = self.get_argument("topic"), self.get_argument("key")
+        self.store.put(topic, key, self.request.body)
+        self.finish({})
+
+
+class Control(RequestHandler):
+    def initialize(self, store):
+        self.store = store
+
+    def post(self):
+        for name, value in json.loads(self.request.body).items():
+            if name == "rebalance":
+                self.store.generation += 1
+                self.store.members = dict(reversed(self.store.members.items()))
+            else:
+                setattr(self.store, name, value)
+        self.finish({"n_calls": self.store.n_calls})
+
+
+async def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    arguments = parser.parse_args()
+    store = Store()
+    routes = {
+        "/-/log-read": Read,
+        "/-/log-newest": Newest,
+        "/-/log-join": Join,
+        "/-/log-leave": Leave,
+        "/put": Put,
+        "/control": Control,
+    }
+    application = Application([(p, h, {"store": store}) for p, h in routes.items()])
+    application.listen(arguments.port, "127.0.0.1")
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/tests/users_platform/test_whole_path.py
@@ -0,0 +1,262 @@
+"""One request of each kind, and each refusal, through real processes."""
+
+import http.client
+import json
+import signal
+import socket
+import time
+
+import pytest
+
+from tests.users_platform.deployment import (
+    HOST,
+    KEY,
+    N_LAYERS,
+    PLAIN,
+    configuration,
+    route,
+    wait_for,
+)
+
+GATEWAY = "gateway-celje"
+
+
+def assert_whole(answer, n_events):
+    assert answer.status == 200
+    assert answer.is_whole
+    assert answer.event_ids == list(range(1, n_events + 1))
+
+
+def test_stream_runs_each_layer_once_and_comes_back_unchanged(deployment):
+    answer = deployment.stream(GATEWAY, 10, Attempt_Id="stream-1")
+    assert_whole(answer, 10)
+    [run] = [
+        r
+        for r in deployment.history("run")
+        if r["headers"].get("Attempt-Id") == "stream-1"
+    ]
+    assert answer.headers["Response-Seal"] == f"seal-{run['engine']}"
+    assert (run["method"], run["uri"], run["body"]) == ("POST", "/draft/x?q=1", "order")
+    layers = [n for _, begin, end in run["hops"] for n in range(begin, end)]
+    assert layers == list(range(N_LAYERS))
+    headers = run["headers"]
+    assert headers["Tenant"] == "celje-shops"
+    assert headers["Expect-Instance"] == run["engine"]
+    assert 0 < int(headers["Deadline-Ms"]) <= 5000
+    assert KEY not in json.dumps(headers)
+
+
+@pytest.mark.parametrize(("path", "method"), [("/stock/7", "GET"), ("/book/7", "POST")])
+def test_plain_requests_come_back_unchanged(deployment, path, method):
+    answer = deployment.request(GATEWAY, path, method, Tenant="forged")
+    assert answer.status == 200
+    [run] = [r for r in deployment.history("run") if r["uri"] == path]
+    assert run["headers"]["Tenant"] == "celje-shops"
+    assert json.loads(answer.body) == {"by": run["engine"], "path": path}
+    assert answer.headers["Response-Seal"] == f"seal-{run['engine']}"
+
+
+def test_lost_answer_of_an_unrepeatable_request_is_not_sent_again(deployment):
+    for zone in ("celje", "velenje"):
+        deployment.control(f"{zone}-plain", lose=True)
+    answer = deployment.request(GATEWAY, "/book/8")
+    assert answer.status == 502
+    assert json.loads(answer.body)["outcome"] == "unknown"
+    assert len([r for r in deployment.history("run") if r["uri"] == "/book/8"]) == 1
+
+
+def test_lost_answer_of_a_repeatable_request_is_asked_again(deployment):
+    deployment.control("celje-plain", lose=True)
+    answer = deployment.request(GATEWAY, "/stock/9", "GET")
+    assert answer.status == 200
+    assert json.loads(answer.body)["by"] == "velenje-plain"
+
+
+def test_answer_without_signature_never_reaches_the_caller(deployment):
+    for zone in ("celje", "velenje"):
+        deployment.control(f"{zone}-plain", spoil=True)
+    assert deployment.request(GATEWAY, "/book/10").status == 502
+
+
+def test_full_targets_are_refused_as_not_run_with_a_time(deployment):
+    deployment.control("celje-plain", full=True)
+    answer = deployment.request(GATEWAY, "/book/11")
+    assert json.loads(answer.body)["by"] == "velenje-plain"
+    deployment.control("velenje-plain", full=True)
+    answer = deployment.request(GATEWAY, "/book/12")
+    assert answer.status == 503
+    assert json.loads(answer.body)["outcome"] == "not-run"
+    assert 0 < float(answer.headers["Retry-After"]) < 5
+    assert not [r for r in deployment.history("run") if r["uri"] == "/book/12"]
+
+
+def test_unknown_route_and_key_are_refused(deployment):
+    assert deployment.request(GATEWAY, "/nowhere/1").status == 404
+    answer = deployment.request(GATEWAY, "/stock/1", "GET", Authorization="Bearer no")
+    assert answer.status == 401
+    answer = deployment.request(GATEWAY, "/open/1", "GET", Authorization="Bearer no")
+    assert answer.status == 200
+    answer = deployment.request(GATEWAY, "/stock/1", "GET", Deadline_Ms="soon")
+    assert answer.status == 400
+
+
+def test_without_a_configuration_nothing_is_denied(bare):
+    bare.add_gateway("lone", "celje")
+    assert not bare.is_ready("lone")
+    assert bare.request("lone", "/stock/1", "GET").status == 503
+    bare.publish(1)
+    wait_for(lambda: bare.is_ready("lone"))
+    assert bare.request("lone", "/nowhere/1", "GET").status == 404
+
+
+def test_configuration_comes_into_force_and_never_reverts(deployment):
+    routes = configuration(0)["routes"]
+    added = route("new", "/new/", "idempotent", PLAIN)
+    deployment.publish(9, routes=[*routes, added])
+    wait_for(
+        lambda: deployment.request(GATEWAY, "/new/1", "GET").status == 200, timeout_s=2
+    )
+    deployment.publish(4)
+    deployment.put("keyed.op", "config", b"{no configuration")
+    deployment.put("keyed.op", "other", b"{}")
+    time.sleep(0.5)
+    assert deployment.request(GATEWAY, "/new/1", "GET").status == 200
+
+
+def test_revoked_key_is_refused(deployment):
+    deployment.publish(5, tenants=[{"name": "celje-shops", "api_keys": ["other"]}])
+    wait_for(
+        lambda: deployment.request(GATEWAY, "/stock/1", "GET").status == 401,
+        timeout_s=2,
+    )
+
+
+def test_keys_are_not_served_on_old_knowledge(deployment):
+    deployment.control("store", silent=True)
+    # A read that began before may still bring the next configuration.
+    time.sleep(2.0)
+    deployment.publish(40, tenants=[{"name": "celje-shops", "api_keys": ["other"]}])
+    revoked_s = time.monotonic()
+    wait_for(
+        lambda: deployment.request(GATEWAY, "/stock/1", "GET").status == 503,
+        timeout_s=5.0,
+    )
+    assert time.monotonic() - revoked_s < 5.0
+    assert not deployment.is_ready(GATEWAY)
+    # Requests without a key depend on no key's being in force.
+    assert deployment.request(GATEWAY, "/open/1", "GET").status == 200
+    assert deployment.request(GATEWAY, "/nowhere/1", "GET").status == 503
+    deployment.control("store", silent=False)
+    wait_for(lambda: deployment.request(GATEWAY, "/stock/1", "GET").status == 401)
+
+
+def test_dropped_history_is_read_anew(deployment):
+    deployment.control("store", first=10**6)
+    routes = [*configuration(0)["routes"], route("n", "/n/", "idempotent", PLAIN)]
+    deployment.publish(30, routes=routes)
+    wait_for(lambda: deployment.request(GATEWAY, "/n/1", "GET").status == 200)
+
+
+def test_unreadable_entries_harm_no_other(deployment):
+    deployment.put("keyed.servers", "broken", b"\xff{")
+    deployment.put("keyed.servers", "odd", json.dumps({"service": 7}).encode())
+    state = {"service": PLAIN, "address": "127.0.0.1:1", "zone": "celje", "slots": 6}
+    odd = json.dumps({**state, "state": "asleep", "sequence": 1}).encode()
+    deployment.put("keyed.servers", "asleep", odd)
+    wait_for(lambda: deployment.decisions(GATEWAY, "engine.unreadable"))
+    for n in range(5):
+        assert deployment.request(GATEWAY, f"/book/{n}").status == 200
+
+
+@pytest.mark.parametrize("how", ["cut", "killed"])
+def test_stream_goes_on_within_one_answer(deployment, how):
+    heads = {r["engine"] for r in deployment.history("run")}
+    if how == "cut":
+        for head in heads:
+            deployment.control(head, cut_after=3)
+        answer = deployment.stream(GATEWAY, 4)
+        assert_whole(answer, 4)
+        return
+    for head in heads:
+        deployment.control(head, event_s=0.1)
+    used = deployment.decisions(GATEWAY, "stream.assigned")[-1]["chain"]
+    last = used[-1][0]
+    port = deployment.ports[GATEWAY]
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    headers = {"Host": HOST, "Authorization": f"Bearer {KEY}", "Token-Count": "9,120"}
+    headers |= {"Attempt-Id": "moved", "Deadline-Ms": "9000"}
+    connection.request("POST", "/draft/x", b"", headers)
+    response = connection.getresponse()
+    body = response.readline()
+    deployment.kill(last)
+    body += response.read()
+    ids = [int(line[4:]) for line in body.decode().split("\n") if line[:4] == "id: "]
+    assert ids == list(range(1, 31))
+    runs = [r for r in deployment.history("run") if r["headers"].get("Attempt-Id")]
+    assert len([r for r in runs if r["headers"]["Attempt-Id"] == "moved"]) <= 2
+
+
+def test_leaving_engine_gets_no_new_work(deployment):
+    deployment.control("celje-plain", state="draining")
+    wait_for(
+        lambda: (
+            json.loads(deployment.request(GATEWAY, "/book/1").body)["by"]
+            == "velenje-plain"
+        ),
+        timeout_s=2,
+    )
+    for n in range(5):
+        answer = deployment.request(GATEWAY, f"/book/{n}")
+        assert json.loads(answer.body)["by"] == "velenje-plain"
+
+
+def test_caller_that_left_ends_the_run(deployment):
+    for row in deployment.history("run"):
+        deployment.control(row["engine"], event_s=0.1)
+    with socket.create_connection(("127.0.0.1", deployment.ports[GATEWAY])) as caller:
+        caller.sendall(
+            f"POST /draft/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: gone\r\n"
+            f"Authorization: Bearer {KEY}\r\nToken-Count: 9,400\r\n"
+            "Content-Length: 0\r\n\r\n".encode()
+        )
+        assert b"200 OK" in caller.recv(4096)
+    left = wait_for(lambda: deployment.history("left"), timeout_s=2)
+    assert left[0]["id"] == "gone"
+    assert left[0]["n_events"] < 20
+
+
+def test_sigterm_finishes_streams_and_closes_kept_connections(deployment):
+    for row in deployment.history("run"):
+        deployment.control(row["engine"], event_s=0.1)
+    port = deployment.ports[GATEWAY]
+    headers = {"Host": HOST, "Authorization": f"Bearer {KEY}", "Attempt-Id": "a"}
+    kept = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    kept.request("GET", "/stock/1", headers=headers)
+    kept.getresponse().read()
+    busy = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    busy.request("POST", "/draft/x", b"", {**headers, "Token-Count": "9,160"})
+    response = busy.getresponse()
+    deployment.kill(GATEWAY, signal.SIGTERM)
+    wait_for(lambda: not deployment.is_ready(GATEWAY), timeout_s=1)
+    body = response.read()
+    assert body.count(b"data: ") == 40
+    assert deployment.processes[GATEWAY].wait(timeout=8) == 0
+    # The kept connection was closed while idle: nothing was taken and left unanswered.
+    assert kept.sock.recv(1) == b""
+    assert deployment.decisions(GATEWAY, "gateway.stopped")[0]["n_open"] == 0
+
+
+def test_placement_goes_on_when_its_holder_is_killed(deployment):
+    orders = deployment.history("order")
+    holder = next(
+        name
+        for name in ("gateway-celje", "gateway-velenje")
+        if deployment.decisions(name, "order.given")
+    )
+    deployment.kill(holder)
+    deployment.add_engine("celje-late", "model-pool", "celje", "small")
+    placed = wait_for(
+        lambda: [r for r in deployment.history("order") if r["engine"] == "celje-late"]
+    )
+    assert placed[0]["status"] == 202
+    assert placed[0]["fencing_token"] > orders[-1]["fencing_token"]
