Requests wait in a fair line; daemons of a domain share the reading of configuration

(3) On the grown deployments 63 and 87 daemons read the configuration each. Ruled out: closing of idle connections as such; longer waits in place of refusals. Change: a line by priority and fair share of organisation, whose predicted wait refuses at once and gives the time to come back; each idle connection is looked at just before its close and only after 0.3 s; one daemon a domain reads the configuration and tells up to where it read.

--- a/packages/cassiaspread-core/src/cassiaspread_core/admission/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/__init__.py
@@ -12,6 +12,7 @@
     domain_capacity,
     fair_level,
 )
+from cassiaspread_core.admission._waiting import WaitingLine
 
 __all__ = [
     "Decision",
@@ -23,6 +24,7 @@
     "Share",
     "Ticket",
     "Verdict",
+    "WaitingLine",
     "count_demand",
     "divide_capacity",
     "domain_capacity",
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
@@ -1,6 +1,5 @@
 """Which target or chain of engines takes a request, and what is in progress there."""
 
-import asyncio
 import random
 from collections.abc import Callable, Iterable
 
@@ -65,7 +64,8 @@
         self._health = health
         self._reach = DomainReach()
         self._random_state = random_state
-        self._freed = asyncio.Event()
+        # Called with whether a request ended; otherwise targets have changed.
+        self.freed_callbacks: list[Callable[[bool], None]] = []
 
     def assign(
         self,
@@ -111,7 +111,7 @@
         """
         for target, load in assignment.loads:
             self._ledger.remove(target, load)
-        self._freed.set()
+        self._note_freed(is_end=True)
 
     def note_unreachable(self, engine: Engine, now_s: float) -> None:
         """Take in a target that took no connection or fell silent.
@@ -134,14 +134,13 @@
         for stage in assignment.chain:
             self._reach.note_success(stage.engine.domain)
 
-    async def wait_freed(self) -> None:
-        """Wait until a request ends or targets change."""
-        self._freed.clear()
-        await self._freed.wait()
-
     def note_change(self) -> None:
         """Let waiting requests look again."""
-        self._freed.set()
+        self._note_freed(is_end=False)
+
+    def _note_freed(self, is_end: bool) -> None:
+        for callback in self.freed_callbacks:
+            callback(is_end)
 
     def _choose(
         self, service: Service, demand: Demand, engines: list[Engine]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_front.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_front.py
@@ -119,14 +119,19 @@
     def __init__(self, handler: Handler) -> None:
         self._handler = handler
         self._tasks: set[asyncio.Task[None]] = set()
-        # Connections that are open, and whether a request is in progress on them.
-        self._connections: dict[HTTP1ServerConnection, bool] = {}
+        # Since when no request is in progress on each open connection.
+        self._idle_since_s: dict[HTTP1ServerConnection, float | None] = {}
 
     @property
     def n_requests(self) -> int:
         """Requests in progress."""
         return len(self._tasks)
 
+    @property
+    def n_connections(self) -> int:
+        """Open connections."""
+        return len(self._idle_since_s)
+
     def start_request(
         self, server_conn: HTTP1ServerConnection, request_conn: HTTP1Connection
     ) -> HTTPMessageDelegate:
@@ -135,7 +140,7 @@
         :param server_conn: identifies the connection.
         :param request_conn: the request's side of it.
         """
-        self._connections.setdefault(server_conn, False)
+        self._idle_since_s.setdefault(server_conn, time.monotonic())
         return _RequestReader(self, server_conn, request_conn)
 
     def on_close(self, server_conn: HTTP1ServerConnection) -> None:
@@ -143,7 +148,7 @@
 
         :param server_conn: identifies the connection.
         """
-        self._connections.pop(server_conn, None)
+        self._idle_since_s.pop(server_conn, None)
 
     def note_busy(self, server_conn: HTTP1ServerConnection, is_busy: bool) -> None:
         """Take note that a request begins or ends on a connection.
@@ -151,14 +156,21 @@
         :param server_conn: identifies the connection.
         :param is_busy: whether a request is in progress.
         """
-        if server_conn in self._connections:
-            self._connections[server_conn] = is_busy
-
-    async def close_idle(self) -> None:
-        """Close the connections on which no request is in progress."""
-        for server_conn, is_busy in list(self._connections.items()):
-            if not is_busy and not server_conn.stream.writing():
-                await server_conn.close()
+        if server_conn in self._idle_since_s:
+            self._idle_since_s[server_conn] = None if is_busy else time.monotonic()
+
+    def close_idle(self, idle_s: float) -> None:
+        """Close the connections on which no request is in progress.
+
+        :param idle_s: how long a connection must have been idle, in seconds.
+        """
+        limit_s = time.monotonic() - idle_s
+        for server_conn in list(self._idle_since_s):
+            # Nothing else runs between this look and the close: a request that begins
+            # is never cut.
+            since_s = self._idle_since_s.get(server_conn)
+            if since_s is not None and since_s <= limit_s:
+                server_conn.stream.close()
 
     def run(
         self, ingress: Ingress, server_conn: HTTP1ServerConnection
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -23,7 +23,6 @@
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._dispatch import Dispatcher
 from cassiaspread_daemon.gateway._duty import PlacementDuty
-from cassiaspread_daemon.gateway._engine_relay import EngineFollower
 from cassiaspread_daemon.gateway._front import Front, Ingress
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
 from cassiaspread_daemon.gateway._job import now
@@ -35,16 +34,22 @@
 from cassiaspread_daemon.gateway._loads import LoadSharing
 from cassiaspread_daemon.gateway._plain import PlainForwarder
 from cassiaspread_daemon.gateway._pool import ConnectionPool
+from cassiaspread_daemon.gateway._relay import (
+    ConfigurationFollower,
+    EngineFollower,
+    Relay,
+)
 from cassiaspread_daemon.gateway._router import RetryLimits, Router
 from cassiaspread_daemon.gateway._settings import GatewaySettings
 from cassiaspread_daemon.gateway._stalls import StallWatch
 from cassiaspread_daemon.gateway._stream import StreamForwarder
 from cassiaspread_daemon.gateway._terms import EngineChange, Platform
+from cassiaspread_daemon.gateway._waiting import WaitingRoom
 from cassiaspread_daemon.mesh import Mesh, Sender
 
 # The store waits this long for a new configuration before it says that there is none:
 # knowledge of keys is never older in normal operation.
-CONFIGURATION_WAIT_S = 1.8
+CONFIGURATION_WAIT_S = 1.0
 # Part of the time in which a leaving target must get no more work.
 ENGINES_INTERVAL_SHARE = 0.4
 # The balancer asks once a second and gives up after two misses.
@@ -52,6 +57,8 @@
 # Part of the time to the end of the process that is kept for ending it.
 EXIT_MARGIN_S = 0.7
 DRAIN_POLL_S = 0.05
+# A connection may have been opened, or its answer read, just before its next request.
+IDLE_BEFORE_CLOSE_S = 0.3
 # Messages between daemons are not kept for a time line here: the log has the decisions.
 N_EVENTS = 1
 # Share of the retries of the whole fleet that daemons use up together.
@@ -118,6 +125,7 @@
             wire,
             self._pool,
             self._dispatcher,
+            WaitingRoom(self._dispatcher, self._log),
             self._health,
             stalls,
             self._log,
@@ -162,27 +170,30 @@
 
     def _build_followers(self, random_state: random.Random) -> list[FeedFollower]:
         knowledge = self._knowledge
+        relay = Relay(
+            self._settings.domain,
+            self._mesh,
+            self._supervisor.add_child("relay"),
+            self._log,
+        )
         return [
-            FeedFollower(
-                "configuration",
+            ConfigurationFollower(
+                relay,
                 self._platform.configuration,
                 knowledge.apply_table,
                 self._replace_table,
                 knowledge.configuration_age,
                 self._log,
                 CONFIGURATION_WAIT_S,
-                0.0,
                 random_state,
             ),
             EngineFollower(
-                self._settings.domain,
-                self._mesh,
+                relay,
                 knowledge,
                 self._platform.engines,
                 self._replace_engines,
                 self._log,
                 self._settings.leaving_bound_s * ENGINES_INTERVAL_SHARE,
-                self._supervisor.add_child("relay"),
                 random_state,
             ),
         ]
@@ -261,10 +272,11 @@
         listener.stop()
         limit_s = leaving_s + self._settings.exit_timeout_s - EXIT_MARGIN_S
         # A request that still came over a kept connection could not be finished.
-        await self._front.close_idle()
-        while self._front.n_requests and now() < limit_s:
+        while now() < limit_s:
+            self._front.close_idle(IDLE_BEFORE_CLOSE_S)
+            if not self._front.n_requests and not self._front.n_connections:
+                break
             await asyncio.sleep(DRAIN_POLL_S)
-            await self._front.close_idle()
 
     def _note_reload(self) -> None:
         # Addresses and domain of a running process do not change; what else the
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_knowledge.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_knowledge.py
@@ -190,6 +190,10 @@
     async def _wait_turn(self) -> None:
         """Wait until this daemon is to read; here always at once."""
 
+    def _next_wait_s(self) -> float:
+        """Return how long the store may wait for changes, in seconds."""
+        return self._wait_s
+
     def _note_page(self, start: int | None, page: FeedPage[Item]) -> None:
         """Take note of a page that was read and applied."""
 
@@ -200,11 +204,12 @@
             self._replace(page.items)
             self._age.confirm(asked_s)
         else:
-            page = await self._feed.changes(self._position, self._wait_s)
+            wait_s = self._next_wait_s()
+            page = await self._feed.changes(self._position, wait_s)
             for item in page.items:
                 self._apply(item)
             # An empty page is only sent after the whole wait.
-            waited_s = 0.0 if page.items else self._wait_s
+            waited_s = 0.0 if page.items else wait_s
             self._age.confirm(min(asked_s + waited_s, suspended_clock_s()))
         start, self._position = self._position, page.position
         self._note_page(start, page)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -20,6 +20,7 @@
 from cassiaspread_daemon.gateway._pool import ConnectionPool
 from cassiaspread_daemon.gateway._stalls import StallWatch
 from cassiaspread_daemon.gateway._terms import AnswerTerms, ForwardTerms, Wire
+from cassiaspread_daemon.gateway._waiting import WaitingRoom
 
 CONNECT_TIMEOUT_S = 0.25
 # Chains that one request is offered to at most; a chain that refuses has not run it.
@@ -58,7 +59,8 @@
 
     :param wire: headers of requests and answers.
     :param pool: connections to targets.
-    :param dispatcher: chooses chains.
+    :param dispatcher: counts the work in progress.
+    :param waiting: chooses chains, in turn when there is no room.
     :param health: verdicts on targets.
     :param stalls: finds out which engine a silent stream waits for.
     :param log: gets a line for each decision.
@@ -71,6 +73,7 @@
         wire: Wire,
         pool: ConnectionPool,
         dispatcher: Dispatcher,
+        waiting: WaitingRoom,
         health: TargetHealth,
         stalls: StallWatch,
         log: DecisionLog,
@@ -80,6 +83,7 @@
         self._wire = wire
         self._pool = pool
         self._dispatcher = dispatcher
+        self._waiting = waiting
         self._health = health
         self._stalls = stalls
         self._log = log
@@ -126,21 +130,10 @@
         job = stream.job
         started_s = now()
         longest_s = job.route.objective_s * MAX_WAIT_OBJECTIVES
-        limit_s = min(job.deadline_s, started_s + longest_s)
-        while True:
-            assignment = self._dispatcher.assign(
-                job.service, job.demand, now(), stream.avoid
-            )
-            if assignment is not None:
-                break
-            if now() >= limit_s:
-                self._log.record("stream.refused", request=job.terms.request_id)
-                raise self._refusal(stream)
-            try:
-                async with asyncio.timeout(limit_s - now()):
-                    await self._dispatcher.wait_freed()
-            except TimeoutError:
-                continue
+        try:
+            assignment = await self._waiting.assign(job, stream.avoid, longest_s)
+        except Refusal as refusal:
+            raise (refusal if not stream.n_runs else self._refusal(stream)) from None
         self._metrics.note_wait(now() - started_s)
         self._log.record(
             "stream.assigned",
--- /dev/null
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -0,0 +1,398 @@
+"""Parts of the gateway, each with the load or the failure that it is meant for."""
+
+import asyncio
+import json
+import os
+import random
+
+import pytest
+
+from cassiaspread_core.base import LogUnavailable, Refusal, Truncated
+from cassiaspread_core.chains import Demand, LoadLedger
+from cassiaspread_core.placement import Accelerator, Engine, LayerRange, ModelSpec
+from cassiaspread_core.routing import Backend, KnowledgeAge, RequestKind, Route, Service
+from cassiaspread_core.targets import TargetHealth
+from cassiaspread_daemon._exchange import Exchange, ExchangeBroken
+from cassiaspread_daemon.gateway import DecisionLog, FeedPage, RequestTerms
+from cassiaspread_daemon.gateway._dispatch import Dispatcher
+from cassiaspread_daemon.gateway._events import EventBuffer
+from cassiaspread_daemon.gateway._front import Front
+from cassiaspread_daemon.gateway._job import Job, now
+from cassiaspread_daemon.gateway._knowledge import FeedFollower, Knowledge
+from cassiaspread_daemon.gateway._pool import ConnectionPool
+from cassiaspread_daemon.gateway._router import RetryLimits
+from cassiaspread_daemon.gateway._terms import EngineChange
+from cassiaspread_daemon.gateway._waiting import WaitingRoom
+
+MODEL = ModelSpec(
+    n_layers=8,
+    layer_mb=100.0,
+    cache_mb_per_token=1.0,
+    accelerators={"card": Accelerator("card", 1_000.0)},
+)
+SERVICE = Service("pool", model=MODEL)
+ROUTE = Route(
+    name="r",
+    host="h",
+    prefix="/",
+    kind=RequestKind.STREAM,
+    backends=(Backend("pool"),),
+    timeout_s=20.0,
+    objective_s=0.5,
+)
+
+
+@pytest.fixture
+def log(tmp_path):
+    descriptor = os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT)
+    yield DecisionLog("d1", descriptor)
+    os.close(descriptor)
+
+
+def make_job(organisation="celje", tokens=80):
+    return Job(
+        ingress=None,
+        terms=RequestTerms(request_id="r"),
+        route=ROUTE,
+        service=SERVICE,
+        demand=Demand(tokens, 0, "d"),
+        deadline_s=now() + 20.0,
+        organisation=organisation,
+        priority=1,
+    )
+
+
+def make_room(log):
+    """Room for two requests of usual length on the only engine."""
+    knowledge = Knowledge(log, 5.0, 5.0)
+    engine = Engine(
+        target="e",
+        service="pool",
+        address="e:1",
+        domain="d",
+        accelerator="card",
+        layers=LayerRange(0, 8),
+        n_slots=8,
+    )
+    knowledge.apply_change(EngineChange("e", engine))
+    dispatcher = Dispatcher(
+        "d", knowledge, LoadLedger(), TargetHealth(), random.Random(1)
+    )
+    return dispatcher, WaitingRoom(dispatcher, log)
+
+
+def test_requests_wait_in_fair_order_while_caches_are_full(log):
+    async def run():
+        dispatcher, room = make_room(log)
+        held = [await room.assign(make_job(), (), 1.0) for _ in range(2)]
+        order = []
+
+        async def wait(name):
+            assignment = await room.assign(make_job(name), (), 1.0)
+            order.append(name)
+            return assignment
+
+        for _ in range(8):
+            room._line.note_end(now())
+        tasks = []
+        for name in ("large", "large", "small"):
+            tasks.append(asyncio.create_task(wait(name)))
+            await asyncio.sleep(0)
+        assert len(room) == 3
+        for assignment in held:
+            dispatcher.release(assignment)
+            await asyncio.sleep(0.01)
+        assert order == ["large", "small"]
+        dispatcher.release(tasks[0].result())
+        await asyncio.wait_for(tasks[1], 1.0)
+
+    asyncio.run(run())
+
+
+def test_one_that_would_wait_too_long_is_refused_at_once(log):
+    async def run():
+        dispatcher, room = make_room(log)
+        held = [await room.assign(make_job(), (), 1.0) for _ in range(2)]
+        first = asyncio.create_task(room.assign(make_job(), (), 1.0))
+        await asyncio.sleep(0)
+        started_s = now()
+        with pytest.raises(Refusal) as error:
+            await room.assign(make_job(), (), 1.0)
+        assert now() - started_s < 0.1
+        assert error.value.status == 503
+        assert error.value.retry_after_s >= 0.5
+        dispatcher.release(held[0])
+        await first
+
+    asyncio.run(run())
+
+
+def test_refused_callers_are_told_later_times_the_more_there_are(log):
+    async def run():
+        _, room = make_room(log)
+        for _ in range(2):
+            await room.assign(make_job(), (), 1.0)
+        waiting = asyncio.create_task(room.assign(make_job(), (), 0.5))
+        await asyncio.sleep(0)
+        room._line.note_end(now())
+        room._line.note_end(now())
+        times = []
+        for _ in range(5):
+            with pytest.raises(Refusal) as error:
+                await room.assign(make_job(), (), 0.01)
+            times.append(error.value.retry_after_s)
+        assert times == sorted(times)
+        assert times[0] < times[-1]
+        with pytest.raises(Refusal):
+            await waiting
+
+    asyncio.run(run())
+
+
+def test_waiting_request_whose_caller_left_keeps_no_room(log):
+    async def run():
+        dispatcher, room = make_room(log)
+        held = [await room.assign(make_job(), (), 1.0) for _ in range(2)]
+        gone = asyncio.create_task(room.assign(make_job(), (), 1.0))
+        await asyncio.sleep(0)
+        # Room comes free and the caller leaves before the request's task runs again.
+        dispatcher.release(held[0])
+        gone.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await gone
+        assert len(room) == 0
+        await asyncio.wait_for(room.assign(make_job(), (), 0.1), 1.0)
+
+    asyncio.run(run())
+
+
+async def serve_bytes(answer, keep=True):
+    """Listen on loopback and answer each request with given bytes."""
+    ended = asyncio.Event()
+
+    async def handle(reader, writer):
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(answer)
+            await writer.drain()
+            if not keep:
+                writer.close()
+                return
+            if not await reader.read(1):
+                ended.set()
+                return
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    return f"{host}:{port}", ended
+
+
+def test_cancelled_request_closes_its_connection():
+    # A caller that left its stream: the engine must not go on for two seconds more.
+    async def run():
+        address, ended = await serve_bytes(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"
+        )
+        with ConnectionPool() as pool:
+
+            async def ask():
+                async with pool.exchange(address, 1.0) as exchange:
+                    await exchange.send("GET", "/")
+                    await exchange.finish()
+
+            task = asyncio.create_task(ask())
+            await asyncio.sleep(0.1)
+            task.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await task
+            await asyncio.wait_for(ended.wait(), 1.0)
+
+    asyncio.run(run())
+
+
+def test_connection_is_kept_after_a_whole_answer_only():
+    async def run():
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        address, _ = await serve_bytes(whole)
+        with ConnectionPool() as pool:
+            for _ in range(3):
+                async with pool.exchange(address, 1.0) as exchange:
+                    assert await exchange.send("GET", "/") == 200
+                    assert (await exchange.finish()).body == b"ok"
+            assert pool.n_opened == 1
+            async with pool.exchange(address, 1.0, is_new=True):
+                pass
+            assert pool.n_opened == 2
+
+    asyncio.run(run())
+
+
+def test_answer_left_from_an_earlier_request_is_dropped():
+    async def run():
+        stray = b"HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold"
+        own = b"HTTP/1.1 200 OK\r\nId: new\r\nContent-Length: 3\r\n\r\nnew"
+        address, _ = await serve_bytes(stray + own)
+        with await Exchange.open(address, 1.0) as exchange:
+            await exchange.send("GET", "/", is_expected=lambda h: h.get("Id") == "new")
+            assert (await exchange.finish()).body == b"new"
+
+    asyncio.run(run())
+
+
+def test_body_without_a_length_is_whole_only_if_the_connection_was_closed():
+    async def run():
+        answer = b"HTTP/1.1 200 OK\r\n\r\nall"
+        address, _ = await serve_bytes(answer, keep=False)
+        with await Exchange.open(address, 1.0) as exchange:
+            await exchange.send("GET", "/")
+            assert (await exchange.finish()).body == b"all"
+        short = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort"
+        address, _ = await serve_bytes(short, keep=False)
+        with await Exchange.open(address, 1.0) as exchange:
+            await exchange.send("GET", "/")
+            with pytest.raises(ExchangeBroken):
+                await exchange.finish()
+
+    asyncio.run(run())
+
+
+class FakeStream:
+    def __init__(self, on_close=None):
+        self.is_closed = False
+        self.on_close = on_close
+
+    def close(self):
+        self.is_closed = True
+        if self.on_close is not None:
+            self.on_close()
+
+
+class FakeConnection:
+    def __init__(self, on_close=None):
+        self.stream = FakeStream(on_close)
+
+
+def test_connection_that_became_busy_is_not_closed_as_idle():
+    # A daemon that leaves closed idle connections one after the other; a request that
+    # began meanwhile was cut after it had been passed on.
+    front = Front(None)
+    second = FakeConnection()
+    first = FakeConnection(on_close=lambda: front.note_busy(second, True))
+    for connection in (first, second):
+        front.start_request(connection, None)
+    front.close_idle(idle_s=0.0)
+    assert first.stream.is_closed
+    assert not second.stream.is_closed
+    third = FakeConnection()
+    front.start_request(third, None)
+    front.close_idle(idle_s=10.0)
+    assert not third.stream.is_closed
+    front.note_busy(third, True)
+    front.close_idle(idle_s=0.0)
+    assert not third.stream.is_closed
+
+
+def test_log_never_waits_for_a_reader_that_stopped(tmp_path):
+    reading, writing = os.pipe()
+    log = DecisionLog("d1", writing)
+    started_s = now()
+    for kind in range(400):
+        for _ in range(150):
+            log.record(f"kind-{kind}", text="x" * 50)
+        log.flush()
+    assert now() - started_s < 5.0
+    assert log.n_lost > 0
+    os.close(reading)
+    os.close(writing)
+
+
+def test_log_bounds_each_kind_and_counts_what_it_left_out(tmp_path):
+    path = tmp_path / "log"
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT)
+    log = DecisionLog("d1", descriptor)
+    for n in range(5000):
+        log.record("storm", n=n)
+    log.record("rare")
+    log._budgets["storm"].saved = 1.0
+    log.flush()
+    os.close(descriptor)
+    rows = [json.loads(line) for line in path.read_text().splitlines()]
+    kinds = [row["event"] for row in rows]
+    assert kinds.count("storm") < 400
+    assert "rare" in kinds
+    left_out = [row for row in rows if row["event"] == "log.left_out"]
+    assert left_out[0]["of"] == "storm"
+    assert left_out[0]["n_lines"] == 5000 - kinds.count("storm")
+
+
+class FakeFeed:
+    def __init__(self, *answers):
+        self.answers = list(answers)
+
+    async def _next(self):
+        if not self.answers:
+            await asyncio.sleep(3600)
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def snapshot(self):
+        return await self._next()
+
+    async def changes(self, position, wait_s):
+        return await self._next()
+
+
+def test_feed_is_read_anew_after_loss_and_truncation(log):
+    feed = FakeFeed(
+        LogUnavailable("down"),
+        FeedPage(("a",), 3),
+        Truncated(9),
+        FeedPage(("b",), 9),
+        FeedPage(("c",), 10),
+    )
+    seen, snapshots = [], []
+    age = KnowledgeAge(5.0)
+    follower = FeedFollower(
+        "f",
+        feed,
+        seen.append,
+        snapshots.append,
+        age,
+        log,
+        0.0,
+        0.0,
+        random.Random(1),
+    )
+
+    async def run():
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.4)
+        task.cancel()
+
+    asyncio.run(run())
+    assert snapshots == [("a",), ("b",)]
+    assert seen == ["c"]
+    assert age.current_at_s is not None
+
+
+def test_retries_are_a_share_of_requests():
+    limits = RetryLimits(ratio=0.2, burst=2.0)
+    budgets = [limits.note_request("pool") for _ in range(10)]
+    assert [budgets[-1].take() for _ in range(3)] == [True, True, False]
+    for _ in range(10):
+        limits.note_request("pool")
+    assert [budgets[-1].take() for _ in range(3)] == [True, True, False]
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 7, 50])
+def test_events_are_cut_whole_however_they_arrive(size):
+    stream = b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 30))
+    events = EventBuffer()
+    out = b""
+    for at in range(0, len(stream), size):
+        whole = events.feed(stream[at : at + size])
+        assert whole == b"" or whole.endswith(b"\n\n")
+        out += whole
+    assert out == stream
+    assert (events.last_id, events.n_events, events.rest) == ("29", 29, b"")
