A repeatable request does not wait for a silent target until its deadline

Ruled out: the connection (it was kept and open; nothing shows that the other end is gone). Change: an attempt that is not the last one takes at most 0.35 of the time left, or two latency objectives if that is longer. Before: the new test failed (504 after 2 s). Conclusion: lookups survive a silent engine.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -22,6 +22,10 @@
 # Targets that one request is offered to at most. A target that refuses one has not run
 # it, so this does not count as an attempt.
 MAX_OFFERS = 3
+# A repeatable request is sent to another target when one took this share of the time
+# left, and at least this many latency objectives.
+ATTEMPT_SHARE = 0.35
+MIN_ATTEMPT_OBJECTIVES = 2.0
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -91,7 +95,8 @@
                 break
             tried.append(assignment.head.target)
             try:
-                answer = await self._offer(job, assignment)
+                is_last = n_runs + 1 >= job.route.max_attempts
+                answer = await self._offer(job, assignment, is_last)
             except ConnectFailed as failure:
                 self._note_unreachable(job, assignment, str(failure))
                 continue
@@ -126,7 +131,14 @@
             503, "no-capacity", "No target took it.", retry_after_s=RETRY_AFTER_S
         )
 
-    async def _offer(self, job: Job, assignment: Assignment) -> Answer:
+    def _attempt_s(self, job: Job, is_last: bool) -> float:
+        left_s = job.remaining_s(now())
+        if is_last or not job.route.may_repeat:
+            return left_s
+        shortest_s = job.route.objective_s * MIN_ATTEMPT_OBJECTIVES
+        return min(left_s, max(shortest_s, left_s * ATTEMPT_SHARE))
+
+    async def _offer(self, job: Job, assignment: Assignment, is_last: bool) -> Answer:
         head = assignment.head
         terms = ForwardTerms(
             timeout_s=job.remaining_s(now()),
@@ -143,7 +155,7 @@
         try:
             async with (
                 self._pool.exchange(head.address, timeout_s, is_new) as exchange,
-                asyncio.timeout(job.remaining_s(now())),
+                asyncio.timeout(self._attempt_s(job, is_last)),
             ):
                 status = await exchange.send(
                     job.ingress.method,
--- a/tests/users_platform/test_whole_path.py
+++ b/tests/users_platform/test_whole_path.py
@@ -72,6 +72,17 @@
     assert json.loads(answer.body)["by"] == "velenje-plain"
 
 
+def test_silent_target_does_not_use_up_a_repeatable_request(deployment):
+    # A target behind a cut keeps its connections open and answers nothing.
+    assert deployment.request(GATEWAY, "/stock/1", "GET").status == 200
+    deployment.kill("celje-plain", signal.SIGSTOP)
+    start_s = time.monotonic()
+    answer = deployment.request(GATEWAY, "/stock/2", "GET", Deadline_Ms="2000")
+    assert answer.status == 200
+    assert json.loads(answer.body)["by"] == "velenje-plain"
+    assert time.monotonic() - start_s < 2.0
+
+
 def test_answer_without_signature_never_reaches_the_caller(deployment):
     for zone in ("celje", "velenje"):
         deployment.control(f"{zone}-plain", spoil=True)
