Domains that cannot hold the model keep their cache room

Ruled out: the link (few chains crossed before the refusals). Change: a domain gets a copy of its own only with room for 12 sequences of usual length; others move only for layers that no domain holds.

--- a/packages/cassiaspread-core/src/cassiaspread_core/placement/_layout.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/placement/_layout.py
@@ -15,6 +15,9 @@
 # Sequences of usual length for which a copy of the model has cache room, tried in
 # turn until each domain holds a whole copy.
 CACHE_SEQUENCES = (60, 50, 40, 30, 20, 12, 6, 2)
+# A domain whose copy would have less room shares one with others instead: streams that
+# cross domains are slower, but one that finds no room is refused.
+MIN_DOMAIN_SEQUENCES = 12
 
 
 def layers_that_fit(model: ModelSpec, accelerator: str, n_sequences: float) -> int:
@@ -47,16 +50,23 @@
     by_domain: dict[DomainId, list[Engine]] = {}
     for engine in engines:
         by_domain.setdefault(engine.domain, []).append(engine)
-    shared = _most_sequences(model, engines)
+    shared = most_sequences(model, engines)
     fallback = CACHE_SEQUENCES[-1] if shared is None else shared
     chosen: dict[DomainId, float] = {}
     for domain, own in by_domain.items():
-        n_sequences = _most_sequences(model, own)
-        chosen[domain] = fallback if n_sequences is None else n_sequences
+        n_sequences = most_sequences(model, own)
+        is_enough = n_sequences is not None and n_sequences >= MIN_DOMAIN_SEQUENCES
+        chosen[domain] = n_sequences if is_enough else fallback
     return chosen
 
 
-def _most_sequences(model: ModelSpec, engines: Sequence[Engine]) -> float | None:
+def most_sequences(model: ModelSpec, engines: Sequence[Engine]) -> float | None:
+    """Return the most cache room at which engines together hold the model.
+
+    :param model: the model.
+    :param engines: the engines.
+    :returns: sequences of usual length; ``None`` if they cannot hold it.
+    """
     for n_sequences in CACHE_SEQUENCES:
         fitting = (layers_that_fit(model, e.accelerator, n_sequences) for e in engines)
         if sum(fitting) >= model.n_layers:
--- a/packages/cassiaspread-core/src/cassiaspread_core/placement/_rebalance.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/placement/_rebalance.py
@@ -12,10 +12,11 @@
 from cassiaspread_core.base import DomainId, TargetId
 from cassiaspread_core.placement._layout import (
     CACHE_SEQUENCES,
+    MIN_DOMAIN_SEQUENCES,
     Coverage,
     Move,
-    choose_cache_sequences,
     layers_that_fit,
+    most_sequences,
 )
 from cassiaspread_core.placement._model import Engine, LayerRange, ModelSpec
 
@@ -56,12 +57,9 @@
         else:
             by_domain.setdefault(engine.domain, []).append(engine)
     moves = []
-    n_sequences = choose_cache_sequences(model, engines)
     for domain, candidates in by_domain.items():
         if n_moving.get(domain, 0) < MAX_MOVING_PER_DOMAIN:
-            move = _find_move(
-                model, coverage, domain, candidates, held, n_sequences[domain]
-            )
+            move = _find_move(model, coverage, domain, candidates, held)
             if move is not None:
                 moves.append(move)
     return moves
@@ -73,33 +71,36 @@
     domain: DomainId,
     engines: Sequence[Engine],
     held: Mapping[TargetId, LayerRange],
-    n_sequences: float,
 ) -> Move | None:
-    """Find a move with the engines' layers as many as now, else with more of them."""
-    if min(coverage.domain(domain)) > 0:
+    """Find a move with the engines' layers as many as now, else with more of them.
+
+    A domain that can't hold the model helps only where no domain holds a layer.
+    """
+    most = most_sequences(model, engines)
+    is_whole = most is not None and most >= MIN_DOMAIN_SEQUENCES
+    counts = coverage.domain(domain) if is_whole else coverage.fleet
+    if min(counts) > 0:
         return None
-    sizes: dict[TargetId, int] = {}
-    choice = _best_move(coverage, domain, engines, held, sizes)
-    for smaller in CACHE_SEQUENCES:
-        if choice is not None:
+    choice = _best_move(coverage, counts, domain, engines, held, {})
+    for n_sequences in CACHE_SEQUENCES:
+        if choice is not None or not is_whole or n_sequences < MIN_DOMAIN_SEQUENCES:
             break
-        if smaller <= n_sequences:
-            sizes = {
-                e.target: layers_that_fit(model, e.accelerator, smaller)
-                for e in engines
-            }
-            choice = _best_move(coverage, domain, engines, held, sizes)
+        sizes = {
+            e.target: layers_that_fit(model, e.accelerator, n_sequences)
+            for e in engines
+        }
+        choice = _best_move(coverage, counts, domain, engines, held, sizes)
     return None if choice is None else choice.move
 
 
 def _best_move(
     coverage: Coverage,
+    counts: Sequence[int],
     domain: DomainId,
     engines: Sequence[Engine],
     held: Mapping[TargetId, LayerRange],
     sizes: Mapping[TargetId, int],
 ) -> _Choice | None:
-    counts = coverage.domain(domain)
     best: _Choice | None = None
     for engine in engines:
         layers = held[engine.target]
--- a/packages/cassiaspread-core/tests/test_placement.py
+++ b/packages/cassiaspread-core/tests/test_placement.py
@@ -152,6 +152,18 @@
     assert min(coverage.fleet) >= 1
 
 
+def test_domains_that_cannot_hold_the_model_keep_their_cache_room():
+    # Twenty engines, two domains with less memory than the model: larger ranges there
+    # left no room for caches and most streams were refused on a calm day.
+    fleet = make_fleet({"a": (1, 6, 1), "b": (1, 3, 0), "c": (1, 4, 0)})
+    layout = plan_layout(MODEL, fleet, {})
+    settled, _ = settle(fleet, layout)
+    for engine in fleet:
+        held = msgspec.structs.replace(engine, layers=settled[engine.target])
+        if engine.domain in "bc":
+            assert cache_capacity(held, MODEL) >= 20 * 984 * len(held.layers)
+
+
 @settings(max_examples=40, deadline=None)
 @given(
     st.dictionaries(
