Slow engines are avoided for a while; unused calls removed

Cause: reading the change as a newcomer: the slowness that engines report was decoded and never used; repath and the members of the duty's group were declared and never called. Ruled out: keeping repath for later (code that nothing runs). Change: the slowness a head reports when it is asked about a silent stream counts for five seconds in the choice of chains and targets; repath and members are gone.

--- a/packages/cassiaspread-core/src/cassiaspread_core/targets/_health.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/targets/_health.py
@@ -24,7 +24,10 @@
 CUT_TARGETS = 2
 CUT_WINDOW_S = 1.5
 # Part of a slowness that one more measurement replaces.
-SLOWNESS_WEIGHT = 0.3
+SLOWNESS_WEIGHT = 0.5
+# How long a measured slowness counts, in seconds: a target that gets no work because it
+# was slow is not measured again.
+SLOWNESS_LIFETIME_S = 5.0
 
 
 class _Verdict(msgspec.Struct):
@@ -35,6 +38,7 @@
     renewed_s: float = float("-inf")
     success_s: float = float("-inf")
     slowness: float = 1.0
+    slowness_s: float = float("-inf")
 
 
 class DomainReach:
@@ -127,13 +131,16 @@
             if now_s - verdict.unreachable_s < MIN_SUSPECT_S
         }
 
-    def slowness(self, target: TargetId) -> float:
+    def slowness(self, target: TargetId, now_s: float) -> float:
         """Return a target's time relative to what is usual for its kind.
 
         :param target: the target.
+        :param now_s: present time.
         """
         verdict = self._verdicts.get(target)
-        return 1.0 if verdict is None else verdict.slowness
+        if verdict is None or now_s > verdict.slowness_s + SLOWNESS_LIFETIME_S:
+            return 1.0
+        return verdict.slowness
 
     def note_renewal(self, target: TargetId, now_s: float) -> None:
         """Take in that a target renewed its entry in the list of targets.
@@ -194,14 +201,17 @@
         verdict.unreachable_s = now_s
         self._suspect(verdict, now_s)
 
-    def note_slowness(self, target: TargetId, slowness: float) -> None:
+    def note_slowness(self, target: TargetId, slowness: float, now_s: float) -> None:
         """Take in how slow a target is.
 
         :param target: the target.
         :param slowness: its time relative to what is usual.
+        :param now_s: present time.
         """
+        before = self.slowness(target, now_s)
         verdict = self._verdicts.setdefault(target, _Verdict())
-        verdict.slowness += SLOWNESS_WEIGHT * (slowness - verdict.slowness)
+        verdict.slowness = before + SLOWNESS_WEIGHT * (slowness - before)
+        verdict.slowness_s = now_s
 
     def forget(self, target: TargetId) -> None:
         """Drop the verdict on a target that is gone or started anew.
--- a/packages/cassiaspread-core/tests/test_targets.py
+++ b/packages/cassiaspread-core/tests/test_targets.py
@@ -63,3 +63,12 @@
     assert not reach.is_cut("e", now_s=1.3)
     reach.note_success("d")
     assert not reach.is_cut("d", now_s=1.3)
+
+
+def test_slowness_counts_for_a_while():
+    health = TargetHealth()
+    health.note_slowness("t", 5.0, now_s=1.0)
+    health.note_slowness("t", 5.0, now_s=2.0)
+    assert health.slowness("t", now_s=3.0) == 4.0
+    assert health.slowness("t", now_s=8.0) == 1.0
+    assert health.slowness("u", now_s=3.0) == 1.0
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/__init__.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/__init__.py
@@ -12,7 +12,6 @@
     FeedPage,
     ForwardTerms,
     OrderOutcome,
-    RepathOutcome,
     RequestTerms,
     Stall,
 )
@@ -29,7 +28,6 @@
     "Gateway",
     "GatewaySettings",
     "OrderOutcome",
-    "RepathOutcome",
     "RequestTerms",
     "Stall",
 ]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
@@ -95,7 +95,7 @@
             and (e.domain == self.domain or not self._reach.is_cut(e.domain, now_s))
         ]
         for candidates in (sound, engines):
-            assignment = self._choose(service, demand, candidates)
+            assignment = self._choose(service, demand, candidates, now_s)
             if assignment is not None:
                 for target, load in assignment.loads:
                     self._ledger.add(target, load)
@@ -143,7 +143,11 @@
             callback(is_end)
 
     def _choose(
-        self, service: Service, demand: Demand, engines: list[Engine]
+        self,
+        service: Service,
+        demand: Demand,
+        engines: list[Engine],
+        now_s: float,
     ) -> Assignment | None:
         if service.model is not None:
             chain = choose_chain(
@@ -151,19 +155,21 @@
                 engines,
                 demand,
                 lambda e: self._ledger.total(e.target),
-                lambda e: self._health.slowness(e.target),
+                lambda e: self._health.slowness(e.target, now_s),
             )
             return None if chain is None else to_assignment(chain, demand)
         if not engines:
             return None
-        head = min(engines, key=self._plain_rank())
+        head = min(engines, key=self._plain_rank(now_s))
         return Assignment(head, (), ((head.target, PLAIN_LOAD),))
 
-    def _plain_rank(self) -> Callable[[Engine], tuple[float, bool, float]]:
+    def _plain_rank(
+        self, now_s: float
+    ) -> Callable[[Engine], tuple[float, bool, float]]:
         def rank(engine: Engine) -> tuple[float, bool, float]:
             load = self._ledger.total(engine.target)
             busy = (load.n_sequences + 1) / max(1, engine.n_slots)
-            slowness = self._health.slowness(engine.target)
+            slowness = self._health.slowness(engine.target, now_s)
             # Whole slots are free alike: only above them does load decide.
             cost = slowness * max(1.0, busy)
             return cost, engine.domain != self.domain, self._random_state.random()
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stalls.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stalls.py
@@ -55,6 +55,7 @@
         except (ConnectFailed, ExchangeBroken) as error:
             self._suspect(request_id, head.target, str(error))
             raise StreamStalled(head.target, f"head is silent: {error}") from None
+        self._health.note_slowness(head.target, report.slowness, now())
         addresses = {stall.address for stall in report.stalls}
         for stage in assignment.chain:
             if stage.engine.address in addresses:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_terms.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_terms.py
@@ -4,7 +4,6 @@
 whatever decides stays on this side.
 """
 
-from collections.abc import Mapping
 from enum import Enum
 from typing import Generic, Protocol, TypeVar
 
@@ -149,8 +148,6 @@
     :param is_loading: whether an order is in progress.
     :param n_orders: orders accepted since its start.
     :param slowness: its time relative to its kind's.
-    :param n_running: requests that it runs.
-    :param n_waiting: requests that wait there.
     :param stalls: requests that wait for another engine.
     """
 
@@ -158,20 +155,9 @@
     is_loading: bool
     n_orders: int
     slowness: float = 1.0
-    n_running: int = 0
-    n_waiting: int = 0
     stalls: tuple[Stall, ...] = ()
 
 
-class RepathOutcome(Enum):
-    """What became of a new chain for a running request."""
-
-    DONE = "done"
-    UNKNOWN_REQUEST = "unknown-request"
-    NO_ROOM = "no-room"
-    FAILED = "failed"
-
-
 class EngineCalls(Protocol):
     """Questions and orders to engines."""
 
@@ -201,17 +187,6 @@
         :param timeout_s: longest wait in seconds.
         """
 
-    async def repath(
-        self, head: Engine, request_id: RequestId, chain: Chain, timeout_s: float
-    ) -> RepathOutcome:
-        """Let a running request go on over another chain with the same head.
-
-        :param head: first engine of the chain.
-        :param request_id: the request.
-        :param chain: the new chain.
-        :param timeout_s: longest wait in seconds.
-        """
-
 
 class FeedPage(msgspec.Struct, Generic[Item], frozen=True):
     """Part of a feed.
@@ -281,12 +256,6 @@
         :raises LogUnavailable: the store did not answer.
         """
 
-    async def members(self) -> Mapping[str, str]:
-        """Return address and failure domain of each daemon that asks for the duty.
-
-        :raises LogUnavailable: the store did not answer.
-        """
-
 
 class Platform(Protocol):
     """Everything that the gateway needs of one platform."""
