Metrics of beliefs and of the waiting line; lost log lines are counted in a line

Cause: on-call engineers have logs and metrics only; how old the configuration is and how many wait could not be seen, and lines lost to a full pipe were counted nowhere they read. Ruled out: further lines for each request (attempt.ended said what attempt.broken says). Change: gauges of the ages, known targets, waiting requests, duty and connections; log.lost. Before: no such metric. After: the new test of the metrics address passes. Conclusion: each belief has a gauge.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_decision_log.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_decision_log.py
@@ -57,6 +57,7 @@
         self._buffer = bytearray()
         self._encoder = msgspec.json.Encoder(enc_hook=str, decimal_format="number")
         self.n_lost = 0
+        self._n_lost_told = 0
         os.set_blocking(self._descriptor, False)
 
     def record(self, event: str, **fields: object) -> None:
@@ -78,6 +79,10 @@
             if budget.n_left_out and budget.saved >= 1.0:
                 self._add("log.left_out", {"of": event, "n_lines": budget.n_left_out})
                 budget.n_left_out = 0
+        if self.n_lost > self._n_lost_told:
+            n_lost = self.n_lost
+            self._add("log.lost", {"n_lines": n_lost - self._n_lost_told})
+            self._n_lost_told = n_lost
         if not self._buffer:
             return
         try:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -110,11 +110,46 @@
             self._metrics,
             random_state,
         )
+        self._waiting = WaitingRoom(self._dispatcher, log)
         self._front = Front(self._build_router(random_state).handle)
+        self._observe_beliefs()
         self._exits = ExitStack()
         self._mesh = self._build_mesh()
         self._followers = self._build_followers(random_state)
 
+    def _observe_beliefs(self) -> None:
+        knowledge, observe = self._knowledge, self._metrics.observe
+        observe(
+            "cassiaspread.gateway.configuration.age",
+            "Seconds since the configuration was last known to be current.",
+            lambda: knowledge.configuration_age.age_s(suspended_clock_s()),
+        )
+        observe(
+            "cassiaspread.gateway.engines.age",
+            "Seconds since the list of targets was last known to be current.",
+            lambda: knowledge.engines_age.age_s(suspended_clock_s()),
+        )
+        observe(
+            "cassiaspread.gateway.engines",
+            "Targets that are known.",
+            lambda: len(knowledge.engines),
+        )
+        observe(
+            "cassiaspread.gateway.waiting",
+            "Requests that wait for room on a chain.",
+            lambda: len(self._waiting),
+        )
+        observe(
+            "cassiaspread.gateway.duty",
+            "1 while this daemon gives the engines their orders.",
+            lambda: float(self._duty.is_holder),
+        )
+        observe(
+            "cassiaspread.gateway.connections",
+            "Connections opened to targets and to the store.",
+            lambda: self._pool.n_opened,
+        )
+
     def _build_router(self, random_state: random.Random) -> Router:
         wire, settings = self._platform.wire, self._settings
         plain = PlainForwarder(
@@ -125,7 +160,7 @@
             wire,
             self._pool,
             self._dispatcher,
-            WaitingRoom(self._dispatcher, self._log),
+            self._waiting,
             self._health,
             stalls,
             self._log,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -148,7 +148,6 @@
         return assignment
 
     async def _attempt(self, stream: _Stream, assignment: Assignment) -> _End:
-        job = stream.job
         try:
             return await self._relay(stream, assignment)
         except ConnectFailed as error:
@@ -165,16 +164,6 @@
             stream.events.drop_rest()
             stream.avoid.add(assignment.head.target)
             self._dispatcher.release(assignment)
-            self._log_end(job, stream)
-
-    def _log_end(self, job: Job, stream: _Stream) -> None:
-        if stream.failure:
-            self._log.record(
-                "attempt.ended",
-                request=job.terms.request_id,
-                reason=stream.failure,
-                n_events=stream.events.n_events,
-            )
 
     async def _relay(self, stream: _Stream, assignment: Assignment) -> _End:
         job, head = stream.job, assignment.head
--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -165,10 +165,14 @@
             self.history_path,
         )
 
-    def add_gateway(self, name, zone, peer_port=None, **bounds):
+    def add_gateway(self, name, zone, metrics=False, **bounds):
         self.ports["store"] = self.store_port
         port, ready = free_port(), free_port()
-        peer_port = peer_port or free_port()
+        peer_port = free_port()
+        flags = []
+        if metrics:
+            self.ports[f"{name}/metrics"] = free_port()
+            flags = ["--metrics-port", self.ports[f"{name}/metrics"]]
         self.ports[name], self.ports[f"{name}/ready"] = port, ready
         boot = {
             "node_name": name,
@@ -195,6 +199,7 @@
             name,
             "-m",
             "cassiaspread_platform",
+            *flags,
             environment={"CASSIASPREAD_BOOT": str(path)},
         )
         wait_for(lambda: self.reaches(port))
--- a/tests/users_platform/test_whole_path.py
+++ b/tests/users_platform/test_whole_path.py
@@ -271,3 +271,20 @@
     )
     assert placed[0]["status"] == 202
     assert placed[0]["fencing_token"] > orders[-1]["fencing_token"]
+
+
+def test_metrics_say_what_callers_and_beliefs_are(bare):
+    bare.publish(3)
+    bare.add_engine("celje-plain", PLAIN, "celje")
+    bare.add_gateway("measured", "celje", metrics=True)
+    wait_for(lambda: bare.is_ready("measured"))
+    wait_for(lambda: bare.request("measured", "/stock/1", "GET").status == 200)
+    port = bare.ports["measured/metrics"]
+    text = bare.call(port, "GET", "/metrics").body.decode()
+    for name in (
+        "cassiaspread_gateway_requests_total",
+        "cassiaspread_gateway_request_duration_seconds_bucket",
+        "cassiaspread_gateway_configuration_age",
+        "cassiaspread_gateway_waiting",
+    ):
+        assert name in text
