Retries by a window that all daemons share

Change: requests and retries are counted in a sliding window of the length that the settings give; the slack is divided among the daemons that run, eight at least. A test plays random requests on nine daemons against the bound.

--- a/packages/cassiaspread-core/src/cassiaspread_core/admission/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/__init__.py
@@ -4,6 +4,7 @@
 from cassiaspread_core.admission._fair_queue import FairQueue, Ticket
 from cassiaspread_core.admission._forecast import Forecast
 from cassiaspread_core.admission._gate import Decision, Gate, Verdict
+from cassiaspread_core.admission._retry_window import RetryWindow
 from cassiaspread_core.admission._shares import (
     Demand,
     Share,
@@ -21,6 +22,7 @@
     "Forecast",
     "Gate",
     "RetryBudget",
+    "RetryWindow",
     "Share",
     "Ticket",
     "Verdict",
--- /dev/null
+++ b/packages/cassiaspread-core/tests/test_retry_window.py
@@ -0,0 +1,33 @@
+"""Retries keep to the bound that all daemons share, in every window."""
+
+import random
+
+from cassiaspread_core.admission import RetryWindow
+
+
+def test_streams_of_a_lost_engine_all_go_on():
+    # Nine daemons with 43 requests a second; an engine is lost with 60 streams on it.
+    windows = [RetryWindow(ratio=0.2, slack=202.0, window_s=10.0) for _ in range(9)]
+    for n in range(430):
+        windows[n % 9].note_request(now_s=n / 43)
+    taken = [windows[n % 9].take(now_s=10.0, n_daemons=9) for n in range(60)]
+    assert all(taken)
+
+
+def test_no_window_of_the_fleet_holds_more_than_its_bound():
+    random_state = random.Random(7)
+    windows = [RetryWindow(ratio=0.2, slack=202.0, window_s=10.0) for _ in range(9)]
+    requests, retries = [], []
+    now_s = 0.0
+    for _ in range(6000):
+        now_s += random_state.expovariate(120.0)
+        window = random_state.choice(windows)
+        if random_state.random() < 0.35:
+            window.note_request(now_s)
+            requests.append(now_s)
+        elif window.take(now_s, n_daemons=9):
+            retries.append(now_s)
+    for end_s in retries:
+        n_retries = sum(end_s - 10.0 < at <= end_s for at in retries)
+        n_requests = sum(end_s - 10.0 < at <= end_s for at in requests)
+        assert n_retries <= 0.2 * n_requests + 202.0
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -61,8 +61,8 @@
 IDLE_BEFORE_CLOSE_S = 0.3
 # Messages between daemons are not kept for a time line here: the log has the decisions.
 N_EVENTS = 1
-# Share of the retries of the whole fleet that daemons use up together.
-RETRY_SAFETY = 0.8
+# Daemons that are counted at least, while this one may not know the others yet.
+MIN_DAEMONS = 8
 
 
 class Gateway:
@@ -167,9 +167,11 @@
             self._metrics,
             random_state,
         )
-        share = RETRY_SAFETY / settings.n_daemons
         retries = RetryLimits(
-            settings.retry_ratio * RETRY_SAFETY, settings.retry_burst * share
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_s,
+            self._count_daemons,
         )
         return Router(
             wire,
@@ -184,6 +186,10 @@
             random_state,
         )
 
+    def _count_daemons(self) -> int:
+        n_running = 1 if self._mesh is None else len(self._mesh.running())
+        return max(MIN_DAEMONS, n_running)
+
     def _build_mesh(self) -> Mesh | None:
         settings = self._settings
         if settings.peer_listen is None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_job.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_job.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable
 
 import msgspec
 
@@ -15,6 +16,9 @@
 # Callers that were refused together come back spread over this part of the time.
 RETRY_SPREAD = 0.5
 
+# Uses up one retry and returns whether there was one.
+TakeRetry = Callable[[], bool]
+
 
 class Job(msgspec.Struct, frozen=True, kw_only=True):
     """A request that is to be sent to a target.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -5,13 +5,12 @@
 
 import msgspec
 
-from cassiaspread_core.admission import RetryBudget
 from cassiaspread_core.base import Refusal, TargetId
 from cassiaspread_core.targets import TargetHealth
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken, Response
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._dispatch import Assignment, Dispatcher
-from cassiaspread_daemon.gateway._job import Job, broken_off, now, timed_out
+from cassiaspread_daemon.gateway._job import Job, TakeRetry, broken_off, now, timed_out
 from cassiaspread_daemon.gateway._pool import ConnectionPool
 from cassiaspread_daemon.gateway._terms import AnswerTerms, ForwardTerms, Wire
 
@@ -66,18 +65,18 @@
         self._log = log
         self._random_state = random_state
 
-    async def forward(self, job: Job, budget: RetryBudget) -> None:
+    async def forward(self, job: Job, take_retry: TakeRetry) -> None:
         """Send a request and answer its caller.
 
         :param job: the request.
-        :param budget: retries that this daemon may still make.
+        :param take_retry: uses up one of the retries that this daemon may make.
         :raises Refusal: it is not answered by a target.
         """
-        answer = await self._run(job, budget)
+        answer = await self._run(job, take_retry)
         headers = self._wire.answer_headers(answer.response.headers)
         job.ingress.answer(answer.response.status, headers, answer.response.body)
 
-    async def _run(self, job: Job, budget: RetryBudget) -> Answer:
+    async def _run(self, job: Job, take_retry: TakeRetry) -> Answer:
         tried: list[TargetId] = []
         n_runs = 0
         failed: Answer | None = None
@@ -85,7 +84,7 @@
         while len(tried) < MAX_OFFERS and n_runs < job.route.max_attempts:
             if job.remaining_s(now()) <= 0:
                 break
-            if tried and not budget.take():
+            if tried and not take_retry():
                 self._log.record("retry.denied", request=job.terms.request_id)
                 break
             assignment = self._dispatcher.assign(
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -1,8 +1,9 @@
 """From a caller's request to its answer: route, key, service, forwarding, refusal."""
 
 import random
+from collections.abc import Callable
 
-from cassiaspread_core.admission import RetryBudget
+from cassiaspread_core.admission import RetryWindow
 from cassiaspread_core.base import Outcome, Refusal, RequestId, ServiceId
 from cassiaspread_core.chains import Demand
 from cassiaspread_core.routing import (
@@ -16,7 +17,7 @@
 from cassiaspread_daemon.gateway._dispatch import Dispatcher
 from cassiaspread_daemon.gateway._front import CallerGone, Ingress
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
-from cassiaspread_daemon.gateway._job import Job, now, refuse
+from cassiaspread_daemon.gateway._job import Job, TakeRetry, now, refuse
 from cassiaspread_daemon.gateway._knowledge import Knowledge, suspended_clock_s
 from cassiaspread_daemon.gateway._plain import PlainForwarder
 from cassiaspread_daemon.gateway._stream import StreamForwarder
@@ -33,25 +34,36 @@
     """Retries allowed to this daemon, by service.
 
     :param ratio: retries for each request.
-    :param burst: retries that may be saved up.
+    :param slack: retries in a window beyond that, over all daemons.
+    :param window_s: length of the window in seconds.
+    :param count_daemons: returns how many daemons share the slack.
     """
 
-    def __init__(self, ratio: float, burst: float) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window_s: float,
+        count_daemons: Callable[[], int],
+    ) -> None:
         self._ratio = ratio
-        self._burst = burst
-        self._budgets: dict[ServiceId, RetryBudget] = {}
+        self._slack = slack
+        self._window_s = window_s
+        self._count_daemons = count_daemons
+        self._windows: dict[ServiceId, RetryWindow] = {}
 
-    def note_request(self, service: ServiceId) -> RetryBudget:
-        """Earn part of a retry with a new request.
+    def note_request(self, service: ServiceId) -> TakeRetry:
+        """Count a new request.
 
         :param service: service that runs it.
-        :returns: the service's budget.
+        :returns: uses up one retry of the service, if there is one.
         """
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = RetryBudget(self._burst)
-        budget.note_success(self._ratio)
-        return budget
+        window = self._windows.get(service)
+        if window is None:
+            window = RetryWindow(self._ratio, self._slack, self._window_s)
+            self._windows[service] = window
+        window.note_request(now())
+        return lambda: window.take(now(), self._count_daemons())
 
 
 class Router:
@@ -109,11 +121,11 @@
                 raise Refusal(400, "bad-request", str(error)) from None
             job = self._prepare(ingress, terms)
             kind = job.route.kind.value
-            budget = self._retries.note_request(job.service.name)
+            take_retry = self._retries.note_request(job.service.name)
             if job.route.kind is RequestKind.STREAM:
-                await self._stream.forward(job, budget)
+                await self._stream.forward(job, take_retry)
             else:
-                await self._plain.forward(job, budget)
+                await self._plain.forward(job, take_retry)
         except Refusal as refusal:
             outcome = refusal.code
             self._refuse(ingress, terms, refusal)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_settings.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_settings.py
@@ -21,8 +21,8 @@
     :param settled_s: time within which a configuration comes into force, in seconds.
     :param leaving_bound_s: time within which a leaving target gets no more work.
     :param retry_ratio: retries allowed for each request, over all daemons.
-    :param retry_burst: retries allowed beyond that, over all daemons.
-    :param n_daemons: how many daemons share the retries at most.
+    :param retry_slack: retries allowed in a window beyond that, over all daemons.
+    :param retry_window_s: length of that window in seconds.
     :param exit_timeout_s: time from SIGTERM to the end of the process, in seconds.
     """
 
@@ -37,6 +37,6 @@
     settled_s: float = 2.0
     leaving_bound_s: float = 2.0
     retry_ratio: float = 0.2
-    retry_burst: float = 128.0
-    n_daemons: int = 16
+    retry_slack: float = 128.0
+    retry_window_s: float = 10.0
     exit_timeout_s: float = 8.0
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -8,7 +8,6 @@
 import random
 from enum import Enum
 
-from cassiaspread_core.admission import RetryBudget
 from cassiaspread_core.base import Refusal, TargetId
 from cassiaspread_core.targets import TargetHealth
 from cassiaspread_daemon._exchange import ConnectFailed, Exchange, ExchangeBroken
@@ -16,7 +15,7 @@
 from cassiaspread_daemon.gateway._dispatch import Assignment, Dispatcher
 from cassiaspread_daemon.gateway._events import EventBuffer
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
-from cassiaspread_daemon.gateway._job import Job, broken_off, now, timed_out
+from cassiaspread_daemon.gateway._job import Job, TakeRetry, broken_off, now, timed_out
 from cassiaspread_daemon.gateway._pool import ConnectionPool
 from cassiaspread_daemon.gateway._stalls import StallWatch
 from cassiaspread_daemon.gateway._terms import AnswerTerms, ForwardTerms, Wire
@@ -90,16 +89,16 @@
         self._metrics = metrics
         self._random_state = random_state
 
-    async def forward(self, job: Job, budget: RetryBudget) -> None:
+    async def forward(self, job: Job, take_retry: TakeRetry) -> None:
         """Send a request and relay its stream.
 
         :param job: the request.
-        :param budget: retries that this daemon may still make.
+        :param take_retry: uses up one of the retries that this daemon may make.
         :raises Refusal: the stream is not whole.
         """
         stream = _Stream(job)
         for n_offer in range(MAX_OFFERS):
-            if n_offer and not budget.take():
+            if n_offer and not take_retry():
                 self._log.record("retry.denied", request=job.terms.request_id)
                 break
             assignment = await self._assign(stream)
