A request whose connection was closed as idle is not passed on

Ruled out: a look at the connections that is too old (mended before, with its test); the time of idleness (kept connections were idle for seconds). Change: idle connections are looked at after some passes of the loop; a request whose connection is closed when it is handed on is dropped. Conclusion: a close and a request may cross, but what crossed is not run.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_front.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_front.py
@@ -17,6 +17,9 @@
 
 from cassiaspread_core.base import CassiaspreadError
 
+# Passes of the loop after which a request that was read has reached its handler.
+LOOP_PASSES = 8
+
 
 class CallerGone(CassiaspreadError):
     """The caller closed its connection."""
@@ -159,11 +162,13 @@
         if server_conn in self._idle_since_s:
             self._idle_since_s[server_conn] = None if is_busy else time.monotonic()
 
-    def close_idle(self, idle_s: float) -> None:
+    async def close_idle(self, idle_s: float) -> None:
         """Close the connections on which no request is in progress.
 
         :param idle_s: how long a connection must have been idle, in seconds.
         """
+        for _ in range(LOOP_PASSES):
+            await asyncio.sleep(0)
         limit_s = time.monotonic() - idle_s
         for server_conn in list(self._idle_since_s):
             # Nothing else runs between this look and the close: a request that begins
@@ -220,6 +225,10 @@
         self._chunks.append(chunk)
 
     def finish(self) -> None:
+        if self._connection.stream.closed():
+            # Nobody can be answered: passed on, it would run for nothing.
+            self._front.note_busy(self._server_conn, False)
+            return
         ingress = Ingress(
             self._connection,
             self._start_line,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -317,7 +317,7 @@
         limit_s = leaving_s + self._settings.exit_timeout_s - EXIT_MARGIN_S
         # A request that still came over a kept connection could not be finished.
         while now() < limit_s:
-            self._front.close_idle(IDLE_BEFORE_CLOSE_S)
+            await self._front.close_idle(IDLE_BEFORE_CLOSE_S)
             if not self._front.n_requests and not self._front.n_connections:
                 break
             await asyncio.sleep(DRAIN_POLL_S)
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -6,6 +6,7 @@
 import random
 
 import pytest
+from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from cassiaspread_core.base import LogUnavailable, Refusal, Truncated
 from cassiaspread_core.chains import Demand, LoadLedger
@@ -260,6 +261,12 @@
         self.is_closed = False
         self.on_close = on_close
 
+    def closed(self):
+        return self.is_closed
+
+    def writing(self):
+        return False
+
     def close(self):
         self.is_closed = True
         if self.on_close is not None:
@@ -270,6 +277,9 @@
     def __init__(self, on_close=None):
         self.stream = FakeStream(on_close)
 
+    def set_close_callback(self, callback):
+        pass
+
 
 def test_connection_that_became_busy_is_not_closed_as_idle():
     # A daemon that leaves closed idle connections one after the other; a request that
@@ -279,18 +289,42 @@
     first = FakeConnection(on_close=lambda: front.note_busy(second, True))
     for connection in (first, second):
         front.start_request(connection, None)
-    front.close_idle(idle_s=0.0)
+    asyncio.run(front.close_idle(idle_s=0.0))
     assert first.stream.is_closed
     assert not second.stream.is_closed
     third = FakeConnection()
     front.start_request(third, None)
-    front.close_idle(idle_s=10.0)
+    asyncio.run(front.close_idle(idle_s=10.0))
     assert not third.stream.is_closed
     front.note_busy(third, True)
-    front.close_idle(idle_s=0.0)
+    asyncio.run(front.close_idle(idle_s=0.0))
     assert not third.stream.is_closed
 
 
+def test_request_read_just_before_its_connection_was_closed_is_not_passed_on():
+    # tornado hands a request on some passes of the loop after its bytes were read; the
+    # connection that it came on was closed as idle in between.
+    handled = []
+
+    async def handle(ingress):
+        handled.append(ingress)
+
+    async def run():
+        front = Front(handle)
+        connection = FakeConnection()
+        for is_closed in (True, False):
+            connection.stream.is_closed = is_closed
+            reader = front.start_request(connection, connection)
+            start_line = RequestStartLine("GET", "/", "HTTP/1.1")
+            reader.headers_received(start_line, HTTPHeaders())
+            reader.finish()
+            await asyncio.sleep(0.01)
+            assert len(handled) == int(not is_closed)
+            assert front.n_requests == 0
+
+    asyncio.run(run())
+
+
 def test_log_never_waits_for_a_reader_that_stopped(tmp_path):
     reading, writing = os.pipe()
     log = DecisionLog("d1", writing)
