A stream that has begun waits for a new chain as long as its caller does

Change: a stream that has sent events waits for room until its deadline; its caller leaves earlier if the pause grows too long. Others wait two objectives as before. Before: the new test failed (refused at once). Conclusion: silence of an engine is no reason to end an answer sooner.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -129,6 +129,9 @@
         job = stream.job
         started_s = now()
         longest_s = job.route.objective_s * MAX_WAIT_OBJECTIVES
+        if stream.is_started:
+            # Its caller leaves when the pause grows too long; until then it may go on.
+            longest_s = job.remaining_s(now())
         try:
             assignment = await self._waiting.assign(job, stream.avoid, longest_s)
         except Refusal as refusal:
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -22,6 +22,7 @@
 from cassiaspread_daemon.gateway._knowledge import FeedFollower, Knowledge
 from cassiaspread_daemon.gateway._pool import ConnectionPool
 from cassiaspread_daemon.gateway._router import RetryLimits
+from cassiaspread_daemon.gateway._stream import StreamForwarder, _Stream
 from cassiaspread_daemon.gateway._terms import EngineChange
 from cassiaspread_daemon.gateway._waiting import WaitingRoom
 
@@ -256,6 +257,11 @@
     asyncio.run(run())
 
 
+class FakeMetrics:
+    def note_wait(self, waited_s):
+        pass
+
+
 class FakeStream:
     def __init__(self, on_close=None):
         self.is_closed = False
@@ -429,3 +435,28 @@
         out += whole
     assert out == stream
     assert (events.last_id, events.n_events, events.rest) == ("29", 29, b"")
+
+
+def test_started_stream_waits_for_room_as_long_as_its_caller(log):
+    # An engine fell silent while all caches were full: a stream that had sent 30 events
+    # was given up after one second, though its caller still listened.
+    async def run():
+        dispatcher, room = make_room(log)
+        held = [await room.assign(make_job(), (), 1.0) for _ in range(2)]
+        waiting = asyncio.create_task(room.assign(make_job(), (), 1.0))
+        await asyncio.sleep(0)
+        forwarder = StreamForwarder(
+            None, None, dispatcher, room, None, None, log, FakeMetrics(), None
+        )
+        stream = _Stream(make_job())
+        stream.is_started = True
+        going_on = asyncio.create_task(forwarder._assign(stream))
+        await asyncio.sleep(1.2)
+        assert waiting.done()
+        assert not going_on.done()
+        dispatcher.release(held[0])
+        assert (await asyncio.wait_for(going_on, 1.0)).head.target == "e"
+        with pytest.raises(Refusal):
+            waiting.result()
+
+    asyncio.run(run())
