Tests of the whole path wait for all addresses and for log lines

Ruled out: the gateway (it opens its addresses one after the other in one step; lines are written each 0.1 s by design). Change: the set-up waits for each address, the tests for the line they read. Conclusion: the tests read too early.

--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -202,7 +202,8 @@
             *flags,
             environment={"CASSIASPREAD_BOOT": str(path)},
         )
-        wait_for(lambda: self.reaches(port))
+        ports = [port, ready, self.ports.get(f"{name}/metrics", ready)]
+        wait_for(lambda: all(map(self.reaches, ports)))
 
     def is_ready(self, name):
         port = self.ports[f"{name}/ready"]
--- a/tests/users_platform/test_whole_path.py
+++ b/tests/users_platform/test_whole_path.py
@@ -190,7 +190,9 @@
         return
     for head in heads:
         deployment.control(head, event_s=0.1)
-    used = deployment.decisions(GATEWAY, "stream.assigned")[-1]["chain"]
+    # Lines reach the log a moment after the decision.
+    lines = wait_for(lambda: deployment.decisions(GATEWAY, "stream.assigned"))
+    used = lines[-1]["chain"]
     last = used[-1][0]
     port = deployment.ports[GATEWAY]
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
@@ -276,10 +278,15 @@
 
 def test_placement_goes_on_when_its_holder_is_killed(deployment):
     orders = deployment.history("order")
-    holder = next(
-        name
-        for name in ("gateway-celje", "gateway-velenje")
-        if deployment.decisions(name, "order.given")
+    holder = wait_for(
+        lambda: next(
+            (
+                name
+                for name in ("gateway-celje", "gateway-velenje")
+                if deployment.decisions(name, "order.given")
+            ),
+            None,
+        )
     )
     deployment.kill(holder)
     deployment.add_engine("celje-late", "model-pool", "celje", "small")
