Forwarders take no random generator that they do not use

Cause: read-through of the whole change: both forwarders kept a random generator since the router spreads callers' returns itself. Ruled out: a use by name (grep). Behaviour as before.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -153,7 +153,7 @@
     def _build_router(self, random_state: random.Random) -> Router:
         wire, settings = self._platform.wire, self._settings
         plain = PlainForwarder(
-            wire, self._pool, self._dispatcher, self._health, self._log, random_state
+            wire, self._pool, self._dispatcher, self._health, self._log
         )
         stalls = StallWatch(self._platform.engine_calls, self._health, self._log)
         stream = StreamForwarder(
@@ -165,7 +165,6 @@
             stalls,
             self._log,
             self._metrics,
-            random_state,
         )
         retries = RetryLimits(
             settings.retry_ratio,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -1,7 +1,6 @@
 """Requests to plain services: one answer, sent on when it is whole."""
 
 import asyncio
-import random
 
 import msgspec
 
@@ -46,7 +45,6 @@
     :param dispatcher: chooses targets.
     :param health: verdicts on targets.
     :param log: gets a line for each decision.
-    :param random_state: spreads callers' returns.
     """
 
     def __init__(
@@ -56,14 +54,12 @@
         dispatcher: Dispatcher,
         health: TargetHealth,
         log: DecisionLog,
-        random_state: random.Random,
     ) -> None:
         self._wire = wire
         self._pool = pool
         self._dispatcher = dispatcher
         self._health = health
         self._log = log
-        self._random_state = random_state
 
     async def forward(self, job: Job, take_retry: TakeRetry) -> None:
         """Send a request and answer its caller.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import random
 from enum import Enum
 
 from cassiaspread_core.base import Refusal, TargetId
@@ -64,7 +63,6 @@
     :param stalls: finds out which engine a silent stream waits for.
     :param log: gets a line for each decision.
     :param metrics: counts attempts, records times.
-    :param random_state: spreads callers' returns.
     """
 
     def __init__(
@@ -77,7 +75,6 @@
         stalls: StallWatch,
         log: DecisionLog,
         metrics: GatewayMetrics,
-        random_state: random.Random,
     ) -> None:
         self._wire = wire
         self._pool = pool
@@ -87,7 +84,6 @@
         self._stalls = stalls
         self._log = log
         self._metrics = metrics
-        self._random_state = random_state
 
     async def forward(self, job: Job, take_retry: TakeRetry) -> None:
         """Send a request and relay its stream.
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -446,7 +446,7 @@
         waiting = asyncio.create_task(room.assign(make_job(), (), 1.0))
         await asyncio.sleep(0)
         forwarder = StreamForwarder(
-            None, None, dispatcher, room, None, None, log, FakeMetrics(), None
+            None, None, dispatcher, room, None, None, log, FakeMetrics()
         )
         stream = _Stream(make_job())
         stream.is_started = True
