Connections that were busy at SIGTERM close when their answer ends

Ruled out: answers to requests read after SIGTERM (tornado announces their close and closes). Change: while the daemon leaves, each answer is the last on its connection: one that starts says so, and the connection is closed once the end of the answer has left. Before: both new tests failed (a second request was handled; no header). Tests of the front have a file of their own. Conclusion: what ends a connection while leaving is the end of its answer, not idle time; idle time remains for connections without a request.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_front.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_front.py
@@ -33,6 +33,7 @@
     :param headers: the caller's headers.
     :param body: the whole body.
     :param arrived_s: when its headers were read, on the monotonic clock in seconds.
+    :param is_last: returns whether no further request is taken from its connection.
     """
 
     def __init__(
@@ -42,8 +43,10 @@
         headers: HTTPHeaders,
         body: bytes,
         arrived_s: float,
+        is_last: Callable[[], bool] = lambda: False,
     ) -> None:
         self._connection = connection
+        self._is_last = is_last
         self.method = start_line.method
         self.target = start_line.path
         self.headers = headers
@@ -74,6 +77,8 @@
         except ValueError:
             reason = "Unknown"
         start_line = ResponseStartLine("HTTP/1.1", status, reason)
+        if self._is_last():
+            headers["Connection"] = "close"
         self._connection.write_headers(start_line, headers, data)
 
     async def write(self, data: bytes) -> None:
@@ -90,6 +95,11 @@
     def end(self) -> None:
         """End the answer as whole."""
         self._connection.finish()
+        stream = self._connection.stream
+        if self._is_last() and not stream.closed():
+            # Ends once all that was written before has left.
+            flushed = stream.write(b"")
+            flushed.add_done_callback(lambda _: stream.close())
 
     def abort(self) -> None:
         """Close the connection, so that the answer does not look whole."""
@@ -121,6 +131,7 @@
 
     def __init__(self, handler: Handler) -> None:
         self._handler = handler
+        self._is_leaving = False
         self._tasks: set[asyncio.Task[None]] = set()
         # Since when no request is in progress on each open connection.
         self._idle_since_s: dict[HTTP1ServerConnection, float | None] = {}
@@ -130,6 +141,11 @@
         """Requests in progress."""
         return len(self._tasks)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether each answer is the last one on its connection."""
+        return self._is_leaving
+
     @property
     def n_connections(self) -> int:
         """Open connections."""
@@ -162,6 +178,10 @@
         if server_conn in self._idle_since_s:
             self._idle_since_s[server_conn] = None if is_busy else time.monotonic()
 
+    def leave(self) -> None:
+        """Make each answer from now on the last one on its connection."""
+        self._is_leaving = True
+
     async def close_idle(self, idle_s: float) -> None:
         """Close the connections on which no request is in progress.
 
@@ -235,6 +255,7 @@
             self._headers,
             b"".join(self._chunks),
             self._arrived_s,
+            lambda: self._front.is_leaving,
         )
         task = self._front.run(ingress, self._server_conn)
         self._connection.set_close_callback(task.cancel)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -307,6 +307,7 @@
         self._is_leaving = True
         self._log.record("gateway.leaving", n_open=self._front.n_requests)
         listener.announce_close()
+        self._front.leave()
         # Asking on would bring the duty back to a daemon that soon ends.
         await self._supervisor.cancel("duty")
         await self._supervisor.cancel("placement")
--- /dev/null
+++ b/packages/cassiaspread-daemon/tests/test_front.py
@@ -0,0 +1,146 @@
+"""Callers' connections while a daemon leaves."""
+
+import asyncio
+from contextlib import suppress
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, RequestStartLine
+from tornado.netutil import bind_sockets
+
+from cassiaspread_daemon.gateway._front import Front
+
+TIMEOUT_S = 5.0
+
+
+class FakeStream:
+    def __init__(self, on_close=None):
+        self.is_closed = False
+        self.on_close = on_close
+
+    def closed(self):
+        return self.is_closed
+
+    def writing(self):
+        return False
+
+    def close(self):
+        self.is_closed = True
+        if self.on_close is not None:
+            self.on_close()
+
+
+class FakeConnection:
+    def __init__(self, on_close=None):
+        self.stream = FakeStream(on_close)
+
+    def set_close_callback(self, callback):
+        pass
+
+
+def test_connection_that_became_busy_is_not_closed_as_idle():
+    # A daemon that leaves closed idle connections one after the other; a request that
+    # began meanwhile was cut after it had been passed on.
+    front = Front(None)
+    second = FakeConnection()
+    first = FakeConnection(on_close=lambda: front.note_busy(second, True))
+    for connection in (first, second):
+        front.start_request(connection, None)
+    asyncio.run(front.close_idle(idle_s=0.0))
+    assert first.stream.is_closed
+    assert not second.stream.is_closed
+    third = FakeConnection()
+    front.start_request(third, None)
+    asyncio.run(front.close_idle(idle_s=10.0))
+    assert not third.stream.is_closed
+    front.note_busy(third, True)
+    asyncio.run(front.close_idle(idle_s=0.0))
+    assert not third.stream.is_closed
+
+
+def test_request_read_just_before_its_connection_was_closed_is_not_passed_on():
+    # tornado hands a request on some passes of the loop after its bytes were read; the
+    # connection that it came on was closed as idle in between.
+    handled = []
+
+    async def handle(ingress):
+        handled.append(ingress)
+
+    async def run():
+        front = Front(handle)
+        connection = FakeConnection()
+        for is_closed in (True, False):
+            connection.stream.is_closed = is_closed
+            reader = front.start_request(connection, connection)
+            start_line = RequestStartLine("GET", "/", "HTTP/1.1")
+            reader.headers_received(start_line, HTTPHeaders())
+            reader.finish()
+            await asyncio.sleep(0.01)
+            assert len(handled) == int(not is_closed)
+            assert front.n_requests == 0
+
+    asyncio.run(run())
+
+
+def test_connection_busy_while_leaving_is_closed_when_its_answer_ends():
+    # An answer begun before SIGTERM ended after it, and its caller sent one more
+    # request on the connection, which was passed on and cut when the process ended.
+    async def run():
+        handled = []
+        may_end = asyncio.Event()
+
+        async def handle(ingress):
+            handled.append(ingress)
+            ingress.start(200, HTTPHeaders())
+            await may_end.wait()
+            await ingress.write(b"whole")
+            ingress.end()
+
+        front = Front(handle)
+        [socket] = bind_sockets(0, "127.0.0.1")
+        server = HTTPServer(front)
+        server.add_sockets([socket])
+        reader, writer = await asyncio.open_connection(*socket.getsockname())
+        request = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+        writer.write(request)
+        await reader.readuntil(b"\r\n\r\n")
+        front.leave()
+        may_end.set()
+        assert (await reader.readuntil(b"0\r\n\r\n")).endswith(b"whole\r\n0\r\n\r\n")
+        writer.write(request)
+        async with asyncio.timeout(TIMEOUT_S):
+            with suppress(ConnectionError):
+                assert await reader.read() == b""
+        assert len(handled) == 1
+        writer.close()
+        server.stop()
+
+    asyncio.run(run())
+
+
+def test_answer_begun_while_leaving_says_that_its_connection_closes():
+    async def run():
+        is_read = asyncio.Event()
+        may_answer = asyncio.Event()
+
+        async def handle(ingress):
+            is_read.set()
+            await may_answer.wait()
+            ingress.answer(200, {}, b"whole")
+
+        front = Front(handle)
+        [socket] = bind_sockets(0, "127.0.0.1")
+        server = HTTPServer(front)
+        server.add_sockets([socket])
+        reader, writer = await asyncio.open_connection(*socket.getsockname())
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        await is_read.wait()
+        front.leave()
+        may_answer.set()
+        async with asyncio.timeout(TIMEOUT_S):
+            answer = await reader.read()
+        assert b"Connection: close" in answer
+        assert answer.endswith(b"whole")
+        writer.close()
+        server.stop()
+
+    asyncio.run(run())
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -6,7 +6,6 @@
 import random
 
 import pytest
-from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from cassiaspread_core.base import LogUnavailable, Refusal, Truncated
 from cassiaspread_core.chains import Demand, LoadLedger
@@ -17,7 +16,6 @@
 from cassiaspread_daemon.gateway import DecisionLog, FeedPage, RequestTerms
 from cassiaspread_daemon.gateway._dispatch import Dispatcher
 from cassiaspread_daemon.gateway._events import EventBuffer
-from cassiaspread_daemon.gateway._front import Front
 from cassiaspread_daemon.gateway._job import Job, now
 from cassiaspread_daemon.gateway._knowledge import FeedFollower, Knowledge
 from cassiaspread_daemon.gateway._pool import ConnectionPool
@@ -262,75 +260,6 @@
         pass
 
 
-class FakeStream:
-    def __init__(self, on_close=None):
-        self.is_closed = False
-        self.on_close = on_close
-
-    def closed(self):
-        return self.is_closed
-
-    def writing(self):
-        return False
-
-    def close(self):
-        self.is_closed = True
-        if self.on_close is not None:
-            self.on_close()
-
-
-class FakeConnection:
-    def __init__(self, on_close=None):
-        self.stream = FakeStream(on_close)
-
-    def set_close_callback(self, callback):
-        pass
-
-
-def test_connection_that_became_busy_is_not_closed_as_idle():
-    # A daemon that leaves closed idle connections one after the other; a request that
-    # began meanwhile was cut after it had been passed on.
-    front = Front(None)
-    second = FakeConnection()
-    first = FakeConnection(on_close=lambda: front.note_busy(second, True))
-    for connection in (first, second):
-        front.start_request(connection, None)
-    asyncio.run(front.close_idle(idle_s=0.0))
-    assert first.stream.is_closed
-    assert not second.stream.is_closed
-    third = FakeConnection()
-    front.start_request(third, None)
-    asyncio.run(front.close_idle(idle_s=10.0))
-    assert not third.stream.is_closed
-    front.note_busy(third, True)
-    asyncio.run(front.close_idle(idle_s=0.0))
-    assert not third.stream.is_closed
-
-
-def test_request_read_just_before_its_connection_was_closed_is_not_passed_on():
-    # tornado hands a request on some passes of the loop after its bytes were read; the
-    # connection that it came on was closed as idle in between.
-    handled = []
-
-    async def handle(ingress):
-        handled.append(ingress)
-
-    async def run():
-        front = Front(handle)
-        connection = FakeConnection()
-        for is_closed in (True, False):
-            connection.stream.is_closed = is_closed
-            reader = front.start_request(connection, connection)
-            start_line = RequestStartLine("GET", "/", "HTTP/1.1")
-            reader.headers_received(start_line, HTTPHeaders())
-            reader.finish()
-            await asyncio.sleep(0.01)
-            assert len(handled) == int(not is_closed)
-            assert front.n_requests == 0
-
-    asyncio.run(run())
-
-
 def test_log_never_waits_for_a_reader_that_stopped(tmp_path):
     reading, writing = os.pipe()
     log = DecisionLog("d1", writing)
