--- /dev/null
+++ b/tests/users_platform/test_wire.py
@@ -0,0 +1,24 @@
+"""Headers of engines' answers."""
+
+import pytest
+from tornado.httputil import HTTPHeaders
+
+from cassiaspread_core.base import RequestId
+from cassiaspread_platform._wire import Wire
+
+SEAL = {"Response-Seal": "3e1b.07.5a2.600.0.c9f2a4d1"}
+
+
+@pytest.mark.parametrize(
+    ("headers", "is_own"),
+    [
+        (SEAL | {"Attempt-Id": "own"}, True),
+        (SEAL | {"Attempt-Id": "other"}, False),
+        # Second answer to an earlier request, on a connection that was kept.
+        (SEAL, False),
+        # Refusal by an engine that did not read the request.
+        ({"Not-Executed": "1"}, True),
+    ],
+)
+def test_signed_answers_belong_to_the_request_that_they_name(headers, is_own):
+    assert Wire().answers(HTTPHeaders(headers), RequestId("own")) is is_own
