--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -100,6 +100,7 @@
     def __init__(self, folder):
         self.folder = folder
         self.processes = {}
+        self.commands = {}
         self.ports = {}
         self.store_port = free_port()
         self.history_path = folder / "history.jsonl"
@@ -108,6 +109,7 @@
         wait_for(lambda: self.reaches(self.store_port))
 
     def start(self, name, *command, environment=None):
+        self.commands[name] = (command, environment)
         with (self.folder / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
                 [sys.executable, *map(str, command)],
@@ -116,6 +118,11 @@
                 env={**os.environ, **(environment or {})},
             )
 
+    def restart(self, name):
+        """Start a process that has ended once more."""
+        command, environment = self.commands[name]
+        self.start(name, *command, environment=environment)
+
     def reaches(self, port):
         with socket.socket() as probe:
             return probe.connect_ex(("127.0.0.1", port)) == 0
@@ -144,7 +151,7 @@
         value = json.dumps(configuration(version, **changes)).encode()
         self.put("keyed.op", "config", value)
 
-    def add_engine(self, name, service, zone, kind=""):
+    def add_engine(self, name, service, zone, kind="", advertise=""):
         self.ports[name] = free_port()
         self.start(
             name,
@@ -163,9 +170,11 @@
             f"127.0.0.1:{self.store_port}",
             "--history",
             self.history_path,
+            "--advertise",
+            advertise,
         )
 
-    def add_gateway(self, name, zone, metrics=False, **bounds):
+    def add_gateway(self, name, zone, metrics=False, store_port=None, **bounds):
         self.ports["store"] = self.store_port
         port, ready = free_port(), free_port()
         peer_port = free_port()
@@ -189,7 +198,7 @@
             "bounds": {"revoke_ms": 5000, "grace_s": 8, "retry_budget_slack": 400}
             | bounds,
             "platform": {
-                "address": f"127.0.0.1:{self.store_port}",
+                "address": f"127.0.0.1:{store_port or self.store_port}",
                 "ttl_min_ms": 500,
             },
         }
--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -13,7 +13,7 @@
 import time
 from pathlib import Path
 
-from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
@@ -26,7 +26,7 @@
     def __init__(self, arguments):
         self.id = arguments.id
         self.arguments = arguments
-        self.address = f"127.0.0.1:{arguments.port}"
+        self.address = arguments.advertise or f"127.0.0.1:{arguments.port}"
         self.born = int(time.time() * 1000)
         self.layers = None
         self.busy = False
@@ -41,7 +41,8 @@
 
     def note(self, **fields):
         with Path(self.arguments.history).open("a") as file:
-            file.write(json.dumps({"engine": self.id, **fields}) + "\n")
+            row = {"engine": self.id, "at_s": time.time(), **fields}
+            file.write(json.dumps(row) + "\n")
 
     def entry(self):
         self.renewals += 1
@@ -63,7 +64,7 @@
     async def renew(self):
         target = f"http://{self.arguments.store}/put?topic=keyed.servers&key={self.id}"
         while True:
-            with contextlib.suppress(OSError):
+            with contextlib.suppress(OSError, HTTPClientError):
                 await AsyncHTTPClient().fetch(
                     target, method="POST", body=json.dumps(self.entry())
                 )
@@ -169,7 +170,7 @@
                 response = await AsyncHTTPClient().fetch(
                     f"http://{address}/-/report", request_timeout=0.5
                 )
-            except OSError:
+            except (OSError, HTTPClientError):
                 return address
             held = json.loads(response.body)["layers"]
             if held is None or held["from"] > begin or held["to"] < end:
@@ -237,6 +238,7 @@
     for name in ("id", "service", "zone", "store", "history"):
         parser.add_argument(f"--{name}", required=True)
     parser.add_argument("--kind", default="")
+    parser.add_argument("--advertise", default="")
     engine = Engine(parser.parse_args())
     routes = [
         ("/control", Control),
--- a/tests/users_platform/standins/store.py
+++ b/tests/users_platform/standins/store.py
@@ -1,7 +1,8 @@
 """Stand-in of the platform's store: keyed topics, long reads, groups, faults.
 
 ``POST /control`` sets ``refuse`` (503 to all calls), ``silent`` (no answer), ``first``
-(offset before which records are gone) and ``rebalance`` (a new generation).
+(offset before which records are gone), ``truncate`` (all records are gone but the
+newest of each key) and ``rebalance`` (a new generation).
 ``POST /put?topic=&key=`` writes a record for the operator and the engines.
 """
 
@@ -22,6 +23,7 @@
         self.refuse = False
         self.silent = False
         self.first = 0
+        self.first_of = {}
         self.generation = 0
         self.members = {}
         self.n_calls = 0
@@ -61,9 +63,10 @@
         deadline = time.monotonic() + int(self.get_argument("wait_ms", "0")) / 1000
         while True:
             records = self.store.topics.get(topic, [])
-            if start < self.store.first:
+            first = max(self.store.first, self.store.first_of.get(topic, 0))
+            if start < first:
                 self.set_status(410)
-                self.finish({"first_offset": self.store.first})
+                self.finish({"first_offset": first})
                 return
             if len(records) > start or time.monotonic() >= deadline:
                 break
@@ -72,7 +75,7 @@
                     await self.store.changed.wait()
             except TimeoutError:
                 pass
-        body = struct.pack(">QQ", len(records), self.store.first)
+        body = struct.pack(">QQ", len(records), first)
         for record in records[start:]:
             body += struct.pack(">I", len(record)) + record
         self.finish(body)
@@ -140,6 +143,9 @@
             if name == "rebalance":
                 self.store.generation += 1
                 self.store.members = dict(reversed(self.store.members.items()))
+            elif name == "truncate":
+                for topic, records in self.store.topics.items():
+                    self.store.first_of[topic] = len(records)
             else:
                 setattr(self.store, name, value)
         members = list(self.store.members)
