--- a/packages/cassiaspread-core/src/cassiaspread_core/targets/_health.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/targets/_health.py
@@ -15,10 +15,6 @@
 # others, in seconds. Doubles with each failure in a row.
 MIN_SUSPECT_S = 1.0
 MAX_SUSPECT_S = 8.0
-# How long an engine that refused a request for want of room gets none if there are
-# others, in seconds: streams end all the time. Doubles with each refusal in a row.
-MIN_FULL_S = 0.2
-MAX_FULL_S = 1.6
 # A target's renewal may have been written this long before it was read, in seconds.
 RENEWAL_LAG_S = 1.2
 # What others say of a target counts less than an own success within this time.
@@ -43,8 +39,6 @@
     success_s: float = float("-inf")
     slowness: float = 1.0
     slowness_s: float = float("-inf")
-    full_s: float = 0.0
-    full_until_s: float = float("-inf")
 
 
 class DomainReach:
@@ -125,15 +119,6 @@
         )
         return is_silent or now_s < verdict.suspect_until_s
 
-    def is_full(self, target: TargetId, now_s: float) -> bool:
-        """Return whether a target had no room just now.
-
-        :param target: the target.
-        :param now_s: present time.
-        """
-        verdict = self._verdicts.get(target)
-        return verdict is not None and now_s < verdict.full_until_s
-
     def unreachable_ages_s(self, now_s: float) -> dict[TargetId, float]:
         """Return how long ago targets were found unreachable by this daemon.
 
@@ -184,7 +169,6 @@
         """
         verdict = self._verdicts.setdefault(target, _Verdict())
         verdict.success_s = now_s
-        verdict.full_s = 0.0
         if verdict.failure_rate:
             verdict.unreachable_s = float("-inf")
             verdict.failure_rate *= 1.0 - RESULT_WEIGHT
@@ -217,18 +201,6 @@
         verdict.unreachable_s = now_s
         self._suspect(verdict, now_s)
 
-    def note_full(self, target: TargetId, now_s: float) -> None:
-        """Take in that a target refused a request for want of room.
-
-        :param target: the target.
-        :param now_s: present time.
-        """
-        verdict = self._verdicts.setdefault(target, _Verdict())
-        if now_s < verdict.full_until_s:
-            return
-        verdict.full_s = min(MAX_FULL_S, max(MIN_FULL_S, 2 * verdict.full_s))
-        verdict.full_until_s = now_s + verdict.full_s
-
     def note_slowness(self, target: TargetId, slowness: float, now_s: float) -> None:
         """Take in how slow a target is.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
@@ -96,7 +96,6 @@
             e
             for e in engines
             if not self._health.is_suspect(e.target, now_s)
-            and not self._health.is_full(e.target, now_s)
             and (e.domain == self.domain or not self._reach.is_cut(e.domain, now_s))
         ]
         for candidates in (sound, engines):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -31,9 +31,6 @@
 # Longest wait for room on a chain, as a multiple of the objective.
 MAX_WAIT_OBJECTIVES = 2.0
 RETRY_AFTER_S = 0.3
-# An engine that refuses a request within this time, in seconds, has no room for it or
-# leaves; one that can't reach another engine waits longer before it says so.
-QUICK_REFUSAL_S = 1.0
 
 
 class _End(Enum):
@@ -186,7 +183,6 @@
             asyncio.timeout(job.remaining_s(now())),
         ):
             inbox = _Inbox()
-            sent_s = now()
             sending = asyncio.ensure_future(
                 exchange.send(
                     job.ingress.method,
@@ -202,7 +198,7 @@
                 answer = self._wire.read_answer(sending.result(), exchange.headers)
                 if answer.status != 200 or not answer.is_sealed:
                     return await self._take_failure(
-                        stream, assignment, exchange, answer, sent_s
+                        stream, assignment, exchange, answer
                     )
                 return await self._relay_events(stream, assignment, exchange, inbox)
             finally:
@@ -273,16 +269,12 @@
         assignment: Assignment,
         exchange: Exchange,
         answer: AnswerTerms,
-        sent_s: float,
     ) -> _End:
         job = stream.job
         response = await exchange.finish()
         stream.failure = f"the head answered {answer.status}"
         at_fault = self._find_at_fault(assignment, answer)
-        if answer.is_not_run and now() - sent_s < QUICK_REFUSAL_S:
-            self._health.note_full(at_fault, now())
-        else:
-            self._health.note_unreachable(at_fault, now())
+        self._health.note_unreachable(at_fault, now())
         stream.avoid.add(at_fault)
         self._log.record(
             "attempt.failed",
