The coincidence test kills an engine that requests run on

Each of three daemons plans its requests by what it knows, so that h0 may get none of the ten; then nobody is a suspect and the test ends with IndexError. Ruled out: a lost event (the ring holds far more); a fault of the product. Change: the head with most of the requests is killed; every check stays as strict. Conclusion: a precondition of the test that nothing guaranteed.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -175,7 +175,12 @@
             for n, prompt in enumerate(prompts)
         ]
         wait_for(lambda: n_beyond(fleet, earlier, 20) == len(prompts))
-        fleet.processes["h0"].kill()
+        # Plans spread by chance: a head without any of the requests would cut none.
+        first = max(
+            (f"h{i}" for i in range(N_HEADS)),
+            key=lambda head: len(requests_on(fleet, head) - earlier),
+        )
+        fleet.processes[first].kill()
         wait_for(lambda: n_beyond(fleet, earlier, 60) == len(prompts))
         # The next engine to die has taken over a request from the first.
         second = events_of(fleet, "suspect.alone")[0]["targets"].split(",")[0]
@@ -185,7 +190,7 @@
     for daemon in daemons:
         assert listing(daemon)["quarantined"] == []
     noted = events_of(fleet, "suspect.noted")
-    assert {e["target"] for e in noted} == {"h0", second}
+    assert {e["target"] for e in noted} == {first, second}
     assert any(e["n_losses"] == 2 for e in noted)
     for daemon in daemons:
         wait_for(lambda d=daemon: not listing(d)["suspects"], FLEET_TIMEOUT_S)
@@ -251,6 +256,10 @@
     return reached
 
 
+def requests_on(fleet, engine):
+    return {step["request"] for step in fleet.history(engine)}
+
+
 def n_beyond(fleet, earlier, position):
     reached = progress(fleet)
     return sum(reached[r] > position for r in reached.keys() - earlier)
