--- a/packages/cassiaspread-core/src/cassiaspread_core/chains/_unseen.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/chains/_unseen.py
@@ -9,8 +9,8 @@
 
 from cassiaspread_core.base import EventRate
 
-# Daemons tell each other their work once a second, each of a pair in its turn, so that
-# news are half a second old at most.
+# Each of two daemons sends the other its work once a second and gets an answer, so that
+# news come twice a second.
 NEWS_AGE_S = 0.5
 
 
