--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -124,6 +124,11 @@
         else:
             on = random_state.choice(list(ENGINES))
         for_s = random_state.uniform(0.3, 3.0)
+        if on.endswith("/store"):
+            # Long enough that what the gateway knows of keys gets too old, while the
+            # operator takes one away.
+            for_s += REVOKE_S
+            schedule.append(Fault(at_s + 0.2, 0.1, "configuration", on))
         schedule.append(Fault(at_s, for_s, kind, on))
         # A series in quick succession, then a pause.
         is_series = random_state.random() < 0.6
