The soak publishes and controls the store through the deployment's own calls

Change: both copies go; the deployment enters the store's port when it starts the store. Product code is untouched.

--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -102,7 +102,7 @@
         self.processes = {}
         self.commands = {}
         self.ports = {}
-        self.store_port = free_port()
+        self.store_port = self.ports["store"] = free_port()
         self.history_path = folder / "history.jsonl"
         self.history_path.touch()
         self.start("store", STANDINS / "store.py", "--port", self.store_port)
@@ -175,7 +175,6 @@
         )
 
     def add_gateway(self, name, zone, metrics=False, store_port=None, **bounds):
-        self.ports["store"] = self.store_port
         port, ready = free_port(), free_port()
         peer_port = free_port()
         flags = []
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -29,7 +29,6 @@
     N_LAYERS,
     PLAIN,
     Deployment,
-    configuration,
     free_port,
     wait_for,
 )
@@ -189,8 +188,7 @@
         self.version += 1
         keys = [KEY] if self.revoked_s else [KEY, REVOKED_KEY]
         tenants = [{"name": TENANTS[k], "api_keys": [k], "priority": 1} for k in keys]
-        value = json.dumps(configuration(self.version, tenants=tenants)).encode()
-        self.deployment.put("keyed.op", "config", value)
+        self.deployment.publish(self.version, tenants=tenants)
 
     def serves(self, name):
         try:
@@ -247,15 +245,11 @@
                 self.revoked_s = time.time()
             self.publish()
         elif how in ("refuse", "silent"):
-            self.control_store(**{how: begins})
+            self.deployment.control("store", **{how: begins})
         elif how == "rebalance" and begins:
-            self.control_store(rebalance=True)
+            self.deployment.control("store", rebalance=True)
         elif how == "truncate" and begins:
-            self.control_store(truncate=True)
-
-    def control_store(self, **values):
-        body = json.dumps(values).encode()
-        self.deployment.call(self.deployment.store_port, "POST", "/control", body)
+            self.deployment.control("store", truncate=True)
 
     def signal(self, name, how, begins):
         process = self.deployment.processes[name]
