Log what arrivals of one request have in common, and what denies a retry

The logs could not tell a request that arrives again and again from many requests that are retried: identifiers are new with each arrival. Lines of attempts and of the end of a request carry a fingerprint of organisation, method, path and body; attempt.broken says whether the request may have run; retry.denied gives the counts of its window, and retries are counted. The content of a plain call that the fingerprint covers is one function for both interfaces. No decision changes.

--- a/packages/cassiaspread-core/src/cassiaspread_core/admission/_retry_window.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/_retry_window.py
@@ -7,12 +7,26 @@
 """
 
 from collections import deque
+from typing import NamedTuple
 
 # Fraction of the allowed retries that the daemons use together. The margin keeps the
 # bound although targets count retries at other times than the daemons.
 USED_RATIO = 0.8
 
 
+class RetryUsage(NamedTuple):
+    """Counts of a window at one moment.
+
+    :param n_requests: requests in the window.
+    :param n_retries: retries in the window.
+    :param n_daemons: daemons that share the slack.
+    """
+
+    n_requests: int
+    n_retries: int
+    n_daemons: int
+
+
 class RetryWindow:
     """Counts the requests and retries of a service at one daemon.
 
@@ -56,6 +70,15 @@
         self._retries.append(now_s)
         return True
 
+    def usage(self, now_s: float, n_daemons: int) -> RetryUsage:
+        """Return the counts that a decision is based on.
+
+        :param now_s: current time, in seconds.
+        :param n_daemons: number of daemons that share the slack.
+        """
+        self._remove_expired(now_s)
+        return RetryUsage(len(self._requests), len(self._retries), n_daemons)
+
     def _remove_expired(self, now_s: float) -> None:
         for times in (self._requests, self._retries):
             while times and times[0] <= now_s - self._window_s:
--- a/packages/cassiaspread-core/src/cassiaspread_core/quarantine/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/quarantine/__init__.py
@@ -5,6 +5,7 @@
     Fingerprint,
     Loss,
     SuspectRecord,
+    call_content,
     fingerprint_of,
     merge_records,
 )
@@ -19,6 +20,7 @@
     "SuspectTable",
     "TrialClaim",
     "TrialClaims",
+    "call_content",
     "fingerprint_of",
     "merge_records",
 ]
--- a/packages/cassiaspread-core/src/cassiaspread_core/quarantine/_record.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/quarantine/_record.py
@@ -44,6 +44,16 @@
     return Fingerprint(digest.hexdigest())
 
 
+def call_content(method: str, path: str, body: bytes) -> bytes:
+    """Return what a target receives of a plain call, as one string of bytes.
+
+    :param method: method of the call.
+    :param path: path and query of the call.
+    :param body: body of the call.
+    """
+    return b"\n".join((method.encode(), path.encode(), body))
+
+
 class Loss(msgspec.Struct, frozen=True):
     """Loss of one incarnation of a target with a request in flight.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -179,6 +179,8 @@
             settings.retry_slack,
             settings.retry_window_s,
             self._count_daemons,
+            self._log,
+            self._metrics,
         )
         return Router(
             codec,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway_metrics.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway_metrics.py
@@ -39,6 +39,10 @@
         self._attempts = self._meter.create_counter(
             "cassiaspread.gateway.attempts", description="Requests sent, by result."
         )
+        self._retries = self._meter.create_counter(
+            "cassiaspread.gateway.retries",
+            description="Retries that the budget allowed or denied.",
+        )
         self._orders = self._meter.create_counter(
             "cassiaspread.gateway.orders", description="Orders to engines, by outcome."
         )
@@ -78,6 +82,14 @@
         """
         self._attempts.add(1, {**self._attributes, "result": result})
 
+    def record_retry(self, is_allowed: bool) -> None:
+        """Count a retry that was allowed or denied.
+
+        :param is_allowed: whether the budget allowed it.
+        """
+        decision = "allowed" if is_allowed else "denied"
+        self._retries.add(1, {**self._attributes, "decision": decision})
+
     def record_order(self, outcome: str) -> None:
         """Count an order to an engine.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_job.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_job.py
@@ -8,6 +8,7 @@
 
 from cassiaspread_core.base import OrganisationId, Outcome, Refusal
 from cassiaspread_core.chains import RequestDemand
+from cassiaspread_core.quarantine import Fingerprint
 from cassiaspread_core.routing import Route, Service
 from cassiaspread_daemon._problem import PROBLEM_CONTENT_TYPE, to_problem
 from cassiaspread_daemon.gateway._frontend import InboundRequest
@@ -32,6 +33,8 @@
     :param deadline_s: deadline on the monotonic clock, in seconds.
     :param organisation: organisation that sent it, if requests carry keys.
     :param priority: rank, 0 first.
+    :param fingerprint: common to all requests of one organisation with the same method,
+        path and body.
     """
 
     inbound: InboundRequest
@@ -42,6 +45,7 @@
     deadline_s: float
     organisation: OrganisationId | None
     priority: int
+    fingerprint: Fingerprint
 
     def remaining_s(self, now_s: float) -> float:
         """Return the time left in seconds.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -93,7 +93,6 @@
             if job.remaining_s(now()) <= 0:
                 break
             if tried and not take_retry():
-                self._log.record("retry.denied", request=job.parameters.request_id)
                 break
             assignment = self._dispatcher.assign(
                 job.service, job.demand, now(), avoid=tried
@@ -105,10 +104,10 @@
                 is_last = n_runs + 1 >= job.route.max_attempts
                 answer = await self._send(job, assignment, is_last)
             except ConnectFailed as failure:
-                self._record_unreachable(job, assignment, str(failure))
+                self._record_unreachable(job, assignment, str(failure), is_sent=False)
                 continue
             except ExchangeBroken as failure:
-                self._record_unreachable(job, assignment, str(failure))
+                self._record_unreachable(job, assignment, str(failure), is_sent=True)
                 error = failure
                 n_runs += 1
                 if not job.route.may_repeat:
@@ -186,14 +185,16 @@
         return Answer(response, answer)
 
     def _record_unreachable(
-        self, job: Job, assignment: Assignment, reason: str
+        self, job: Job, assignment: Assignment, reason: str, is_sent: bool
     ) -> None:
         self._dispatcher.record_unreachable(assignment.head, now())
         self._log.record(
             "attempt.broken",
             request=job.parameters.request_id,
+            fingerprint=job.fingerprint,
             target=assignment.head.target,
             reason=reason,
+            is_sent=is_sent,
         )
 
     def _record_failure(self, job: Job, assignment: Assignment, answer: Answer) -> None:
@@ -201,6 +202,7 @@
         self._log.record(
             "attempt.failed",
             request=job.parameters.request_id,
+            fingerprint=job.fingerprint,
             target=assignment.head.target,
             status=answer.parameters.status,
             is_not_run=answer.parameters.is_not_run,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -4,8 +4,15 @@
 from collections.abc import Callable
 
 from cassiaspread_core.admission import RetryWindow
-from cassiaspread_core.base import Outcome, Refusal, RequestId, ServiceId
+from cassiaspread_core.base import (
+    OrganisationId,
+    Outcome,
+    Refusal,
+    RequestId,
+    ServiceId,
+)
 from cassiaspread_core.chains import RequestDemand
+from cassiaspread_core.quarantine import Fingerprint, call_content, fingerprint_of
 from cassiaspread_core.routing import (
     Organisation,
     RequestKind,
@@ -26,6 +33,9 @@
 # Retry time while the daemon has not read the configuration yet, or not recently.
 RETRY_AFTER_UNKNOWN_S = 0.5
 LOWEST_PRIORITY = 9
+# Organisation of requests without keys.
+NO_ORGANISATION = OrganisationId("")
+ANY_SERVICE = ServiceId("")
 # Timeout of a request whose caller specifies none, in seconds.
 DEFAULT_TIMEOUT_S = 60.0
 
@@ -37,6 +47,8 @@
     :param slack: retries allowed in a window beyond that, over all daemons.
     :param window_s: length of the window in seconds.
     :param count_daemons: returns how many daemons share the slack.
+    :param log: receives a line for each retry that is denied.
+    :param metrics: counts retries.
     """
 
     def __init__(
@@ -45,17 +57,22 @@
         slack: float,
         window_s: float,
         count_daemons: Callable[[], int],
+        log: DecisionLog,
+        metrics: GatewayMetrics,
     ) -> None:
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
         self._count_daemons = count_daemons
+        self._log = log
+        self._metrics = metrics
         self._windows: dict[ServiceId, RetryWindow] = {}
 
-    def record_request(self, service: ServiceId) -> TakeRetry:
+    def record_request(self, service: ServiceId, request_id: RequestId) -> TakeRetry:
         """Count a new request.
 
         :param service: service that runs the request.
+        :param request_id: the request.
         :returns: function that takes one retry from the service's budget, if any is
             left.
         """
@@ -64,7 +81,21 @@
             window = RetryWindow(self._ratio, self._slack, self._window_s)
             self._windows[service] = window
         window.record_request(now())
-        return lambda: window.try_acquire(now(), self._count_daemons())
+
+        def take_retry() -> bool:
+            n_daemons = self._count_daemons()
+            is_allowed = window.try_acquire(now(), n_daemons)
+            self._metrics.record_retry(is_allowed)
+            if not is_allowed:
+                self._log.record(
+                    "retry.denied",
+                    request=request_id,
+                    service=service,
+                    **window.usage(now(), n_daemons)._asdict(),
+                )
+            return is_allowed
+
+        return take_retry
 
 
 class Router:
@@ -113,6 +144,7 @@
         :param inbound: the request.
         """
         parameters = RequestParameters(request_id=RequestId(""))
+        fingerprint: Fingerprint | None = None
         kind = "unrouted"
         outcome = "answered"
         try:
@@ -121,8 +153,10 @@
             except ValueError as error:
                 raise Refusal(400, "bad-request", str(error)) from None
             job = self._prepare(inbound, parameters)
-            kind = job.route.kind.value
-            take_retry = self._retries.record_request(job.service.name)
+            kind, fingerprint = job.route.kind.value, job.fingerprint
+            take_retry = self._retries.record_request(
+                job.service.name, parameters.request_id
+            )
             if job.route.kind is RequestKind.STREAM:
                 await self._stream.forward(job, take_retry)
             else:
@@ -136,7 +170,7 @@
             outcome = "cancelled"
             raise
         finally:
-            self._record_end(inbound, parameters, kind, outcome)
+            self._record_end(inbound, parameters, kind, fingerprint, outcome)
 
     def _prepare(self, inbound: InboundRequest, parameters: RequestParameters) -> Job:
         table = self._routing_state.table
@@ -156,6 +190,7 @@
         priority = route.priority
         if organisation is not None and organisation.priority is not None:
             priority = organisation.priority
+        organisation_id = None if organisation is None else organisation.name
         return Job(
             inbound=inbound,
             parameters=parameters,
@@ -163,8 +198,9 @@
             service=service,
             demand=self._estimate_demand(service, parameters),
             deadline_s=inbound.arrived_s + min(timeout_s, route.timeout_s),
-            organisation=None if organisation is None else organisation.name,
+            organisation=organisation_id,
             priority=min(LOWEST_PRIORITY, priority),
+            fingerprint=_fingerprint_of(inbound, organisation_id),
         )
 
     def _find_organisation(
@@ -218,6 +254,7 @@
         inbound: InboundRequest,
         parameters: RequestParameters,
         kind: str,
+        fingerprint: Fingerprint | None,
         outcome: str,
     ) -> None:
         elapsed_s = now() - inbound.arrived_s
@@ -228,6 +265,7 @@
             request=parameters.request_id,
             kind=kind,
             path=inbound.path,
+            fingerprint=fingerprint,
             status=inbound.status,
             outcome=outcome,
             elapsed_ms=round(elapsed_s * 1000, 1),
@@ -235,6 +273,14 @@
         )
 
 
+def _fingerprint_of(
+    inbound: InboundRequest, organisation: OrganisationId | None
+) -> Fingerprint:
+    # A route may change its service, so the service is no part of it.
+    content = call_content(inbound.method, inbound.target, inbound.body)
+    return fingerprint_of(organisation or NO_ORGANISATION, ANY_SERVICE, content)
+
+
 def _not_known_refusal(detail: str) -> Refusal:
     return Refusal(
         503, "not-known", detail, Outcome.NOT_RUN, retry_after_s=RETRY_AFTER_UNKNOWN_S
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -105,7 +105,6 @@
         stream = _StreamState(job)
         for n_tried in range(MAX_CHAINS_TRIED):
             if n_tried and not take_retry():
-                self._log.record("retry.denied", request=job.parameters.request_id)
                 break
             assignment = await self._assign(stream)
             result = await self._attempt(stream, assignment)
@@ -167,13 +166,13 @@
             return await self._relay(stream, assignment)
         except ConnectFailed as error:
             self._dispatcher.record_unreachable(assignment.head, now())
-            self._record_broken(stream, assignment, str(error))
+            self._record_broken(stream, assignment, str(error), is_sent=False)
             return _AttemptResult.NOT_RUN
         except ExchangeBroken as error:
-            self._record_broken(stream, assignment, str(error))
+            self._record_broken(stream, assignment, str(error), is_sent=True)
             return _AttemptResult.BROKEN
         except TimeoutError:
-            self._record_broken(stream, assignment, "deadline")
+            self._record_broken(stream, assignment, "deadline", is_sent=True)
             raise timeout_refusal(is_sent=True) from None
         finally:
             stream.events.drop_remainder()
@@ -300,6 +299,7 @@
         self._log.record(
             "attempt.failed",
             request=job.parameters.request_id,
+            fingerprint=job.fingerprint,
             head=assignment.head.target,
             status=answer.status,
             is_not_run=answer.is_not_run,
@@ -329,14 +329,20 @@
         return assignment.head.target
 
     def _record_broken(
-        self, stream: _StreamState, assignment: Assignment, reason: str
+        self,
+        stream: _StreamState,
+        assignment: Assignment,
+        reason: str,
+        is_sent: bool,
     ) -> None:
         stream.failure_reason = reason
         self._log.record(
             "attempt.broken",
             request=stream.job.parameters.request_id,
+            fingerprint=stream.job.fingerprint,
             head=assignment.head.target,
             reason=reason,
+            is_sent=is_sent,
             n_events=stream.events.n_events,
         )
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_quarantine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_quarantine.py
@@ -16,6 +16,7 @@
     Fingerprint,
     Loss,
     SuspectRecord,
+    call_content,
     fingerprint_of,
 )
 from cassiaspread_core.timeline import EventRing
@@ -116,7 +117,7 @@
         :param path: path and query of the call.
         :param body: body of the call.
         """
-        content = b"\n".join((method.encode(), path.encode(), body))
+        content = call_content(method, path, body)
         fingerprint = fingerprint_of(organisation, service, content)
         return self.watch(fingerprint, organisation, service, RequestId(""))
 
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -10,6 +10,7 @@
 from cassiaspread_core.base import LogUnavailable, Refusal, Truncated
 from cassiaspread_core.chains import LoadLedger, RequestDemand, StageLoad
 from cassiaspread_core.placement import Accelerator, Engine, LayerRange, ModelSpec
+from cassiaspread_core.quarantine import Fingerprint
 from cassiaspread_core.routing import Backend, RequestKind, Route, Service, StateAge
 from cassiaspread_core.targets import TargetHealth
 from cassiaspread_daemon._exchange import Exchange, ExchangeBroken
@@ -20,6 +21,7 @@
 )
 from cassiaspread_daemon.gateway._dispatch import Dispatcher
 from cassiaspread_daemon.gateway._events import EventBuffer
+from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
 from cassiaspread_daemon.gateway._job import Job, now
 from cassiaspread_daemon.gateway._pool import ConnectionPool
 from cassiaspread_daemon.gateway._protocols import EngineChange
@@ -62,6 +64,7 @@
         deadline_s=now() + 20.0,
         organisation=organisation,
         priority=1,
+        fingerprint=Fingerprint("f"),
     )
 
 
@@ -368,12 +371,24 @@
     assert age.current_at_s is not None
 
 
-def test_retries_are_limited_by_requests_and_share_of_slack():
-    limits = RetryLimits(0.2, slack=20.0, window_s=10.0, count_daemons=lambda: 8)
-    take = [limits.record_request("pool") for _ in range(10)][-1]
+def test_retries_are_limited_by_requests_and_share_of_slack(log, tmp_path):
+    limits = RetryLimits(
+        0.2,
+        slack=20.0,
+        window_s=10.0,
+        count_daemons=lambda: 8,
+        log=log,
+        metrics=GatewayMetrics("celje"),
+    )
+    take = [limits.record_request("pool", "r") for _ in range(10)][-1]
     # 0.8 of (0.2 x 10 requests + a slack of 20 over 8 daemons).
     assert [take() for _ in range(4)] == [True, True, True, False]
-    assert limits.record_request("other")()
+    assert limits.record_request("other", "r")()
+    log.flush()
+    denied = json.loads((tmp_path / "log").read_text())
+    assert denied["event"] == "retry.denied"
+    counts = [denied[f"n_{name}"] for name in ("requests", "retries", "daemons")]
+    assert counts == [10, 3, 8]
 
 
 @pytest.mark.parametrize("size", [1, 2, 3, 7, 50])
