--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -7,6 +7,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -20,6 +21,9 @@
 KEY = "key-of-celje"
 DOMAINS = ("celje", "velenje")
 DEFAULT_TIMEOUT_S = 15.0
+# Addresses at which gateways that communicate listen for each other; all use one port.
+PEER_IPS = tuple(f"127.0.0.{n}" for n in range(2, 8))
+RESPAWN_POLL_S = 0.05
 
 
 def wait_for(condition, timeout_s=DEFAULT_TIMEOUT_S):
@@ -101,6 +105,8 @@
         self.processes = {}
         self.commands = {}
         self.ports = {}
+        self.peer_port = free_port()
+        self.free_peer_ips = list(PEER_IPS)
         self.store_port = self.ports["store"] = free_port()
         self.history_path = folder / "history.jsonl"
         self.history_path.touch()
@@ -150,8 +156,9 @@
         value = json.dumps(configuration(version, **changes)).encode()
         self.put_record("keyed.op", "config", value)
 
-    def add_engine(self, name, service, zone, kind="", advertise=""):
+    def add_engine(self, name, service, zone, kind="", advertise="", **options):
         self.ports[name] = free_port()
+        flags = [f"--{k.replace('_', '-')}={value}" for k, value in options.items()]
         self.start(
             name,
             STANDINS / "engine.py",
@@ -171,11 +178,24 @@
             self.history_path,
             "--advertise",
             advertise,
+            *flags,
         )
 
-    def add_gateway(self, name, zone, metrics=False, store_port=None, **bounds):
+    def add_gateway(
+        self,
+        name,
+        zone,
+        metrics=False,
+        store_port=None,
+        has_peers=False,
+        **bounds,
+    ):
+        """Start a gateway; with ``has_peers`` it communicates with others like it."""
         port, readiness_port = free_port(), free_port()
-        peer_port = free_port()
+        ip, peer_port, seeds = "127.0.0.1", free_port(), []
+        if has_peers:
+            ip, peer_port = self.free_peer_ips.pop(0), self.peer_port
+            seeds = [f"{seed_ip}:{peer_port}" for seed_ip in PEER_IPS[:3]]
         flags = []
         if metrics:
             self.ports[f"{name}/metrics"] = free_port()
@@ -183,14 +203,14 @@
         self.ports[name], self.ports[f"{name}/ready"] = port, readiness_port
         settings = {
             "node_name": name,
-            "ip": "127.0.0.1",
+            "ip": ip,
             "zone": zone,
             "listen": {
                 "frontend": f"127.0.0.1:{port}",
                 "readiness": f"127.0.0.1:{readiness_port}",
             },
             "internal_ports": [peer_port, peer_port],
-            "seeds": [],
+            "seeds": seeds,
             "heartbeat_ms": 400,
             "something_new": {"is": "ignored"},
             "bounds": {"revoke_ms": 5000, "grace_s": 8, "retry_budget_slack": 400}
@@ -252,3 +272,38 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
+
+
+class Respawner:
+    """Restarts ended processes, as a platform does; a context manager.
+
+    :param deployment: owner of the processes.
+    :param names: names of the processes.
+    :param delay_s: time between the end of a process and its restart, in seconds.
+    """
+
+    def __init__(self, deployment, names, delay_s):
+        self._deployment = deployment
+        self._names = names
+        self._delay_s = delay_s
+        self._is_over = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._is_over.set()
+        self._thread.join()
+
+    def _run(self):
+        due_s = {}
+        while not self._is_over.wait(RESPAWN_POLL_S):
+            now_s = time.monotonic()
+            for name in self._names:
+                if self._deployment.processes[name].poll() is None:
+                    continue
+                if now_s >= due_s.setdefault(name, now_s + self._delay_s):
+                    del due_s[name]
+                    self._deployment.restart(name)
--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -1,5 +1,9 @@
 """Stand-in for an engine or plain service: entries, orders, reports, requests, faults.
 
+A request whose body contains the text of ``--crash-on`` ends the process as soon as it
+begins to run. A request whose body is that of ``--call-on`` calls the URL of
+``--call-url`` first, as a run that depends on another service does.
+
 ``POST /control`` sets ``full`` (refuse with 503, not run), ``drop_response`` (run and
 close the connection), ``close_after`` (number of events after which a stream is
 closed), ``fail`` (500), ``omit_signature``, ``state`` and ``event_s`` (pause between
@@ -11,6 +15,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import time
 from pathlib import Path
 
@@ -22,6 +27,7 @@
 # Time for which a stalled request appears in reports.
 STALL_S = 3.0
 LOAD_S = 0.2
+CRASH_STATUS = 70
 
 
 class Engine:
@@ -196,6 +202,13 @@
             hops=list(self.stages()),
             headers=dict(headers.get_all()),
         )
+        crash_text = engine.arguments.crash_on.encode()
+        if crash_text and crash_text in self.request.body:
+            engine.append_history(kind="crash", uri=self.request.uri)
+            os._exit(CRASH_STATUS)
+        call_text = engine.arguments.call_on.encode()
+        if call_text and call_text in self.request.body:
+            await self.call(engine.arguments.call_url)
         if engine.drop_response:
             self.request.connection.stream.close()
             return
@@ -209,6 +222,19 @@
         else:
             self.finish({"by": engine.id, "path": self.request.uri})
 
+    async def call(self, url):
+        """Call another service through a gateway; its failure is ignored."""
+        arguments = self.engine.arguments
+        headers = {
+            "Host": arguments.call_host,
+            "Attempt-Id": os.urandom(8).hex(),
+            "Deadline-Ms": "1000",
+        }
+        with contextlib.suppress(OSError, HTTPClientError):
+            await AsyncHTTPClient().fetch(
+                url, method="POST", body=arguments.crash_on, headers=headers
+            )
+
     async def stream(self):
         engine, headers = self.engine, self.request.headers
         n_events = int(headers["Token-Count"].split(",")[1]) // 4
@@ -244,6 +270,8 @@
         parser.add_argument(f"--{name}", required=True)
     parser.add_argument("--kind", default="")
     parser.add_argument("--advertise", default="")
+    for name in ("crash-on", "call-on", "call-url", "call-host"):
+        parser.add_argument(f"--{name}", default="")
     engine = Engine(parser.parse_args())
     routes = [
         ("/control", ControlHandler),
