Quarantine in the gateway: a request that crashes its engines is refused by all daemons

Callers saw: a request under which three engines had ended was sent on to engines again whenever it arrived, at any daemon; each run ended another engine, and over three quarters of the other requests of a plain service with three engines got 503.

Cause: what a daemon learned of a request ended with the attempt of its caller. Ruled out: too large a budget of retries (retry.denied counted 8 daemons and 100 requests in its window) and too many attempts of one request.

Change: a target that refuses new connections after an attempt broke is a loss of the request's fingerprint (organisation, method, path, body). The losses of a run that began after others were known have the next round. Three rounds are refused, unless another fingerprint explains the losses as well; then four. An answer clears the losses, renewals of the entry refute one. Records go to the other daemons by gossip and, from two rounds on, to a keyed topic of the store, which is compared with what is held, so that daemons that start, were paused or reach only one of the two learn of them. They expire after an hour and are bounded.

--- a/packages/cassiaspread-core/src/cassiaspread_core/quarantine/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/quarantine/__init__.py
@@ -1,5 +1,6 @@
 """Detection, isolated retry and quarantine of requests that crash their target."""
 
+from cassiaspread_core.quarantine._crashing import N_ROUNDS, find_crashing
 from cassiaspread_core.quarantine._record import (
     MAX_UNDELIVERED_TOKENS,
     Fingerprint,
@@ -7,6 +8,7 @@
     SuspectRecord,
     call_content,
     fingerprint_of,
+    is_expired,
     merge_records,
 )
 from cassiaspread_core.quarantine._suspects import SuspectTable
@@ -14,6 +16,7 @@
 
 __all__ = [
     "MAX_UNDELIVERED_TOKENS",
+    "N_ROUNDS",
     "Fingerprint",
     "Loss",
     "SuspectRecord",
@@ -21,6 +24,8 @@
     "TrialClaim",
     "TrialClaims",
     "call_content",
+    "find_crashing",
     "fingerprint_of",
+    "is_expired",
     "merge_records",
 ]
--- a/packages/cassiaspread-core/src/cassiaspread_core/quarantine/_record.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/quarantine/_record.py
@@ -62,6 +62,8 @@
     :param position: tokens of the answer that had arrived; 0 for a plain service.
     :param at_s: time of the observation, in seconds since the epoch.
     :param refuted: whether the incarnation was observed alive afterwards.
+    :param round: one more than the highest round among the losses of the fingerprint
+        that were known when the lost run began.
     """
 
     target: TargetId
@@ -69,6 +71,7 @@
     position: int
     at_s: float
     refuted: bool = False
+    round: int = 1
 
     @property
     def key(self) -> tuple[TargetId, str]:
@@ -107,6 +110,11 @@
         """Time of the latest change, in seconds since the epoch."""
         return max([self.cleared_s, *(loss.at_s for loss in self.losses)])
 
+    @property
+    def n_rounds(self) -> int:
+        """Number of different rounds among the losses that count."""
+        return len({loss.round for loss in self.counted})
+
     @property
     def is_suspect(self) -> bool:
         """Whether any loss counts against the fingerprint."""
@@ -129,6 +137,20 @@
         )
 
 
+def is_expired(
+    record: SuspectRecord, now_s: float, lifetime_s: float, cleared_lifetime_s: float
+) -> bool:
+    """Return whether a record is no longer kept.
+
+    :param record: the record.
+    :param now_s: current time, in seconds since the epoch.
+    :param lifetime_s: age up to which a record is kept, in seconds.
+    :param cleared_lifetime_s: the same for records without a loss that counts.
+    """
+    kept_s = lifetime_s if record.is_suspect else cleared_lifetime_s
+    return record.last_s < now_s - kept_s
+
+
 def merge_records(left: SuspectRecord, right: SuspectRecord) -> SuspectRecord:
     """Merge two records; associative, commutative and idempotent.
 
@@ -153,4 +175,5 @@
         max(left.position, right.position),
         min(left.at_s, right.at_s),
         left.refuted or right.refuted,
+        min(left.round, right.round),
     )
--- a/packages/cassiaspread-core/src/cassiaspread_core/quarantine/_suspects.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/quarantine/_suspects.py
@@ -9,6 +9,7 @@
     Fingerprint,
     Loss,
     SuspectRecord,
+    is_expired,
     merge_records,
 )
 
@@ -18,7 +19,8 @@
 class SuspectTable:
     """Keeps suspect records until they expire.
 
-    :param n_records: maximum number of records; the oldest are evicted first.
+    :param n_records: maximum number of records; those with the fewest losses that
+        count are evicted first, the oldest among them.
 
     >>> table = SuspectTable()
     >>> loss = Loss("e1", "i1", 0, at_s=1.0)
@@ -112,7 +114,7 @@
         if merged == current:
             return False
         self._records[record.fingerprint] = merged
-        self._evict_oldest()
+        self._evict()
         return True
 
     def clear(self, fingerprint: Fingerprint, now_s: float) -> SuspectRecord | None:
@@ -151,23 +153,42 @@
                 changed.append(record)
         return changed
 
-    def expire(self, now_s: float, lifetime_s: float) -> list[SuspectRecord]:
+    def next_round(self, fingerprint: Fingerprint) -> int:
+        """Return the round of a loss of a run that begins now.
+
+        :param fingerprint: fingerprint of the request.
+        """
+        record = self._records.get(fingerprint)
+        counted = () if record is None else record.counted
+        return 1 + max((loss.round for loss in counted), default=0)
+
+    def expire(
+        self,
+        now_s: float,
+        lifetime_s: float,
+        cleared_lifetime_s: float | None = None,
+    ) -> list[SuspectRecord]:
         """Remove records older than the lifetime.
 
         :param now_s: current time, in seconds since the epoch.
         :param lifetime_s: age up to which a record is kept, in seconds.
+        :param cleared_lifetime_s: the same for records without a loss that counts.
         :returns: the removed records.
         """
+        if cleared_lifetime_s is None:
+            cleared_lifetime_s = lifetime_s
         expired = [
             record
             for record in self._records.values()
-            if record.last_s < now_s - lifetime_s
+            if is_expired(record, now_s, lifetime_s, cleared_lifetime_s)
         ]
         for record in expired:
             del self._records[record.fingerprint]
         return expired
 
-    def _evict_oldest(self) -> None:
+    def _evict(self) -> None:
         if len(self._records) > self._n_records:
-            oldest = min(self._records.values(), key=lambda record: record.last_s)
-            del self._records[oldest.fingerprint]
+            evicted = min(
+                self._records.values(), key=lambda r: (len(r.counted), r.last_s)
+            )
+            del self._records[evicted.fingerprint]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -33,6 +33,10 @@
     """No connection could be opened: no byte of the request was sent."""
 
 
+class ConnectTimedOut(ConnectFailed):
+    """The other end did not respond to the attempt to connect."""
+
+
 class ExchangeBroken(CassiaspreadError):
     """The connection ended or stayed silent after the request may have been sent."""
 
@@ -209,7 +213,10 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await stream.connect((host.strip("[]"), int(port)))
-        except (OSError, StreamClosedError, TimeoutError) as error:
+        except TimeoutError:
+            stream.close()
+            raise ConnectTimedOut(f"{address}: no response in time") from None
+        except (OSError, StreamClosedError) as error:
             stream.close()
             raise ConnectFailed(f"{address}: {error or type(error).__name__}") from None
         except asyncio.CancelledError:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/__init__.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/__init__.py
@@ -13,6 +13,7 @@
     OrderOutcome,
     RequestParameters,
     Stall,
+    SuspectChange,
 )
 from cassiaspread_daemon.gateway._settings import GatewaySettings
 
@@ -30,4 +31,5 @@
     "OrderOutcome",
     "RequestParameters",
     "Stall",
+    "SuspectChange",
 ]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_capacity_queue.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_capacity_queue.py
@@ -1,18 +1,17 @@
 """Queue of requests that wait for capacity on a chain of engines."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from cassiaspread_core.admission import AdmissionTicket, WaitingQueue
-from cassiaspread_core.base import OrganisationId, Refusal, TargetId
+from cassiaspread_core.base import Refusal, TargetId
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._dispatch import Assignment, Dispatcher
-from cassiaspread_daemon.gateway._job import Job, now
+from cassiaspread_daemon.gateway._job import NO_ORGANISATION, Job, now
 
 # Peers report their load many times a second; the queue is rechecked at most once per
 # interval, in seconds.
 RECHECK_INTERVAL_S = 0.1
-NO_ORGANISATION = OrganisationId("")
 
 
 class _Waiter:
@@ -70,6 +69,19 @@
         if now_s - self._checked_s >= RECHECK_INTERVAL_S:
             self._assign_waiting(is_end=False)
 
+    def refuse_waiting(self, check: Callable[[Job], None]) -> None:
+        """Refuse the queued requests that must no longer be sent.
+
+        :param check: raises the refusal of such a request.
+        """
+        for waiter in self._waiters.values():
+            if waiter.assigned.done():
+                continue
+            try:
+                check(waiter.job)
+            except Refusal as refusal:
+                waiter.assigned.set_exception(refusal)
+
     async def _wait(self, waiter: _Waiter, max_wait_s: float) -> Assignment:
         job = waiter.job
         self._n_tickets += 1
@@ -97,8 +109,9 @@
         """Release capacity that was assigned just as its request was cancelled."""
         task = asyncio.current_task()
         is_cancelled = task is not None and task.cancelling() > 0
-        if waiter.assigned.done() and is_cancelled:
-            self._dispatcher.release(waiter.assigned.result())
+        assigned = waiter.assigned
+        if assigned.done() and is_cancelled and assigned.exception() is None:
+            self._dispatcher.release(assigned.result())
 
     def _refusal(self, job: Job, predicted_s: float) -> Refusal:
         retry_after_s = self._queue.retry_after_s(now())
@@ -120,6 +133,10 @@
         self._checked_s = now()
         while (ticket := self._queue.head) is not None:
             waiter = self._waiters[ticket.number]
+            if waiter.assigned.done():
+                # Refused; its task has not run since.
+                self._queue.pop()
+                continue
             assignment = self._try_assign(waiter)
             if assignment is None:
                 return
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
@@ -132,6 +132,14 @@
         self._health.record_unreachable(engine.target, now_s)
         self._reachability.record_unreachable(engine.domain, engine.target, now_s)
 
+    def is_domain_unreachable(self, engine: Engine, now_s: float) -> bool:
+        """Return whether the failure domain of a target seems to be cut off.
+
+        :param engine: the target.
+        :param now_s: current time, in seconds.
+        """
+        return self._reachability.is_unreachable(engine.domain, now_s)
+
     def record_success(self, assignment: Assignment, now_s: float) -> None:
         """Record a request that was answered.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -12,7 +12,7 @@
 import uuid6
 from tornado.httpserver import HTTPServer
 
-from cassiaspread_core.base import DomainId, Incarnation
+from cassiaspread_core.base import DomainId, Incarnation, TargetId
 from cassiaspread_core.chains import LoadLedger
 from cassiaspread_core.placement import Engine
 from cassiaspread_core.routing import ClientLimits, RouteTable
@@ -31,11 +31,12 @@
 )
 from cassiaspread_daemon.gateway._frontend import Frontend, InboundRequest
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
-from cassiaspread_daemon.gateway._job import now
+from cassiaspread_daemon.gateway._job import now, unix_time_s
 from cassiaspread_daemon.gateway._loads import LoadSharing
 from cassiaspread_daemon.gateway._plain import PlainForwarder
 from cassiaspread_daemon.gateway._pool import ConnectionPool
 from cassiaspread_daemon.gateway._protocols import EngineChange, Platform
+from cassiaspread_daemon.gateway._quarantine import Quarantine
 from cassiaspread_daemon.gateway._router import RetryLimits, Router
 from cassiaspread_daemon.gateway._routing_state import (
     FeedFollower,
@@ -45,6 +46,7 @@
 from cassiaspread_daemon.gateway._settings import GatewaySettings
 from cassiaspread_daemon.gateway._stalls import StallDetector
 from cassiaspread_daemon.gateway._stream import StreamForwarder
+from cassiaspread_daemon.gateway._suspect_sharing import SuspectSharing
 from cassiaspread_daemon.mesh import Mesh, Sender
 
 # The store waits this long for a new configuration before it returns an empty page; in
@@ -98,6 +100,11 @@
         )
         self._health = TargetHealth()
         self._pool = pool
+        self._quarantine = Quarantine(
+            lambda engine: self._dispatcher.is_domain_unreachable(engine, now()),
+            self._supervisor.add_child("probes"),
+            log,
+        )
         self._ledger = LoadLedger()
         self._dispatcher = Dispatcher(
             settings.domain,
@@ -110,6 +117,7 @@
         self._routing_state.renewal_callbacks.append(
             lambda target: self._health.record_renewal(target, now())
         )
+        self._routing_state.renewal_callbacks.append(self._handle_renewal)
         self._duty = PlacementDuty(
             platform.duty,
             platform.engine_api,
@@ -119,10 +127,19 @@
             random_state,
         )
         self._capacity_queue = CapacityQueue(self._dispatcher, log)
+        self._quarantine.verdict_callbacks.append(self._recheck_quarantine)
         self._frontend = Frontend(self._build_router(random_state).handle)
         self._register_gauges()
         self._exit_stack = ExitStack()
         self._mesh = self._build_mesh()
+        self._suspect_sharing = SuspectSharing(
+            self._quarantine,
+            self._mesh,
+            platform.suspects,
+            self._supervisor.add_child("suspects"),
+            log,
+            random_state,
+        )
         self._followers = self._build_followers(random_state)
 
     def _register_gauges(self) -> None:
@@ -152,6 +169,16 @@
             "1 while this daemon gives the engines their orders.",
             lambda: float(self._duty.is_holder),
         )
+        observe(
+            "cassiaspread.gateway.suspects",
+            "Records of requests under which targets ended.",
+            lambda: self._quarantine.n_suspects,
+        )
+        observe(
+            "cassiaspread.gateway.quarantined",
+            "Fingerprints of requests that are refused.",
+            lambda: self._quarantine.n_crashing,
+        )
         observe(
             "cassiaspread.gateway.connections",
             "Connections opened to targets and to the store.",
@@ -161,7 +188,12 @@
     def _build_router(self, random_state: random.Random) -> Router:
         codec, settings = self._platform.header_codec, self._settings
         plain = PlainForwarder(
-            codec, self._pool, self._dispatcher, self._health, self._log
+            codec,
+            self._pool,
+            self._dispatcher,
+            self._health,
+            self._quarantine,
+            self._log,
         )
         stalls = StallDetector(self._platform.engine_api, self._health, self._log)
         stream = StreamForwarder(
@@ -170,6 +202,7 @@
             self._dispatcher,
             self._capacity_queue,
             self._health,
+            self._quarantine,
             stalls,
             self._log,
             self._metrics,
@@ -261,6 +294,8 @@
             await self._mesh.__aenter__()
         for index, follower in enumerate(self._followers):
             self._supervisor.start(f"feed-{index}", follower.run)
+        self._suspect_sharing.start()
+        self._supervisor.start("expiry", self._quarantine.run_expiry)
         self._supervisor.start("duty", self._duty.renew)
         self._supervisor.start("placement", self._duty.place)
         return self
@@ -366,6 +401,16 @@
         for change in changes:
             self._routing_state.apply_change(change)
 
+    def _recheck_quarantine(self) -> None:
+        self._capacity_queue.refuse_waiting(
+            lambda job: self._quarantine.check(job, False, unix_time_s())
+        )
+
+    def _handle_renewal(self, target: TargetId) -> None:
+        engine = self._routing_state.engines.get(target)
+        if engine is not None:
+            self._quarantine.record_renewal(engine, unix_time_s())
+
     def _handle_engine_change(
         self, before: Engine | None, after: Engine | None
     ) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_job.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_job.py
@@ -18,6 +18,9 @@
 # together do not retry together.
 RETRY_SPREAD = 0.5
 
+# Organisation of requests without keys.
+NO_ORGANISATION = OrganisationId("")
+
 # Takes one retry from a budget and returns whether one was left.
 TakeRetry = Callable[[], bool]
 
@@ -99,6 +102,11 @@
     return Refusal(503, "no-capacity", "No target became free in time.")
 
 
+def unix_time_s() -> float:
+    """Return the time of day in seconds since the epoch."""
+    return time.time()
+
+
 def now() -> float:
     """Return the current time on the monotonic clock, in seconds."""
     return time.monotonic()
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -15,6 +15,7 @@
     now,
     target_failed_refusal,
     timeout_refusal,
+    unix_time_s,
 )
 from cassiaspread_daemon.gateway._pool import ConnectionPool
 from cassiaspread_daemon.gateway._protocols import (
@@ -22,6 +23,7 @@
     ForwardParameters,
     HeaderCodec,
 )
+from cassiaspread_daemon.gateway._quarantine import Quarantine
 
 # A target in the same region accepts a connection within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.25
@@ -56,6 +58,7 @@
     :param pool: connections to targets.
     :param dispatcher: selects targets.
     :param health: health of the targets.
+    :param quarantine: refuses requests that crash their targets.
     :param log: receives a line for each decision.
     """
 
@@ -65,12 +68,14 @@
         pool: ConnectionPool,
         dispatcher: Dispatcher,
         health: TargetHealth,
+        quarantine: Quarantine,
         log: DecisionLog,
     ) -> None:
         self._codec = codec
         self._pool = pool
         self._dispatcher = dispatcher
         self._health = health
+        self._quarantine = quarantine
         self._log = log
 
     async def forward(self, job: Job, take_retry: TakeRetry) -> None:
@@ -94,6 +99,8 @@
                 break
             if tried and not take_retry():
                 break
+            self._quarantine.check(job, n_runs > 0, unix_time_s())
+            round_ = self._quarantine.next_round(job)
             assignment = self._dispatcher.assign(
                 job.service, job.demand, now(), avoid=tried
             )
@@ -110,6 +117,9 @@
                 self._record_unreachable(job, assignment, str(failure), is_sent=True)
                 error = failure
                 n_runs += 1
+                await self._quarantine.record_interruption(
+                    job, (assignment.head,), round_
+                )
                 if not job.route.may_repeat:
                     break
                 continue
@@ -117,6 +127,7 @@
                 self._record_failure(job, assignment, answer)
                 continue
             n_runs += 1
+            self._quarantine.record_answer(job, unix_time_s())
             if answer.parameters.status < 500:
                 self._dispatcher.record_success(assignment, now())
                 return answer
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
@@ -4,6 +4,7 @@
 formats; all decisions are made in the gateway.
 """
 
+from collections.abc import Iterable
 from enum import Enum
 from typing import Generic, Protocol, TypeVar
 
@@ -13,6 +14,7 @@
 from cassiaspread_core.base import OrganisationId, RequestId, TargetId
 from cassiaspread_core.chains import Chain
 from cassiaspread_core.placement import Engine, LayerRange
+from cassiaspread_core.quarantine import Fingerprint, SuspectRecord
 from cassiaspread_core.routing import RouteTable
 
 Item = TypeVar("Item", covariant=True)
@@ -230,6 +232,29 @@
     engine: Engine | None
 
 
+class SuspectChange(msgspec.Struct, frozen=True):
+    """Change of the record of one fingerprint.
+
+    :param fingerprint: the fingerprint.
+    :param record: the record; ``None`` if it was removed.
+    """
+
+    fingerprint: Fingerprint
+    record: SuspectRecord | None
+
+
+class SuspectTopic(Feed[SuspectChange], Protocol):
+    """Suspect records in the platform's store."""
+
+    async def write(self, changes: Iterable[SuspectChange]) -> None:
+        """Write records, or remove those without content.
+
+        :param changes: the records.
+        :raises LogUnavailable: the store did not confirm the write, which may take
+            effect all the same.
+        """
+
+
 class DutyState(msgspec.Struct, frozen=True):
     """State of the placement duty.
 
@@ -269,4 +294,5 @@
     engine_api: EngineApi
     configuration: Feed[RouteTable]
     engines: Feed[EngineChange]
+    suspects: SuspectTopic
     duty: Duty
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -24,7 +24,13 @@
 from cassiaspread_daemon.gateway._dispatch import Dispatcher
 from cassiaspread_daemon.gateway._frontend import CallerDisconnected, InboundRequest
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
-from cassiaspread_daemon.gateway._job import Job, TakeRetry, now, send_refusal
+from cassiaspread_daemon.gateway._job import (
+    NO_ORGANISATION,
+    Job,
+    TakeRetry,
+    now,
+    send_refusal,
+)
 from cassiaspread_daemon.gateway._plain import PlainForwarder
 from cassiaspread_daemon.gateway._protocols import HeaderCodec, RequestParameters
 from cassiaspread_daemon.gateway._routing_state import RoutingState, suspended_clock_s
@@ -33,8 +39,6 @@
 # Retry time while the daemon has not read the configuration yet, or not recently.
 RETRY_AFTER_UNKNOWN_S = 0.5
 LOWEST_PRIORITY = 9
-# Organisation of requests without keys.
-NO_ORGANISATION = OrganisationId("")
 ANY_SERVICE = ServiceId("")
 # Timeout of a request whose caller specifies none, in seconds.
 DEFAULT_TIMEOUT_S = 60.0
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -8,6 +8,7 @@
 from enum import Enum
 
 from cassiaspread_core.base import Refusal, TargetId
+from cassiaspread_core.placement import Engine
 from cassiaspread_core.targets import TargetHealth
 from cassiaspread_daemon._exchange import ConnectFailed, Exchange, ExchangeBroken
 from cassiaspread_daemon.gateway._capacity_queue import CapacityQueue
@@ -21,6 +22,7 @@
     now,
     target_failed_refusal,
     timeout_refusal,
+    unix_time_s,
 )
 from cassiaspread_daemon.gateway._pool import ConnectionPool
 from cassiaspread_daemon.gateway._protocols import (
@@ -28,7 +30,8 @@
     ForwardParameters,
     HeaderCodec,
 )
-from cassiaspread_daemon.gateway._stalls import StallDetector
+from cassiaspread_daemon.gateway._quarantine import Quarantine
+from cassiaspread_daemon.gateway._stalls import StallDetector, StreamStalled
 
 CONNECT_TIMEOUT_S = 0.25
 # Maximum number of chains tried for one request; a chain that refuses has not run it.
@@ -70,6 +73,7 @@
     :param dispatcher: tracks the load in progress.
     :param capacity_queue: selects chains and queues requests while none has capacity.
     :param health: health of the targets.
+    :param quarantine: refuses requests that crash their targets.
     :param stalls: detects the engine that a silent stream waits for.
     :param log: receives a line for each decision.
     :param metrics: counts attempts and records times.
@@ -82,6 +86,7 @@
         dispatcher: Dispatcher,
         capacity_queue: CapacityQueue,
         health: TargetHealth,
+        quarantine: Quarantine,
         stalls: StallDetector,
         log: DecisionLog,
         metrics: GatewayMetrics,
@@ -91,6 +96,7 @@
         self._dispatcher = dispatcher
         self._capacity_queue = capacity_queue
         self._health = health
+        self._quarantine = quarantine
         self._stalls = stalls
         self._log = log
         self._metrics = metrics
@@ -106,7 +112,13 @@
         for n_tried in range(MAX_CHAINS_TRIED):
             if n_tried and not take_retry():
                 break
+            self._check_quarantine(stream)
             assignment = await self._assign(stream)
+            try:
+                self._check_quarantine(stream)
+            except Refusal:
+                self._dispatcher.release(assignment)
+                raise
             result = await self._attempt(stream, assignment)
             self._metrics.record_attempt(result.value)
             if result is _AttemptResult.COMPLETE:
@@ -117,6 +129,10 @@
                     break
         raise self._refusal(stream)
 
+    def _check_quarantine(self, stream: _StreamState) -> None:
+        has_run = stream.n_runs > 0
+        self._quarantine.check(stream.job, has_run, unix_time_s())
+
     def _may_resume(self, stream: _StreamState) -> bool:
         route = stream.job.route
         return route.is_resumable and stream.n_runs < route.max_attempts
@@ -162,6 +178,7 @@
     async def _attempt(
         self, stream: _StreamState, assignment: Assignment
     ) -> _AttemptResult:
+        round_ = self._quarantine.next_round(stream.job)
         try:
             return await self._relay(stream, assignment)
         except ConnectFailed as error:
@@ -170,6 +187,12 @@
             return _AttemptResult.NOT_RUN
         except ExchangeBroken as error:
             self._record_broken(stream, assignment, str(error), is_sent=True)
+            await self._quarantine.record_interruption(
+                stream.job,
+                _possibly_lost(assignment, error),
+                round_,
+                stream.events.n_events,
+            )
             return _AttemptResult.BROKEN
         except TimeoutError:
             self._record_broken(stream, assignment, "deadline", is_sent=True)
@@ -281,6 +304,7 @@
             await inbound.write(stream.events.remainder)
         inbound.end()
         self._dispatcher.record_success(assignment, now())
+        self._quarantine.record_answer(stream.job, unix_time_s())
         return _AttemptResult.COMPLETE
 
     async def _handle_failed_answer(
@@ -307,6 +331,8 @@
         )
         if answer.is_not_run:
             return _AttemptResult.NOT_RUN
+        if answer.is_signed:
+            self._quarantine.record_answer(job, unix_time_s())
         if not answer.is_signed or answer.status == 200 or self._is_repeatable(stream):
             return _AttemptResult.FAILED
         if not stream.is_started:
@@ -347,6 +373,14 @@
         )
 
 
+def _possibly_lost(assignment: Assignment, error: ExchangeBroken) -> list[Engine]:
+    """Return the engines that may have ended when a stream was interrupted."""
+    engines = [stage.engine for stage in assignment.chain]
+    if isinstance(error, StreamStalled):
+        return [engine for engine in engines if engine.target == error.target]
+    return engines
+
+
 class _ReceiveBuffer:
     """Received bytes that have not been processed yet."""
 
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -8,13 +8,12 @@
 import pytest
 
 from cassiaspread_core.base import LogUnavailable, Refusal, Truncated
-from cassiaspread_core.chains import LoadLedger, RequestDemand, StageLoad
-from cassiaspread_core.placement import Accelerator, Engine, LayerRange, ModelSpec
-from cassiaspread_core.quarantine import Fingerprint
-from cassiaspread_core.routing import Backend, RequestKind, Route, Service, StateAge
+from cassiaspread_core.chains import LoadLedger, StageLoad
+from cassiaspread_core.placement import Engine, LayerRange
+from cassiaspread_core.routing import StateAge
 from cassiaspread_core.targets import TargetHealth
 from cassiaspread_daemon._exchange import Exchange, ExchangeBroken
-from cassiaspread_daemon.gateway import DecisionLog, FeedPage, RequestParameters
+from cassiaspread_daemon.gateway import DecisionLog, FeedPage
 from cassiaspread_daemon.gateway._capacity_queue import (
     RECHECK_INTERVAL_S,
     CapacityQueue,
@@ -22,29 +21,13 @@
 from cassiaspread_daemon.gateway._dispatch import Dispatcher
 from cassiaspread_daemon.gateway._events import EventBuffer
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
-from cassiaspread_daemon.gateway._job import Job, now
+from cassiaspread_daemon.gateway._job import now
 from cassiaspread_daemon.gateway._pool import ConnectionPool
 from cassiaspread_daemon.gateway._protocols import EngineChange
 from cassiaspread_daemon.gateway._router import RetryLimits
 from cassiaspread_daemon.gateway._routing_state import FeedFollower, RoutingState
 from cassiaspread_daemon.gateway._stream import StreamForwarder, _StreamState
-
-MODEL = ModelSpec(
-    n_layers=8,
-    layer_mb=100.0,
-    cache_mb_per_token=1.0,
-    accelerators={"card": Accelerator("card", 1_000.0)},
-)
-SERVICE = Service("pool", model=MODEL)
-ROUTE = Route(
-    name="r",
-    host="h",
-    prefix="/",
-    kind=RequestKind.STREAM,
-    backends=(Backend("pool"),),
-    timeout_s=20.0,
-    objective_s=0.5,
-)
+from tests.gateway_jobs import make_job
 
 
 @pytest.fixture
@@ -54,20 +37,6 @@
     os.close(descriptor)
 
 
-def make_job(organisation="celje", tokens=80):
-    return Job(
-        inbound=None,
-        parameters=RequestParameters(request_id="r"),
-        route=ROUTE,
-        service=SERVICE,
-        demand=RequestDemand(tokens, 0, "d"),
-        deadline_s=now() + 20.0,
-        organisation=organisation,
-        priority=1,
-        fingerprint=Fingerprint("f"),
-    )
-
-
 def make_queue(log):
     """Return a dispatcher and its queue; the only engine has capacity for two jobs."""
     routing_state = RoutingState(log, 5.0, 5.0)
@@ -413,7 +382,7 @@
         waiting = asyncio.create_task(queue.assign(make_job(), (), 1.0))
         await asyncio.sleep(0)
         forwarder = StreamForwarder(
-            None, None, dispatcher, queue, None, None, log, FakeMetrics()
+            None, None, dispatcher, queue, None, None, None, log, FakeMetrics()
         )
         stream = _StreamState(make_job())
         stream.is_started = True
--- /dev/null
+++ b/packages/cassiaspread-daemon/tests/test_gateway_quarantine.py
@@ -0,0 +1,300 @@
+"""Quarantine of the gateway: what counts as a loss, who is refused, what is shared."""
+
+import asyncio
+import json
+import os
+import random
+import socket
+
+import msgspec
+import pytest
+
+from cassiaspread_core.base import LogUnavailable, Refusal
+from cassiaspread_core.placement import Engine
+from cassiaspread_core.quarantine import Loss, SuspectRecord
+from cassiaspread_daemon._supervisor import Supervisor
+from cassiaspread_daemon.gateway import DecisionLog, FeedPage, SuspectChange
+from cassiaspread_daemon.gateway import _quarantine as quarantine_module
+from cassiaspread_daemon.gateway._capacity_queue import CapacityQueue
+from cassiaspread_daemon.gateway._job import unix_time_s
+from cassiaspread_daemon.gateway._quarantine import (
+    CLEARED_LIFETIME_S,
+    MAX_RECORDS,
+    N_RENEWALS_ALIVE,
+    QUARANTINE_S,
+    Quarantine,
+    Source,
+)
+from cassiaspread_daemon.gateway._suspect_sharing import SuspectSharing
+from tests.gateway_jobs import make_job
+
+
+@pytest.fixture
+def log(tmp_path):
+    descriptor = os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT)
+    yield DecisionLog("d1", descriptor)
+    os.close(descriptor)
+
+
+@pytest.fixture
+def quarantine(log):
+    return Quarantine(lambda engine: False, Supervisor("test"), log)
+
+
+def free_address():
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def make_engine(target, address, incarnation=1):
+    return Engine(
+        target=target,
+        service="pool",
+        address=address,
+        domain="celje",
+        incarnation=incarnation,
+    )
+
+
+def make_record(fingerprint, *rounds, at_s=None):
+    at_s = unix_time_s() if at_s is None else at_s
+    losses = tuple(Loss(f"{fingerprint}-e{n}", "1", 0, at_s, round=n) for n in rounds)
+    return SuspectRecord(
+        fingerprint=fingerprint, organisation="celje", subject="pool", losses=losses
+    )
+
+
+async def lose(quarantine, job, n_losses):
+    for index in range(n_losses):
+        engine = make_engine(f"e{index}", free_address())
+        round_ = quarantine.next_round(job)
+        await quarantine.record_interruption(job, [engine], round_)
+
+
+def test_request_is_refused_after_three_targets_ended_one_after_the_other(
+    quarantine, log, tmp_path
+):
+    async def run():
+        job = make_job(fingerprint="p")
+        await lose(quarantine, job, 2)
+        quarantine.check(job, False, unix_time_s())
+        await lose_one_more(quarantine, job)
+        with pytest.raises(Refusal) as not_run:
+            quarantine.check(job, False, unix_time_s())
+        with pytest.raises(Refusal) as has_run:
+            quarantine.check(job, True, unix_time_s())
+        assert (not_run.value.status, has_run.value.status) == (503, 502)
+        assert 0 < not_run.value.retry_after_s <= QUARANTINE_S
+        quarantine.check(make_job(fingerprint="q"), False, unix_time_s())
+
+    asyncio.run(run())
+    log.flush()
+    lines = [json.loads(line) for line in (tmp_path / "log").read_text().splitlines()]
+    [imposed] = [line for line in lines if line["event"] == "quarantine.imposed"]
+    assert (imposed["n_rounds"], len(imposed["targets"])) == (3, 3)
+    refused = [line for line in lines if line["event"] == "request.quarantined"]
+    assert [line["has_run"] for line in refused] == [False, True]
+
+
+async def lose_one_more(quarantine, job):
+    engine = make_engine("e-last", free_address())
+    await quarantine.record_interruption(job, [engine], quarantine.next_round(job))
+
+
+def test_target_that_accepts_connections_is_not_lost(quarantine):
+    # A connection that breaks does not mean that the target ended.
+    async def run():
+        server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        async with server:
+            engine = make_engine("e", address)
+            await quarantine.record_interruption(make_job(), [engine], 1)
+            await asyncio.sleep(0.1)
+        assert quarantine.n_suspects == 0
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("is_unreachable", [True, False])
+def test_silent_target_is_lost_unless_its_domain_is_cut_off(
+    log, monkeypatch, is_unreachable
+):
+    async def connect(address):
+        return quarantine_module.ProbeResult.SILENT
+
+    monkeypatch.setattr(
+        "cassiaspread_daemon.gateway._loss_probe.LossProbe.run",
+        lambda self, address, now_s: connect(address),
+    )
+    quarantine = Quarantine(lambda e: is_unreachable, Supervisor("test"), log)
+    engine = make_engine("e", "127.0.0.1:1")
+    asyncio.run(quarantine.record_interruption(make_job(), [engine], 1))
+    assert quarantine.n_suspects == (0 if is_unreachable else 1)
+
+
+def test_answer_clears_the_losses_before_it(quarantine):
+    job = make_job(fingerprint="p")
+    quarantine.merge(make_record("p", 1, 2, 3), Source.PEER, unix_time_s())
+    with pytest.raises(Refusal):
+        quarantine.check(job, False, unix_time_s())
+    quarantine.record_answer(job, unix_time_s())
+    quarantine.check(job, False, unix_time_s())
+    assert quarantine.next_round(job) == 1
+
+
+def test_target_that_renews_its_entry_did_not_end(quarantine):
+    # Behind a network partition all connections are refused, but the entries of the
+    # targets are renewed.
+    job = make_job(fingerprint="p")
+    quarantine.merge(make_record("p", 1, 2, 3), Source.PEER, unix_time_s())
+    for _ in range(N_RENEWALS_ALIVE):
+        with pytest.raises(Refusal):
+            quarantine.check(job, False, unix_time_s())
+        quarantine.record_renewal(make_engine("p-e1", "a:1", 2), unix_time_s())
+        quarantine.record_renewal(make_engine("p-e1", "a:1", 1), unix_time_s())
+    quarantine.check(job, False, unix_time_s())
+
+
+def test_records_expire_and_are_bounded(quarantine):
+    now_s = unix_time_s()
+    quarantine.merge(make_record("p", 1, 2, 3, at_s=now_s), Source.PEER, now_s)
+    for n in range(MAX_RECORDS + 10):
+        quarantine.merge(make_record(f"f{n}", 1, at_s=now_s), Source.PEER, now_s)
+    assert quarantine.n_suspects == MAX_RECORDS
+    # The record with the most losses is the last to be evicted.
+    assert quarantine.n_crashing == 1
+    quarantine.expire(now_s + CLEARED_LIFETIME_S + 1.0)
+    assert quarantine.n_suspects == MAX_RECORDS
+    quarantine.expire(now_s + QUARANTINE_S + 1.0)
+    assert (quarantine.n_suspects, quarantine.n_crashing) == (0, 0)
+    old = make_record("p", 1, 2, 3, at_s=now_s - QUARANTINE_S - 1.0)
+    quarantine.merge(old, Source.STORE, now_s)
+    assert quarantine.n_suspects == 0
+
+
+class FakeTopic:
+    """Records of the store, which may lose some, and be unavailable."""
+
+    def __init__(self):
+        self.records = {}
+        self.is_unavailable = False
+        self.position = 0
+        self.n_writes = 0
+
+    async def snapshot(self):
+        if self.is_unavailable:
+            raise LogUnavailable("down")
+        items = tuple(SuspectChange(f, r) for f, r in self.records.items())
+        return FeedPage(items, self.position)
+
+    async def changes(self, position, wait_s):
+        await asyncio.sleep(3600)
+
+    async def write(self, changes):
+        self.n_writes += 1
+        if self.is_unavailable:
+            raise LogUnavailable("down")
+        for change in changes:
+            self.records[change.fingerprint] = change.record
+            if change.record is None:
+                del self.records[change.fingerprint]
+
+
+async def wait_for(condition):
+    async with asyncio.timeout(5.0):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def run_sharing(quarantine, log, topic, use):
+    async def run():
+        async with Supervisor("sharing") as supervisor:
+            sharing = SuspectSharing(
+                quarantine, None, topic, supervisor, log, random.Random(1)
+            )
+            sharing.start()
+            await use(sharing)
+
+    asyncio.run(run())
+
+
+def test_records_are_written_again_after_an_outage(quarantine, log):
+    topic = FakeTopic()
+    topic.is_unavailable = True
+
+    async def use(sharing):
+        quarantine.merge(make_record("p", 1, 2), Source.OWN, unix_time_s())
+        await wait_for(lambda: topic.n_writes)
+        assert not topic.records
+        topic.is_unavailable = False
+        await wait_for(lambda: "p" in topic.records)
+
+    run_sharing(quarantine, log, topic, use)
+
+
+def test_store_gets_the_records_that_a_snapshot_lacks(quarantine, log):
+    topic = FakeTopic()
+    quarantine.merge(make_record("p", 1, 2, 3), Source.PEER, unix_time_s())
+    quarantine.merge(make_record("q", 1), Source.PEER, unix_time_s())
+    topic.records["p"] = make_record("p", 1)
+    topic.records["r"] = make_record("r", 1, 2, 3)
+
+    async def use(sharing):
+        await wait_for(lambda: topic.records["p"].n_rounds == 3)
+        assert quarantine.n_crashing == 2
+        # A single loss is not worth a write.
+        assert "q" not in topic.records
+
+    run_sharing(quarantine, log, topic, use)
+
+
+def test_expired_records_are_removed_from_the_store(quarantine, log):
+    topic = FakeTopic()
+    old_s = unix_time_s() - QUARANTINE_S - 1.0
+    topic.records["p"] = make_record("p", 1, 2, 3, at_s=old_s)
+
+    async def use(sharing):
+        await wait_for(lambda: not topic.records)
+        assert quarantine.n_crashing == 0
+
+    run_sharing(quarantine, log, topic, use)
+
+
+def test_waiting_request_is_refused_when_its_quarantine_is_known(quarantine, log):
+    async def run():
+        queue = CapacityQueue(FullDispatcher(), log)
+        quarantine.verdict_callbacks.append(
+            lambda: queue.refuse_waiting(
+                lambda job: quarantine.check(job, False, unix_time_s())
+            )
+        )
+        crashing = asyncio.create_task(queue.assign(make_job(fingerprint="p"), (), 5.0))
+        innocent = asyncio.create_task(queue.assign(make_job(), (), 5.0))
+        await asyncio.sleep(0)
+        quarantine.merge(make_record("p", 1, 2, 3), Source.PEER, unix_time_s())
+        queue.recheck_capacity()
+        with pytest.raises(Refusal) as refused:
+            await asyncio.wait_for(crashing, 0.5)
+        assert refused.value.code == "quarantined"
+        assert not innocent.done()
+        assert len(queue) == 1
+        innocent.cancel()
+
+    asyncio.run(run())
+
+
+class FullDispatcher:
+    """A dispatcher that never has capacity."""
+
+    def __init__(self):
+        self.capacity_callbacks = []
+
+    def assign(self, service, demand, now_s, avoid=()):
+        return None
+
+
+def test_records_keep_their_rounds_on_the_wire():
+    record = make_record("p", 1, 2, 3)
+    data = msgspec.json.encode(record)
+    assert msgspec.json.decode(data, type=SuspectRecord) == record
--- a/tests/users_platform/standins/store.py
+++ b/tests/users_platform/standins/store.py
@@ -83,6 +83,21 @@
         self.finish(body)
 
 
+class AppendHandler(StoreHandler):
+    def post(self):
+        topic, body = self.get_argument("topic"), self.request.body
+        records = self.store.topics.setdefault(topic, [])
+        offset, begin = len(records), 0
+        while begin < len(body):
+            (length,) = struct.unpack_from(">I", body, begin)
+            begin += 4
+            records.append(body[begin : begin + length])
+            begin += length
+        self.store.changed.set()
+        self.store.changed = asyncio.Event()
+        self.finish({"offset": offset, "end_offset": len(records)})
+
+
 class NewestHandler(StoreHandler):
     def get(self):
         records = self.store.topics.get(self.get_argument("topic"), [])
@@ -162,6 +177,7 @@
     routes = {
         "/-/log-read": ReadHandler,
         "/-/log-newest": NewestHandler,
+        "/-/log-append": AppendHandler,
         "/-/log-join": JoinHandler,
         "/-/log-leave": LeaveHandler,
         "/put": PutHandler,
