--- a/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
@@ -24,6 +24,7 @@
     LogPage,
     LogRecord,
     LogUnavailable,
+    Restored,
     Truncated,
 )
 from cassiaspread_core.base._rate import EventRate
@@ -48,6 +49,7 @@
     "Outcome",
     "Refusal",
     "RequestId",
+    "Restored",
     "ServiceId",
     "TargetId",
     "TargetKind",
--- a/packages/cassiaspread-core/src/cassiaspread_core/base/_log.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/_log.py
@@ -53,3 +53,15 @@
     def __init__(self, earliest: Offset) -> None:
         super().__init__(f"records before offset {earliest} are gone")
         self.earliest = earliest
+
+
+class Restored(Truncated):
+    """The log was restored from an older copy and has lost its latest records.
+
+    :param before: era of the position that was read from.
+    :param era: present era.
+    """
+
+    def __init__(self, before: int, era: int) -> None:
+        super().__init__(Offset(0))
+        self.args = (f"the log was restored: era {era}, {before} before",)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
+import msgspec
+
 from cassiaspread_core.base import LogUnavailable, ServiceId, TargetId, Truncated
 from cassiaspread_core.placement import Engine
 from cassiaspread_core.routing import RouteTable, StateAge
@@ -65,6 +67,9 @@
         """
         before = self.engines.get(change.target)
         after = change.engine
+        if _has_left(before, after):
+            # An older copy of the list, or a late record, does not bring it back.
+            after = msgspec.structs.replace(after, is_leaving=True)
         if after is not None:
             self.record_renewed(change.target)
         if before == after:
@@ -128,6 +133,17 @@
             )
 
 
+def _has_left(before: Engine | None, after: Engine | None) -> bool:
+    """Return whether an entry contradicts the leaving of the same incarnation."""
+    return (
+        before is not None
+        and after is not None
+        and before.is_leaving
+        and not after.is_leaving
+        and before.incarnation == after.incarnation
+    )
+
+
 class FeedFollower(Generic[Item]):
     """Keeps a copy of a feed current.
 
--- a/tests/users_platform/standins/store.py
+++ b/tests/users_platform/standins/store.py
@@ -2,7 +2,8 @@
 
 ``POST /control`` sets ``refuse`` (503 to all calls), ``silent`` (no response) and
 ``first_offset`` (offset before which records are removed). ``truncate`` removes all
-records but the newest of each key; ``rebalance`` starts a new generation of the group.
+records but the newest of each key; ``restore`` returns to the state of so many seconds
+ago and raises the era; ``rebalance`` starts a new generation of the group.
 ``POST /put?topic=&key=`` appends a record on behalf of the operator or an engine.
 """
 
@@ -27,19 +28,47 @@
         self.generation = 0
         self.members = {}
         self.n_calls = 0
+        self.era = 0
+        # Time of each record, and generations with the time from which they counted.
+        self.written_s = {}
+        self.generations = [(float("-inf"), 0)]
 
     def put(self, topic, key, value):
         record = bytes([len(key)]) + key.encode() + value
-        self.topics.setdefault(topic, []).append(record)
+        self.append(topic, [record])
+
+    def append(self, topic, records):
+        self.topics.setdefault(topic, []).extend(records)
+        times = self.written_s.setdefault(topic, [])
+        times.extend([time.monotonic()] * len(records))
+        self.notify()
+
+    def notify(self):
+        """Wake the readers that wait for a change."""
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def restore(self, age_s):
+        """Return to the state of some seconds ago, as from an older copy."""
+        copied_s = time.monotonic() - age_s
+        for topic, times in self.written_s.items():
+            n_kept = sum(written_s <= copied_s for written_s in times)
+            del times[n_kept:], self.topics[topic][n_kept:]
+        self.generations = [g for g in self.generations if g[0] <= copied_s]
+        self.generation = self.generations[-1][1]
+        self.members = {}
+        self.era += 1
+
+    def begin_generation(self):
+        self.generation += 1
+        self.generations.append((time.monotonic(), self.generation))
+
     def join(self, member, ttl_s, now_s):
         members_before = list(self.members)
         self.members = {m: end_s for m, end_s in self.members.items() if end_s > now_s}
         self.members[member] = now_s + ttl_s
         if list(self.members) != members_before:
-            self.generation += 1
+            self.begin_generation()
         return next(iter(self.members)) == member
 
 
@@ -49,6 +78,8 @@
 
     async def prepare(self):
         self.store.n_calls += 1
+        if self.store.era:
+            self.set_header("Store-Era", str(self.store.era))
         if self.store.silent:
             await asyncio.sleep(3600)
         if self.store.refuse:
@@ -62,11 +93,15 @@
         start = int(self.get_argument("from"))
         deadline = time.monotonic() + int(self.get_argument("wait_ms", "0")) / 1000
         while True:
+            if self.store.refuse:
+                self.set_status(503)
+                self.finish()
+                return
             records = self.store.topics.get(topic, [])
             first_offset = max(
                 self.store.first_offset, self.store.first_offsets.get(topic, 0)
             )
-            if start < first_offset:
+            if start < first_offset or start > len(records):
                 self.set_status(410)
                 self.finish({"first_offset": first_offset})
                 return
@@ -86,16 +121,15 @@
 class AppendHandler(StoreHandler):
     def post(self):
         topic, body = self.get_argument("topic"), self.request.body
-        records = self.store.topics.setdefault(topic, [])
-        offset, begin = len(records), 0
+        records, begin = [], 0
         while begin < len(body):
             (length,) = struct.unpack_from(">I", body, begin)
             begin += 4
             records.append(body[begin : begin + length])
             begin += length
-        self.store.changed.set()
-        self.store.changed = asyncio.Event()
-        self.finish({"offset": offset, "end_offset": len(records)})
+        self.store.append(topic, records)
+        end = len(self.store.topics[topic])
+        self.finish({"offset": end - len(records), "end_offset": end})
 
 
 class NewestHandler(StoreHandler):
@@ -137,7 +171,7 @@
     def post(self):
         member = json.loads(self.request.body)["member"]
         if self.store.members.pop(member, None) is not None:
-            self.store.generation += 1
+            self.store.begin_generation()
         self.finish({})
 
 
@@ -158,13 +192,16 @@
     def post(self):
         for name, value in json.loads(self.request.body).items():
             if name == "rebalance":
-                self.store.generation += 1
+                self.store.begin_generation()
                 self.store.members = dict(reversed(self.store.members.items()))
+            elif name == "restore":
+                self.store.restore(value)
             elif name == "truncate":
                 for topic, records in self.store.topics.items():
                     self.store.first_offsets[topic] = len(records)
             else:
                 setattr(self.store, name, value)
+        self.store.notify()
         members = list(self.store.members)
         self.finish({"n_calls": self.store.n_calls, "members": members})
 
--- a/tests/users_platform/test_crashing_requests.py
+++ b/tests/users_platform/test_crashing_requests.py
@@ -296,6 +296,23 @@
     assert_refused_at_once(answers[-1])
 
 
+def test_store_restored_from_an_older_copy_keeps_crashing_requests(fleet):
+    send_by_turns(fleet, 3.0)
+    wait_for(lambda: fleet.decisions(GATEWAYS[0], "suspects.written"))
+    fleet.control("store", restore=4.0)
+    # What the restored store lacks is written again, so that daemons that start later
+    # and reach no other daemon know of the request.
+    time.sleep(LEARN_S)
+    for name in GATEWAYS:
+        fleet.kill(name)
+        fleet.processes[name].wait()
+    fleet.add_gateway("gateway-late", "celje")
+    wait_served(fleet, "gateway-late")
+    answers = send_by_turns(fleet, 4.0, gateways=["gateway-late"])
+    assert_contained(fleet)
+    assert_refused_at_once(answers[-1])
+
+
 def test_coincident_crashes_quarantine_no_request(fleet):
     # All engines end at once under copies of one innocent request.
     with innocent_load(fleet) as innocents:
