Reports of the stall detector are forgotten

Cause: nothing removed an entry of an address that was not asked again, and engines get new addresses.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stalls.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stalls.py
@@ -1,7 +1,5 @@
 """Detection of the engine that a silent stream waits for."""
 
-import asyncio
-
 from cassiaspread_core.base import RequestId, TargetId
 from cassiaspread_core.targets import TargetHealth
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken
@@ -9,6 +7,7 @@
 from cassiaspread_daemon.gateway._dispatch import Assignment
 from cassiaspread_daemon.gateway._job import now
 from cassiaspread_daemon.gateway._protocols import EngineApi, EngineReport
+from cassiaspread_daemon.gateway._shared_calls import SharedCalls
 
 REPORT_TIMEOUT_S = 0.4
 # Streams with the same head reuse its report for this long, in seconds.
@@ -41,7 +40,7 @@
         self._engine_api = engine_api
         self._health = health
         self._log = log
-        self._reports: dict[str, tuple[float, asyncio.Task[EngineReport]]] = {}
+        self._reports = SharedCalls(self._fetch_report, REPORT_LIFETIME_S)
 
     async def check(self, request_id: RequestId, assignment: Assignment) -> None:
         """Check whether a silent stream waits for an engine that does not respond.
@@ -52,7 +51,7 @@
         """
         head = assignment.head
         try:
-            report = await self._fetch_report(head.address)
+            report = await self._reports.result(head.address, now())
         except (ConnectFailed, ExchangeBroken) as error:
             self._mark_suspect(request_id, head.target, str(error))
             raise StreamStalled(head.target, f"head is silent: {error}") from None
@@ -67,13 +66,7 @@
                 raise StreamStalled(target, "an engine of the chain is silent")
 
     async def _fetch_report(self, address: str) -> EngineReport:
-        requested_s, task = self._reports.get(address, (float("-inf"), None))
-        if task is None or now() - requested_s > REPORT_LIFETIME_S:
-            task = asyncio.ensure_future(
-                self._engine_api.report(address, timeout_s=REPORT_TIMEOUT_S)
-            )
-            self._reports[address] = (now(), task)
-        return await asyncio.shield(task)
+        return await self._engine_api.report(address, timeout_s=REPORT_TIMEOUT_S)
 
     def _mark_suspect(
         self, request_id: RequestId, target: TargetId, reason: str
