Share of retries counts the daemons behind a partition

The same rule from its other side: the slack of the retry window is divided by the daemons that are counted, and two sides of a partition each count only their own, but go on retrying. With 64 daemons cut in halves they could use 496 retries of a slack of 320 (computed by the test, which fails without the change). The highest count of the last five minutes is used.

--- a/packages/cassiaspread-core/src/cassiaspread_core/admission/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/__init__.py
@@ -4,6 +4,7 @@
 from cassiaspread_core.admission._fair_queue import AdmissionTicket, FairQueue
 from cassiaspread_core.admission._forecast import Forecast
 from cassiaspread_core.admission._gate import AdmissionGate, AdmissionResult, Decision
+from cassiaspread_core.admission._peak import PeakCount
 from cassiaspread_core.admission._retry_window import RetryUsage, RetryWindow
 from cassiaspread_core.admission._shares import (
     DaemonDemand,
@@ -23,6 +24,7 @@
     "Decision",
     "FairQueue",
     "Forecast",
+    "PeakCount",
     "RetryBudget",
     "RetryUsage",
     "RetryWindow",
--- a/packages/cassiaspread-core/tests/test_retry_window.py
+++ b/packages/cassiaspread-core/tests/test_retry_window.py
@@ -2,7 +2,9 @@
 
 import random
 
-from cassiaspread_core.admission import RetryWindow
+import pytest
+
+from cassiaspread_core.admission import PeakCount, RetryWindow
 
 
 def test_all_streams_of_a_lost_engine_may_be_retried():
@@ -31,3 +33,19 @@
         n_retries = sum(end_s - 10.0 < at <= end_s for at in retries)
         n_requests = sum(end_s - 10.0 < at <= end_s for at in requests)
         assert n_retries <= 0.2 * n_requests + 202.0
+
+
+@pytest.mark.parametrize("is_peak_counted", [True, False])
+def test_daemons_on_both_sides_of_a_partition_keep_to_the_slack(is_peak_counted):
+    # Each side counts only its own daemons a few seconds after the partition.
+    n_daemons, slack = 64, 320.0
+    windows = [RetryWindow(0.2, slack, window_s=10.0) for _ in range(n_daemons)]
+    peaks = [PeakCount(window_s=300.0) for _ in range(n_daemons)]
+    n_retries = 0
+    for window, peak in zip(windows, peaks, strict=True):
+        peak.record(n_daemons, now_s=0.0)
+        n_counted = peak.record(n_daemons // 2, now_s=5.0)
+        if not is_peak_counted:
+            n_counted = n_daemons // 2
+        n_retries += sum(window.try_acquire(6.0, n_counted) for _ in range(20))
+    assert (n_retries <= slack) == is_peak_counted
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -12,6 +12,7 @@
 import uuid6
 from tornado.httpserver import HTTPServer
 
+from cassiaspread_core.admission import PeakCount
 from cassiaspread_core.base import DomainId, Incarnation, TargetId
 from cassiaspread_core.chains import LoadLedger
 from cassiaspread_core.placement import Engine
@@ -66,6 +67,9 @@
 MIN_IDLE_BEFORE_CLOSE_S = 0.3
 # The gateway keeps no time line of messages between daemons: the log has the decisions.
 N_EVENTS = 1
+# Time for which a daemon is counted that is no longer seen, in seconds; partitions of
+# failure domains take minutes at the most.
+COUNTED_DAEMONS_S = 300.0
 # Minimum for the number of daemons, since a daemon may not have discovered the others
 # yet.
 MIN_COUNTED_DAEMONS = 8
@@ -106,6 +110,7 @@
             log,
         )
         self._ledger = LoadLedger()
+        self._daemon_peak = PeakCount(COUNTED_DAEMONS_S)
         self._dispatcher = Dispatcher(
             settings.domain,
             self._routing_state,
@@ -230,7 +235,9 @@
 
     def _count_daemons(self) -> int:
         n_running = 1 if self._mesh is None else len(self._mesh.active_members())
-        return max(MIN_COUNTED_DAEMONS, n_running)
+        # Daemons behind a partition go on retrying, although they are not counted.
+        n_peak = self._daemon_peak.record(n_running, now())
+        return max(MIN_COUNTED_DAEMONS, n_peak)
 
     def _build_mesh(self) -> Mesh | None:
         settings = self._settings
