A restarted daemon uses a quarter of its share of the slack at first

The window of retries is kept by each daemon and ends with it: a daemon that has just started had its whole share, although the process that it replaces may have used it within the same window. 16 daemons restarted one after the other could use 512 retries of a slack of 320 (computed by the test, which fails without the change). For the first window after a start the share is a quarter, so that the bound holds with any restarts.

--- a/packages/cassiaspread-core/src/cassiaspread_core/admission/_retry_window.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/_retry_window.py
@@ -12,6 +12,10 @@
 # Fraction of the allowed retries that the daemons use together. The margin keeps the
 # bound although targets count retries at other times than the daemons.
 USED_RATIO = 0.8
+# Fraction of its share of the slack that a daemon uses within a window after its start.
+# The process that it replaces may have used its share; together with USED_RATIO the
+# bound holds even if all daemons are restarted within one window.
+START_RATIO = 0.25
 
 
 class RetryUsage(NamedTuple):
@@ -33,6 +37,7 @@
     :param ratio: number of retries allowed for each request in the window.
     :param slack: number of additional retries allowed in the window, over all daemons.
     :param window_s: length of the window in seconds.
+    :param started_s: when the daemon started, in seconds.
 
     >>> window = RetryWindow(ratio=0.2, slack=10.0, window_s=10.0)
     >>> [window.try_acquire(now_s=1.0, n_daemons=4) for _ in range(3)]
@@ -41,7 +46,14 @@
     True
     """
 
-    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window_s: float,
+        started_s: float = float("-inf"),
+    ) -> None:
+        self._started_s = started_s
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
@@ -64,7 +76,10 @@
         :returns: whether the retry is allowed.
         """
         self._remove_expired(now_s)
-        allowed = self._ratio * len(self._requests) + self._slack / max(1, n_daemons)
+        share = self._slack / max(1, n_daemons)
+        if now_s < self._started_s + self._window_s:
+            share *= START_RATIO
+        allowed = self._ratio * len(self._requests) + share
         if len(self._retries) + 1 > USED_RATIO * allowed:
             return False
         self._retries.append(now_s)
--- a/packages/cassiaspread-core/tests/test_retry_window.py
+++ b/packages/cassiaspread-core/tests/test_retry_window.py
@@ -49,3 +49,17 @@
             n_counted = n_daemons // 2
         n_retries += sum(window.try_acquire(6.0, n_counted) for _ in range(20))
     assert (n_retries <= slack) == is_peak_counted
+
+
+def test_restarted_daemons_do_not_use_the_slack_twice():
+    # Every daemon uses its share and is killed; its successor starts within the window.
+    n_daemons, slack = 16, 320.0
+    n_retries = 0
+    for _ in range(n_daemons):
+        window = RetryWindow(0.2, slack, window_s=10.0, started_s=-60.0)
+        n_retries += sum(window.try_acquire(1.0, n_daemons) for _ in range(50))
+        successor = RetryWindow(0.2, slack, window_s=10.0, started_s=3.0)
+        n_retries += sum(successor.try_acquire(5.0, n_daemons) for _ in range(50))
+    assert n_retries <= slack
+    # Afterwards it has its whole share.
+    assert sum(successor.try_acquire(15.0, n_daemons) for _ in range(50)) == 16
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -219,6 +219,7 @@
             self._count_daemons,
             self._log,
             self._metrics,
+            now(),
         )
         return Router(
             codec,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -53,6 +53,7 @@
     :param count_daemons: returns how many daemons share the slack.
     :param log: receives a line for each retry that is denied.
     :param metrics: counts retries.
+    :param started_s: when this daemon started, on the monotonic clock in seconds.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         count_daemons: Callable[[], int],
         log: DecisionLog,
         metrics: GatewayMetrics,
+        started_s: float,
     ) -> None:
         self._ratio = ratio
         self._slack = slack
@@ -70,6 +72,7 @@
         self._count_daemons = count_daemons
         self._log = log
         self._metrics = metrics
+        self._started_s = started_s
         self._windows: dict[ServiceId, RetryWindow] = {}
 
     def record_request(self, service: ServiceId, request_id: RequestId) -> TakeRetry:
@@ -82,7 +85,9 @@
         """
         window = self._windows.get(service)
         if window is None:
-            window = RetryWindow(self._ratio, self._slack, self._window_s)
+            window = RetryWindow(
+                self._ratio, self._slack, self._window_s, self._started_s
+            )
             self._windows[service] = window
         window.record_request(now())
 
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -348,6 +348,7 @@
         count_daemons=lambda: 8,
         log=log,
         metrics=GatewayMetrics("celje"),
+        started_s=now() - 60.0,
     )
     take = [limits.record_request("pool", "r") for _ in range(10)][-1]
     # 0.8 of (0.2 x 10 requests + a slack of 20 over 8 daemons).
