--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_pool.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_pool.py
@@ -99,6 +99,7 @@
 def _idle_time_s(keep_alive: str) -> float:
     for part in keep_alive.split(","):
         name, _, value = part.strip().partition("=")
-        if name == "timeout" and value.isdigit():
+        # Other digits, such as superscripts, are no numbers.
+        if name == "timeout" and value.isascii() and value.isdigit():
             return float(value) - IDLE_MARGIN_S
     return DEFAULT_IDLE_S
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -22,7 +22,7 @@
 from cassiaspread_daemon.gateway._events import EventBuffer
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
 from cassiaspread_daemon.gateway._job import now
-from cassiaspread_daemon.gateway._pool import ConnectionPool
+from cassiaspread_daemon.gateway._pool import ConnectionPool, _idle_time_s
 from cassiaspread_daemon.gateway._protocols import EngineChange
 from cassiaspread_daemon.gateway._router import RetryLimits
 from cassiaspread_daemon.gateway._routing_state import FeedFollower, RoutingState
@@ -397,3 +397,10 @@
             waiting.result()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("keep_alive", "idle_s"), [("timeout=5", 4.0), ("timeout=\u00b2", 4.0), ("", 4.0)]
+)
+def test_idle_time_that_is_no_number_is_the_default(keep_alive, idle_s):
+    assert _idle_time_s(keep_alive) == idle_s
--- a/tests/users_platform/test_headers.py
+++ b/tests/users_platform/test_headers.py
@@ -9,6 +9,13 @@
 SIGNATURE = {"Response-Seal": "3e1b.07.5a2.600.0.c9f2a4d1"}
 
 
+@pytest.mark.parametrize("text", ["\u00b2,4", "1e3,4", "-1,4", ",4"])
+def test_token_count_that_is_no_number_is_unknown(text):
+    headers = HTTPHeaders({"Token-Count": text})
+    parameters = PlatformHeaderCodec().read_request(headers)
+    assert (parameters.prompt_tokens, parameters.max_answer_tokens) == (0, 4)
+
+
 @pytest.mark.parametrize(
     ("headers", "is_own"),
     [
--- /dev/null
+++ b/tests/users_platform/test_store_client.py
@@ -0,0 +1,62 @@
+"""Answers of the store that cannot be used."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+from tornado.httputil import HTTPHeaders
+
+from cassiaspread_core.base import LogUnavailable, Restored, Truncated
+from cassiaspread_daemon.exchange import Response
+from cassiaspread_platform._store import Store, pack_position
+
+
+class FakePool:
+    """Gives the same response to every call."""
+
+    def __init__(self, status, body, **headers):
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        self.response = Response(status, HTTPHeaders(names), body)
+
+    @asynccontextmanager
+    async def exchange(self, address, connect_timeout_s):
+        yield self
+
+    async def send(self, method, target, data, headers):
+        return self.response.status
+
+    async def finish(self):
+        return self.response
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"items":[{"key":"k","value":"abc","offset":1}],"has_more":false,"end_offset":2}',
+        b"no page",
+    ],
+)
+def test_malformed_snapshot_is_an_outage(body):
+    store = Store("a:1", FakePool(200, body))
+    with pytest.raises(LogUnavailable):
+        asyncio.run(store.read_newest("keyed.op"))
+
+
+def test_read_after_the_end_of_a_partition_is_truncated():
+    store = Store("a:1", FakePool(410, b"{}"))
+    with pytest.raises(Truncated):
+        asyncio.run(store.read_keyed("keyed.op", 7, 0.0))
+
+
+def test_position_of_an_earlier_era_is_not_read_on():
+    store = Store("a:1", FakePool(200, bytes(16), Store_Era="3"))
+    with pytest.raises(Restored, match="era 3, 2 before"):
+        asyncio.run(store.read_keyed("keyed.op", pack_position(2, 7), 0.0))
+    _, end = asyncio.run(store.read_keyed("keyed.op", pack_position(3, 7), 0.0))
+    assert end == pack_position(3, 7)
+
+
+def test_era_that_is_no_number_is_an_outage():
+    store = Store("a:1", FakePool(200, bytes(16), Store_Era="new"))
+    with pytest.raises(LogUnavailable, match="Store-Era"):
+        asyncio.run(store.read_keyed("keyed.op", 7, 0.0))
