A process that is ending may accept the probe

The probe now watches its connection for 30 ms and connects again if it closes; a target that closes connections beyond its limit accepts that one too.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -225,6 +225,20 @@
         stream.set_nodelay(True)
         return cls(stream, address, keeps_connection)
 
+    async def is_closed_within(self, timeout_s: float) -> bool:
+        """Return whether the other end closes a connection that carries no request.
+
+        :param timeout_s: longest wait in seconds.
+        """
+        closed = asyncio.Event()
+        self._stream.set_close_callback(closed.set)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await closed.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def close(self) -> None:
         """Close the connection at once."""
         self._stream.close()
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_loss_probe.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_loss_probe.py
@@ -7,6 +7,9 @@
 
 # A target in the same region accepts or refuses a connection within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.25
+# Time within which a process that is ending closes a connection that it still accepts,
+# in seconds.
+CONFIRM_S = 0.03
 # All requests that one target interrupts share a probe, in seconds.
 PROBE_LIFETIME_S = 0.3
 
@@ -41,6 +44,10 @@
 
 async def _connect(address: str) -> ProbeResult:
     try:
+        with await Exchange.open(address, CONNECT_TIMEOUT_S) as exchange:
+            if not await exchange.is_closed_within(CONFIRM_S):
+                return ProbeResult.ALIVE
+        # A target also closes connections beyond its limit.
         with await Exchange.open(address, CONNECT_TIMEOUT_S):
             return ProbeResult.ALIVE
     except ConnectTimedOut:
