Losses of restarted engines are counted, and old renewals refute none

An engine that came back under its identifier before the list of targets showed its new incarnation was lost again, and the loss was taken for the known one (no target.lost line). A daemon that had been paused read the renewals from before the end of both engines in quick succession and took them for a proof that they lived (target.alive), for all daemons.

A run keeps what was known as it began: a target lost before, on which the request ran since, has been restarted. Renewals within a second count once, and carry the incarnation of their own entry. The soak's gateways communicate; it plays the crashing request and a restored store.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -417,7 +417,7 @@
     def _handle_renewal(self, target: TargetId) -> None:
         engine = self._routing_state.engines.get(target)
         if engine is not None:
-            self._quarantine.record_renewal(engine, unix_time_s())
+            self._quarantine.record_renewal(engine, now(), unix_time_s())
 
     def _handle_engine_change(
         self, before: Engine | None, after: Engine | None
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -100,7 +100,7 @@
             if tried and not take_retry():
                 break
             self._quarantine.check(job, n_runs > 0, unix_time_s())
-            round_ = self._quarantine.next_round(job)
+            run = self._quarantine.begin_run(job)
             assignment = self._dispatcher.assign(
                 job.service, job.demand, now(), avoid=tried
             )
@@ -117,9 +117,7 @@
                 self._record_unreachable(job, assignment, str(failure), is_sent=True)
                 error = failure
                 n_runs += 1
-                await self._quarantine.record_interruption(
-                    job, (assignment.head,), round_
-                )
+                await self._quarantine.record_interruption(job, (assignment.head,), run)
                 if not job.route.may_repeat:
                     break
                 continue
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_quarantine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_quarantine.py
@@ -10,6 +10,8 @@
 from contextlib import suppress
 from enum import Enum
 
+import msgspec
+
 from cassiaspread_core.base import Outcome, Refusal, TargetId
 from cassiaspread_core.placement import Engine
 from cassiaspread_core.quarantine import (
@@ -41,13 +43,18 @@
 MAX_RECORDS = 2000
 # A retry waits for the probe of the lost target for this long, in seconds; longer than
 # a connection within a region takes.
-PROBE_WAIT_S = 0.05
+PROBE_WAIT_S = 0.02
 # Number of renewals of an entry, read one after the other after the loss of its target,
 # that prove that the target did not end. Renewals written before the loss may be read
 # after it, but no more than two.
 N_RENEWALS_ALIVE = 3
 
 
+# Renewals that are read within this time count once, in seconds: a daemon that was
+# paused or cut off reads old ones in quick succession.
+MIN_RENEWAL_GAP_S = 1.0
+
+
 class Source(Enum):
     """Where a change of a record came from."""
 
@@ -56,6 +63,28 @@
     STORE = "store"
 
 
+class RunStart(msgspec.Struct, frozen=True):
+    """What was known of a request's fingerprint when one of its runs began.
+
+    :param round: round of the losses of the run.
+    :param known: losses recorded so far, refuted and cleared ones included.
+    """
+
+    round: int
+    known: frozenset[tuple[TargetId, str]]
+
+
+class _Renewals(msgspec.Struct):
+    """Renewals of a lost target's entry.
+
+    :param n: number of renewals, those in quick succession counted once.
+    :param last_s: time of the last one counted, in seconds.
+    """
+
+    n: int = 0
+    last_s: float = float("-inf")
+
+
 ChangeCallback = Callable[[SuspectRecord, Source], None]
 
 
@@ -83,7 +112,7 @@
         # Fingerprints with enough rounds to be refused; without any, no verdict can
         # change.
         self._candidates: set[Fingerprint] = set()
-        self._n_renewals: dict[tuple[TargetId, str], int] = {}
+        self._renewals: dict[tuple[TargetId, str], _Renewals] = {}
         self.change_callbacks: list[ChangeCallback] = []
         self.expiry_callbacks: list[Callable[[Fingerprint], None]] = []
         self.verdict_callbacks: list[Callable[[], None]] = []
@@ -109,12 +138,17 @@
         """
         return self._table.find(fingerprint)
 
-    def next_round(self, job: Job) -> int:
-        """Return the round of the losses of a run that begins now.
+    def begin_run(self, job: Job) -> RunStart:
+        """Return what is known of a request as it is sent to a target.
 
         :param job: the request.
         """
-        return self._table.next_round(job.fingerprint)
+        record = self._table.find(job.fingerprint)
+        losses = () if record is None else record.losses
+        return RunStart(
+            self._table.next_round(job.fingerprint),
+            frozenset(loss.key for loss in losses),
+        )
 
     def check(self, job: Job, has_run: bool, now_s: float) -> None:
         """Check that a request may be sent to a target.
@@ -142,7 +176,7 @@
         raise Refusal(503, "quarantined", detail, retry_after_s=retry_after_s)
 
     async def record_interruption(
-        self, job: Job, engines: Sequence[Engine], round_: int, position: int = 0
+        self, job: Job, engines: Sequence[Engine], run: RunStart, position: int = 0
     ) -> None:
         """Record the targets that ended under a request.
 
@@ -151,7 +185,7 @@
 
         :param job: the request.
         :param engines: targets that may have ended.
-        :param round_: round of the lost run, see :meth:`next_round`.
+        :param run: start of the interrupted run.
         :param position: events of the answer that had arrived.
         """
         is_probed = asyncio.Event()
@@ -165,7 +199,7 @@
                 is_probed.set()
             for engine, is_lost in zip(engines, results, strict=True):
                 if is_lost:
-                    self._record_loss(job, engine, round_, position)
+                    self._record_loss(job, engine, run, position)
 
         self._supervisor.start_once(f"probe-{job.parameters.request_id}-{now()}", probe)
         with suppress(TimeoutError):
@@ -188,19 +222,22 @@
             )
             self._handle_change(record, Source.OWN, now_s)
 
-    def record_renewal(self, engine: Engine, now_s: float) -> None:
+    def record_renewal(self, engine: Engine, read_s: float, now_s: float) -> None:
         """Record that a target renewed its entry in the list of targets.
 
-        :param engine: the target as on the list.
+        :param engine: the target as in the renewed entry.
+        :param read_s: current time on the monotonic clock, in seconds.
         :param now_s: current time, in seconds since the epoch.
         """
         key = engine.target, str(engine.incarnation)
-        if key not in self._n_renewals:
+        renewals = self._renewals.get(key)
+        if renewals is None or read_s - renewals.last_s < MIN_RENEWAL_GAP_S:
             return
-        self._n_renewals[key] += 1
-        if self._n_renewals[key] < N_RENEWALS_ALIVE:
+        renewals.n += 1
+        renewals.last_s = read_s
+        if renewals.n < N_RENEWALS_ALIVE:
             return
-        del self._n_renewals[key]
+        del self._renewals[key]
         self._log.record("target.alive", target=engine.target, incarnation=key[1])
         for record in self._table.refute([key]):
             self._handle_change(record, Source.OWN, now_s)
@@ -236,7 +273,7 @@
         if expired:
             self._judge(Source.OWN, now_s)
         counted = {loss.key for r in self._table.suspects() for loss in r.counted}
-        self._n_renewals = {k: n for k, n in self._n_renewals.items() if k in counted}
+        self._renewals = {k: r for k, r in self._renewals.items() if k in counted}
 
     async def _is_lost(self, engine: Engine) -> bool:
         result = await self._probe.run(engine.address, now())
@@ -245,12 +282,15 @@
         return result is ProbeResult.REFUSED
 
     def _record_loss(
-        self, job: Job, engine: Engine, round_: int, position: int
+        self, job: Job, engine: Engine, run: RunStart, position: int
     ) -> None:
         now_s = unix_time_s()
-        loss = Loss(
-            engine.target, str(engine.incarnation), position, now_s, round=round_
-        )
+        incarnation = str(engine.incarnation)
+        if (engine.target, incarnation) in run.known:
+            # It ended before and ran the request since, so it has been restarted. The
+            # list of targets may not show that yet.
+            incarnation = f"{incarnation}.{len(run.known)}"
+        loss = Loss(engine.target, incarnation, position, now_s, round=run.round)
         record = SuspectRecord(
             fingerprint=job.fingerprint,
             organisation=job.organisation or NO_ORGANISATION,
@@ -265,7 +305,7 @@
             request=job.parameters.request_id,
             target=engine.target,
             incarnation=loss.incarnation,
-            round=round_,
+            round=run.round,
             position=position,
             **_describe(record, now_s),
         )
@@ -275,7 +315,7 @@
         self, record: SuspectRecord, source: Source, now_s: float
     ) -> None:
         for loss in record.counted:
-            self._n_renewals.setdefault(loss.key, 0)
+            self._renewals.setdefault(loss.key, _Renewals())
         if record.n_rounds >= N_ROUNDS:
             self._candidates.add(record.fingerprint)
         for callback in self.change_callbacks:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
@@ -70,9 +70,9 @@
         if _has_left(before, after):
             # An older copy of the list, or a late record, does not bring it back.
             after = msgspec.structs.replace(after, is_leaving=True)
-        if after is not None:
-            self.record_renewed(change.target)
         if before == after:
+            if after is not None:
+                self.record_renewed(change.target)
             return False
         if after is None:
             del self.engines[change.target]
@@ -81,10 +81,12 @@
         self._log_change(change.target, before, after)
         for callback in self.engine_callbacks:
             callback(before, after)
+        if after is not None:
+            self.record_renewed(change.target)
         return True
 
     def record_renewed(self, target: TargetId) -> None:
-        """Record that a target renewed its entry.
+        """Record that a target renewed its entry, which is on the list already.
 
         :param target: the target.
         """
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -178,7 +178,7 @@
     async def _attempt(
         self, stream: _StreamState, assignment: Assignment
     ) -> _AttemptResult:
-        round_ = self._quarantine.next_round(stream.job)
+        run = self._quarantine.begin_run(stream.job)
         try:
             return await self._relay(stream, assignment)
         except ConnectFailed as error:
@@ -190,7 +190,7 @@
             await self._quarantine.record_interruption(
                 stream.job,
                 _possibly_lost(assignment, error),
-                round_,
+                run,
                 stream.events.n_events,
             )
             return _AttemptResult.BROKEN
--- a/packages/cassiaspread-daemon/tests/test_gateway_quarantine.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_quarantine.py
@@ -20,14 +20,18 @@
 from cassiaspread_daemon.gateway._quarantine import (
     CLEARED_LIFETIME_S,
     MAX_RECORDS,
+    MIN_RENEWAL_GAP_S,
     N_RENEWALS_ALIVE,
     QUARANTINE_S,
     Quarantine,
+    RunStart,
     Source,
 )
 from cassiaspread_daemon.gateway._suspect_sharing import SuspectSharing
 from tests.gateway_jobs import make_job
 
+FIRST_RUN = RunStart(1, frozenset())
+
 
 @pytest.fixture
 def log(tmp_path):
@@ -68,8 +72,7 @@
 async def lose(quarantine, job, n_losses):
     for index in range(n_losses):
         engine = make_engine(f"e{index}", free_address())
-        round_ = quarantine.next_round(job)
-        await quarantine.record_interruption(job, [engine], round_)
+        await quarantine.record_interruption(job, [engine], quarantine.begin_run(job))
 
 
 def test_request_is_refused_after_three_targets_ended_one_after_the_other(
@@ -99,23 +102,44 @@
 
 async def lose_one_more(quarantine, job):
     engine = make_engine("e-last", free_address())
-    await quarantine.record_interruption(job, [engine], quarantine.next_round(job))
+    await quarantine.record_interruption(job, [engine], quarantine.begin_run(job))
 
 
 def test_target_that_accepts_connections_is_not_lost(quarantine):
     # A connection that breaks does not mean that the target ended.
     async def run():
-        server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
+        server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         async with server:
             engine = make_engine("e", address)
-            await quarantine.record_interruption(make_job(), [engine], 1)
+            await quarantine.record_interruption(make_job(), [engine], FIRST_RUN)
             await asyncio.sleep(0.1)
         assert quarantine.n_suspects == 0
 
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("is_ending", [True, False])
+def test_target_that_closes_the_probe_is_probed_again(quarantine, is_ending):
+    # A process that ends may close the request's connection before the socket on which
+    # it listens; a target beyond its limit of connections closes each new one.
+    async def run():
+        def close(reader, writer):
+            writer.close()
+            if is_ending:
+                server.close()
+
+        server = await asyncio.start_server(close, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        engine = make_engine("e", address)
+        await quarantine.record_interruption(make_job(), [engine], FIRST_RUN)
+        await asyncio.sleep(0.1)
+        server.close()
+        assert quarantine.n_suspects == (1 if is_ending else 0)
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("is_unreachable", [True, False])
 def test_silent_target_is_lost_unless_its_domain_is_cut_off(
     log, monkeypatch, is_unreachable
@@ -129,7 +153,7 @@
     )
     quarantine = Quarantine(lambda e: is_unreachable, Supervisor("test"), log)
     engine = make_engine("e", "127.0.0.1:1")
-    asyncio.run(quarantine.record_interruption(make_job(), [engine], 1))
+    asyncio.run(quarantine.record_interruption(make_job(), [engine], FIRST_RUN))
     assert quarantine.n_suspects == (0 if is_unreachable else 1)
 
 
@@ -140,7 +164,7 @@
         quarantine.check(job, False, unix_time_s())
     quarantine.record_answer(job, unix_time_s())
     quarantine.check(job, False, unix_time_s())
-    assert quarantine.next_round(job) == 1
+    assert quarantine.begin_run(job).round == 1
 
 
 def test_target_that_renews_its_entry_did_not_end(quarantine):
@@ -148,14 +172,54 @@
     # targets are renewed.
     job = make_job(fingerprint="p")
     quarantine.merge(make_record("p", 1, 2, 3), Source.PEER, unix_time_s())
-    for _ in range(N_RENEWALS_ALIVE):
+    for n in range(N_RENEWALS_ALIVE):
         with pytest.raises(Refusal):
             quarantine.check(job, False, unix_time_s())
-        quarantine.record_renewal(make_engine("p-e1", "a:1", 2), unix_time_s())
-        quarantine.record_renewal(make_engine("p-e1", "a:1", 1), unix_time_s())
+        for incarnation in (1, 2):
+            engine = make_engine("p-e1", "a:1", incarnation)
+            quarantine.record_renewal(engine, n * MIN_RENEWAL_GAP_S, unix_time_s())
     quarantine.check(job, False, unix_time_s())
 
 
+def test_old_renewals_read_in_quick_succession_refute_no_loss(quarantine):
+    # Seen in soak seed 200: a daemon that had been paused took the renewals from before
+    # the end of an engine as a proof that it lived.
+    job = make_job(fingerprint="p")
+    quarantine.merge(make_record("p", 1, 2, 3), Source.PEER, unix_time_s())
+    for n in range(10):
+        engine = make_engine("p-e1", "a:1")
+        quarantine.record_renewal(engine, 1.0 + n * 0.05, unix_time_s())
+    with pytest.raises(Refusal):
+        quarantine.check(job, False, unix_time_s())
+
+
+def test_target_that_restarted_unseen_is_lost_again(quarantine):
+    # Seen in soak seed 200: while the store was away, the list showed the incarnation
+    # that had ended before, and the loss of its successor was taken for the same one.
+    async def run():
+        job = make_job(fingerprint="p")
+        engine = make_engine("e", free_address())
+        for _ in range(3):
+            run_start = quarantine.begin_run(job)
+            await quarantine.record_interruption(job, [engine], run_start)
+        with pytest.raises(Refusal):
+            quarantine.check(job, False, unix_time_s())
+
+    asyncio.run(run())
+
+
+def test_copies_interrupted_by_one_end_count_it_once(quarantine):
+    async def run():
+        job = make_job(fingerprint="p")
+        engine = make_engine("e", free_address())
+        run_starts = [quarantine.begin_run(job) for _ in range(4)]
+        for run_start in run_starts:
+            await quarantine.record_interruption(job, [engine], run_start)
+        assert len(quarantine.find("p").counted) == 1
+
+    asyncio.run(run())
+
+
 def test_records_expire_and_are_bounded(quarantine):
     now_s = unix_time_s()
     quarantine.merge(make_record("p", 1, 2, 3, at_s=now_s), Source.PEER, now_s)
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -30,6 +30,9 @@
     N_LAYERS,
     PLAIN_SERVICE,
     Deployment,
+    Respawner,
+    configuration,
+    route,
     wait_for,
 )
 
@@ -47,6 +50,15 @@
 ANSWER_SLACK_S = 0.5
 # Time after a fault during which it may still affect calls.
 SETTLE_S = 3.0
+# A request with this body ends the engines of its own service, which listen without a
+# proxy and are restarted. From the third end on, and after the time in which gateways
+# learn of it, it may run this often.
+CRASH_TEXT = "crash"
+CRASH_SERVICE = "crash-pool"
+CRASH_ENGINES = ("celje-crash", "velenje-crash")
+CRASH_INTERVAL_S = 0.5
+RESPAWN_S = 1.0
+N_CRASHES, LEARN_S, N_LATE_RUNS = 3, 3.0, 3
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 GATEWAYS = tuple(f"gateway-{zone}-{n}" for zone in DOMAINS for n in range(2))
 ENGINES = {
@@ -134,6 +146,9 @@
         # Faults in quick succession, then a pause.
         is_series = random_state.random() < 0.6
         at_s += random_state.uniform(0.05, 0.4) if is_series else 2.0
+    # Drawn apart, so that the schedules of earlier seeds keep their faults.
+    restored_s = random.Random(f"{seed}-restore").uniform(2.0, length_s)
+    schedule.append(Fault(restored_s, 0.1, "store-restore", "store"))
     return schedule
 
 
@@ -151,6 +166,8 @@
         # Time of SIGTERM by process, on the monotonic clock.
         self.sigterm_s = {}
         self.restart_locks = {name: threading.Lock() for name in (*GATEWAYS, *ENGINES)}
+        # Time of each start of a process after the first, in Unix seconds.
+        self.restarts = []
         # Injected faults with begin and end in Unix seconds, by identity.
         self.injected = {}
 
@@ -174,11 +191,16 @@
             deployment.add_engine(name, service, zone, kind, advertise)
             upstream = f"127.0.0.1:{deployment.ports[name]}"
             self.configure_route(name, listen=port, upstream=upstream)
+        for name in CRASH_ENGINES:
+            zone = name.split("-")[0]
+            deployment.add_engine(name, CRASH_SERVICE, zone, crash_on=CRASH_TEXT)
         upstream = f"127.0.0.1:{deployment.store_port}"
         for name in GATEWAYS:
             port = free_port()
             self.configure_route(f"{name}-store", listen=port, upstream=upstream)
-            deployment.add_gateway(name, name.split("-")[1], store_port=port)
+            deployment.add_gateway(
+                name, name.split("-")[1], store_port=port, has_peers=True
+            )
         for name in GATEWAYS:
             wait_for(lambda name=name: self.serves(name), 30.0)
 
@@ -193,7 +215,14 @@
         tenants = [
             {"name": ORGANISATIONS[k], "api_keys": [k], "priority": 1} for k in keys
         ]
-        self.deployment.publish_configuration(self.version, tenants=tenants)
+        base = configuration(self.version)
+        crash_route = route("crash", "/crash/", "idempotent", CRASH_SERVICE)
+        self.deployment.publish_configuration(
+            self.version,
+            tenants=tenants,
+            routes=[*base["routes"], crash_route],
+            services=[*base["services"], {"name": CRASH_SERVICE}],
+        )
 
     def serves(self, name):
         try:
@@ -207,8 +236,12 @@
         )
 
     def run(self):
-        with ThreadPoolExecutor(N_CALLERS) as pool:
+        with (
+            ThreadPoolExecutor(N_CALLERS + 1) as pool,
+            Respawner(self.deployment, CRASH_ENGINES, RESPAWN_S),
+        ):
             callers = [pool.submit(self.run_caller, n) for n in range(N_CALLERS)]
+            callers.append(pool.submit(self.run_crashing_caller))
             try:
                 self.run_schedule()
                 last_fault_s = time.monotonic()
@@ -254,6 +287,10 @@
             self.deployment.control("store", **{action: is_begin})
         elif action == "rebalance" and is_begin:
             self.deployment.control("store", rebalance=True)
+        elif action == "restore" and is_begin:
+            self.deployment.control("store", restore=fault.for_s + SETTLE_S)
+            # The operator and the engines write again what was lost.
+            self.publish_configuration()
         elif action == "truncate" and is_begin:
             self.deployment.control("store", truncate=True)
 
@@ -289,6 +326,7 @@
                     process.wait()
             if process.poll() is not None and not self.is_over.is_set():
                 self.deployment.restart(name)
+                self.restarts.append((name, time.time()))
 
     def run_caller(self, number):
         """Send calls over persistent connections until the soak is over."""
@@ -315,6 +353,25 @@
                 connection = None
             time.sleep(random_state.uniform(0.0, 0.1))
 
+    def run_crashing_caller(self):
+        """Send the crashing request again and again, over new connections."""
+        random_state = random.Random(f"{self.seed}-crash")
+        while not self.is_over.wait(CRASH_INTERVAL_S):
+            call = Call(
+                id=os.urandom(8).hex(),
+                kind="crash",
+                gateway=random_state.choice(GATEWAYS),
+                key=KEY,
+                n_events=0,
+                begin_s=time.time(),
+            )
+            port = self.deployment.ports[call.gateway]
+            connection = http.client.HTTPConnection("127.0.0.1", port, timeout=9.0)
+            self.send(connection, call)
+            connection.close()
+            call.end_s = time.time()
+            self.calls.append(call)
+
     def send(self, connection, call):
         """Send a call and return whether the connection can be reused."""
         headers = {
@@ -326,8 +383,11 @@
         if call.kind == "draft":
             headers |= {"Token-Count": f"100,{4 * call.n_events}", "Model": "m"}
         method = "GET" if call.kind == "stock" else "POST"
+        path, body = f"/{call.kind}/{call.id}", b""
+        if call.kind == "crash":
+            path, body = "/crash/same", CRASH_TEXT.encode()
         try:
-            connection.request(method, f"/{call.kind}/{call.id}", b"", headers)
+            connection.request(method, path, body, headers)
             response = connection.getresponse()
             call.status = response.status
             try:
@@ -354,7 +414,36 @@
         findings = []
         for call in self.calls:
             findings += self.check_call(call, runs.get(call.id, []))
-        return findings
+        return [*findings, *self.check_crashes(runs)]
+
+    def check_crashes(self, runs):
+        """Check that the crashing request is not run again and again."""
+        crashes = sorted(row["at_s"] for row in self.deployment.history("crash"))
+        if len(crashes) < N_CRASHES:
+            return
+        known_s = crashes[N_CRASHES - 1] + LEARN_S
+        late = [
+            call.id
+            for call in self.calls
+            if call.kind == "crash"
+            and call.begin_s > known_s
+            and not self.was_disturbed(call)
+            for _ in runs.get(call.id, [])
+        ]
+        if len(late) > N_LATE_RUNS:
+            yield f"the crashing request ran {len(late)} times too late: {late}"
+
+    def was_disturbed(self, call):
+        """Return whether a fault touched the gateway of a call before it was sent."""
+        spans = [
+            (fault.on.partition("/")[0], begin_s, end_s)
+            for fault, begin_s, end_s in self.injected.values()
+        ]
+        spans += [(name, at_s, at_s) for name, at_s in self.restarts]
+        return any(
+            name == call.gateway and begin_s < call.begin_s < end_s + LEARN_S
+            for name, begin_s, end_s in spans
+        )
 
     def check_call(self, call, runs):
         if call.kind == "book" and len(runs) > 1:
--- a/tests/users_platform/test_crashing_requests.py
+++ b/tests/users_platform/test_crashing_requests.py
@@ -238,10 +238,11 @@
         call_url=f"http://127.0.0.1:{fleet.ports[GATEWAYS[1]]}/open/p",
     )
 
-    def send(deployment, gateway):
-        return deployment.request(gateway, "/caller/1", body=CALL_TEXT.encode())
+    def send(deployment, gateway, text=CALL_TEXT):
+        return deployment.request(gateway, "/caller/1", body=text.encode())
 
-    wait_for(lambda: send(fleet, GATEWAYS[0]).status == 200)
+    for gateway in GATEWAYS:
+        wait_for(lambda name=gateway: send(fleet, name, "innocent").status == 200)
     answers = send_by_turns(fleet, 10.0, send)
     assert_contained(fleet)
     assert [a.status for a in answers] == [200] * len(answers)
