History of operators waits for a race and for the base configuration

KNOWN-RED, second entry: no rejected publication among the outcomes, or a time-out. Retention begins when all daemons have read it.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -39,6 +39,8 @@
 DOMAINS = ("osorno-norte", "cautin", "llanquihue")
 HISTORY_S = float(os.environ.get("CASSIASPREAD_HISTORY_S", "10"))
 RETENTION_S = 4
+# Operators go on until two of them have met; how often they do depends on the load.
+REJECTION_BOUND_S = 60.0
 SEED = int(os.environ.get("CASSIASPREAD_HISTORY_SEED", "1"))
 
 
@@ -350,6 +352,15 @@
         junk = self.random_state.randbytes(20)
         request("POST", self.fleet.log.address, "/streams/policy", junk)
 
+    def running_daemons(self):
+        return [daemon for _, daemon in self.partitioned.daemons.values()]
+
+    def has_configuration(self, daemon):
+        return policy_status(daemon)["next_offset"] > 0
+
+    def has_rejected(self):
+        return any(change["outcome"] == "rejected" for change in self.changes)
+
     def run(self):
         for domain in DOMAINS * 2:
             self.start_daemon(domain)
@@ -363,11 +374,14 @@
         ]
         for thread in threads:
             thread.start()
+        # A configuration that the log drops before any daemon has read it is lost.
+        wait_for(lambda: all(map(self.has_configuration, self.running_daemons())))
         self.fleet.log.control(retention_s=RETENTION_S)
         try:
             self.inject_faults()
+            wait_for(self.has_rejected, REJECTION_BOUND_S)
             end = len(self.stream)
-            daemons = [daemon for _, daemon in self.partitioned.daemons.values()]
+            daemons = self.running_daemons()
             wait_for(
                 lambda: all(policy_status(d)["next_offset"] >= end for d in daemons),
                 PROPAGATION_BOUND_S,
