Records with one round are not passed on between daemons

Suspected cause: each engine that ends leaves a record for each of its requests, every daemon passed every record on, and each change started a round of gossip at once, with 63 daemons. Daemons send their own records with one round to their peers with the gossip of every second; from two rounds on a record goes to all at once as before.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_suspect_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_suspect_sharing.py
@@ -30,9 +30,10 @@
 STORE_WAIT_S = 8.0
 # Pause between two reads while records change, in seconds.
 READ_INTERVAL_S = 0.5
-# Number of rounds from which a record is kept in the store. Each engine that ends
-# leaves records with one round, most of which are cleared by the next attempt.
-MIN_STORED_ROUNDS = 2
+# Number of rounds from which a record is sent to peers at once and kept in the store.
+# Each engine that ends leaves records with one round, most of which are cleared by the
+# next attempt; they go with the gossip of every second.
+MIN_SHARED_ROUNDS = 2
 # Delay before a record of another daemon is written, in seconds; by then that daemon
 # has written it if it can.
 OTHERS_DELAY_S = (1.0, 2.5)
@@ -96,15 +97,23 @@
 
     def _handle_change(self, record: SuspectRecord, source: Source) -> None:
         if self._mesh is not None:
-            self._peers_topic.put(record.fingerprint, record)
-            self._peers_topic.put(record.fingerprint, record, is_cross_domain=True)
-            if record.is_suspect:
-                self._mesh.gossip_now()
+            self._publish(record, source, self._mesh)
         delay_s = 0.0
         if source is not Source.OWN:
             delay_s = self._random_state.uniform(*OTHERS_DELAY_S)
         self._due_s.setdefault(record.fingerprint, now() + delay_s)
 
+    def _publish(self, record: SuspectRecord, source: Source, mesh: Mesh) -> None:
+        n_rounds = len({loss.round for loss in record.losses})
+        if n_rounds < MIN_SHARED_ROUNDS and not record.is_suspect:
+            self._peers_topic.discard(record.fingerprint)
+        elif n_rounds >= MIN_SHARED_ROUNDS or source is Source.OWN:
+            # Peers do not pass on the many records with one round.
+            self._peers_topic.put(record.fingerprint, record)
+            self._peers_topic.put(record.fingerprint, record, is_cross_domain=True)
+        if record.n_rounds >= MIN_SHARED_ROUNDS:
+            mesh.gossip_now()
+
     def _handle_expiry(self, fingerprint: Fingerprint) -> None:
         if self._mesh is not None:
             self._peers_topic.discard(fingerprint)
@@ -154,7 +163,7 @@
             return None if is_kept else SuspectChange(fingerprint, None)
         if record == stored:
             return None
-        if stored is None and record.n_rounds < MIN_STORED_ROUNDS:
+        if stored is None and record.n_rounds < MIN_SHARED_ROUNDS:
             return None
         return SuspectChange(fingerprint, record)
 
