--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_suspect_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_suspect_sharing.py
@@ -1,9 +1,10 @@
 """Exchange of suspect records with the other daemons, directly and through the store.
 
-Every loss goes to the other daemons by gossip. Records with losses of several rounds
-are also kept in the store, for daemons that start later or that the others cannot
-reach. The records in the store are compared with those held whenever either changes, so
-that what an outage or an older copy of the store has lost is written again.
+Each daemon sends its own losses to its peers by gossip. Records with losses of several
+rounds go to all daemons and are also kept in the store, for daemons that start later or
+that the others cannot reach. The records in the store are compared with those held
+whenever either changes, so that what an outage or an older copy of the store has lost
+is written again.
 """
 
 import asyncio
