Log how each answer of a target ended

An answer that was read to its end left no line of its attempt, so the logs could not tell an answer that ended with its connection from one that was framed as complete. The new line attempt.ended has the delimiter of the body, the number of events and the bytes of an event that was not completed. Statuses without a body count as delimited by their headers.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -8,6 +8,7 @@
 import socket
 from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
+from enum import Enum
 from typing import NamedTuple
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -25,6 +26,8 @@
 # A stray response answers an earlier request. A target that sends this many is not
 # waited for any longer.
 MAX_STRAY_RESPONSES = 3
+# Their responses have no body, so that they end with their headers.
+BODILESS_STATUSES = (204, 304)
 
 DataCallback = Callable[[bytes], Awaitable[None] | None]
 
@@ -41,6 +44,15 @@
     """The connection ended or stayed silent after the request may have been sent."""
 
 
+class Delimiter(Enum):
+    """What marks the end of a response's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    # The body ends with the connection, which also closes when the sender fails.
+    CLOSE = "close"
+
+
 class Response(NamedTuple):
     """A complete response.
 
@@ -106,10 +118,19 @@
         future = self.finished
         return future.done() and not future.cancelled() and not future.exception()
 
+    @property
+    def delimiter(self) -> Delimiter:
+        """What marks the end of the body."""
+        if "Transfer-Encoding" in self.headers:
+            return Delimiter.CHUNKS
+        if "Content-Length" in self.headers or self.status in BODILESS_STATUSES:
+            return Delimiter.LENGTH
+        return Delimiter.CLOSE
+
     @property
     def is_framed(self) -> bool:
         """Whether the headers delimit the body."""
-        return "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+        return self.delimiter is not Delimiter.CLOSE
 
     def complete_at_close(self) -> None:
         """Complete a response whose body ends with the close of the connection."""
@@ -171,6 +192,12 @@
         """Headers of the response, empty before it starts."""
         return self._reader.headers if self._reader is not None else HTTPHeaders()
 
+    @property
+    def delimiter(self) -> Delimiter:
+        """What marks the end of the response; known once it has started."""
+        assert self._reader is not None
+        return self._reader.delimiter
+
     @property
     def is_reusable(self) -> bool:
         """Whether the connection may serve another request."""
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -188,6 +188,14 @@
             raise ExchangeBroken("no answer in time") from None
         finally:
             self._dispatcher.release(assignment)
+        self._log.record(
+            "attempt.ended",
+            request=job.parameters.request_id,
+            target=head.target,
+            status=status,
+            delimiter=exchange.delimiter.value,
+            n_bytes=len(response.body),
+        )
         answer = self._codec.read_answer(status, response.headers)
         if not answer.is_signed and not answer.is_not_run and status < 400:
             raise ExchangeBroken(f"answer {status} without a signature")
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -298,6 +298,14 @@
         self, stream: _StreamState, assignment: Assignment, exchange: Exchange
     ) -> _AttemptResult:
         inbound = stream.job.inbound
+        self._log.record(
+            "attempt.ended",
+            request=stream.job.parameters.request_id,
+            head=assignment.head.target,
+            delimiter=exchange.delimiter.value,
+            n_events=stream.events.n_events,
+            n_open_bytes=len(stream.events.remainder),
+        )
         if not stream.is_started:
             self._start(stream, exchange)
         if stream.events.remainder:
