--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -5,10 +5,15 @@
 ``--call-url`` first, as a run that depends on another service does.
 
 ``POST /control`` sets ``full`` (refuse with 503, not run), ``drop_response`` (run and
-close the connection), ``close_after`` (number of events after which a stream is
-closed), ``fail`` (500), ``omit_signature``, ``state`` and ``event_s`` (pause between
-events). One line is appended to the history for each run, each order and each run whose
-caller disconnected.
+close the connection), ``fail`` (500), ``omit_signature``, ``state``, ``event_s`` (pause
+between events), ``unframed`` (answers have neither a length nor chunks and end with the
+connection), ``close_after`` (number of events after which a stream is broken off; other
+answers after their first half), ``break_text`` (sent before that), ``break_how``
+(``close``, ``reset``, or ``end`` for a last chunk) and ``flood``, which sends bytes
+without end: in the ``head`` of an answer, a ``line`` or ``events`` of a stream, one
+``chunk``, many ``chunks``, many interim responses (``interim``), or a body that ends
+with the connection (``body``). One line is appended to the history for each run, each
+order, each run whose caller disconnected and each answer without end.
 """
 
 import argparse
@@ -16,6 +21,8 @@
 import contextlib
 import json
 import os
+import socket
+import struct
 import time
 from pathlib import Path
 
@@ -28,6 +35,23 @@
 STALL_S = 3.0
 LOAD_S = 0.2
 CRASH_STATUS = 70
+# An event that is broken off inside one of its fields.
+BREAK_TEXT = "id: {id}\nda"
+FLOOD_BLOCK_BYTES = 64 * 1024
+# A stand-in gives up after this many bytes, so that a daemon without a bound ends.
+MAX_FLOOD_BYTES = 1024 * 1024 * 1024
+# Closing a socket with this option set resets its connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+FLOOD_HEAD = b"HTTP/1.1 200 OK\r\nResponse-Seal: seal\r\nAttempt-Id: %s\r\n"
+FLOODS = {
+    "head": (FLOOD_HEAD + b"X-Filler: ", b"x"),
+    "interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "body": (FLOOD_HEAD + b"\r\n", b"x"),
+    "line": (FLOOD_HEAD + b"\r\nid: 1\ndata: ", b"x"),
+    "events": (FLOOD_HEAD + b"\r\n", b"id: 1\ndata: x\n\n"),
+    "chunk": (FLOOD_HEAD + b"Transfer-Encoding: chunked\r\n\r\n7fffffff\r\n", b"x"),
+    "chunks": (FLOOD_HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"2\r\nxx\r\n"),
+}
 
 
 class Engine:
@@ -43,6 +67,9 @@
         self.stalled = {}
         self.full = self.drop_response = self.fail = self.omit_signature = False
         self.close_after = None
+        self.break_text, self.break_how = BREAK_TEXT, "close"
+        self.unframed = False
+        self.flood = None
         self.event_s = 0.02
         self.state = "ready"
         self.renewals = 0
@@ -214,13 +241,58 @@
             return
         if not engine.omit_signature:
             self.set_header("Response-Seal", f"seal-{engine.id}")
-        if engine.fail:
+        if engine.flood is not None:
+            await self.send_without_end()
+        elif engine.fail:
             self.set_status(500)
             self.finish("failed")
         elif "Token-Count" in headers:
             await self.stream()
         else:
-            self.finish({"by": engine.id, "path": self.request.uri})
+            answer = json.dumps({"by": engine.id, "path": self.request.uri})
+            self.set_header("Content-Type", "application/json")
+            if engine.unframed:
+                self.start_unframed()
+            else:
+                self.set_header("Content-Length", len(answer))
+            if engine.close_after is not None:
+                await self.break_off(answer[: len(answer) // 2])
+            else:
+                await self.send(answer)
+                self.end()
+
+    def start_unframed(self):
+        head = "".join(f"{n}: {v}\r\n" for n, v in self._headers.get_all())
+        text = f"HTTP/1.1 {self.get_status()} OK\r\n{head}Connection: close\r\n\r\n"
+        self.request.connection.stream.write(text.encode())
+
+    async def send(self, text):
+        if self.engine.unframed:
+            await self.request.connection.stream.write(text.encode())
+        else:
+            self.write(text)
+            await self.flush()
+
+    def end(self):
+        if self.engine.unframed:
+            self.request.connection.stream.close()
+        else:
+            self.finish()
+
+    async def send_without_end(self):
+        stream = self.request.connection.stream
+        head, unit = FLOODS[self.engine.flood]
+        if b"%s" in head:
+            head %= self.request.headers["Attempt-Id"].encode()
+        block = unit * (FLOOD_BLOCK_BYTES // len(unit))
+        n_bytes = 0
+        with contextlib.suppress(StreamClosedError):
+            await stream.write(head)
+            while n_bytes < MAX_FLOOD_BYTES:
+                await stream.write(block)
+                n_bytes += len(block)
+        self.engine.append_history(kind="flood", n_bytes=n_bytes)
+        stream.close()
 
     async def call(self, url):
         """Call another service through a gateway; its failure is ignored."""
@@ -240,27 +312,38 @@
         n_events = int(headers["Token-Count"].split(",")[1]) // 4
         begin = int(headers.get("Last-Event-Id", 0)) + 1
         self.set_header("Content-Type", "text/event-stream")
+        if engine.unframed:
+            self.start_unframed()
         for n_sent, event_id in enumerate(range(begin, n_events + 1)):
             if engine.close_after is not None and n_sent >= engine.close_after:
-                self.write(f"id: {event_id}\nda")
-                await self.flush()
-                self.request.connection.stream.close()
+                await self.break_off(engine.break_text.format(id=event_id))
                 return
             faulty_address = await self.find_faulty_engine()
             if faulty_address is not None:
                 await self.report_stall(faulty_address)
                 self.request.connection.stream.close()
                 return
-            self.write(f"id: {event_id}\ndata: token {event_id}\n\n")
             try:
-                await self.flush()
+                await self.send(f"id: {event_id}\ndata: token {event_id}\n\n")
             except StreamClosedError:
                 engine.append_history(
                     kind="left", id=headers["Attempt-Id"], n_events=n_sent
                 )
                 return
             await asyncio.sleep(engine.event_s)
-        self.finish()
+        self.end()
+
+    async def break_off(self, text):
+        engine, stream = self.engine, self.request.connection.stream
+        await self.send(text)
+        if engine.break_how == "end":
+            self.end()
+            return
+        if engine.break_how == "reset":
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+        stream.close()
 
 
 async def main():
