A stream that ends inside an event has been broken off

Cause: the reader of answers takes the close of the connection for the end of a body that has neither a length nor chunks, and the relay passed on the bytes of the unfinished event and then ended its own chunks, although only the event stream itself says whether it is whole. Change: an end inside an event, or before the first one without a delimiter, breaks the attempt whatever its framing, so the stream resumes where it may and its caller sees it broken off otherwise.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -44,6 +44,10 @@
     """The connection ended or stayed silent after the request may have been sent."""
 
 
+class AnswerTooLarge(ExchangeBroken):
+    """The response exceeds a bound and was not read to its end."""
+
+
 class Delimiter(Enum):
     """What marks the end of a response's body."""
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -10,11 +10,16 @@
 from cassiaspread_core.base import Refusal, TargetId
 from cassiaspread_core.placement import Engine
 from cassiaspread_core.targets import TargetHealth
-from cassiaspread_daemon._exchange import ConnectFailed, Exchange, ExchangeBroken
+from cassiaspread_daemon._events import EventBuffer
+from cassiaspread_daemon._exchange import (
+    ConnectFailed,
+    Delimiter,
+    Exchange,
+    ExchangeBroken,
+)
 from cassiaspread_daemon.gateway._capacity_queue import CapacityQueue
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._dispatch import Assignment, Dispatcher
-from cassiaspread_daemon.gateway._events import EventBuffer
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
 from cassiaspread_daemon.gateway._job import (
     Job,
@@ -266,6 +271,7 @@
         buffer: "_ReceiveBuffer",
     ) -> _AttemptResult:
         job, inbound = stream.job, stream.job.inbound
+        n_events_before = stream.events.n_events
         finishing = asyncio.ensure_future(exchange.finish())
         finishing.add_done_callback(lambda _: buffer.wake())
         stall_s = job.route.max_event_gap_s * STALL_PAUSE_RATIO
@@ -282,7 +288,8 @@
                     stall_s = job.route.max_event_gap_s * STALL_PAUSE_RATIO
                 if is_ended:
                     finishing.result()
-                    return await self._finish(stream, assignment, exchange)
+                    n_events = stream.events.n_events - n_events_before
+                    return await self._finish(stream, assignment, exchange, n_events)
                 if not await buffer.wait(stall_s):
                     await self._stalls.check(job.parameters.request_id, assignment)
         finally:
@@ -295,21 +302,31 @@
         self._metrics.record_first_event(now() - stream.job.inbound.arrived_s)
 
     async def _finish(
-        self, stream: _StreamState, assignment: Assignment, exchange: Exchange
+        self,
+        stream: _StreamState,
+        assignment: Assignment,
+        exchange: Exchange,
+        n_events: int,
     ) -> _AttemptResult:
-        inbound = stream.job.inbound
+        inbound, events = stream.job.inbound, stream.events
         self._log.record(
             "attempt.ended",
             request=stream.job.parameters.request_id,
             head=assignment.head.target,
             delimiter=exchange.delimiter.value,
-            n_events=stream.events.n_events,
-            n_open_bytes=len(stream.events.remainder),
+            n_events=n_events,
+            n_open_bytes=events.n_open_bytes,
         )
+        if events.is_inside_event:
+            raise ExchangeBroken(
+                f"the stream ended inside an event, after {events.n_open_bytes} bytes"
+            )
+        if not n_events and exchange.delimiter is Delimiter.CLOSE:
+            raise ExchangeBroken("the stream ended before its first event")
         if not stream.is_started:
             self._start(stream, exchange)
-        if stream.events.remainder:
-            await inbound.write(stream.events.remainder)
+        if events.remainder:
+            await inbound.write(events.remainder)
         inbound.end()
         self._dispatcher.record_success(assignment, now())
         self._quarantine.record_answer(stream.job, unix_time_s())
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -12,14 +12,14 @@
 from cassiaspread_core.placement import Engine, LayerRange
 from cassiaspread_core.routing import StateAge
 from cassiaspread_core.targets import TargetHealth
-from cassiaspread_daemon._exchange import Exchange, ExchangeBroken
+from cassiaspread_daemon._events import MAX_EVENT_BYTES, EventBuffer
+from cassiaspread_daemon._exchange import AnswerTooLarge, Exchange, ExchangeBroken
 from cassiaspread_daemon.gateway import DecisionLog, FeedPage
 from cassiaspread_daemon.gateway._capacity_queue import (
     RECHECK_INTERVAL_S,
     CapacityQueue,
 )
 from cassiaspread_daemon.gateway._dispatch import Dispatcher
-from cassiaspread_daemon.gateway._events import EventBuffer
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
 from cassiaspread_daemon.gateway._job import now
 from cassiaspread_daemon.gateway._pool import ConnectionPool, _idle_time_s
@@ -404,3 +404,22 @@
 )
 def test_idle_time_that_is_no_number_is_the_default(keep_alive, idle_s):
     assert _idle_time_s(keep_alive) == idle_s
+
+
+@pytest.mark.parametrize("separator", [b"\n\n", b"\r\n\r\n"])
+def test_events_are_found_however_their_bytes_are_split(separator):
+    data = separator.join([b"id: 1\ndata: a", b"id: 2\ndata: b", b""])
+    events = EventBuffer()
+    complete = b"".join(events.feed(bytes([byte])) for byte in data)
+    assert complete == data
+    assert (events.last_id, events.n_events) == ("2", 2)
+    assert not events.is_inside_event
+
+
+def test_event_without_end_is_not_buffered_without_end():
+    events = EventBuffer()
+    block = b"x" * (MAX_EVENT_BYTES // 4)
+    for _ in range(4):
+        assert events.feed(block) == b""
+    with pytest.raises(AnswerTooLarge):
+        events.feed(b"x")
