Callers of HTTP/1.0 can tell a broken stream from a complete one

What callers saw: over HTTP/1.0 there are no chunks, so the end of the connection is what ends a stream, and a broken stream ended in the same way as a complete one. A caller that asked for keep-alive got a confirmation and waited for an end that never came. Cause: the connection was closed normally whatever the outcome. Change: an answer that ends with its connection is the last one on it, and a broken one resets it, which is the only mark that this version has.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
@@ -1,6 +1,8 @@
 """Callers' connections: reads complete requests and sends answers."""
 
 import asyncio
+import socket
+import struct
 import time
 from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
@@ -19,6 +21,8 @@
 
 # Iterations of the event loop within which a request that was read reaches its handler.
 LOOP_ITERATIONS = 8
+# Value of SO_LINGER with which closing a socket resets its connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class CallerDisconnected(CassiaspreadError):
@@ -47,6 +51,9 @@
     ) -> None:
         self._connection = connection
         self._must_close = must_close
+        self._version = start_line.version
+        # Whether the end of the connection marks the end of the answer.
+        self._ends_with_connection = False
         self.method = start_line.method
         self.target = start_line.path
         self.headers = headers
@@ -64,6 +71,10 @@
         """Whether the answer's headers were sent."""
         return bool(self.status)
 
+    @property
+    def _is_last(self) -> bool:
+        return self._ends_with_connection or self._must_close()
+
     def start(self, status: int, headers: HTTPHeaders, data: bytes = b"") -> None:
         """Send status and headers of an answer.
 
@@ -77,7 +88,11 @@
         except ValueError:
             reason = "Unknown"
         start_line = ResponseStartLine("HTTP/1.1", status, reason)
-        if self._must_close():
+        if self._version == "HTTP/1.0" and "Content-Length" not in headers:
+            self._ends_with_connection = True
+            # Tornado would confirm a request for keep-alive.
+            self.headers.pop("Connection", None)
+        if self._is_last:
             headers["Connection"] = "close"
         self._connection.write_headers(start_line, headers, data)
 
@@ -96,13 +111,18 @@
         """End the answer as complete."""
         self._connection.finish()
         stream = self._connection.stream
-        if self._must_close() and not stream.closed():
+        if self._is_last and not stream.closed():
             # Done once all data written before has been sent.
             flushed = stream.write(b"")
             flushed.add_done_callback(lambda _: stream.close())
 
     def abort(self) -> None:
         """Close the connection, so that the answer appears incomplete."""
+        stream = self._connection.stream
+        if self._ends_with_connection and not stream.closed():
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
         self._connection.close()
 
     def answer(
