Bounds on all answers of a daemon together

What callers saw: while six engines sent bytes without end, the daemon took 1,994 MB (plain answers, asked for continuously) and other callers waited 0.09 to 0.39 s. Cause: the only bound was 64 MB for each answer, and targets were read as fast as they sent. Change: an answer that is kept has at most 16 MB, all together 32 MB, of which the largest is dropped; an event has at most 256 KB and a stream not more events than tokens; streams are read only as fast as they are relayed; large answers share a rate of 64 MB/s, chunks one of 4,000/s; heads have at most 16 KB. A head whose answer exceeds a bound is suspect at once, one that breaks off counts as failing. Answers not yet sent to their callers count too. Events of engines of the own interface are split by the same code.

--- a/packages/cassiaspread-core/src/cassiaspread_core/admission/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/__init__.py
@@ -1,5 +1,10 @@
 """Admission control: admits, queues or refuses requests under load."""
 
+from cassiaspread_core.admission._answer_bounds import (
+    AnswerMemory,
+    AnswerPacer,
+    HeldAnswer,
+)
 from cassiaspread_core.admission._budget import RetryBudget
 from cassiaspread_core.admission._fair_queue import AdmissionTicket, FairQueue
 from cassiaspread_core.admission._forecast import Forecast
@@ -20,10 +25,13 @@
     "AdmissionGate",
     "AdmissionResult",
     "AdmissionTicket",
+    "AnswerMemory",
+    "AnswerPacer",
     "DaemonDemand",
     "Decision",
     "FairQueue",
     "Forecast",
+    "HeldAnswer",
     "PeakCount",
     "RetryBudget",
     "RetryUsage",
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import io
 import socket
+import time
 from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
 from enum import Enum
@@ -20,9 +22,25 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
+from cassiaspread_core.admission import AnswerMemory, AnswerPacer, HeldAnswer
 from cassiaspread_core.base import CassiaspreadError
 
+# Bound on a response that is passed on while it arrives.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Status and headers of a response take less than 2 KB.
+MAX_HEAD_BYTES = 16 * 1024
+# Bounds on one response that is kept until it is complete, and on all responses of this
+# process that are kept; within what control leaves of 256 MB.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_HELD_BYTES = 32 * 1024 * 1024
+ANSWER_MEMORY = AnswerMemory(MAX_HELD_BYTES, MAX_ANSWER_BYTES)
+# Reading at this rate takes a few percent of a core. A stream of tokens stays far below
+# the rate that is not limited.
+BYTE_PACER = AnswerPacer(64e6, unpaced=64 * 1024, unpaced_rate=256e3)
+# The same for chunks, of which even empty ones cost some 25 microseconds.
+CHUNK_PACER = AnswerPacer(4e3, unpaced=256, unpaced_rate=500.0)
+# Shorter pauses are left out, in seconds.
+MIN_PAUSE_S = 0.001
 # A stray response answers an earlier request. A target that sends this many is not
 # waited for any longer.
 MAX_STRAY_RESPONSES = 3
@@ -70,15 +88,56 @@
     body: bytes
 
 
+class ResponseStream(IOStream):
+    """Connection whose responses are read at a limited rate of chunks.
+
+    Chunks reach the reader of a response in batches, so their number is only seen here.
+    """
+
+    _n_chunks = 0
+    _begin_s = 0.0
+
+    def begin_response(self, now_s: float) -> None:
+        """Start to count the chunks of another response.
+
+        :param now_s: current time, in seconds.
+        """
+        self._n_chunks = 0
+        self._begin_s = now_s
+
+    def read_until(
+        self, delimiter: bytes, max_bytes: int | None = None
+    ) -> Awaitable[bytes]:
+        """Read up to a delimiter, here the end of a chunk's length.
+
+        :param delimiter: the delimiter.
+        :param max_bytes: largest number of bytes to read.
+        """
+        future = super().read_until(delimiter, max_bytes)
+        now_s = time.monotonic()
+        self._n_chunks += 1
+        age_s = now_s - self._begin_s
+        delay_s = CHUNK_PACER.delay_s(self._n_chunks, 1, age_s, now_s)
+        if delay_s < MIN_PAUSE_S:
+            return future
+        return asyncio.ensure_future(_delay(future, delay_s))
+
+
+async def _delay(future: Awaitable[bytes], delay_s: float) -> bytes:
+    await asyncio.sleep(delay_s)
+    return await future
+
+
 class _ResponseReader(HTTPMessageDelegate):
     def __init__(
         self,
         on_data: DataCallback | None,
         is_expected: Callable[[HTTPHeaders], bool] | None,
+        fail: Callable[[ExchangeBroken], None],
     ) -> None:
         self.status = 0
         self.headers = HTTPHeaders()
-        self.chunks: list[bytes] = []
+        self.body = io.BytesIO()
         self.started = asyncio.get_running_loop().create_future()
         self.finished = asyncio.get_running_loop().create_future()
         self.n_strays = 0
@@ -86,6 +145,15 @@
         self.is_ended = False
         self._on_data = on_data
         self._is_expected = is_expected
+        self._fail = fail
+        self._held = ANSWER_MEMORY.hold(self.drop)
+        self._n_bytes = 0
+        self._started_s = time.monotonic()
+
+    @property
+    def held(self) -> HeldAnswer:
+        """Accounts for the body."""
+        return self._held
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -103,17 +171,36 @@
             self.started.set_result(None)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        if self.is_stray:
-            return None
+        self._n_bytes += len(chunk)
+        consumed = None if self.is_stray else self._consume(chunk)
+        now_s = time.monotonic()
+        age_s = now_s - self._started_s
+        delay_s = BYTE_PACER.delay_s(self._n_bytes, len(chunk), age_s, now_s)
+        if delay_s < MIN_PAUSE_S:
+            return consumed
+        return _consume_and_pause(consumed, delay_s)
+
+    def _consume(self, chunk: bytes) -> Awaitable[None] | None:
         if self._on_data is not None and self.status == 200:
-            return self._on_data(chunk)
-        self.chunks.append(chunk)
+            try:
+                return self._on_data(chunk)
+            except ExchangeBroken as error:
+                self._fail(error)
+                return None
+        self._held.add(len(chunk))
+        if self._held.is_open:
+            self.body.write(chunk)
         return None
 
+    def drop(self, reason: str) -> None:
+        """End an answer that exceeds a bound."""
+        self.body = io.BytesIO()
+        self._fail(AnswerTooLarge(reason))
+
     def finish(self) -> None:
         self.is_ended = True
         if self.is_framed and not self.is_stray:
-            self._set_result(None)
+            self.set_result(None)
 
     @property
     def is_complete(self) -> bool:
@@ -139,12 +226,16 @@
     def complete_at_close(self) -> None:
         """Complete a response whose body ends with the close of the connection."""
         if self.is_ended and not self.is_stray:
-            self._set_result(None)
+            self.set_result(None)
 
     def on_connection_close(self) -> None:
-        self._set_result(ExchangeBroken("connection closed before the response ended"))
+        self.set_result(ExchangeBroken("connection closed before the response ended"))
+
+    def set_result(self, error: ExchangeBroken | None) -> None:
+        """Set the result unless there is one.
 
-    def _set_result(self, error: ExchangeBroken | None) -> None:
+        :param error: the failure; ``None`` for a complete response.
+        """
         for future in (self.started, self.finished):
             if future.done():
                 continue
@@ -165,7 +256,7 @@
     """
 
     def __init__(
-        self, stream: IOStream, address: str = "", keeps_connection: bool = False
+        self, stream: ResponseStream, address: str = "", keeps_connection: bool = False
     ) -> None:
         self._stream = stream
         self._address = address
@@ -174,7 +265,9 @@
             stream,
             is_client=True,
             params=HTTP1ConnectionParameters(
-                no_keep_alive=True, max_body_size=MAX_RESPONSE_BYTES
+                no_keep_alive=True,
+                max_header_size=MAX_HEAD_BYTES,
+                max_body_size=MAX_RESPONSE_BYTES,
             ),
         )
         self._reader: _ResponseReader | None = None
@@ -216,12 +309,13 @@
             and not self._stream.closed()
         )
 
-    def release(self) -> IOStream | None:
+    def release(self) -> ResponseStream | None:
         """Release the connection after a complete response.
 
         :returns: the connection if it is reusable; otherwise it is closed.
         """
         if self.is_reusable:
+            self._reader.held.close()
             return self._stream
         self.close()
         return None
@@ -240,7 +334,7 @@
         host, _, port = address.rpartition(":")
         # Hosts are IP addresses: no resolver is needed, which would use a thread.
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        stream = IOStream(socket.socket(family))
+        stream = ResponseStream(socket.socket(family), read_chunk_size=MAX_HEAD_BYTES)
         try:
             async with asyncio.timeout(timeout_s):
                 await stream.connect((host.strip("[]"), int(port)))
@@ -275,6 +369,17 @@
         self._stream.close()
         if self._read_task is not None:
             self._read_task.cancel()
+        if self._reader is not None:
+            self._reader.held.close()
+
+    def fail(self, error: ExchangeBroken) -> None:
+        """Close the connection and end the exchange with an error.
+
+        :param error: the error.
+        """
+        if self._reader is not None:
+            self._reader.set_result(error)
+        self._stream.close()
 
     async def send(
         self,
@@ -291,14 +396,15 @@
         :param path: path and query.
         :param body: request body.
         :param headers: additional headers.
-        :param on_data: called with each chunk of the body of a 200 response;
-            otherwise the body is kept for :meth:`finish`.
+        :param on_data: called with each chunk of the body of a 200 response, and may
+            raise :exc:`ExchangeBroken`; otherwise the body is kept for :meth:`finish`.
         :param is_expected: returns from the headers whether a response belongs to
             this request; others belong to earlier requests and are dropped.
         :returns: the status code.
         :raises ExchangeBroken: the connection ended before the status was received.
         """
-        self._reader = _ResponseReader(on_data, is_expected)
+        self._stream.begin_response(time.monotonic())
+        self._reader = _ResponseReader(on_data, is_expected, self.fail)
         all_headers = HTTPHeaders({"Host": "target"})
         if not self._keeps_connection:
             all_headers["Connection"] = "close"
@@ -319,11 +425,12 @@
 
         :returns: the complete response.
         :raises ExchangeBroken: the connection ended before the response did.
+        :raises AnswerTooLarge: the response exceeds a bound.
         """
         assert self._reader is not None
         await self._reader.finished
         reader = self._reader
-        return Response(reader.status, reader.headers, b"".join(reader.chunks))
+        return Response(reader.status, reader.headers, reader.body.getvalue())
 
     async def _read(self, reader: _ResponseReader) -> None:
         try:
@@ -341,6 +448,12 @@
             reader.on_connection_close()
 
 
+async def _consume_and_pause(consumed: Awaitable[None] | None, pause_s: float) -> None:
+    if consumed is not None:
+        await consumed
+    await asyncio.sleep(pause_s)
+
+
 async def fetch(
     address: str,
     method: str,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_engine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_engine.py
@@ -12,6 +12,7 @@
     StageState,
     TokenStep,
 )
+from cassiaspread_daemon._events import EventBuffer
 from cassiaspread_daemon._exchange import Exchange, fetch
 
 EVENT_PREFIX = b"data: "
@@ -216,12 +217,11 @@
     def _split_events(
         self, on_events: Callable[[list[StreamEvent]], None]
     ) -> Callable[[bytes], None]:
-        remainder = b""
+        buffer = EventBuffer()
         decode = self._decoder.decode
 
         def on_data(chunk: bytes) -> None:
-            nonlocal remainder
-            *events, remainder = (remainder + chunk).split(EVENT_END)
+            *events, _ = buffer.feed(chunk).split(EVENT_END)
             on_events([decode(event[N_PREFIX_BYTES:]) for event in events])
 
         return on_data
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
@@ -18,11 +18,14 @@
 from tornado.iostream import StreamClosedError
 
 from cassiaspread_core.base import CassiaspreadError
+from cassiaspread_daemon._exchange import ANSWER_MEMORY
 
 # Iterations of the event loop within which a request that was read reaches its handler.
 LOOP_ITERATIONS = 8
 # Value of SO_LINGER with which closing a socket resets its connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# A longer body is not copied to be sent together with its headers.
+MAX_JOINED_BYTES = 64 * 1024
 
 
 class CallerDisconnected(CassiaspreadError):
@@ -136,7 +139,15 @@
         """
         all_headers = HTTPHeaders(headers)
         all_headers["Content-Length"] = str(len(body))
-        self.start(status, all_headers, body)
+        if len(body) <= MAX_JOINED_BYTES:
+            self.start(status, all_headers, body)
+        else:
+            self.start(status, all_headers)
+            sent = self._connection.write(body)
+            if not sent.done():
+                held = ANSWER_MEMORY.hold(lambda _: self.abort())
+                sent.add_done_callback(lambda _: held.close())
+                held.add(len(body))
         self.end()
 
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -19,6 +19,7 @@
 from cassiaspread_core.routing import ClientLimits, RouteTable
 from cassiaspread_core.targets import TargetHealth
 from cassiaspread_core.timeline import EventRing
+from cassiaspread_daemon._exchange import ANSWER_MEMORY
 from cassiaspread_daemon._listener import Listener
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.gateway._capacity_queue import CapacityQueue
@@ -184,6 +185,11 @@
             "Fingerprints of requests that are refused.",
             lambda: self._quarantine.n_crashing,
         )
+        observe(
+            "cassiaspread.gateway.answer_bytes",
+            "Bytes of answers that were received and not yet sent to their callers.",
+            lambda: ANSWER_MEMORY.n_bytes,
+        )
         observe(
             "cassiaspread.gateway.connections",
             "Connections opened to targets and to the store.",
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_pool.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_pool.py
@@ -4,9 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from tornado.iostream import IOStream
-
-from cassiaspread_daemon._exchange import Exchange
+from cassiaspread_daemon._exchange import Exchange, ResponseStream
 
 # A target closes a connection that has been idle for the time that it announces, and a
 # request sent at that moment is lost; connections are dropped this much earlier.
@@ -20,7 +18,7 @@
     """Owns idle connections; a context manager."""
 
     def __init__(self) -> None:
-        self._idle: dict[str, list[tuple[float, IOStream]]] = {}
+        self._idle: dict[str, list[tuple[float, ResponseStream]]] = {}
         self.n_opened = 0
 
     def __enter__(self) -> "ConnectionPool":
@@ -63,7 +61,7 @@
             stream.set_close_callback(None)
             stream.close()
 
-    def _take_idle(self, address: str) -> IOStream | None:
+    def _take_idle(self, address: str) -> ResponseStream | None:
         now_s = asyncio.get_running_loop().time()
         idle = self._idle.get(address, [])
         while idle:
@@ -90,7 +88,7 @@
         # Setting the callback also makes the stream detect that the peer closes it.
         stream.set_close_callback(lambda: self._discard(exchange.address, entry))
 
-    def _discard(self, address: str, entry: tuple[float, IOStream]) -> None:
+    def _discard(self, address: str, entry: tuple[float, ResponseStream]) -> None:
         idle = self._idle.get(address, [])
         if entry in idle:
             idle.remove(entry)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -5,13 +5,17 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from enum import Enum
 
+from cassiaspread_core.admission import HeldAnswer
 from cassiaspread_core.base import Refusal, TargetId
 from cassiaspread_core.placement import Engine
 from cassiaspread_core.targets import TargetHealth
 from cassiaspread_daemon._events import EventBuffer
 from cassiaspread_daemon._exchange import (
+    ANSWER_MEMORY,
+    AnswerTooLarge,
     ConnectFailed,
     Delimiter,
     Exchange,
@@ -49,6 +53,10 @@
 # Longest wait for capacity on a chain, as a multiple of the objective.
 MAX_WAIT_OBJECTIVES = 2.0
 RETRY_AFTER_S = 0.3
+# Received bytes that wait to be relayed; beyond them no more are read.
+MAX_RECEIVED_BYTES = 64 * 1024
+# A stream has one event for one or more tokens, and a few that hold none.
+MAX_EVENTS_WITHOUT_TOKENS = 16
 
 
 class _AttemptResult(Enum):
@@ -191,6 +199,7 @@
             self._record_broken(stream, assignment, str(error), is_sent=False)
             return _AttemptResult.NOT_RUN
         except ExchangeBroken as error:
+            self._record_head_failure(assignment, error)
             self._record_broken(stream, assignment, str(error), is_sent=True)
             await self._quarantine.record_interruption(
                 stream.job,
@@ -207,6 +216,15 @@
             stream.avoided.add(assignment.head.target)
             self._dispatcher.release(assignment)
 
+    def _record_head_failure(
+        self, assignment: Assignment, error: ExchangeBroken
+    ) -> None:
+        head = assignment.head.target
+        if isinstance(error, AnswerTooLarge):
+            self._health.record_unreachable(head, now())
+        elif not isinstance(error, StreamStalled):
+            self._health.record_failure(head, now())
+
     async def _relay(
         self, stream: _StreamState, assignment: Assignment
     ) -> _AttemptResult:
@@ -228,29 +246,44 @@
             self._pool.exchange(head.address, connect_timeout_s, is_new) as exchange,
             asyncio.timeout(job.remaining_s(now())),
         ):
-            buffer = _ReceiveBuffer()
-            sending = asyncio.ensure_future(
-                exchange.send(
-                    job.inbound.method,
-                    job.inbound.target,
-                    job.inbound.body,
-                    headers,
-                    on_data=buffer.put,
-                    is_expected=lambda h: self._codec.is_answer_to(
-                        h, job.parameters.request_id
-                    ),
+            with ANSWER_MEMORY.hold(
+                lambda reason: exchange.fail(AnswerTooLarge(reason))
+            ) as held:
+                return await self._exchange(
+                    stream, assignment, exchange, headers, _ReceiveBuffer(held)
                 )
+
+    async def _exchange(
+        self,
+        stream: _StreamState,
+        assignment: Assignment,
+        exchange: Exchange,
+        headers: dict[str, str],
+        buffer: "_ReceiveBuffer",
+    ) -> _AttemptResult:
+        job = stream.job
+        sending = asyncio.ensure_future(
+            exchange.send(
+                job.inbound.method,
+                job.inbound.target,
+                job.inbound.body,
+                headers,
+                on_data=buffer.put,
+                is_expected=lambda h: self._codec.is_answer_to(
+                    h, job.parameters.request_id
+                ),
             )
-            try:
-                await self._wait_headers(stream, assignment, sending)
-                answer = self._codec.read_answer(sending.result(), exchange.headers)
-                if answer.status != 200 or not answer.is_signed:
-                    return await self._handle_failed_answer(
-                        stream, assignment, exchange, answer
-                    )
-                return await self._relay_events(stream, assignment, exchange, buffer)
-            finally:
-                sending.cancel()
+        )
+        try:
+            await self._wait_headers(stream, assignment, sending)
+            answer = self._codec.read_answer(sending.result(), exchange.headers)
+            if answer.status != 200 or not answer.is_signed:
+                return await self._handle_failed_answer(
+                    stream, assignment, exchange, answer
+                )
+            return await self._relay_events(stream, assignment, exchange, buffer)
+        finally:
+            sending.cancel()
 
     async def _wait_headers(
         self, stream: _StreamState, assignment: Assignment, sending: asyncio.Future[int]
@@ -281,10 +314,12 @@
             while True:
                 is_ended = finishing.done()
                 complete = stream.events.feed(buffer.take())
+                self._check_event_count(stream)
                 if complete:
                     if not stream.is_started:
                         self._start(stream, exchange)
                     await inbound.write(complete)
+                    buffer.release(len(complete))
                     stall_s = job.route.max_event_gap_s * STALL_PAUSE_RATIO
                 if is_ended:
                     finishing.result()
@@ -295,6 +330,14 @@
         finally:
             finishing.cancel()
 
+    def _check_event_count(self, stream: _StreamState) -> None:
+        n_tokens = stream.job.parameters.max_answer_tokens
+        max_events = n_tokens + MAX_EVENTS_WITHOUT_TOKENS
+        if n_tokens and stream.events.n_events > max_events:
+            raise AnswerTooLarge(
+                f"more than {max_events} events for at most {n_tokens} tokens"
+            )
+
     def _start(self, stream: _StreamState, exchange: Exchange) -> None:
         stream.is_started = True
         headers = self._codec.answer_headers(exchange.headers)
@@ -340,7 +383,8 @@
         answer: AnswerParameters,
     ) -> _AttemptResult:
         job = stream.job
-        response = await exchange.finish()
+        # The events of an answer without a signature are of no use.
+        response = None if answer.status == 200 else await exchange.finish()
         stream.failure_reason = f"the head answered {answer.status}"
         at_fault = self._find_at_fault(assignment, answer)
         self._health.record_unreachable(at_fault, now())
@@ -358,7 +402,7 @@
             return _AttemptResult.NOT_RUN
         if answer.is_signed:
             self._quarantine.record_answer(job, unix_time_s())
-        if not answer.is_signed or answer.status == 200 or self._is_repeatable(stream):
+        if not answer.is_signed or response is None or self._is_repeatable(stream):
             return _AttemptResult.FAILED
         if not stream.is_started:
             headers = self._codec.answer_headers(response.headers)
@@ -407,15 +451,30 @@
 
 
 class _ReceiveBuffer:
-    """Received bytes that have not been processed yet."""
+    """Received bytes that have not been processed yet.
 
-    def __init__(self) -> None:
+    :param held: accounts for them, and for those that are being relayed.
+    """
+
+    def __init__(self, held: HeldAnswer) -> None:
+        self._held = held
         self._data: list[bytes] = []
+        self._n_bytes = 0
         self._event = asyncio.Event()
+        self._has_room = asyncio.Event()
 
-    def put(self, data: bytes) -> None:
+    def put(self, data: bytes) -> Awaitable[object] | None:
+        """Add bytes; return what to wait for before more are read, if anything."""
+        self._held.add(len(data))
+        if not self._held.is_open:
+            return None
         self._data.append(data)
+        self._n_bytes += len(data)
         self._event.set()
+        if self._n_bytes <= MAX_RECEIVED_BYTES:
+            return None
+        self._has_room.clear()
+        return self._has_room.wait()
 
     def wake(self) -> None:
         self._event.set()
@@ -424,8 +483,14 @@
         self._event.clear()
         data = b"".join(self._data)
         self._data.clear()
+        self._n_bytes = 0
+        self._has_room.set()
         return data
 
+    def release(self, n_bytes: int) -> None:
+        """Stop accounting for bytes that were relayed."""
+        self._held.add(-n_bytes)
+
     async def wait(self, timeout_s: float) -> bool:
         """Wait for bytes or the end of the stream; return ``False`` on timeout."""
         if self._event.is_set():
