Answers of the store and of the log that break off are no answers

An answer without a length ends with its connection, also where it breaks off. JSON tells by itself, but a page of records shorter than its header was read as an empty page, and an append whose answer broke off raised an error of the decoder, which no caller of the client expects, instead of saying that the append is ambiguous. The readers of the VM list, of reports and of the own interface's streams already told such ends; tests now show it.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_log.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_log.py
@@ -58,7 +58,10 @@
             raise AppendNotSent("the log refused the append")
         if response.status != 200:
             raise AppendAmbiguous(f"the log answered {response.status}")
-        return msgspec.json.decode(response.body, type=_Appended).offset
+        try:
+            return msgspec.json.decode(response.body, type=_Appended).offset
+        except msgspec.MsgspecError as error:
+            raise AppendAmbiguous(f"the answer of the log broke off: {error}") from None
 
     async def read(
         self,
--- /dev/null
+++ b/packages/cassiaspread-daemon/tests/test_broken_off_control_answers.py
@@ -0,0 +1,93 @@
+"""Answers on the control path whose connection closes before their end."""
+
+import asyncio
+
+import pytest
+
+from cassiaspread_core.base import AppendAmbiguous, LogUnavailable, Offset, TargetId
+from cassiaspread_core.pipeline import Stage, TokenSequence
+from cassiaspread_core.policy import Limits
+from cassiaspread_daemon._events import MAX_EVENT_BYTES
+from cassiaspread_daemon._exchange import MAX_ANSWER_BYTES, AnswerTooLarge, fetch
+from cassiaspread_daemon.adapters import (
+    EngineClient,
+    LogClient,
+    ResumeOrder,
+    VmListClient,
+)
+from cassiaspread_daemon.adapters._vm_list import VmListUnavailable
+from cassiaspread_daemon.relay._attempt import Attempt, EndKind
+from cassiaspread_daemon.relay._planner import PlannedChain
+
+HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
+TOKEN = b'data: {"attempt":1,"position":0,"text":"a"}\n\n'
+
+
+def run_against(body, call):
+    """Run a call to a server that sends a body without a length and closes."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + body)
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        async with server:
+            host, port = server.sockets[0].getsockname()
+            return await call(f"{host}:{port}")
+
+    return asyncio.run(main())
+
+
+def fetch_body(address):
+    return fetch(address, "GET", "/", connect_timeout_s=1.0, timeout_s=5.0)
+
+
+@pytest.mark.parametrize("body", [b"", b'{"offs', b'{"offset":'])
+def test_append_whose_answer_breaks_off_is_ambiguous(body):
+    with pytest.raises(AppendAmbiguous):
+        run_against(body, lambda a: LogClient(a).append("s", b"v", timeout_s=2.0))
+
+
+@pytest.mark.parametrize("body", [b"", b'{"records":[', b'{"records":[]'])
+def test_page_of_the_log_that_breaks_off_is_an_outage(body):
+    with pytest.raises(LogUnavailable):
+        run_against(body, lambda a: LogClient(a).read("s", Offset(0)))
+
+
+def test_list_of_vms_that_breaks_off_is_an_outage():
+    with pytest.raises(VmListUnavailable):
+        run_against(b"[", lambda a: VmListClient(a).read())
+
+
+@pytest.mark.parametrize("body", [b"", TOKEN, TOKEN[:-9], TOKEN[:-1], b"data: "])
+def test_stream_of_an_engine_that_closes_before_its_last_event_is_closed(body):
+    async def run(address):
+        stage = Stage(TargetId("h"), address, "", 0, 8)
+        chain = PlannedChain((stage,), {}, 0.01)
+        sequence = TokenSequence(attempt=1)
+        attempt = Attempt(EngineClient(), chain, sequence, Limits(), lambda steps: None)
+        with attempt:
+            attempt.start(ResumeOrder(request="r", attempt=1, start=0))
+            return await attempt.wait()
+
+    assert run_against(body, run).kind is EndKind.CLOSED
+
+
+def test_event_of_an_engine_without_end_closes_the_attempt():
+    async def run(address):
+        with await EngineClient().open_stream(
+            address, ResumeOrder(request="r", attempt=1, start=0), lambda events: None
+        ) as exchange:
+            await exchange.finish()
+
+    with pytest.raises(AnswerTooLarge):
+        run_against(b"data: " + b"x" * MAX_EVENT_BYTES, run)
+
+
+def test_answer_beyond_its_bound_is_not_kept():
+    response = run_against(b"x" * 100_000, fetch_body)
+    assert response.body == b"x" * 100_000
+    with pytest.raises(AnswerTooLarge):
+        run_against(b"x" * (MAX_ANSWER_BYTES + 1), fetch_body)
--- a/tests/users_platform/test_store_client.py
+++ b/tests/users_platform/test_store_client.py
@@ -60,3 +60,10 @@
     store = Store("a:1", FakePool(200, bytes(16), Store_Era="new"))
     with pytest.raises(LogUnavailable, match="Store-Era"):
         asyncio.run(store.read_keyed("keyed.op", 7, 0.0))
+
+
+@pytest.mark.parametrize("page", [b"", bytes(15), bytes(16) + b"\x00\x00\x00\x02a"])
+def test_page_that_breaks_off_is_an_outage(page):
+    store = Store("a:1", FakePool(200, page))
+    with pytest.raises(LogUnavailable):
+        asyncio.run(store.read_keyed("keyed.op", 7, 0.0))
