A leaving daemon does not cut an answer that is still being sent

What callers would see: a long answer that ends short when its daemon gets SIGTERM just after it was written. Cause: a connection counts as idle when its request was answered, although a slow caller may not have read the answer yet, and idle connections are closed. Change: a connection with unsent bytes is not idle.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
@@ -226,7 +226,9 @@
             # No other task runs between this check and the close, so a request that
             # has begun is never cut off.
             idle_since_s = self._idle_since_s.get(server_conn)
-            if idle_since_s is not None and idle_since_s <= idle_before_s:
+            is_idle = idle_since_s is not None and idle_since_s <= idle_before_s
+            # The answer may not have been sent to its end yet.
+            if is_idle and not server_conn.stream.writing():
                 server_conn.stream.close()
 
     def run(
--- a/packages/cassiaspread-daemon/tests/test_front.py
+++ b/packages/cassiaspread-daemon/tests/test_front.py
@@ -1,15 +1,22 @@
 """Tests of callers' connections while a daemon is leaving."""
 
 import asyncio
-from contextlib import suppress
+from contextlib import asynccontextmanager, suppress
 
+import pytest
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, RequestStartLine
 from tornado.netutil import bind_sockets
 
+from cassiaspread_daemon._exchange import (
+    ANSWER_MEMORY,
+    MAX_HELD_BYTES,
+)
 from cassiaspread_daemon.gateway._frontend import Frontend
 
 TIMEOUT_S = 5.0
+# Four of them exceed the bound on all answers together.
+LARGE_BODY = b"x" * (MAX_HELD_BYTES // 4 + 1)
 
 
 class FakeStream:
@@ -144,3 +151,66 @@
         server.stop()
 
     asyncio.run(run())
+
+
+@asynccontextmanager
+async def large_answer(frontend):
+    """Connect a caller that does not read its answer yet; yields its reader."""
+    [listening] = bind_sockets(0, "127.0.0.1")
+    server = HTTPServer(frontend)
+    server.add_sockets([listening])
+    reader, writer = await asyncio.open_connection(*listening.getsockname())
+    writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    async with asyncio.timeout(TIMEOUT_S):
+        while not ANSWER_MEMORY.n_bytes:
+            await asyncio.sleep(0.01)
+        yield reader
+    writer.close()
+    server.stop()
+
+
+def test_answer_that_is_still_being_sent_is_not_closed_as_idle():
+    async def handle(inbound):
+        inbound.answer(200, {}, LARGE_BODY)
+
+    async def run():
+        frontend = Frontend(handle)
+        async with large_answer(frontend) as reader:
+            frontend.leave()
+            await frontend.close_idle(idle_s=0.0)
+            await reader.readuntil(b"\r\n\r\n")
+            assert await reader.readexactly(len(LARGE_BODY)) == LARGE_BODY
+
+    asyncio.run(run())
+
+
+def test_answers_that_are_not_sent_yet_count_towards_the_bound_of_memory():
+    async def handle(inbound):
+        inbound.answer(200, {}, LARGE_BODY)
+
+    async def run():
+        async with large_answer(Frontend(handle)) as reader:
+            assert ANSWER_MEMORY.n_bytes == len(LARGE_BODY)
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(len(LARGE_BODY))
+            while ANSWER_MEMORY.n_bytes:
+                await asyncio.sleep(0.01)
+
+    asyncio.run(run())
+
+
+def test_largest_unsent_answer_is_dropped_and_looks_incomplete():
+    async def handle(inbound):
+        inbound.answer(200, {}, LARGE_BODY)
+
+    async def run():
+        async with large_answer(Frontend(handle)) as reader:
+            others = [ANSWER_MEMORY.hold(lambda reason: None) for _ in range(3)]
+            for held in others:
+                held.add(len(LARGE_BODY) - 1)
+            for held in others:
+                held.close()
+            with pytest.raises(asyncio.IncompleteReadError):
+                await reader.readexactly(2 * len(LARGE_BODY))
+
+    asyncio.run(run())
