--- a/packages/cassiaspread-core/src/cassiaspread_core/chains/_load.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/chains/_load.py
@@ -39,7 +39,8 @@
 
     def __init__(self) -> None:
         self._own: dict[TargetId, StageLoad] = {}
-        self._others: dict[TargetId, StageLoad] = {}
+        # Computed when it is needed: reports of peers come more often than requests.
+        self._others: dict[TargetId, StageLoad] | None = None
         self._by_peer: dict[str, tuple[float, Mapping[TargetId, StageLoad]]] = {}
 
     @property
@@ -81,7 +82,7 @@
         :param now_s: current time, in seconds.
         """
         self._by_peer[peer] = (now_s, loads)
-        self._sum_others()
+        self._others = None
 
     def remove_expired(self, now_s: float, max_age_s: float) -> list[str]:
         """Remove the load of daemons that have not reported for some time.
@@ -94,7 +95,7 @@
         for peer in expired:
             del self._by_peer[peer]
         if expired:
-            self._sum_others()
+            self._others = None
         return expired
 
     def total(self, target: TargetId) -> StageLoad:
@@ -103,7 +104,7 @@
         :param target: the engine.
         """
         own = self._own.get(target, NO_LOAD)
-        others = self._others.get(target)
+        others = self._sum_others().get(target)
         if others is None:
             return own
         total = StageLoad()
@@ -113,10 +114,12 @@
 
     def targets(self) -> set[TargetId]:
         """Return the engines on which other daemons have work in progress."""
-        return set(self._others)
-
-    def _sum_others(self) -> None:
-        self._others = {}
-        for _, loads in self._by_peer.values():
-            for target, load in loads.items():
-                self._others.setdefault(target, StageLoad()).add(load)
+        return set(self._sum_others())
+
+    def _sum_others(self) -> dict[TargetId, StageLoad]:
+        if self._others is None:
+            self._others = {}
+            for _, loads in self._by_peer.values():
+                for target, load in loads.items():
+                    self._others.setdefault(target, StageLoad()).add(load)
+        return self._others
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/__init__.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/__init__.py
@@ -1,5 +1,4 @@
-"""The routing daemon ``cassiaspreadd``."""
+"""The routing daemon ``cassiaspreadd`` and the gateway of the users' platform.
 
-from cassiaspread_daemon._main import main
-
-__all__ = ["main"]
+Nothing is imported here: a gateway needs a small part of the packages.
+"""
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from cassiaspread_core.base import DomainId, TargetId
+from cassiaspread_core.base import DomainId, Incarnation, TargetId
 from cassiaspread_core.membership import rank_members
 from cassiaspread_core.routing import RouteTable, StateAge
 from cassiaspread_daemon._supervisor import Supervisor
@@ -32,6 +32,9 @@
 # target must get no more work.
 READER_TIMEOUT_S = 1.3
 READER_CHECK_INTERVAL_S = 0.1
+# Time for which the choice of the reader is kept, in seconds. Meanwhile a daemon may
+# read beside a new reader, or wait for the update of one that has left.
+READER_LIFETIME_S = 0.5
 # Changes contained in a snapshot may appear again after its position. After reading a
 # snapshot, a reader publishes complete pages for this long, in seconds, instead of only
 # the changes that are new to it.
@@ -60,6 +63,8 @@
         self._mesh = mesh
         self._supervisor = supervisor
         self._log = log
+        self._readers: dict[str, Incarnation | None] = {}
+        self._readers_expire_s = float("-inf")
 
     def subscribe(
         self, kind: str, update_type: Any, receive: Callable[[Any], None]
@@ -78,18 +83,25 @@
         if self._mesh is not None:
             self._mesh.register(kind, update_type, handle)
 
-    def is_reader(self, kind: str) -> bool:
+    def is_reader(self, kind: str, now_s: float) -> bool:
         """Return whether this daemon reads a feed for its domain.
 
         :param kind: name of the feed.
+        :param now_s: current time, in seconds.
         """
         if self._mesh is None:
             return True
-        domain_members = [
-            m for m in self._mesh.active_members() if m.domain == self._domain
-        ]
-        ranked = rank_members(kind, domain_members)[:1]
-        return not ranked or ranked[0].incarnation == self._mesh.sender.incarnation
+        if now_s >= self._readers_expire_s:
+            self._readers.clear()
+            self._readers_expire_s = now_s + READER_LIFETIME_S
+        if kind not in self._readers:
+            self._readers[kind] = self._find_reader(self._mesh, kind)
+        return self._readers[kind] in (None, self._mesh.sender.incarnation)
+
+    def _find_reader(self, mesh: Mesh, kind: str) -> Incarnation | None:
+        domain_members = [m for m in mesh.active_members() if m.domain == self._domain]
+        ranked = rank_members(kind, domain_members)
+        return ranked[0].incarnation if ranked else None
 
     def publish(self, kind: str, update: Any) -> None:
         """Send an update to the other daemons of the domain.
@@ -164,12 +176,12 @@
             self._position is None
             or self._is_behind
             or now() - self._updated_s > READER_TIMEOUT_S
-            or self._feed_sharing.is_reader(self._name)
+            or self._feed_sharing.is_reader(self._name, now())
         )
 
     def _next_wait_s(self) -> float:
         # A daemon that is not the reader has already waited for an update.
-        return self._wait_s if self._feed_sharing.is_reader(self._name) else 0.0
+        return self._wait_s if self._feed_sharing.is_reader(self._name, now()) else 0.0
 
     def _confirm_current(self) -> None:
         """Record that this copy is current according to the reader."""
@@ -226,7 +238,7 @@
         feed_sharing.subscribe(self._name, ConfigurationUpdate, self._receive)
 
     def _on_page(self, start: int | None, page: FeedPage[RouteTable]) -> None:
-        if self._feed_sharing.is_reader(self._name):
+        if self._feed_sharing.is_reader(self._name, now()):
             self._feed_sharing.publish(self._name, ConfigurationUpdate(page.position))
 
     def _receive(self, update: ConfigurationUpdate) -> None:
@@ -302,7 +314,7 @@
 
     def _on_page(self, start: int | None, page: FeedPage[EngineChange]) -> None:
         changed_targets, self._changed_targets = self._changed_targets, set()
-        if start is None or not self._feed_sharing.is_reader(self._name):
+        if start is None or not self._feed_sharing.is_reader(self._name, now()):
             return
         update = EngineUpdate(
             start,
