--- a/packages/cassiaspread-daemon/tests/test_broken_off_control_answers.py
+++ b/packages/cassiaspread-daemon/tests/test_broken_off_control_answers.py
@@ -8,7 +8,12 @@
 from cassiaspread_core.pipeline import Stage, TokenSequence
 from cassiaspread_core.policy import Limits
 from cassiaspread_daemon._events import MAX_EVENT_BYTES
-from cassiaspread_daemon._exchange import MAX_ANSWER_BYTES, AnswerTooLarge, fetch
+from cassiaspread_daemon._exchange import (
+    MAX_ANSWER_BYTES,
+    AnswerTooLarge,
+    ExchangeBroken,
+    fetch,
+)
 from cassiaspread_daemon.adapters import (
     EngineClient,
     LogClient,
@@ -23,12 +28,12 @@
 TOKEN = b'data: {"attempt":1,"position":0,"text":"a"}\n\n'
 
 
-def run_against(body, call):
-    """Run a call to a server that sends a body without a length and closes."""
+def run_against(body, call, head=HEAD):
+    """Run a call to a server that sends a head and a body and closes."""
 
     async def answer(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
-        writer.write(HEAD + body)
+        writer.write(head + body)
         writer.close()
 
     async def main():
@@ -91,3 +96,28 @@
     assert response.body == b"x" * 100_000
     with pytest.raises(AnswerTooLarge):
         run_against(b"x" * (MAX_ANSWER_BYTES + 1), fetch_body)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"",
+        b"HTTP/1.1 200 O",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcd",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n",
+        b"HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nabcd",
+    ],
+)
+def test_answer_that_closes_before_its_announced_end_is_broken(answer):
+    with pytest.raises(ExchangeBroken):
+        run_against(answer, fetch_body, head=b"")
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+def test_answer_without_a_length_ends_with_its_connection(version):
+    head = b"HTTP/" + version + b" 200 OK\r\n\r\n"
+    assert run_against(b"abcd", fetch_body, head).body == b"abcd"
--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -144,9 +144,11 @@
         finally:
             connection.close()
 
-    def control(self, name, **values):
+    def control(self, name, timeout_s=10.0, **values):
         body = json.dumps(values).encode()
-        return json.loads(self.call(self.ports[name], "POST", "/control", body).body)
+        port = self.ports[name]
+        answer = self.call(port, "POST", "/control", body, timeout_s=timeout_s)
+        return json.loads(answer.body)
 
     def put_record(self, topic, key, value):
         path = f"/put?topic={topic}&key={key}"
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -17,6 +17,7 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from pathlib import Path
 
 import msgspec
@@ -58,6 +59,7 @@
 CRASH_ENGINES = ("celje-crash", "velenje-crash")
 CRASH_INTERVAL_S = 0.5
 RESPAWN_S = 1.0
+CONTROL_TIMEOUT_S = 0.2
 N_CRASHES, LEARN_S, N_LATE_RUNS = 3, 3.0, 3
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 GATEWAYS = tuple(f"gateway-{zone}-{n}" for zone in DOMAINS for n in range(2))
@@ -91,13 +93,21 @@
     "configuration": 2,
 }
 
+# Faults of answers, drawn apart: streams end inside an event, or bytes have no end.
+ANSWER_FAULTS = {
+    "answers-break": {"close_after": 2, "break_how": "end"},
+    "answers-endless": {"flood": "chunks"},
+}
+SOUND_ANSWERS = {"close_after": None, "break_how": "close", "flood": None}
+N_ANSWER_FAULTS = 4
+
 
 class Fault(msgspec.Struct):
     """One fault of a schedule.
 
     :param at_s: begin in seconds from the start.
     :param for_s: duration in seconds.
-    :param kind: a key of ``FAULTS``.
+    :param kind: a key of ``FAULTS`` or ``ANSWER_FAULTS``.
     :param on: the affected process or proxy route.
     """
 
@@ -149,6 +159,12 @@
     # Drawn apart, so that the schedules of earlier seeds keep their faults.
     restored_s = random.Random(f"{seed}-restore").uniform(2.0, length_s)
     schedule.append(Fault(restored_s, 0.1, "store-restore", "store"))
+    random_state = random.Random(f"{seed}-answers")
+    for _ in range(N_ANSWER_FAULTS):
+        kind = random_state.choice(list(ANSWER_FAULTS))
+        on = random_state.choice(list(ENGINES))
+        at_s, for_s = random_state.uniform(0, length_s), random_state.uniform(0.5, 3)
+        schedule.append(Fault(at_s, for_s, kind, on))
     return schedule
 
 
@@ -273,6 +289,11 @@
         family, _, action = fault.kind.partition("-")
         if family in ("engine", "gateway"):
             self.apply_to_process(fault.on, action, is_begin)
+        elif family == "answers":
+            values = ANSWER_FAULTS[fault.kind] if is_begin else SOUND_ANSWERS
+            # The process may be down or paused.
+            with suppress(OSError, http.client.HTTPException):
+                self.deployment.control(fault.on, timeout_s=CONTROL_TIMEOUT_S, **values)
         elif family == "path":
             name = fault.on.replace("/", "-")
             if action == "delay":
