--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -249,11 +249,11 @@
             with ANSWER_MEMORY.hold(
                 lambda reason: exchange.fail(AnswerTooLarge(reason))
             ) as held:
-                return await self._exchange(
+                return await self._send_and_relay(
                     stream, assignment, exchange, headers, _ReceiveBuffer(held)
                 )
 
-    async def _exchange(
+    async def _send_and_relay(
         self,
         stream: _StreamState,
         assignment: Assignment,
