Answers kept by a daemon take 16 MB together, in blocks

Cause: with 32 MB the peak was 122 MB from 45, since a growing buffer is copied and its allocator keeps the old room; with 202 MB for control and 21 MB for streams at the target size that exceeds 256 MB. Change: pieces are kept in blocks of 64 KB and joined once, the bounds are 8 MB for one answer and 16 MB for all.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import io
 import socket
 import time
 from collections.abc import Awaitable, Callable, Mapping
@@ -30,9 +29,12 @@
 # Status and headers of a response take less than 2 KB.
 MAX_HEAD_BYTES = 16 * 1024
 # Bounds on one response that is kept until it is complete, and on all responses of this
-# process that are kept; within what control leaves of 256 MB.
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
-MAX_HELD_BYTES = 32 * 1024 * 1024
+# process that are kept; within what control and streams leave of 256 MB at the target
+# size.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+MAX_HELD_BYTES = 16 * 1024 * 1024
+# Small pieces of a response are joined up to this size, since each has an overhead.
+BLOCK_BYTES = 64 * 1024
 ANSWER_MEMORY = AnswerMemory(MAX_HELD_BYTES, MAX_ANSWER_BYTES)
 # Reading at this rate takes a few percent of a core. A stream of tokens stays far below
 # the rate that is not limited.
@@ -137,7 +139,6 @@
     ) -> None:
         self.status = 0
         self.headers = HTTPHeaders()
-        self.body = io.BytesIO()
         self.started = asyncio.get_running_loop().create_future()
         self.finished = asyncio.get_running_loop().create_future()
         self.n_strays = 0
@@ -147,9 +148,15 @@
         self._is_expected = is_expected
         self._fail = fail
         self._held = ANSWER_MEMORY.hold(self.drop)
+        self._blocks: list[bytearray] = []
         self._n_bytes = 0
         self._started_s = time.monotonic()
 
+    @property
+    def body(self) -> bytes:
+        """The part of the body that was received and kept."""
+        return b"".join(self._blocks)
+
     @property
     def held(self) -> HeldAnswer:
         """Accounts for the body."""
@@ -188,13 +195,17 @@
                 self._fail(error)
                 return None
         self._held.add(len(chunk))
-        if self._held.is_open:
-            self.body.write(chunk)
+        if not self._held.is_open:
+            return None
+        if self._blocks and len(self._blocks[-1]) + len(chunk) <= BLOCK_BYTES:
+            self._blocks[-1] += chunk
+        else:
+            self._blocks.append(bytearray(chunk))
         return None
 
     def drop(self, reason: str) -> None:
         """End an answer that exceeds a bound."""
-        self.body = io.BytesIO()
+        self._blocks.clear()
         self._fail(AnswerTooLarge(reason))
 
     def finish(self) -> None:
@@ -430,7 +441,7 @@
         assert self._reader is not None
         await self._reader.finished
         reader = self._reader
-        return Response(reader.status, reader.headers, reader.body.getvalue())
+        return Response(reader.status, reader.headers, reader.body)
 
     async def _read(self, reader: _ResponseReader) -> None:
         try:
