A test waits until a restarted gateway listens on all of its ports

Cause, from the traceback and the processes' logs: the gateway opens its ports one after the other, and the test waited for the first one only; its log shows the start 0.2 s before the end of the test, and no run of the crashing request too many. The start of a gateway and the test now wait for all ports by the same code. No check is changed.

--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -231,11 +231,12 @@
             *flags,
             environment={"CASSIASPREAD_BOOT": str(path)},
         )
-        ports = [
-            port,
-            readiness_port,
-            self.ports.get(f"{name}/metrics", readiness_port),
-        ]
+        self.wait_listening(name)
+
+    def wait_listening(self, name):
+        """Wait until a gateway listens on all of its ports, one after the other."""
+        names = (name, f"{name}/ready", f"{name}/metrics")
+        ports = [self.ports[n] for n in names if n in self.ports]
         wait_for(lambda: all(map(self.accepts_connections, ports)))
 
     def is_ready(self, name):
--- a/tests/users_platform/test_crashing_requests.py
+++ b/tests/users_platform/test_crashing_requests.py
@@ -256,7 +256,7 @@
     for name in GATEWAYS:
         fleet.restart(name)
     for name in GATEWAYS:
-        wait_for(lambda name=name: fleet.accepts_connections(fleet.ports[name]))
+        fleet.wait_listening(name)
         wait_for(lambda name=name: fleet.is_ready(name))
     time.sleep(LEARN_S)
     answers = send_by_turns(fleet, 6.0)
