Tests of answers that end for silence or with their connection, failing

What callers saw: streams cut after a few events, 502 for a request whose only target was silent for 2.4 s, connections closed before the idle timeout in force. The stand-in for an engine now waits for a silent engine of the chain for three seconds and goes on if it answers again; it gave the request up before, although it waited as long.

--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -31,8 +31,9 @@
 from tornado.web import Application, RequestHandler
 
 HEARTBEAT_S = 0.4
-# Time for which a stalled request appears in reports.
+# Time for which a request waits for a silent engine of its chain.
 STALL_S = 3.0
+STALL_POLL_S = 0.1
 LOAD_S = 0.2
 CRASH_STATUS = 70
 # An event that is broken off inside one of its fields.
@@ -176,9 +177,8 @@
         elif engine.full:
             self.refuse(503)
         else:
-            faulty_address = await self.find_faulty_engine()
+            faulty_address = await self.wait_for_stages()
             if faulty_address is not None:
-                await self.report_stall(faulty_address)
                 self.set_header("At-Server", faulty_address)
                 self.refuse(503)
             else:
@@ -213,11 +213,19 @@
                 return address
         return None
 
-    async def report_stall(self, address):
-        request_id = self.request.headers["Attempt-Id"]
-        self.engine.stalled[request_id] = address
-        await asyncio.sleep(STALL_S)
-        self.engine.stalled.pop(request_id, None)
+    async def wait_for_stages(self):
+        """Wait for a silent engine of the chain; return its address if it stays so."""
+        request_id = self.request.headers.get("Attempt-Id", "")
+        end_s = time.monotonic() + STALL_S
+        try:
+            while (address := await self.find_faulty_engine()) is not None:
+                if time.monotonic() >= end_s:
+                    return address
+                self.engine.stalled[request_id] = address
+                await asyncio.sleep(STALL_POLL_S)
+            return None
+        finally:
+            self.engine.stalled.pop(request_id, None)
 
     async def answer(self):
         engine, headers = self.engine, self.request.headers
@@ -318,9 +326,7 @@
             if engine.close_after is not None and n_sent >= engine.close_after:
                 await self.break_off(engine.break_text.format(id=event_id))
                 return
-            faulty_address = await self.find_faulty_engine()
-            if faulty_address is not None:
-                await self.report_stall(faulty_address)
+            if await self.wait_for_stages() is not None:
                 self.request.connection.stream.close()
                 return
             try:
--- /dev/null
+++ b/tests/users_platform/test_lost_answers.py
@@ -0,0 +1,322 @@
+"""Answers that must not end because a target is silent or a configuration changes."""
+
+import http.client
+import signal
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+
+import pytest
+
+from tests.users_platform.deployment import (
+    DOMAINS,
+    HOST,
+    KEY,
+    MODEL_SERVICE,
+    N_LAYERS,
+    configuration,
+    route,
+    wait_for,
+)
+
+GATEWAY = "gateway-celje"
+GATEWAYS = (GATEWAY, "gateway-velenje")
+STAGES = ("celje-a", "celje-b", "velenje-a", "velenje-b")
+ENGINES = ("celje-large", "celje-small", "velenje-large", "velenje-small")
+# A sound engine may be silent for about this long.
+SILENCE_S = 1.2
+# A resumable stream may run twice here; its second engine is silent too.
+N_SILENCES = 2
+N_EVENTS = 20
+EVENT_S = 0.1
+N_STREAMS = 4
+# A stream whose engine is really gone ends at the latest after this long: the store
+# drops the entry after three missed renewals.
+GONE_BOUND_S = 6.0
+
+
+@pytest.fixture
+def slow_deployment(deployment):
+    """Streams take two seconds, on resumable routes and on others."""
+    deployment.publish_configuration(4, routes=routes())
+    wait_for(lambda: stream(deployment, "/once/x", n_events=1).status == 200)
+    for name in ENGINES:
+        deployment.control(name, event_s=EVENT_S)
+    return deployment
+
+
+@pytest.fixture
+def staged_deployment(bare_deployment):
+    """Each engine holds half of the layers, so that a chain has a head and a stage."""
+    changes = {"routes": routes(), "services": halved_services()}
+    bare_deployment.publish_configuration(4, **changes)
+    for name in STAGES:
+        zone = name.partition("-")[0]
+        bare_deployment.add_engine(name, MODEL_SERVICE, zone, "small")
+    for name, zone in zip(GATEWAYS, DOMAINS, strict=True):
+        bare_deployment.add_gateway(name, zone)
+        wait_for(
+            lambda n=name: stream(bare_deployment, "/once/x", 1, n).status == 200, 30.0
+        )
+    for name in STAGES:
+        bare_deployment.control(name, event_s=EVENT_S)
+    return bare_deployment
+
+
+def halved_services():
+    """Return the services with a model of which an engine can hold half at most."""
+    model, plain = configuration(0)["services"]
+    size_mb = model["engine"]["kinds"][1]["size_mb"]
+    layer_mb = 1.5 * size_mb / N_LAYERS
+    return [{**model, "engine": {**model["engine"], "layer_mb": layer_mb}}, plain]
+
+
+def routes(**changes):
+    """Return the routes with one whose streams run at most once."""
+    return [
+        *configuration(0)["routes"],
+        route("once", "/once/", "streaming", MODEL_SERVICE, max_attempts=1, **changes),
+    ]
+
+
+def stream(deployment, path, n_events=N_EVENTS, gateway=GATEWAY):
+    headers = {"Token_Count": f"100,{4 * n_events}", "Deadline_Ms": "8000"}
+    return deployment.request(gateway, path, Model="m", **headers)
+
+
+@contextmanager
+def streams_in_progress(deployment, path, n_streams=N_STREAMS):
+    """Start streams, and yield their future answers once each has begun to run."""
+    n_before = len(deployment.history("run"))
+    with ThreadPoolExecutor(n_streams) as pool:
+        answers = [
+            pool.submit(stream, deployment, path, gateway=GATEWAYS[n % 2])
+            for n in range(n_streams)
+        ]
+        wait_for(lambda: len(deployment.history("run")) >= n_before + n_streams)
+        time.sleep(3 * EVENT_S)
+        yield answers
+
+
+def heads(deployment):
+    return {row["engine"] for row in deployment.history("run")[-N_STREAMS:]}
+
+
+def silence(deployment, names, for_s=SILENCE_S):
+    for name in names:
+        deployment.kill(name, signal.SIGSTOP)
+    time.sleep(for_s)
+    for name in names:
+        deployment.kill(name, signal.SIGCONT)
+
+
+def assert_all_complete(answers, n_events=N_EVENTS):
+    for answer in [future.result() for future in answers]:
+        assert answer.status == 200, answer.body
+        assert answer.is_complete, answer.event_ids
+        assert answer.event_ids == list(range(1, n_events + 1))
+
+
+def test_stream_that_may_not_resume_outlasts_a_silent_head(slow_deployment):
+    with streams_in_progress(slow_deployment, "/once/x") as answers:
+        silence(slow_deployment, heads(slow_deployment))
+        assert_all_complete(answers)
+
+
+def test_stream_that_may_not_resume_outlasts_a_silent_stage(staged_deployment):
+    with streams_in_progress(staged_deployment, "/once/x") as answers:
+        runs = staged_deployment.history("run")[-N_STREAMS:]
+        assert {len(row["hops"]) for row in runs} == {2}
+        silence(staged_deployment, set(STAGES) - {row["engine"] for row in runs})
+        assert_all_complete(answers)
+
+
+def test_resumable_stream_outlasts_repeated_silence_of_a_stage(staged_deployment):
+    with streams_in_progress(staged_deployment, "/draft/x") as answers:
+        for _ in range(N_SILENCES):
+            silence(staged_deployment, set(STAGES) - heads(staged_deployment))
+            time.sleep(0.3)
+        assert_all_complete(answers)
+
+
+def test_stream_outlasts_engines_that_are_silent_before_its_first_event(
+    slow_deployment,
+):
+    for path in ("/once/x", "/draft/x"):
+        with ThreadPoolExecutor(N_STREAMS) as pool:
+            for name in ENGINES:
+                slow_deployment.kill(name, signal.SIGSTOP)
+            answers = [
+                pool.submit(stream, slow_deployment, path) for _ in range(N_STREAMS)
+            ]
+            time.sleep(SILENCE_S)
+            for name in ENGINES:
+                slow_deployment.kill(name, signal.SIGCONT)
+            assert_all_complete(answers)
+
+
+def test_resumable_stream_outlasts_engines_that_are_all_silent(slow_deployment):
+    with streams_in_progress(slow_deployment, "/draft/x") as answers:
+        silence(slow_deployment, ENGINES)
+        assert_all_complete(answers)
+
+
+def test_resumable_stream_outlasts_repeated_silence(slow_deployment):
+    with streams_in_progress(slow_deployment, "/draft/x") as answers:
+        for _ in range(N_SILENCES):
+            silence(slow_deployment, heads(slow_deployment))
+            time.sleep(0.3)
+        assert_all_complete(answers)
+
+
+def test_streams_outlast_silence_beside_changes_and_reloads(slow_deployment):
+    is_over = threading.Event()
+
+    def change():
+        version = 5
+        while not is_over.wait(0.3):
+            timeout_ms = 8000 + 100 * (version % 3)
+            slow_deployment.publish_configuration(
+                version,
+                routes=routes(timeout_ms=timeout_ms),
+                limits={"idle_timeout_ms": 2000 + 1000 * (version % 4)},
+            )
+            for name in GATEWAYS:
+                slow_deployment.kill(name, signal.SIGHUP)
+            version += 1
+
+    with ThreadPoolExecutor(1) as pool:
+        changing = pool.submit(change)
+        try:
+            for path in ("/once/x", "/draft/x"):
+                with streams_in_progress(slow_deployment, path) as answers:
+                    silence(slow_deployment, heads(slow_deployment))
+                    assert_all_complete(answers)
+        finally:
+            is_over.set()
+        changing.result()
+
+
+def test_streams_in_progress_outlast_the_removal_of_their_route(slow_deployment):
+    for version, path in ((5, "/once/x"), (6, "/draft/x")):
+        with streams_in_progress(slow_deployment, path) as answers:
+            kept = [r for r in routes() if not path.startswith(r["path_prefix"])]
+            slow_deployment.publish_configuration(version, routes=kept)
+            wait_for(lambda p=path: stream(slow_deployment, p, 1).status == 404)
+            silence(slow_deployment, heads(slow_deployment))
+            assert_all_complete(answers)
+
+
+def test_streams_in_progress_outlast_the_leaving_of_their_daemon(slow_deployment):
+    with streams_in_progress(slow_deployment, "/once/x") as answers:
+        for name in GATEWAYS:
+            slow_deployment.kill(name, signal.SIGTERM)
+        silence(slow_deployment, heads(slow_deployment))
+        assert_all_complete(answers)
+
+
+@pytest.mark.parametrize("path", ["/stock/1", "/book/1"])
+def test_plain_request_outlasts_the_silence_of_all_targets(deployment, path):
+    # An attempt of a repeatable request gives way to another target after a second.
+    names = ("celje-plain", "velenje-plain")
+    for name in names:
+        deployment.kill(name, signal.SIGSTOP)
+    with ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(deployment.request, GATEWAY, path, Deadline_Ms="4000")
+        time.sleep(2 * SILENCE_S)
+        for name in names:
+            deployment.kill(name, signal.SIGCONT)
+        assert answer.result().status == 200
+
+
+def test_plain_request_outlasts_the_silence_of_its_only_target(deployment):
+    deployment.kill("velenje-plain")
+    wait_for(lambda: deployment.request(GATEWAY, "/stock/0", "GET").status == 200)
+    deployment.kill("celje-plain", signal.SIGSTOP)
+    with ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(
+            deployment.request, GATEWAY, "/stock/1", "GET", Deadline_Ms="4000"
+        )
+        time.sleep(2 * SILENCE_S)
+        deployment.kill("celje-plain", signal.SIGCONT)
+        assert answer.result().status == 200
+
+
+def test_stream_of_an_engine_that_is_gone_does_not_wait_for_its_deadline(
+    slow_deployment,
+):
+    # The machine is gone: its address no longer answers, without closing connections.
+    with streams_in_progress(slow_deployment, "/once/x", 1) as answers:
+        [head] = {row["engine"] for row in slow_deployment.history("run")[-1:]}
+        slow_deployment.kill(head, signal.SIGSTOP)
+        slow_deployment.call(
+            slow_deployment.store_port, "POST", f"/put?topic=keyed.servers&key={head}"
+        )
+        begin_s = time.monotonic()
+        answer = answers[0].result()
+        assert time.monotonic() - begin_s < GONE_BOUND_S
+        assert answer.status != 200 or not answer.is_complete
+
+
+def test_restarted_engine_ends_its_stream_at_once(slow_deployment):
+    with streams_in_progress(slow_deployment, "/once/x", 1) as answers:
+        [head] = {row["engine"] for row in slow_deployment.history("run")[-1:]}
+        begin_s = time.monotonic()
+        slow_deployment.kill(head)
+        answer = answers[0].result()
+        assert time.monotonic() - begin_s < SILENCE_S
+        assert answer.status != 200 or not answer.is_complete
+
+
+class KeptConnection:
+    """A caller that keeps its connection open between requests."""
+
+    def __init__(self, deployment, gateway=GATEWAY):
+        port = deployment.ports[gateway]
+        self.connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+
+    def request(self):
+        headers = {"Host": HOST, "Authorization": f"Bearer {KEY}", "Attempt-Id": "k"}
+        # Reconnecting would hide that the connection was closed.
+        self.connection.auto_open = 1 if self.connection.sock is None else 0
+        self.connection.request("GET", "/stock/1", b"", headers)
+        response = self.connection.getresponse()
+        response.read()
+        return response.status
+
+
+def publish_idle_timeout(deployment, version, idle_timeout_ms):
+    deployment.publish_configuration(
+        version, limits={"idle_timeout_ms": idle_timeout_ms}
+    )
+    for name in GATEWAYS:
+        wait_for(
+            lambda name=name: [
+                row
+                for row in deployment.decisions(name, "configuration.in_force")
+                if row["version"] == version
+            ]
+        )
+
+
+def test_raised_idle_timeout_holds_for_connections_that_are_open(deployment):
+    publish_idle_timeout(deployment, 4, 2000)
+    callers = [KeptConnection(deployment) for _ in range(5)]
+    assert {caller.request() for caller in callers} == {200}
+    publish_idle_timeout(deployment, 5, 15_000)
+    time.sleep(3.0)
+    assert {caller.request() for caller in callers} == {200}
+
+
+def test_lowered_idle_timeout_holds_from_the_next_request(deployment):
+    publish_idle_timeout(deployment, 4, 15_000)
+    callers = [KeptConnection(deployment) for _ in range(5)]
+    assert {caller.request() for caller in callers} == {200}
+    publish_idle_timeout(deployment, 5, 1000)
+    time.sleep(2.0)
+    assert {caller.request() for caller in callers} == {200}
+    time.sleep(2.5)
+    for caller in callers:
+        with pytest.raises((ConnectionError, http.client.HTTPException)):
+            caller.request()
