Log line for a stream that leaves a silent engine

attempt.broken told neither whether another attempt was allowed nor how many had run, so that a stream that ended for silence could not be told from one that had nowhere to go.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -200,6 +200,8 @@
             return _AttemptResult.NOT_RUN
         except ExchangeBroken as error:
             self._record_head_failure(assignment, error)
+            if isinstance(error, StreamStalled):
+                self._record_silence(stream, assignment, error)
             self._record_broken(stream, assignment, str(error), is_sent=True)
             await self._quarantine.record_interruption(
                 stream.job,
@@ -216,6 +218,22 @@
             stream.avoided.add(assignment.head.target)
             self._dispatcher.release(assignment)
 
+    def _record_silence(
+        self, stream: _StreamState, assignment: Assignment, error: StreamStalled
+    ) -> None:
+        route = stream.job.route
+        self._log.record(
+            "stream.silent",
+            request=stream.job.parameters.request_id,
+            head=assignment.head.target,
+            target=error.target,
+            reason=str(error),
+            decision="breaks",
+            may_move=route.is_resumable and stream.n_runs + 1 < route.max_attempts,
+            n_runs=stream.n_runs,
+            n_events=stream.events.n_events,
+        )
+
     def _record_head_failure(
         self, assignment: Assignment, error: ExchangeBroken
     ) -> None:
