Test ports that an earlier run's processes still use are left out

Three errors and a failure of tests of crashing requests and of the whole path, once, at a load of 10 to 17: the log of each process shows "Address already in use", or requests reached another deployment. Cause: a benchmark of another clone had been ended without its processes; its block of ports was free again although they still listened. Ports are checked now before they are given out.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -26,7 +26,8 @@
     """Allocates ports that no other test run and no outgoing connection uses.
 
     Blocks of ports lie below the ephemeral range. A process owns a block while it is
-    bound to the first port of the block.
+    bound to the first port of the block. Ports that processes of an earlier owner still
+    use are left out.
     """
 
     FIRST_PORT, LAST_PORT, BLOCK_SIZE = 10_000, 32_000, 100
@@ -36,9 +37,12 @@
         self._free: list[int] = []
 
     def allocate(self) -> int:
-        if not self._free:
-            self._reserve_block()
-        return self._free.pop(0)
+        while True:
+            if not self._free:
+                self._reserve_block()
+            port = self._free.pop(0)
+            if _is_free(port):
+                return port
 
     def _reserve_block(self) -> None:
         for first in range(self.FIRST_PORT, self.LAST_PORT, self.BLOCK_SIZE):
@@ -54,6 +58,16 @@
         raise RuntimeError("no free block of ports")
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("", port))
+        except OSError:
+            return False
+    return True
+
+
 free_port = PortAllocator().allocate
 
 
