A silent engine does not end the stream that waits for it

What callers saw: streams cut after some events, or 502, while their engine went on a second later; on routes that may not be resumed at the first silence, on others at the second. Cause: a stream that received nothing for 1.2 of its longest pauses, and whose head did not report within 0.4 s or reported a silent stage, was broken off, and only then was it asked whether the route allows another attempt, the retry budget has one left and a chain has room. Silence was taken for the end.

Change: the stream stays on its chain while it looks for another one, and moves only when one is found and a retry is left. It ends only if the engine is proved to be gone: nothing listens at its address, another process has its name, or it is silent for three seconds and not in a current list. What arrives during a check is relayed at once. The relay of one attempt has its own module.

--- /dev/null
+++ b/packages/cassiaspread-core/src/cassiaspread_core/targets/_silence.py
@@ -0,0 +1,43 @@
+"""What a silent target does to the requests that wait for it.
+
+A sound target may be silent for a second and go on. Silence is a reason to look for
+another target, not to end an answer.
+"""
+
+import msgspec
+
+# A target that is silent for this long and is no longer listed has ended, in seconds.
+# Some leave the list before they have completed their requests.
+MIN_GONE_SILENCE_S = 3.0
+
+
+class Silence(msgspec.Struct, frozen=True, kw_only=True):
+    """What is known of a silent target.
+
+    :param duration_s: time since the target last sent anything, in seconds.
+    :param is_refused: nothing listens at its address.
+    :param is_restarted: another process has its name since the request was sent.
+    :param is_unlisted: a current list of targets does not contain it.
+    """
+
+    duration_s: float
+    is_refused: bool = False
+    is_restarted: bool = False
+    is_unlisted: bool = False
+
+
+def is_gone(silence: Silence) -> bool:
+    """Return whether a silent target can no longer answer.
+
+    :param silence: what is known of it.
+
+    >>> is_gone(Silence(duration_s=10.0))
+    False
+    >>> is_gone(Silence(duration_s=0.6, is_refused=True))
+    True
+    >>> is_gone(Silence(duration_s=0.6, is_unlisted=True))
+    False
+    """
+    if silence.is_refused or silence.is_restarted:
+        return True
+    return silence.is_unlisted and silence.duration_s >= MIN_GONE_SILENCE_S
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -206,7 +206,9 @@
             self._quarantine,
             self._log,
         )
-        stalls = StallDetector(self._platform.engine_api, self._health, self._log)
+        stalls = StallDetector(
+            self._platform.engine_api, self._routing_state, self._health, self._log
+        )
         stream = StreamForwarder(
             codec,
             self._pool,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway_metrics.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway_metrics.py
@@ -43,6 +43,10 @@
             "cassiaspread.gateway.retries",
             description="Retries that the budget allowed or denied.",
         )
+        self._silences = self._meter.create_counter(
+            "cassiaspread.gateway.silences",
+            description="Silences of engines under a stream, by decision.",
+        )
         self._orders = self._meter.create_counter(
             "cassiaspread.gateway.orders", description="Orders to engines, by outcome."
         )
@@ -90,6 +94,13 @@
         decision = "allowed" if is_allowed else "denied"
         self._retries.add(1, {**self._attributes, "decision": decision})
 
+    def record_silence(self, decision: str) -> None:
+        """Count a silence of an engine under a stream.
+
+        :param decision: ``moves``, ``waits`` or ``gone``.
+        """
+        self._silences.add(1, {**self._attributes, "decision": decision})
+
     def record_order(self, outcome: str) -> None:
         """Count an order to an engine.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
@@ -149,6 +149,7 @@
     :param layers: layers that it holds.
     :param is_loading: whether an order is in progress.
     :param n_orders: orders accepted since its start.
+    :param incarnation: identifies its process; 0 if the engine does not tell.
     :param slowness: its step time relative to what is usual for its accelerator.
     :param stalls: requests that wait for another engine.
     """
@@ -156,6 +157,7 @@
     layers: LayerRange
     is_loading: bool
     n_orders: int
+    incarnation: int = 0
     slowness: float = 1.0
     stalls: tuple[Stall, ...] = ()
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_quarantine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_quarantine.py
@@ -150,6 +150,13 @@
             frozenset(loss.key for loss in losses),
         )
 
+    def is_refused(self, job: Job) -> bool:
+        """Return whether requests with a fingerprint crash their targets.
+
+        :param job: a request with the fingerprint.
+        """
+        return job.fingerprint in self._crashing
+
     def check(self, job: Job, has_run: bool, now_s: float) -> None:
         """Check that a request may be sent to a target.
 
@@ -158,7 +165,7 @@
         :param now_s: current time, in seconds since the epoch.
         :raises Refusal: requests with its fingerprint crash their targets.
         """
-        if job.fingerprint not in self._crashing:
+        if not self.is_refused(job):
             return
         record = self._table.find(job.fingerprint)
         assert record is not None
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
@@ -0,0 +1,303 @@
+"""Relay of one attempt's events from its chain to the caller."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import msgspec
+
+from cassiaspread_core.base import TargetId
+from cassiaspread_daemon._events import EventBuffer
+from cassiaspread_daemon._exchange import (
+    AnswerTooLarge,
+    Delimiter,
+    Exchange,
+    ExchangeBroken,
+)
+from cassiaspread_daemon.gateway._capacity_queue import CapacityQueue
+from cassiaspread_daemon.gateway._chain_search import ChainSearch
+from cassiaspread_daemon.gateway._decision_log import DecisionLog
+from cassiaspread_daemon.gateway._dispatch import Assignment, Dispatcher
+from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
+from cassiaspread_daemon.gateway._job import Job, TakeRetry, now
+from cassiaspread_daemon.gateway._protocols import AnswerParameters, HeaderCodec
+from cassiaspread_daemon.gateway._receive_buffer import ReceiveBuffer
+from cassiaspread_daemon.gateway._stalls import (
+    SilentEngine,
+    StallDetector,
+    StreamStalled,
+)
+
+# Time without events after which the head of a chain is polled for the stalled engine,
+# as a multiple of the longest pause within the objective.
+STALL_PAUSE_RATIO = 1.2
+# The same for the first event, as a fraction of its objective.
+STALL_OBJECTIVE_RATIO = 0.8
+# A search that finds room at once takes no longer than this, in seconds.
+SEARCH_AT_ONCE_S = 0.01
+# A stream has one event for one or more tokens, and a few that hold none.
+MAX_EVENTS_WITHOUT_TOKENS = 16
+
+
+class StreamState:
+    """Progress of one stream across all its attempts.
+
+    :param job: the request.
+    :param take_retry: takes one retry from the budget of this daemon.
+    """
+
+    def __init__(self, job: Job, take_retry: TakeRetry) -> None:
+        self.job = job
+        self.take_retry = take_retry
+        self.events = EventBuffer(job.parameters.last_event_id)
+        self.is_started = False
+        self.n_tried = 0
+        self.n_runs = 0
+        self.avoided: set[TargetId] = set()
+        self.failure_reason = ""
+        # The chain that a silent stream moves to; its retry is taken already.
+        self.found: Assignment | None = None
+
+    def take_found(self) -> Assignment | None:
+        """Return the chain to move to, if any, for its next attempt."""
+        found, self.found = self.found, None
+        return found
+
+
+class RelayTools(msgspec.Struct, frozen=True):
+    """What the relays of all streams share.
+
+    :param codec: encodes and decodes headers of requests and answers.
+    :param capacity_queue: selects other chains for streams that are silent.
+    :param dispatcher: releases chains that are not used.
+    :param stalls: detects the engine that a silent stream waits for.
+    :param log: receives a line for each decision.
+    :param metrics: records times.
+    """
+
+    codec: HeaderCodec
+    capacity_queue: CapacityQueue
+    dispatcher: Dispatcher
+    stalls: StallDetector
+    log: DecisionLog
+    metrics: GatewayMetrics
+
+
+class Relay:
+    """Sends one attempt and relays its events.
+
+    While the engine is silent, the stream may move to another chain; it stays as long
+    as none has room for it and the engine may go on.
+
+    :param tools: shared by all relays.
+    :param stream: the stream.
+    :param assignment: its chain.
+    :param exchange: connection to the head of the chain.
+    :param buffer: bytes received on it.
+    :param may_move: returns whether the stream may be sent to another chain.
+    """
+
+    def __init__(
+        self,
+        tools: RelayTools,
+        stream: StreamState,
+        assignment: Assignment,
+        exchange: Exchange,
+        buffer: ReceiveBuffer,
+        may_move: Callable[[], bool],
+    ) -> None:
+        self._tools = tools
+        self._stream = stream
+        self._assignment = assignment
+        self._exchange = exchange
+        self._buffer = buffer
+        self._may_move = may_move
+
+    async def send(self, headers: Mapping[str, str]) -> AnswerParameters:
+        """Send the request and wait for the headers of the answer.
+
+        :param headers: headers of the request.
+        :raises ExchangeBroken: the attempt ended before.
+        """
+        job, codec = self._stream.job, self._tools.codec
+        sending = asyncio.ensure_future(
+            self._exchange.send(
+                job.inbound.method,
+                job.inbound.target,
+                job.inbound.body,
+                headers,
+                on_data=self._buffer.put,
+                is_expected=lambda h: codec.is_answer_to(h, job.parameters.request_id),
+            )
+        )
+        stall_s = job.route.objective_s * STALL_OBJECTIVE_RATIO
+        try:
+            await asyncio.wait([sending], timeout=stall_s)
+            if not sending.done():
+                await self._outlast_silence(sending, stall_s)
+            return codec.read_answer(sending.result(), self._exchange.headers)
+        finally:
+            sending.cancel()
+
+    async def relay_events(self) -> None:
+        """Relay the events of a successful answer until its end.
+
+        :raises ExchangeBroken: the attempt ended before the stream did.
+        """
+        stream, buffer = self._stream, self._buffer
+        job, inbound = stream.job, stream.job.inbound
+        n_events_before = stream.events.n_events
+        finishing = asyncio.ensure_future(self._exchange.finish())
+        finishing.add_done_callback(lambda _: buffer.wake())
+        stall_s = job.route.max_event_gap_s * STALL_PAUSE_RATIO
+        if not stream.events.n_events:
+            stall_s = job.route.objective_s * STALL_OBJECTIVE_RATIO
+        try:
+            while True:
+                is_ended = finishing.done()
+                complete = stream.events.feed(buffer.take())
+                self._check_event_count()
+                if complete:
+                    self._start_answer()
+                    await inbound.write(complete)
+                    buffer.release(len(complete))
+                    stall_s = job.route.max_event_gap_s * STALL_PAUSE_RATIO
+                if is_ended:
+                    finishing.result()
+                    await self._finish(stream.events.n_events - n_events_before)
+                    return
+                if not await buffer.wait(stall_s):
+                    arriving = asyncio.ensure_future(buffer.arrival())
+                    try:
+                        await self._outlast_silence(arriving, stall_s)
+                    finally:
+                        arriving.cancel()
+        finally:
+            finishing.cancel()
+
+    async def _outlast_silence(
+        self, arriving: asyncio.Future[Any], interval_s: float
+    ) -> None:
+        """Wait for a silent engine, or leave it.
+
+        :param arriving: done once something has arrived.
+        :param interval_s: time between two checks, in seconds.
+        :raises StreamStalled: the engine is gone, or another chain has room for the
+            stream, which is then the stream's ``found``.
+        """
+        tools, stream = self._tools, self._stream
+        is_recorded = False
+        with ChainSearch(tools.capacity_queue, tools.dispatcher) as search:
+            while not arriving.done():
+                silent = await self._find_silent(arriving)
+                if silent is not None:
+                    if self._may_move():
+                        avoid = {*stream.avoided, self._assignment.head.target}
+                        search.start(stream.job, {*avoid, silent.engine.target})
+                        await _wait_first({arriving, *search.tasks}, SEARCH_AT_ONCE_S)
+                        self._move(search, silent, arriving)
+                    if not is_recorded:
+                        is_recorded = True
+                        self._record_silence(silent, "waits")
+                    await self._check_gone(silent, arriving)
+                await _wait_first({arriving, *search.tasks}, interval_s)
+                if silent is not None:
+                    self._move(search, silent, arriving)
+
+    async def _find_silent(self, arriving: asyncio.Future[Any]) -> SilentEngine | None:
+        finding = asyncio.ensure_future(
+            self._tools.stalls.find(
+                self._stream.job.parameters.request_id, self._assignment
+            )
+        )
+        try:
+            await _wait_first({arriving, finding})
+            return None if arriving.done() else finding.result()
+        finally:
+            finding.cancel()
+
+    def _move(
+        self, search: ChainSearch, silent: SilentEngine, arriving: asyncio.Future[Any]
+    ) -> None:
+        if arriving.done():
+            return
+        found = search.take()
+        if found is None:
+            return
+        if not self._stream.take_retry():
+            self._tools.dispatcher.release(found)
+            return
+        self._record_silence(silent, "moves")
+        self._stream.found = found
+        raise StreamStalled(silent.engine, silent.reason)
+
+    async def _check_gone(
+        self, silent: SilentEngine, arriving: asyncio.Future[Any]
+    ) -> None:
+        is_gone = await self._tools.stalls.is_gone(
+            silent, self._buffer.silence_s(now())
+        )
+        if is_gone and not arriving.done():
+            self._record_silence(silent, "gone")
+            raise StreamStalled(silent.engine, f"{silent.reason}; it is gone")
+
+    def _record_silence(self, silent: SilentEngine, decision: str) -> None:
+        stream = self._stream
+        self._tools.metrics.record_silence(decision)
+        self._tools.log.record(
+            "stream.silent",
+            request=stream.job.parameters.request_id,
+            head=self._assignment.head.target,
+            target=silent.engine.target,
+            reason=silent.reason,
+            silent_ms=round(self._buffer.silence_s(now()) * 1000),
+            decision=decision,
+            may_move=self._may_move(),
+            n_runs=stream.n_runs,
+            n_events=stream.events.n_events,
+        )
+
+    def _check_event_count(self) -> None:
+        n_tokens = self._stream.job.parameters.max_answer_tokens
+        max_events = n_tokens + MAX_EVENTS_WITHOUT_TOKENS
+        if n_tokens and self._stream.events.n_events > max_events:
+            raise AnswerTooLarge(
+                f"more than {max_events} events for at most {n_tokens} tokens"
+            )
+
+    def _start_answer(self) -> None:
+        stream, tools = self._stream, self._tools
+        if stream.is_started:
+            return
+        stream.is_started = True
+        headers = tools.codec.answer_headers(self._exchange.headers)
+        stream.job.inbound.start(200, headers)
+        tools.metrics.record_first_event(now() - stream.job.inbound.arrived_s)
+
+    async def _finish(self, n_events: int) -> None:
+        inbound, events = self._stream.job.inbound, self._stream.events
+        delimiter = self._exchange.delimiter
+        self._tools.log.record(
+            "attempt.ended",
+            request=self._stream.job.parameters.request_id,
+            head=self._assignment.head.target,
+            delimiter=delimiter.value,
+            n_events=n_events,
+            n_open_bytes=events.n_open_bytes,
+        )
+        if events.is_inside_event:
+            raise ExchangeBroken(
+                f"the stream ended inside an event, after {events.n_open_bytes} bytes"
+            )
+        if not n_events and delimiter is Delimiter.CLOSE:
+            raise ExchangeBroken("the stream ended before its first event")
+        self._start_answer()
+        if events.remainder:
+            await inbound.write(events.remainder)
+        inbound.end()
+
+
+async def _wait_first(
+    futures: set[asyncio.Future[Any]], timeout_s: float | None = None
+) -> None:
+    await asyncio.wait(futures, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stalls.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stalls.py
@@ -1,12 +1,17 @@
 """Detection of the engine that a silent stream waits for."""
 
-from cassiaspread_core.base import RequestId, TargetId
-from cassiaspread_core.targets import TargetHealth
+import msgspec
+
+from cassiaspread_core.base import RequestId
+from cassiaspread_core.placement import Engine
+from cassiaspread_core.targets import Silence, TargetHealth, is_gone
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._dispatch import Assignment
 from cassiaspread_daemon.gateway._job import now
+from cassiaspread_daemon.gateway._loss_probe import LossProbe, ProbeResult
 from cassiaspread_daemon.gateway._protocols import EngineApi, EngineReport
+from cassiaspread_daemon.gateway._routing_state import RoutingState, suspended_clock_s
 from cassiaspread_daemon.gateway._shared_calls import SharedCalls
 
 REPORT_TIMEOUT_S = 0.4
@@ -14,64 +19,112 @@
 REPORT_LIFETIME_S = 0.3
 
 
+class SilentEngine(msgspec.Struct, frozen=True):
+    """An engine that a silent stream waits for.
+
+    :param engine: the engine.
+    :param reason: how its silence was noticed.
+    :param is_restarted: its report came from another process than the one that runs
+        the stream.
+    """
+
+    engine: Engine
+    reason: str
+    is_restarted: bool = False
+
+
 class StreamStalled(ExchangeBroken):
-    """An engine of the chain does not respond.
+    """A stream leaves an engine that is silent or gone.
 
-    :param target: the engine.
+    :param engine: the engine.
     :param reason: description of the failure.
     """
 
-    def __init__(self, target: TargetId, reason: str) -> None:
+    def __init__(self, engine: Engine, reason: str) -> None:
         super().__init__(reason)
-        self.target = target
+        self.engine = engine
 
 
 class StallDetector:
     """Polls the heads of chains for the engines that their requests wait for.
 
     :param engine_api: sends requests to engines.
+    :param routing_state: the current list of engines.
     :param health: records the engines that do not respond.
     :param log: receives a line for each engine that is marked suspect.
     """
 
     def __init__(
-        self, engine_api: EngineApi, health: TargetHealth, log: DecisionLog
+        self,
+        engine_api: EngineApi,
+        routing_state: RoutingState,
+        health: TargetHealth,
+        log: DecisionLog,
     ) -> None:
         self._engine_api = engine_api
+        self._routing_state = routing_state
         self._health = health
         self._log = log
+        self._probe = LossProbe()
         self._reports = SharedCalls(self._fetch_report, REPORT_LIFETIME_S)
 
-    async def check(self, request_id: RequestId, assignment: Assignment) -> None:
-        """Check whether a silent stream waits for an engine that does not respond.
+    async def find(
+        self, request_id: RequestId, assignment: Assignment
+    ) -> SilentEngine | None:
+        """Find the engine that a silent stream waits for.
 
         :param request_id: the request.
         :param assignment: assignment of the request.
-        :raises StreamStalled: the stream waits for such an engine.
+        :returns: ``None`` if all engines of the chain respond.
         """
         head = assignment.head
         try:
             report = await self._reports.result(head.address, now())
         except (ConnectFailed, ExchangeBroken) as error:
-            self._mark_suspect(request_id, head.target, str(error))
-            raise StreamStalled(head.target, f"head is silent: {error}") from None
+            return self._mark_suspect(
+                request_id, SilentEngine(head, f"the head is silent: {error}")
+            )
+        if report.incarnation and head.incarnation not in (0, report.incarnation):
+            return SilentEngine(head, "the head was restarted", is_restarted=True)
         self._health.record_slowness(head.target, report.slowness, now())
         addresses = {stall.address for stall in report.stalls}
         for stage in assignment.chain:
             if stage.engine.address in addresses:
-                target = stage.engine.target
-                self._mark_suspect(
-                    request_id, target, "reported as stalled by the head"
+                return self._mark_suspect(
+                    request_id,
+                    SilentEngine(stage.engine, "reported as stalled by the head"),
                 )
-                raise StreamStalled(target, "an engine of the chain is silent")
+        return None
+
+    async def is_gone(self, silent: SilentEngine, duration_s: float) -> bool:
+        """Return whether a silent engine can no longer answer.
+
+        :param silent: the engine.
+        :param duration_s: time since the stream last received anything, in seconds.
+        """
+        engine = silent.engine
+        listed = self._routing_state.engines.get(engine.target)
+        is_current = self._routing_state.engines_age.is_valid(suspended_clock_s())
+        is_replaced = listed is not None and listed.incarnation != engine.incarnation
+        probe = await self._probe.run(engine.address, now())
+        return is_gone(
+            Silence(
+                duration_s=duration_s,
+                is_refused=probe is ProbeResult.REFUSED,
+                is_restarted=silent.is_restarted or is_replaced,
+                is_unlisted=is_current and listed is None,
+            )
+        )
 
     async def _fetch_report(self, address: str) -> EngineReport:
         return await self._engine_api.report(address, timeout_s=REPORT_TIMEOUT_S)
 
     def _mark_suspect(
-        self, request_id: RequestId, target: TargetId, reason: str
-    ) -> None:
+        self, request_id: RequestId, silent: SilentEngine
+    ) -> SilentEngine:
+        target = silent.engine.target
         self._health.record_unreachable(target, now())
         self._log.record(
-            "engine.suspected", request=request_id, target=target, reason=reason
+            "engine.suspected", request=request_id, target=target, reason=silent.reason
         )
+        return silent
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -19,14 +19,16 @@
     RECHECK_INTERVAL_S,
     CapacityQueue,
 )
+from cassiaspread_daemon.gateway._chain_search import ChainSearch
 from cassiaspread_daemon.gateway._dispatch import Dispatcher
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
 from cassiaspread_daemon.gateway._job import now
 from cassiaspread_daemon.gateway._pool import ConnectionPool, _idle_time_s
 from cassiaspread_daemon.gateway._protocols import EngineChange
+from cassiaspread_daemon.gateway._relay import StreamState
 from cassiaspread_daemon.gateway._router import RetryLimits
 from cassiaspread_daemon.gateway._routing_state import FeedFollower, RoutingState
-from cassiaspread_daemon.gateway._stream import StreamForwarder, _StreamState
+from cassiaspread_daemon.gateway._stream import StreamForwarder
 from tests.gateway_jobs import make_job
 
 
@@ -385,7 +387,7 @@
         forwarder = StreamForwarder(
             None, None, dispatcher, queue, None, None, None, log, FakeMetrics()
         )
-        stream = _StreamState(make_job())
+        stream = StreamState(make_job(), lambda: True)
         stream.is_started = True
         resumed = asyncio.create_task(forwarder._assign(stream))
         await asyncio.sleep(1.2)
@@ -399,6 +401,29 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("is_found", [True, False])
+def test_search_that_is_not_needed_gives_its_room_back(log, is_found):
+    # The engine goes on while a search for another chain is in progress, or just as it
+    # has found one.
+    async def run():
+        dispatcher, queue = make_queue(log)
+        held = [await queue.assign(make_job(), (), 1.0) for _ in range(2)]
+        with ChainSearch(queue, dispatcher) as search:
+            search.start(make_job(), ())
+            await asyncio.sleep(0.01)
+            assert search.take() is None
+            if is_found:
+                dispatcher.release(held.pop())
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.01)
+        if not is_found:
+            dispatcher.release(held.pop())
+        assert len(queue) == 0
+        assert await queue.assign(make_job(), (), 0.1)
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(
     ("keep_alive", "idle_s"), [("timeout=5", 4.0), ("timeout=\u00b2", 4.0), ("", 4.0)]
 )
