A silent target keeps its plain request while another one is asked

What callers saw: 502 for a repeatable request whose target was silent for 2.4 s, although it answered before the deadline. Cause, as for streams: the attempt was given up after a third of the remaining time, before it was known whether another target takes the request. Change: the request is sent to another target beside the silent one, if the route allows it, a target is left and the retry budget has a retry; the first answer counts and the other attempt is cancelled. test_plain_request_outlasts_the_silence_of_its_only_target failed before.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -23,7 +23,7 @@
     ForwardParameters,
     HeaderCodec,
 )
-from cassiaspread_daemon.gateway._quarantine import Quarantine
+from cassiaspread_daemon.gateway._quarantine import Quarantine, RunStart
 
 # A target in the same region accepts a connection within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.25
@@ -33,11 +33,14 @@
 # Maximum number of targets tried for one request. A target that refuses a request has
 # not run it, so a refusal does not count as an attempt.
 MAX_TARGETS_TRIED = 3
-# An attempt of a repeatable request times out after this fraction of the remaining
-# time, but no earlier than this many latency objectives; the next attempt goes to
-# another target.
+# A repeatable request is sent to another target too when the first one is silent for
+# this fraction of the remaining time, but no earlier than this many latency objectives.
 ATTEMPT_TIME_RATIO = 0.35
 MIN_ATTEMPT_OBJECTIVES = 2.0
+# Interval between further searches for another target, in seconds.
+RECHECK_S = 0.25
+# An attempt ends by itself at the deadline, in seconds.
+TIMEOUT_MARGIN_S = 1.0
 
 
 class Answer(msgspec.Struct, frozen=True):
@@ -51,6 +54,40 @@
     parameters: AnswerParameters
 
 
+class _Attempt(msgspec.Struct, frozen=True):
+    """One request sent to a target."""
+
+    assignment: Assignment
+    run: RunStart
+
+
+class _Call:
+    """Progress of one request across all its attempts."""
+
+    def __init__(self, job: Job, take_retry: TakeRetry) -> None:
+        self.job = job
+        self.take_retry = take_retry
+        self.tried: list[TargetId] = []
+        # Attempts that ended and may have run; those in progress may run too.
+        self.n_runs = 0
+        self.pending: dict[asyncio.Task[Answer], _Attempt] = {}
+        # When to ask another target, on the monotonic clock in seconds.
+        self.recheck_s = 0.0
+        self.failed: Answer | None = None
+        self.error: ExchangeBroken | None = None
+
+    @property
+    def may_try(self) -> bool:
+        """Whether the request may be sent to another target."""
+        n_runs = self.n_runs + len(self.pending)
+        route = self.job.route
+        return (
+            len(self.tried) < MAX_TARGETS_TRIED
+            and n_runs < route.max_attempts
+            and (route.may_repeat or not n_runs)
+        )
+
+
 class PlainForwarder:
     """Sends requests to plain services.
 
@@ -85,75 +122,117 @@
         :param take_retry: takes one retry from the budget of this daemon.
         :raises Refusal: no target answered the request.
         """
-        answer = await self._run(job, take_retry)
+        call = _Call(job, take_retry)
+        try:
+            answer = await self._run(call)
+        finally:
+            for task in call.pending:
+                task.cancel()
         headers = self._codec.answer_headers(answer.response.headers)
         job.inbound.answer(answer.response.status, headers, answer.response.body)
 
-    async def _run(self, job: Job, take_retry: TakeRetry) -> Answer:
-        tried: list[TargetId] = []
-        n_runs = 0
-        failed: Answer | None = None
-        error: ExchangeBroken | None = None
-        while len(tried) < MAX_TARGETS_TRIED and n_runs < job.route.max_attempts:
-            if job.remaining_s(now()) <= 0:
-                break
-            if tried and not take_retry():
-                break
-            self._quarantine.check(job, n_runs > 0, unix_time_s())
-            run = self._quarantine.begin_run(job)
-            assignment = self._dispatcher.assign(
-                job.service, job.demand, now(), avoid=tried
+    async def _run(self, call: _Call) -> Answer:
+        while call.pending or self._start(call):
+            done, _ = await asyncio.wait(
+                call.pending,
+                timeout=max(0.0, call.recheck_s - now()),
+                return_when=asyncio.FIRST_COMPLETED,
             )
-            if assignment is None:
-                break
-            tried.append(assignment.head.target)
-            try:
-                is_last = n_runs + 1 >= job.route.max_attempts
-                answer = await self._send(job, assignment, is_last)
-            except ConnectFailed as failure:
-                self._record_unreachable(job, assignment, str(failure), is_sent=False)
-                continue
-            except ExchangeBroken as failure:
-                self._record_unreachable(job, assignment, str(failure), is_sent=True)
-                error = failure
-                n_runs += 1
-                await self._quarantine.record_interruption(job, (assignment.head,), run)
-                if not job.route.may_repeat:
-                    break
-                continue
-            if answer.parameters.is_not_run:
-                self._record_failure(job, assignment, answer)
-                continue
-            n_runs += 1
-            self._quarantine.record_answer(job, unix_time_s())
-            if answer.parameters.status < 500:
-                self._dispatcher.record_success(assignment, now())
-                return answer
+            for task in done:
+                answer = await self._end(call, task)
+                if answer is not None:
+                    return answer
+            if not done:
+                await self._try_elsewhere(call)
+        if call.failed is not None and call.failed.parameters.is_signed:
+            return call.failed
+        raise self._refusal(call)
+
+    def _start(self, call: _Call) -> bool:
+        """Send the request to another target; return whether one may have it."""
+        job = call.job
+        if not call.may_try or job.remaining_s(now()) <= 0:
+            return False
+        if not call.pending:
+            self._quarantine.check(job, call.n_runs > 0, unix_time_s())
+        elif self._quarantine.is_refused(job):
+            return False
+        assignment = self._dispatcher.assign(
+            job.service, job.demand, now(), avoid=call.tried
+        )
+        if assignment is None:
+            return False
+        if call.tried and not call.take_retry():
+            self._dispatcher.release(assignment)
+            return False
+        call.tried.append(assignment.head.target)
+        run = self._quarantine.begin_run(job)
+        call.recheck_s = now() + self._patience_s(call)
+        task = asyncio.create_task(self._send(job, assignment))
+        task.add_done_callback(lambda _: self._dispatcher.release(assignment))
+        # The result of an attempt that is no longer waited for is of no use.
+        task.add_done_callback(lambda t: t.cancelled() or t.exception())
+        call.pending[task] = _Attempt(assignment, run)
+        return True
+
+    async def _end(self, call: _Call, task: asyncio.Task[Answer]) -> Answer | None:
+        """Evaluate an attempt that ended; return the answer for the caller, if any."""
+        job, attempt = call.job, call.pending.pop(task)
+        assignment = attempt.assignment
+        try:
+            answer = task.result()
+        except ConnectFailed as failure:
+            self._record_unreachable(job, assignment, str(failure), is_sent=False)
+            return None
+        except ExchangeBroken as failure:
+            self._record_unreachable(job, assignment, str(failure), is_sent=True)
+            call.error = failure
+            call.n_runs += 1
+            await self._quarantine.record_interruption(
+                job, (assignment.head,), attempt.run
+            )
+            return None
+        if answer.parameters.is_not_run:
             self._record_failure(job, assignment, answer)
-            failed = answer
-            if not job.route.may_repeat:
-                break
-        if failed is not None and failed.parameters.is_signed:
-            return failed
-        raise self._refusal(job, error, n_runs)
-
-    def _refusal(self, job: Job, error: ExchangeBroken | None, n_runs: int) -> Refusal:
-        if job.remaining_s(now()) <= 0:
-            return timeout_refusal(is_sent=n_runs > 0)
-        if n_runs:
-            return target_failed_refusal(str(error or "the target failed"))
+            return None
+        call.n_runs += 1
+        self._quarantine.record_answer(job, unix_time_s())
+        if answer.parameters.status < 500:
+            self._dispatcher.record_success(assignment, now())
+            return answer
+        self._record_failure(job, assignment, answer)
+        call.failed = answer
+        return None
+
+    async def _try_elsewhere(self, call: _Call) -> None:
+        """Ask another target beside those that are silent, which may still answer."""
+        silent = list(call.pending.values())
+        call.recheck_s = now() + RECHECK_S
+        is_started = self._start(call)
+        for attempt in silent:
+            self._record_silence(call.job, attempt.assignment, is_started)
+            await self._quarantine.record_interruption(
+                call.job, (attempt.assignment.head,), attempt.run
+            )
+
+    def _refusal(self, call: _Call) -> Refusal:
+        if call.job.remaining_s(now()) <= 0:
+            return timeout_refusal(is_sent=call.n_runs > 0)
+        if call.n_runs:
+            return target_failed_refusal(str(call.error or "the target failed"))
         return Refusal(
             503, "no-capacity", "No target took it.", retry_after_s=RETRY_AFTER_S
         )
 
-    def _attempt_timeout_s(self, job: Job, is_last: bool) -> float:
-        remaining_s = job.remaining_s(now())
-        if is_last or not job.route.may_repeat:
-            return remaining_s
-        shortest_s = job.route.objective_s * MIN_ATTEMPT_OBJECTIVES
+    def _patience_s(self, call: _Call) -> float:
+        """Return how long a target may be silent before another one is asked."""
+        remaining_s = call.job.remaining_s(now())
+        if not call.may_try:
+            return remaining_s + TIMEOUT_MARGIN_S
+        shortest_s = call.job.route.objective_s * MIN_ATTEMPT_OBJECTIVES
         return min(remaining_s, max(shortest_s, remaining_s * ATTEMPT_TIME_RATIO))
 
-    async def _send(self, job: Job, assignment: Assignment, is_last: bool) -> Answer:
+    async def _send(self, job: Job, assignment: Assignment) -> Answer:
         head = assignment.head
         parameters = ForwardParameters(
             timeout_s=job.remaining_s(now()),
@@ -172,7 +251,7 @@
                 self._pool.exchange(
                     head.address, connect_timeout_s, is_new
                 ) as exchange,
-                asyncio.timeout(self._attempt_timeout_s(job, is_last)),
+                asyncio.timeout(job.remaining_s(now())),
             ):
                 status = await exchange.send(
                     job.inbound.method,
@@ -186,8 +265,6 @@
                 response = await exchange.finish()
         except TimeoutError:
             raise ExchangeBroken("no answer in time") from None
-        finally:
-            self._dispatcher.release(assignment)
         self._log.record(
             "attempt.ended",
             request=job.parameters.request_id,
@@ -201,6 +278,19 @@
             raise ExchangeBroken(f"answer {status} without a signature")
         return Answer(response, answer)
 
+    def _record_silence(
+        self, job: Job, assignment: Assignment, is_elsewhere: bool
+    ) -> None:
+        self._dispatcher.record_unreachable(assignment.head, now())
+        self._log.record(
+            "attempt.silent",
+            request=job.parameters.request_id,
+            fingerprint=job.fingerprint,
+            target=assignment.head.target,
+            is_elsewhere=is_elsewhere,
+            remaining_ms=round(job.remaining_s(now()) * 1000),
+        )
+
     def _record_unreachable(
         self, job: Job, assignment: Assignment, reason: str, is_sent: bool
     ) -> None:
