Log lines for callers' connections that the gateway closes

Callers saw connections closed that they had kept open; the gateway's log had no line on it, and a request that was read on a connection closed meanwhile was dropped without a line.

connection.closed gives the reason, the idle time, the limit, the number of requests and whether part of one was read; request.dropped names a request that was read in vain. Connections that their callers end have no line. Both are within the rate limit of the decision log. Decisions are as before.

tornado's HTTPServer does not forward on_close to its delegate, so that the frontend kept an entry for each connection that had ever been open, and a leaving daemon always waited for its drain deadline. CallerStream reports its close itself.

--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_caller_stream.py
@@ -0,0 +1,107 @@
+"""Connections of callers that know what has arrived and was not consumed yet."""
+
+import socket
+import time
+from asyncio import Future
+from collections.abc import Callable
+
+from tornado.iostream import IOStream
+
+
+class CallerStream(IOStream):
+    """Connection of a caller.
+
+    :param connection: the connected socket.
+    """
+
+    def __init__(self, connection: socket.socket) -> None:
+        super().__init__(connection)
+        self._n_unconsumed = 0
+        self._arriving_since_s = 0.0
+        self._is_ended_by_caller = False
+        #: Called once the connection is closed, in the same step of the event loop.
+        self.closed_callback: Callable[[], None] | None = None
+
+    @property
+    def n_buffered(self) -> int:
+        """Bytes received that belong to a message which is not complete."""
+        return self._n_unconsumed
+
+    @property
+    def arriving_since_s(self) -> float:
+        """When the first of these bytes was received, on the monotonic clock."""
+        return self._arriving_since_s
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether the caller has closed or reset the connection."""
+        return self._is_ended_by_caller
+
+    def close(self, exc_info: object = False) -> None:
+        """Close the connection.
+
+        :param exc_info: error to keep, or whether to keep the current one.
+        """
+        was_closed = self.closed()
+        super().close(exc_info)
+        callback, self.closed_callback = self.closed_callback, None
+        if callback is not None and not was_closed:
+            callback()
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read into a buffer; called by tornado.
+
+        :param buf: the buffer.
+        """
+        try:
+            n_bytes = super().read_from_fd(buf)
+        except OSError:
+            self._is_ended_by_caller = True
+            raise
+        if n_bytes == 0:
+            self._is_ended_by_caller = True
+        elif n_bytes is not None:
+            if not self._n_unconsumed:
+                self._arriving_since_s = time.monotonic()
+            self._n_unconsumed += n_bytes
+        return n_bytes
+
+    def read_until_regex(
+        self, regex: bytes, max_bytes: int | None = None
+    ) -> "Future[bytes]":
+        """Read up to the end of a match.
+
+        :param regex: the expression.
+        :param max_bytes: the connection closes if no match ends within so many bytes.
+        """
+        return self._follow_read(super().read_until_regex(regex, max_bytes))
+
+    def read_until(
+        self, delimiter: bytes, max_bytes: int | None = None
+    ) -> "Future[bytes]":
+        """Read up to the end of a delimiter.
+
+        :param delimiter: the delimiter.
+        :param max_bytes: the connection closes if it is not within so many bytes.
+        """
+        return self._follow_read(super().read_until(delimiter, max_bytes))
+
+    def read_bytes(self, num_bytes: int, partial: bool = False) -> "Future[bytes]":
+        """Read a number of bytes.
+
+        :param num_bytes: the number.
+        :param partial: whether any bytes up to this number suffice.
+        """
+        return self._follow_read(super().read_bytes(num_bytes, partial))
+
+    def _follow_read(self, read: "Future[bytes]") -> "Future[bytes]":
+        if read.done():
+            self._record_consumed(read)
+        else:
+            # Runs before whatever awaits the read, without another task in between.
+            read.add_done_callback(self._record_consumed)
+        return read
+
+    def _record_consumed(self, read: "Future[bytes]") -> None:
+        if not read.cancelled() and read.exception() is None:
+            self._n_unconsumed -= len(read.result())
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_listener.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_listener.py
@@ -6,9 +6,10 @@
 from typing import Self
 
 from tornado.httpserver import HTTPServer
-from tornado.iostream import IOStream
 from tornado.netutil import add_accept_handler, bind_sockets
 
+from cassiaspread_daemon._caller_stream import CallerStream
+
 
 class Listener:
     """Owns the listening sockets of one server; a context manager.
@@ -71,5 +72,4 @@
             self._serve(connection, address)
 
     def _serve(self, connection: socket.socket, address: tuple) -> None:
-        connection.setblocking(False)
-        self._server.handle_stream(IOStream(connection), address)
+        self._server.handle_stream(CallerStream(connection), address)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
@@ -5,6 +5,7 @@
 import struct
 import time
 from collections.abc import Awaitable, Callable, Mapping
+from enum import Enum
 from http import HTTPStatus
 
 from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
@@ -15,10 +16,12 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
 from cassiaspread_core.base import CassiaspreadError
+from cassiaspread_daemon._caller_stream import CallerStream
 from cassiaspread_daemon._exchange import ANSWER_MEMORY
+from cassiaspread_daemon.gateway._decision_log import DecisionLog
 
 # Iterations of the event loop within which a request that was read reaches its handler.
 LOOP_ITERATIONS = 8
@@ -63,6 +66,7 @@
         self.body = body
         self.arrived_s = arrived_s
         self.status = 0
+        self._is_ended = False
 
     @property
     def path(self) -> str:
@@ -74,6 +78,11 @@
         """Whether the answer's headers were sent."""
         return bool(self.status)
 
+    @property
+    def is_ended(self) -> bool:
+        """Whether the answer was ended as complete."""
+        return self._is_ended
+
     @property
     def _is_last(self) -> bool:
         return self._ends_with_connection or self._must_close()
@@ -112,6 +121,7 @@
 
     def end(self) -> None:
         """End the answer as complete."""
+        self._is_ended = True
         self._connection.finish()
         stream = self._connection.stream
         if self._is_last and not stream.closed():
@@ -154,19 +164,48 @@
 Handler = Callable[[InboundRequest], Awaitable[None]]
 
 
+class CloseReason(Enum):
+    """Why the gateway closes a connection."""
+
+    IDLE = "idle"
+    HEAD_TIMEOUT = "head timeout"
+    HEAD_TOO_LARGE = "head too large"
+    MALFORMED = "malformed request"
+    ABORTED = "answer broken off"
+    LEAVING = "leaving"
+
+
+class _Connection:
+    """State of one open connection.
+
+    :param stream: the connection.
+    """
+
+    def __init__(self, stream: CallerStream) -> None:
+        self.stream = stream
+        # Since when no request is in progress; None while one is.
+        self.idle_since_s: float | None = None
+        self.timeout_s: float | None = None
+        self.n_requests = 0
+        # Whether a request is in progress that was not received to its end.
+        self.is_receiving = False
+        self.inbound: InboundRequest | None = None
+        self.reason: CloseReason | None = None
+
+
 class Frontend(HTTPServerConnectionDelegate):
     """Starts a task for each request and cancels it when its caller disconnects.
 
     :param handler: answers a request.
+    :param log: receives a line for each connection that the gateway closes, if any.
     """
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, log: DecisionLog | None = None) -> None:
         self._handler = handler
+        self._log = log
         self._is_leaving = False
         self._tasks: set[asyncio.Task[None]] = set()
-        # Time since which each open connection has been idle; None while a request is
-        # in progress.
-        self._idle_since_s: dict[HTTP1ServerConnection, float | None] = {}
+        self._connections: dict[HTTP1ServerConnection, _Connection] = {}
 
     @property
     def n_requests(self) -> int:
@@ -181,7 +220,7 @@
     @property
     def n_connections(self) -> int:
         """Open connections."""
-        return len(self._idle_since_s)
+        return len(self._connections)
 
     def start_request(
         self, server_conn: HTTP1ServerConnection, request_conn: HTTP1Connection
@@ -191,7 +230,18 @@
         :param server_conn: identifies the connection.
         :param request_conn: connection to read the request from.
         """
-        self._idle_since_s.setdefault(server_conn, time.monotonic())
+        stream = server_conn.stream
+        if server_conn not in self._connections and not stream.closed():
+            # Tornado's server doesn't tell its delegate that a connection is closed.
+            stream.closed_callback = lambda: self.on_close(server_conn)
+            connection = _Connection(stream)
+            connection.idle_since_s = time.monotonic()
+            self._connections[server_conn] = connection
+        if server_conn in self._connections:
+            # Tornado reads the timeout once, when it begins to wait for a request.
+            params = getattr(server_conn, "params", None)
+            connection = self._connections[server_conn]
+            connection.timeout_s = params and params.header_timeout
         return _RequestReader(self, server_conn, request_conn)
 
     def on_close(self, server_conn: HTTP1ServerConnection) -> None:
@@ -199,7 +249,42 @@
 
         :param server_conn: identifies the connection.
         """
-        self._idle_since_s.pop(server_conn, None)
+        connection = self._connections.pop(server_conn, None)
+        if connection is None or self._log is None:
+            return
+        reason = connection.reason or self._find_reason(connection)
+        if reason is None:
+            return
+        idle_s = None
+        if connection.idle_since_s is not None:
+            idle_s = time.monotonic() - connection.idle_since_s
+        timeout_s = connection.timeout_s
+        self._log.record(
+            "connection.closed",
+            reason=reason.value,
+            idle_ms=None if idle_s is None else round(idle_s * 1000, 1),
+            limit_ms=None if timeout_s is None else round(timeout_s * 1000, 1),
+            n_requests=connection.n_requests,
+            is_receiving=connection.is_receiving or connection.stream.n_buffered > 0,
+        )
+
+    def _find_reason(self, connection: _Connection) -> CloseReason | None:
+        """Return why tornado closed a connection; None if its caller ended it."""
+        stream = connection.stream
+        if isinstance(stream.error, UnsatisfiableReadError):
+            return CloseReason.HEAD_TOO_LARGE
+        if stream.is_ended or stream.error is not None:
+            return None
+        if connection.is_receiving:
+            return CloseReason.MALFORMED
+        if connection.idle_since_s is None:
+            if connection.inbound is not None and not connection.inbound.is_ended:
+                return CloseReason.ABORTED
+            return CloseReason.LEAVING if self._is_leaving else None
+        idle_s = time.monotonic() - connection.idle_since_s
+        if idle_s < (connection.timeout_s or 0.0):
+            return CloseReason.MALFORMED
+        return CloseReason.HEAD_TIMEOUT if stream.n_buffered else CloseReason.IDLE
 
     def set_busy(self, server_conn: HTTP1ServerConnection, is_busy: bool) -> None:
         """Record that a request begins or ends on a connection.
@@ -207,8 +292,31 @@
         :param server_conn: identifies the connection.
         :param is_busy: whether a request is in progress.
         """
-        if server_conn in self._idle_since_s:
-            self._idle_since_s[server_conn] = None if is_busy else time.monotonic()
+        connection = self._connections.get(server_conn)
+        if connection is None:
+            return
+        connection.idle_since_s = None if is_busy else time.monotonic()
+        connection.is_receiving = is_busy
+        connection.n_requests += is_busy
+
+    def record_dropped(
+        self, start_line: RequestStartLine, server_conn: HTTP1ServerConnection
+    ) -> None:
+        """Record a request that was read on a connection that is closed.
+
+        :param start_line: method and target of the request.
+        :param server_conn: identifies the connection.
+        """
+        if self._log is None:
+            return
+        connection = self._connections.get(server_conn)
+        is_by_caller = connection is None or connection.reason is None
+        self._log.record(
+            "request.dropped",
+            method=start_line.method,
+            path=start_line.path.partition("?")[0],
+            closed_by="caller" if is_by_caller else "gateway",
+        )
 
     def leave(self) -> None:
         """Close each connection after its next answer from now on."""
@@ -222,14 +330,15 @@
         for _ in range(LOOP_ITERATIONS):
             await asyncio.sleep(0)
         idle_before_s = time.monotonic() - idle_s
-        for server_conn in list(self._idle_since_s):
+        for connection in list(self._connections.values()):
             # No other task runs between this check and the close, so a request that
             # has begun is never cut off.
-            idle_since_s = self._idle_since_s.get(server_conn)
+            idle_since_s = connection.idle_since_s
             is_idle = idle_since_s is not None and idle_since_s <= idle_before_s
             # The answer may not have been sent to its end yet.
-            if is_idle and not server_conn.stream.writing():
-                server_conn.stream.close()
+            if is_idle and not connection.stream.writing():
+                connection.reason = CloseReason.LEAVING
+                connection.stream.close()
 
     def run(
         self, inbound: InboundRequest, server_conn: HTTP1ServerConnection
@@ -239,6 +348,10 @@
         :param inbound: the request.
         :param server_conn: identifies its connection.
         """
+        connection = self._connections.get(server_conn)
+        if connection is not None:
+            connection.is_receiving = False
+            connection.inbound = inbound
         task = asyncio.create_task(self._run(inbound))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -281,6 +394,7 @@
     def finish(self) -> None:
         if self._connection.stream.closed():
             # The caller can't be answered, so running the request would be useless.
+            self._frontend.record_dropped(self._start_line, self._server_conn)
             self._frontend.set_busy(self._server_conn, False)
             return
         inbound = InboundRequest(
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -134,7 +134,7 @@
         )
         self._capacity_queue = CapacityQueue(self._dispatcher, log)
         self._quarantine.verdict_callbacks.append(self._recheck_quarantine)
-        self._frontend = Frontend(self._build_router(random_state).handle)
+        self._frontend = Frontend(self._build_router(random_state).handle, log)
         self._register_gauges()
         self._exit_stack = ExitStack()
         self._mesh = self._build_mesh()
--- a/packages/cassiaspread-daemon/tests/test_front.py
+++ b/packages/cassiaspread-daemon/tests/test_front.py
@@ -12,6 +12,7 @@
     ANSWER_MEMORY,
     MAX_HELD_BYTES,
 )
+from cassiaspread_daemon._listener import Listener
 from cassiaspread_daemon.gateway._frontend import Frontend
 
 TIMEOUT_S = 5.0
@@ -214,3 +215,77 @@
                 await reader.readexactly(2 * len(LARGE_BODY))
 
     asyncio.run(run())
+
+
+class RecordingLog:
+    def __init__(self):
+        self.rows = []
+
+    def record(self, event, **fields):
+        self.rows.append({"event": event, **fields})
+
+    def of(self, event):
+        return [row for row in self.rows if row["event"] == event]
+
+
+async def answer_whole(inbound):
+    inbound.answer(200, {}, b"whole")
+
+
+async def request(reader, writer, text=b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"):
+    writer.write(text)
+    async with asyncio.timeout(TIMEOUT_S):
+        return await reader.readuntil(b"whole")
+
+
+def test_closed_connections_have_a_line_unless_their_caller_ended_them():
+    async def run():
+        log = RecordingLog()
+        frontend = Frontend(answer_whole, log)
+        with Listener(HTTPServer(frontend), "127.0.0.1", 0) as listener:
+            address = listener.addresses[0]
+            callers = [await asyncio.open_connection(*address) for _ in range(4)]
+            for caller in callers:
+                await request(*caller)
+            closed, malformed, asked, kept = callers
+            closed[1].close()
+            malformed[1].write(b"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n")
+            text = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+            await request(*asked, text)
+            async with asyncio.timeout(TIMEOUT_S):
+                await malformed[0].read()
+                while frontend.n_connections > 1:
+                    await asyncio.sleep(0.01)
+            await frontend.close_idle(0.0)
+            async with asyncio.timeout(TIMEOUT_S):
+                assert await kept[0].read() == b""
+                while frontend.n_connections:
+                    await asyncio.sleep(0.01)
+            for _, writer in callers:
+                writer.close()
+        rows = log.of("connection.closed")
+        assert [row["reason"] for row in rows] == ["malformed request", "leaving"]
+        assert [row["n_requests"] for row in rows] == [2, 1]
+        assert [row["is_receiving"] for row in rows] == [True, False]
+        assert rows[0]["idle_ms"] is None
+        assert rows[1]["idle_ms"] >= 0
+
+    asyncio.run(run())
+
+
+def test_request_read_on_a_closed_connection_has_a_line():
+    async def run():
+        log = RecordingLog()
+        frontend = Frontend(answer_whole, log)
+        connection = FakeConnection()
+        connection.stream.is_closed = True
+        reader = frontend.start_request(connection, connection)
+        reader.headers_received(
+            RequestStartLine("GET", "/a?b", "HTTP/1.1"), HTTPHeaders()
+        )
+        reader.finish()
+        [row] = log.of("request.dropped")
+        assert row["path"] == "/a"
+        assert row["closed_by"] == "caller"
+
+    asyncio.run(run())
