Idle timeouts end a connection only if no byte of a request has arrived

Callers that came back within four fifths of the idle timeout found their connection closed after the timeout had been raised, or got a reset although the daemon had read their request.

tornado's header_timeout served as idle timeout. It is read once, when a connection begins to wait, and its timer is not ordered with a request that arrives in the same iteration of the event loop.

The frontend now has the timeouts. A wait ends after the largest limit that was in force during it, and only if nothing has been received and nothing waits in the kernel; check and close are one step. One task looks at all connections every 0.25 s. A head has the header timeout from its first byte; it was the idle timeout before. The tests of close_idle lose their event loop, since it no longer waits for one; a request under way is recognised by its bytes.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_caller_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_caller_stream.py
@@ -32,6 +32,14 @@
         """When the first of these bytes was received, on the monotonic clock."""
         return self._arriving_since_s
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes wait in the kernel that were not received yet."""
+        try:
+            return bool(self.socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     @property
     def is_ended(self) -> bool:
         """Whether the caller has closed or reset the connection."""
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
@@ -19,12 +19,13 @@
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
 from cassiaspread_core.base import CassiaspreadError
+from cassiaspread_core.routing import ClientLimits
 from cassiaspread_daemon._caller_stream import CallerStream
 from cassiaspread_daemon._exchange import ANSWER_MEMORY
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 
-# Iterations of the event loop within which a request that was read reaches its handler.
-LOOP_ITERATIONS = 8
+# A timeout is noticed up to this much later.
+TIMEOUT_INTERVAL_S = 0.25
 # Value of SO_LINGER with which closing a socket resets its connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # A longer body is not copied to be sent together with its headers.
@@ -183,15 +184,75 @@
 
     def __init__(self, stream: CallerStream) -> None:
         self.stream = stream
-        # Since when no request is in progress; None while one is.
-        self.idle_since_s: float | None = None
-        self.timeout_s: float | None = None
+        # Since when the next request is awaited; None while one is in progress.
+        self.waiting_since_s: float | None = None
+        # Largest limits that were in force since then.
+        self.idle_timeout_s = 0.0
+        self.header_timeout_s = 0.0
         self.n_requests = 0
         # Whether a request is in progress that was not received to its end.
         self.is_receiving = False
         self.inbound: InboundRequest | None = None
         self.reason: CloseReason | None = None
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no byte of a request has arrived.
+
+        It holds for the current step of the event loop.
+        """
+        return (
+            self.waiting_since_s is not None
+            and not self.stream.n_buffered
+            and not self.stream.has_unread
+        )
+
+    def begin_wait(self, limits: ClientLimits, now_s: float) -> None:
+        """Begin to wait for a request.
+
+        :param limits: limits in force.
+        :param now_s: current time on the monotonic clock, in seconds.
+        """
+        self.waiting_since_s = now_s
+        self.inbound = None
+        self.is_receiving = False
+        self.idle_timeout_s = limits.idle_timeout_s
+        self.header_timeout_s = limits.header_timeout_s
+
+    def raise_limits(self, limits: ClientLimits) -> None:
+        """Apply larger limits; smaller ones hold from the next wait.
+
+        :param limits: limits in force from now on.
+        """
+        self.idle_timeout_s = max(self.idle_timeout_s, limits.idle_timeout_s)
+        self.header_timeout_s = max(self.header_timeout_s, limits.header_timeout_s)
+
+    def find_expired(self, now_s: float) -> CloseReason | None:
+        """Return which timeout the caller has exceeded, if any.
+
+        :param now_s: current time on the monotonic clock, in seconds.
+        """
+        if self.waiting_since_s is None:
+            return None
+        if not self.stream.n_buffered:
+            is_over = now_s - self.waiting_since_s >= self.idle_timeout_s
+            return CloseReason.IDLE if is_over and self.is_idle else None
+        # A head may begin before the answer to the request before it has ended.
+        arriving_since_s = max(self.waiting_since_s, self.stream.arriving_since_s)
+        is_over = now_s - arriving_since_s >= self.header_timeout_s
+        # The process may have been suspended while the rest of the head arrived.
+        if is_over and not self.stream.has_unread:
+            return CloseReason.HEAD_TIMEOUT
+        return None
+
+    def close(self, reason: CloseReason) -> None:
+        """Close the connection.
+
+        :param reason: the reason.
+        """
+        self.reason = reason
+        self.stream.close()
+
 
 class Frontend(HTTPServerConnectionDelegate):
     """Starts a task for each request and cancels it when its caller disconnects.
@@ -203,6 +264,7 @@
     def __init__(self, handler: Handler, log: DecisionLog | None = None) -> None:
         self._handler = handler
         self._log = log
+        self._limits = ClientLimits()
         self._is_leaving = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._connections: dict[HTTP1ServerConnection, _Connection] = {}
@@ -231,17 +293,13 @@
         :param request_conn: connection to read the request from.
         """
         stream = server_conn.stream
-        if server_conn not in self._connections and not stream.closed():
+        connection = self._connections.get(server_conn)
+        if connection is None and not stream.closed():
             # Tornado's server doesn't tell its delegate that a connection is closed.
             stream.closed_callback = lambda: self.on_close(server_conn)
-            connection = _Connection(stream)
-            connection.idle_since_s = time.monotonic()
-            self._connections[server_conn] = connection
-        if server_conn in self._connections:
-            # Tornado reads the timeout once, when it begins to wait for a request.
-            params = getattr(server_conn, "params", None)
-            connection = self._connections[server_conn]
-            connection.timeout_s = params and params.header_timeout
+            connection = self._connections[server_conn] = _Connection(stream)
+        if connection is not None:
+            connection.begin_wait(self._limits, time.monotonic())
         return _RequestReader(self, server_conn, request_conn)
 
     def on_close(self, server_conn: HTTP1ServerConnection) -> None:
@@ -256,14 +314,16 @@
         if reason is None:
             return
         idle_s = None
-        if connection.idle_since_s is not None:
-            idle_s = time.monotonic() - connection.idle_since_s
-        timeout_s = connection.timeout_s
+        if connection.waiting_since_s is not None:
+            idle_s = time.monotonic() - connection.waiting_since_s
+        limit_s = connection.idle_timeout_s
+        if reason is CloseReason.HEAD_TIMEOUT:
+            limit_s = connection.header_timeout_s
         self._log.record(
             "connection.closed",
             reason=reason.value,
             idle_ms=None if idle_s is None else round(idle_s * 1000, 1),
-            limit_ms=None if timeout_s is None else round(timeout_s * 1000, 1),
+            limit_ms=round(limit_s * 1000, 1),
             n_requests=connection.n_requests,
             is_receiving=connection.is_receiving or connection.stream.n_buffered > 0,
         )
@@ -275,29 +335,34 @@
             return CloseReason.HEAD_TOO_LARGE
         if stream.is_ended or stream.error is not None:
             return None
-        if connection.is_receiving:
-            return CloseReason.MALFORMED
-        if connection.idle_since_s is None:
-            if connection.inbound is not None and not connection.inbound.is_ended:
-                return CloseReason.ABORTED
-            return CloseReason.LEAVING if self._is_leaving else None
-        idle_s = time.monotonic() - connection.idle_since_s
-        if idle_s < (connection.timeout_s or 0.0):
+        if connection.is_receiving or connection.waiting_since_s is not None:
             return CloseReason.MALFORMED
-        return CloseReason.HEAD_TIMEOUT if stream.n_buffered else CloseReason.IDLE
+        if connection.inbound is not None and not connection.inbound.is_ended:
+            return CloseReason.ABORTED
+        return CloseReason.LEAVING if self._is_leaving else None
 
-    def set_busy(self, server_conn: HTTP1ServerConnection, is_busy: bool) -> None:
-        """Record that a request begins or ends on a connection.
+    def set_busy(self, server_conn: HTTP1ServerConnection) -> None:
+        """Record that a request begins on a connection.
 
         :param server_conn: identifies the connection.
-        :param is_busy: whether a request is in progress.
         """
         connection = self._connections.get(server_conn)
-        if connection is None:
-            return
-        connection.idle_since_s = None if is_busy else time.monotonic()
-        connection.is_receiving = is_busy
-        connection.n_requests += is_busy
+        if connection is not None:
+            connection.waiting_since_s = None
+            connection.is_receiving = True
+            connection.n_requests += 1
+
+    def apply_limits(self, limits: ClientLimits) -> None:
+        """Bring limits into force.
+
+        A connection that waits for a request keeps the largest limits that were in
+        force since it began to wait, so that a caller can rely on each of them.
+
+        :param limits: the limits.
+        """
+        self._limits = limits
+        for connection in self._connections.values():
+            connection.raise_limits(limits)
 
     def record_dropped(
         self, start_line: RequestStartLine, server_conn: HTTP1ServerConnection
@@ -322,23 +387,33 @@
         """Close each connection after its next answer from now on."""
         self._is_leaving = True
 
-    async def close_idle(self, idle_s: float) -> None:
-        """Close the connections on which no request is in progress.
+    def close_idle(self, idle_s: float, now_s: float) -> None:
+        """Close the connections on which no byte of a request has arrived.
 
         :param idle_s: how long a connection must have been idle, in seconds.
+        :param now_s: current time on the monotonic clock, in seconds.
         """
-        for _ in range(LOOP_ITERATIONS):
-            await asyncio.sleep(0)
-        idle_before_s = time.monotonic() - idle_s
         for connection in list(self._connections.values()):
             # No other task runs between this check and the close, so a request that
             # has begun is never cut off.
-            idle_since_s = connection.idle_since_s
-            is_idle = idle_since_s is not None and idle_since_s <= idle_before_s
-            # The answer may not have been sent to its end yet.
-            if is_idle and not connection.stream.writing():
-                connection.reason = CloseReason.LEAVING
-                connection.stream.close()
+            if connection.is_idle and now_s - connection.waiting_since_s >= idle_s:
+                connection.close(CloseReason.LEAVING)
+
+    def close_expired(self, now_s: float) -> None:
+        """Close the connections whose callers have exceeded a timeout.
+
+        :param now_s: current time on the monotonic clock, in seconds.
+        """
+        for connection in list(self._connections.values()):
+            reason = connection.find_expired(now_s)
+            if reason is not None:
+                connection.close(reason)
+
+    async def run_timeouts(self) -> None:
+        """Close connections whose callers have exceeded a timeout, at intervals."""
+        while True:
+            await asyncio.sleep(TIMEOUT_INTERVAL_S)
+            self.close_expired(time.monotonic())
 
     def run(
         self, inbound: InboundRequest, server_conn: HTTP1ServerConnection
@@ -355,7 +430,6 @@
         task = asyncio.create_task(self._run(inbound))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        task.add_done_callback(lambda _: self.set_busy(server_conn, False))
         return task
 
     async def _run(self, inbound: InboundRequest) -> None:
@@ -386,7 +460,7 @@
         self._start_line = start_line
         self._headers = headers
         self._arrived_s = time.monotonic()
-        self._frontend.set_busy(self._server_conn, True)
+        self._frontend.set_busy(self._server_conn)
 
     def data_received(self, chunk: bytes) -> None:
         self._chunks.append(chunk)
@@ -395,7 +469,6 @@
         if self._connection.stream.closed():
             # The caller can't be answered, so running the request would be useless.
             self._frontend.record_dropped(self._start_line, self._server_conn)
-            self._frontend.set_busy(self._server_conn, False)
             return
         inbound = InboundRequest(
             self._connection,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -347,9 +347,12 @@
         loop.add_signal_handler(signal.SIGINT, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._handle_reload)
         server = HTTPServer(self._frontend)
+        # The frontend has timeouts of its own.
+        server.conn_params.header_timeout = None
         self._routing_state.table_callbacks.append(
-            lambda table: _apply_limits(server, table.limits)
+            lambda table: self._apply_limits(server, table.limits)
         )
+        self._supervisor.start("timeouts", self._frontend.run_timeouts)
         readiness = HTTPServer(Frontend(self._answer_readiness))
         with (
             Listener(server, *self._settings.listen) as listener,
@@ -389,11 +392,16 @@
         )
         # A request received later on a keep-alive connection could not be completed.
         while now() < drain_deadline_s:
-            await self._frontend.close_idle(MIN_IDLE_BEFORE_CLOSE_S)
+            self._frontend.close_idle(MIN_IDLE_BEFORE_CLOSE_S, now())
             if not self._frontend.n_requests and not self._frontend.n_connections:
                 break
             await asyncio.sleep(DRAIN_POLL_S)
 
+    def _apply_limits(self, server: HTTPServer, limits: ClientLimits) -> None:
+        server.conn_params.max_header_size = limits.max_header_bytes
+        server.conn_params.max_body_size = limits.max_body_bytes
+        self._frontend.apply_limits(limits)
+
     def _handle_reload(self) -> None:
         # Addresses and domain of a running process do not change; other settings are
         # read at the next start.
@@ -437,11 +445,3 @@
             if before is not None:
                 self._pool.drop(before.address)
         self._dispatcher.record_targets_changed()
-
-
-def _apply_limits(server: HTTPServer, limits: ClientLimits) -> None:
-    params = server.conn_params
-    params.max_header_size = limits.max_header_bytes
-    params.max_body_size = limits.max_body_bytes
-    # tornado has one timeout for the idle time between requests and the header read.
-    params.header_timeout = limits.idle_timeout_s
--- a/packages/cassiaspread-daemon/tests/test_front.py
+++ b/packages/cassiaspread-daemon/tests/test_front.py
@@ -1,6 +1,7 @@
-"""Tests of callers' connections while a daemon is leaving."""
+"""Tests of callers' connections: their timeouts, and those of a leaving daemon."""
 
 import asyncio
+import time
 from contextlib import asynccontextmanager, suppress
 
 import pytest
@@ -8,6 +9,7 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 from tornado.netutil import bind_sockets
 
+from cassiaspread_core.routing import ClientLimits
 from cassiaspread_daemon._exchange import (
     ANSWER_MEMORY,
     MAX_HELD_BYTES,
@@ -21,6 +23,10 @@
 
 
 class FakeStream:
+    n_buffered = 0
+    has_unread = False
+    arriving_since_s = 0.0
+
     def __init__(self, on_close=None):
         self.is_closed = False
         self.on_close = on_close
@@ -28,9 +34,6 @@
     def closed(self):
         return self.is_closed
 
-    def writing(self):
-        return False
-
     def close(self):
         self.is_closed = True
         if self.on_close is not None:
@@ -50,18 +53,18 @@
     # begins meanwhile and was already forwarded must not be cut off.
     frontend = Frontend(None)
     second = FakeConnection()
-    first = FakeConnection(on_close=lambda: frontend.set_busy(second, True))
+    first = FakeConnection(on_close=lambda: frontend.set_busy(second))
     for connection in (first, second):
         frontend.start_request(connection, None)
-    asyncio.run(frontend.close_idle(idle_s=0.0))
+    frontend.close_idle(0.0, time.monotonic())
     assert first.stream.is_closed
     assert not second.stream.is_closed
     third = FakeConnection()
     frontend.start_request(third, None)
-    asyncio.run(frontend.close_idle(idle_s=10.0))
+    frontend.close_idle(10.0, time.monotonic())
     assert not third.stream.is_closed
-    frontend.set_busy(third, True)
-    asyncio.run(frontend.close_idle(idle_s=0.0))
+    frontend.set_busy(third)
+    frontend.close_idle(0.0, time.monotonic())
     assert not third.stream.is_closed
 
 
@@ -178,7 +181,7 @@
         frontend = Frontend(handle)
         async with large_answer(frontend) as reader:
             frontend.leave()
-            await frontend.close_idle(idle_s=0.0)
+            frontend.close_idle(0.0, time.monotonic())
             await reader.readuntil(b"\r\n\r\n")
             assert await reader.readexactly(len(LARGE_BODY)) == LARGE_BODY
 
@@ -256,7 +259,7 @@
                 await malformed[0].read()
                 while frontend.n_connections > 1:
                     await asyncio.sleep(0.01)
-            await frontend.close_idle(0.0)
+            frontend.close_idle(0.0, time.monotonic())
             async with asyncio.timeout(TIMEOUT_S):
                 assert await kept[0].read() == b""
                 while frontend.n_connections:
@@ -289,3 +292,106 @@
         assert row["closed_by"] == "caller"
 
     asyncio.run(run())
+
+
+def waiting_connection(frontend):
+    connection = FakeConnection()
+    frontend.start_request(connection, None)
+    return connection.stream
+
+
+def limits(idle_timeout_s, header_timeout_s=3.0):
+    return ClientLimits(
+        idle_timeout_s=idle_timeout_s, header_timeout_s=header_timeout_s
+    )
+
+
+def test_idle_connection_ends_after_the_largest_limit_of_its_wait():
+    frontend = Frontend(None)
+    frontend.apply_limits(limits(2.0))
+    begin_s = time.monotonic()
+    first = waiting_connection(frontend)
+    for idle_timeout_s in (10.0, 1.0, 5.0, 3.0):
+        frontend.apply_limits(limits(idle_timeout_s))
+    second = waiting_connection(frontend)
+    frontend.close_expired(begin_s + 2.9)
+    assert not second.is_closed
+    frontend.close_expired(begin_s + 9.9)
+    assert second.is_closed
+    assert not first.is_closed
+    frontend.close_expired(begin_s + 11.0)
+    assert first.is_closed
+
+
+def test_connection_is_not_idle_once_a_byte_has_arrived():
+    frontend = Frontend(None)
+    frontend.apply_limits(limits(2.0))
+    late_s = time.monotonic() + 60.0
+    stream = waiting_connection(frontend)
+    stream.has_unread = True
+    frontend.close_expired(late_s)
+    frontend.close_idle(0.0, late_s)
+    stream.has_unread, stream.n_buffered, stream.arriving_since_s = False, 1, late_s
+    frontend.close_expired(late_s + 2.9)
+    frontend.close_idle(0.0, late_s + 2.9)
+    assert not stream.is_closed
+    stream.has_unread = True
+    frontend.close_expired(late_s + 3.1)
+    assert not stream.is_closed
+    stream.has_unread = False
+    frontend.close_expired(late_s + 3.1)
+    assert stream.is_closed
+
+
+def test_slow_head_is_cut_and_a_body_is_not():
+    async def run():
+        log = RecordingLog()
+        frontend = Frontend(answer_whole, log)
+        frontend.apply_limits(limits(idle_timeout_s=30.0, header_timeout_s=0.3))
+        sweep = asyncio.create_task(frontend.run_timeouts())
+        server = HTTPServer(frontend)
+        server.conn_params.header_timeout = None
+        with Listener(server, "127.0.0.1", 0) as listener:
+            address = listener.addresses[0]
+            slow = await asyncio.open_connection(*address)
+            sound = await asyncio.open_connection(*address)
+            # The second head begins behind the first request.
+            whole = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+            await request(*slow, whole + b"GET / HTTP/1.1\r\n")
+            sound[1].write(b"POST / HTTP/1.1\r\nContent-Length: 8\r\n\r\n")
+            for _ in range(8):
+                await asyncio.sleep(0.1)
+                sound[1].write(b"x")
+            await request(*sound, b"")
+            async with asyncio.timeout(TIMEOUT_S):
+                assert await slow[0].read() == b""
+            [row] = log.of("connection.closed")
+            assert row["reason"] == "head timeout"
+            assert row["limit_ms"] == 300.0
+            assert row["n_requests"] == 1
+            assert row["is_receiving"]
+            for _, writer in (slow, sound):
+                writer.close()
+        sweep.cancel()
+
+    asyncio.run(run())
+
+
+def test_pipelined_requests_are_all_answered():
+    async def run():
+        frontend = Frontend(answer_whole)
+        with Listener(HTTPServer(frontend), "127.0.0.1", 0) as listener:
+            reader, writer = await asyncio.open_connection(*listener.addresses[0])
+            get = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+            chunked = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            chunked += b"3\r\nabc\r\n0\r\n\r\n"
+            writer.write(get + chunked + get)
+            for _ in range(3):
+                await request(reader, writer, b"")
+            await asyncio.sleep(0.01)
+            # All bytes belong to requests that were answered.
+            frontend.close_idle(0.0, time.monotonic())
+            assert frontend.n_connections == 0
+            writer.close()
+
+    asyncio.run(run())
--- a/tests/users_platform/test_lost_answers.py
+++ b/tests/users_platform/test_lost_answers.py
@@ -276,11 +276,17 @@
         port = deployment.ports[gateway]
         self.connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
 
-    def request(self):
+    def send(self):
         headers = {"Host": HOST, "Authorization": f"Bearer {KEY}", "Attempt-Id": "k"}
         # Reconnecting would hide that the connection was closed.
         self.connection.auto_open = 1 if self.connection.sock is None else 0
         self.connection.request("GET", "/stock/1", b"", headers)
+
+    def request(self):
+        self.send()
+        return self.receive()
+
+    def receive(self):
         response = self.connection.getresponse()
         response.read()
         return response.status
@@ -320,3 +326,17 @@
     for caller in callers:
         with pytest.raises((ConnectionError, http.client.HTTPException)):
             caller.request()
+
+
+def test_request_that_arrives_as_the_idle_timeout_ends_is_answered(deployment):
+    # The daemon finds the end of the timeout and the request in the same step.
+    publish_idle_timeout(deployment, 4, 2000)
+    callers = [KeptConnection(deployment) for _ in range(5)]
+    assert {caller.request() for caller in callers} == {200}
+    time.sleep(1.4)
+    deployment.kill(GATEWAY, signal.SIGSTOP)
+    for caller in callers:
+        caller.send()
+    time.sleep(1.0)
+    deployment.kill(GATEWAY, signal.SIGCONT)
+    assert {caller.receive() for caller in callers} == {200}
