Unexpected errors are answered with 500 and logged with their type

A caller whose request met an error of the gateway's own got a closed connection, and request.ended said "cancelled", as if the caller had left.

Router.handle took any exception for a cancellation. It now answers 500 with the outcome unknown, or breaks the answer off if it has begun; request.failed has the type, reason and frames, and request.ended the outcome internal-error. A cancellation stays as it is.

The two tests of unexpected errors fail on the code before (no answer; no line).

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -1,7 +1,10 @@
 """Handling of callers' requests: route, key, service, forwarding and refusal."""
 
+import asyncio
 import random
+import traceback
 from collections.abc import Callable
+from pathlib import Path
 
 from cassiaspread_core.admission import RetryWindow
 from cassiaspread_core.base import (
@@ -42,6 +45,7 @@
 ANY_SERVICE = ServiceId("")
 # Timeout of a request whose caller specifies none, in seconds.
 DEFAULT_TIMEOUT_S = 60.0
+INTERNAL_ERROR = "internal-error"
 
 
 class RetryLimits:
@@ -175,9 +179,13 @@
             self._refuse(inbound, parameters, refusal)
         except CallerDisconnected:
             outcome = "caller-gone"
-        except BaseException:
+        except asyncio.CancelledError:
             outcome = "cancelled"
             raise
+        except Exception as error:
+            outcome = INTERNAL_ERROR
+            self._record_error(parameters, error)
+            self._refuse(inbound, parameters, _internal_refusal())
         finally:
             self._record_end(inbound, parameters, kind, fingerprint, outcome)
 
@@ -258,6 +266,16 @@
             return
         send_refusal(inbound, self._codec, parameters, refusal, self._random_state)
 
+    def _record_error(self, parameters: RequestParameters, error: Exception) -> None:
+        frames = traceback.extract_tb(error.__traceback__)
+        self._log.record(
+            "request.failed",
+            request=parameters.request_id,
+            error=type(error).__name__,
+            reason=str(error),
+            frames=[f"{Path(f.filename).name}:{f.lineno} {f.name}" for f in frames],
+        )
+
     def _record_end(
         self,
         inbound: InboundRequest,
@@ -290,6 +308,11 @@
     return fingerprint_of(organisation or NO_ORGANISATION, ANY_SERVICE, content)
 
 
+def _internal_refusal() -> Refusal:
+    detail = "The request could not be handled; it may have run."
+    return Refusal(500, INTERNAL_ERROR, detail, Outcome.UNKNOWN)
+
+
 def _not_known_refusal(detail: str) -> Refusal:
     return Refusal(
         503, "not-known", detail, Outcome.NOT_RUN, retry_after_s=RETRY_AFTER_UNKNOWN_S
--- a/packages/cassiaspread-daemon/tests/test_front.py
+++ b/packages/cassiaspread-daemon/tests/test_front.py
@@ -1,21 +1,25 @@
 """Tests of callers' connections: their timeouts, and those of a leaving daemon."""
 
 import asyncio
+import json
 import time
 from contextlib import asynccontextmanager, suppress
+from types import SimpleNamespace
 
 import pytest
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, RequestStartLine
 from tornado.netutil import bind_sockets
 
-from cassiaspread_core.routing import ClientLimits
+from cassiaspread_core.routing import ClientLimits, RequestKind
 from cassiaspread_daemon._exchange import (
     ANSWER_MEMORY,
     MAX_HELD_BYTES,
 )
 from cassiaspread_daemon._listener import Listener
 from cassiaspread_daemon.gateway._frontend import Frontend
+from cassiaspread_daemon.gateway._protocols import RequestParameters
+from cassiaspread_daemon.gateway._router import Router
 
 TIMEOUT_S = 5.0
 # Four of them exceed the bound on all answers together.
@@ -395,3 +399,94 @@
             writer.close()
 
     asyncio.run(run())
+
+
+def failing_router(log, forward):
+    """Return a router whose requests are forwarded by a function."""
+    codec = SimpleNamespace(
+        read_request=lambda headers: RequestParameters(request_id="r"),
+        refusal_headers=lambda request_id: {"Attempt-Id": request_id},
+    )
+    ignored = SimpleNamespace(
+        record_request=lambda *_: None, forward=forward, table=None
+    )
+    router = Router(
+        codec, ignored, None, ignored, None, ignored, 0.0, log, ignored, None
+    )
+    router._prepare = lambda inbound, parameters: SimpleNamespace(
+        inbound=inbound,
+        route=SimpleNamespace(kind=RequestKind.IDEMPOTENT),
+        service=SimpleNamespace(name="s"),
+        fingerprint=None,
+    )
+    return router
+
+
+async def answer_of(log, forward):
+    """Return all bytes of the answer to one request."""
+    frontend = Frontend(failing_router(log, forward).handle, log)
+    with Listener(HTTPServer(frontend), "127.0.0.1", 0) as listener:
+        reader, writer = await asyncio.open_connection(*listener.addresses[0])
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        async with asyncio.timeout(TIMEOUT_S):
+            answer = await reader.read()
+        writer.close()
+    return answer
+
+
+def test_unexpected_error_is_answered_with_an_unknown_outcome():
+    async def fail(job, take_retry):
+        raise KeyError("layers")
+
+    log = RecordingLog()
+    answer = asyncio.run(answer_of(log, fail))
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 500 ")
+    assert b"Attempt-Id: r" in head
+    problem = json.loads(body)
+    assert problem["type"].endswith(":internal-error")
+    assert problem["outcome"] == "unknown"
+    [failed] = log.of("request.failed")
+    assert failed["error"] == "KeyError"
+    assert failed["frames"][-1].endswith(" fail")
+    [ended] = log.of("request.ended")
+    assert (ended["outcome"], ended["status"]) == ("internal-error", 500)
+
+
+def test_unexpected_error_after_the_beginning_of_an_answer_cuts_it():
+    async def fail(job, take_retry):
+        job.inbound.start(200, HTTPHeaders())
+        await job.inbound.write(b"half")
+        raise KeyError("layers")
+
+    log = RecordingLog()
+    answer = asyncio.run(answer_of(log, fail))
+    assert answer.endswith(b"half\r\n")
+    assert len(log.of("request.failed")) == 1
+    [closed] = log.of("connection.closed")
+    assert closed["reason"] == "answer broken off"
+
+
+def test_request_whose_caller_left_is_cancelled():
+    async def run():
+        log = RecordingLog()
+        is_running = asyncio.Event()
+
+        async def wait(job, take_retry):
+            is_running.set()
+            await asyncio.sleep(60.0)
+
+        frontend = Frontend(failing_router(log, wait).handle, log)
+        with Listener(HTTPServer(frontend), "127.0.0.1", 0) as listener:
+            _, writer = await asyncio.open_connection(*listener.addresses[0])
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await is_running.wait()
+            writer.close()
+            async with asyncio.timeout(TIMEOUT_S):
+                while frontend.n_requests:
+                    await asyncio.sleep(0.01)
+        [ended] = log.of("request.ended")
+        assert ended["outcome"] == "cancelled"
+        assert not log.of("request.failed")
+
+    asyncio.run(run())
