--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -5,15 +5,17 @@
 ``--call-url`` first, as a run that depends on another service does.
 
 ``POST /control`` sets ``full`` (refuse with 503, not run), ``drop_response`` (run and
-close the connection), ``fail`` (500), ``omit_signature``, ``state``, ``event_s`` (pause
-between events), ``unframed`` (answers have neither a length nor chunks and end with the
-connection), ``close_after`` (number of events after which a stream is broken off; other
-answers after their first half), ``break_text`` (sent before that), ``break_how``
-(``close``, ``reset``, or ``end`` for a last chunk) and ``flood``, which sends bytes
-without end: in the ``head`` of an answer, a ``line`` or ``events`` of a stream, one
-``chunk``, many ``chunks``, many interim responses (``interim``), or a body that ends
-with the connection (``body``). One line is appended to the history for each run, each
-order, each run whose caller disconnected and each answer without end.
+close the connection), ``fail`` (500), ``omit_signature``, ``state``, ``begin_s`` (time
+between the start of a run and its answer), ``event_s`` (pause between events),
+``answer_bytes`` (length of an answer that is no stream), ``unframed`` (answers have
+neither a length nor chunks and end with the connection), ``close_after`` (number of
+events after which a stream is broken off; other answers after their first half),
+``break_text`` (sent before that), ``break_how`` (``close``, ``reset``, or ``end`` for a
+last chunk) and ``flood``, which sends bytes without end: in the ``head`` of an answer,
+a ``line`` or ``events`` of a stream, one ``chunk``, many ``chunks``, many interim
+responses (``interim``), or a body that ends with the connection (``body``). One line is
+appended to the history for each run, each order, each run whose caller disconnected and
+each answer without end.
 """
 
 import argparse
@@ -71,7 +73,9 @@
         self.break_text, self.break_how = BREAK_TEXT, "close"
         self.unframed = False
         self.flood = None
+        self.begin_s = 0.0
         self.event_s = 0.02
+        self.answer_bytes = 0
         self.state = "ready"
         self.renewals = 0
 
@@ -247,6 +251,7 @@
         if engine.drop_response:
             self.request.connection.stream.close()
             return
+        await asyncio.sleep(engine.begin_s)
         if not engine.omit_signature:
             self.set_header("Response-Seal", f"seal-{engine.id}")
         if engine.flood is not None:
@@ -258,6 +263,7 @@
             await self.stream()
         else:
             answer = json.dumps({"by": engine.id, "path": self.request.uri})
+            answer = answer.ljust(engine.answer_bytes)
             self.set_header("Content-Type", "application/json")
             if engine.unframed:
                 self.start_unframed()
