A request that can't be placed holds up none that can

Callers saw streams wait, or refused with 503 "No chain has room for it", although their service had free engines: behind a stream of another service that waited for capacity, such as one that was accepted before its route moved to that service; and behind a stream that had left the only engine with capacity and must not go back to it.

Cause: one queue for all requests of a daemon, of which only the head was tried. The head may wait for engines that the others don't use, or exclude the engine that they do.

Each service has a queue of its own. A request whose turn comes while only targets that it excludes have capacity is passed over and tried first at the next change; for one set of exclusions at most one request is tried at a time. Order by priority and fair share is as before. request.refused names the service.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_capacity_queue.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_capacity_queue.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 
 from cassiaspread_core.admission import AdmissionTicket, WaitingQueue
-from cassiaspread_core.base import Refusal, TargetId
+from cassiaspread_core.base import Refusal, ServiceId, TargetId
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._dispatch import Assignment, Dispatcher
 from cassiaspread_daemon.gateway._job import NO_ORGANISATION, Job, now
@@ -23,9 +23,24 @@
         )
 
 
+class _ServiceQueue:
+    """Requests that wait for capacity on the engines of one service."""
+
+    def __init__(self) -> None:
+        self.waiting = WaitingQueue(lambda organisation: 1.0)
+        # Requests whose turn came while only targets that they exclude had capacity, in
+        # the order of their turns. They do not hold up the others.
+        self.passed: list[_Waiter] = []
+
+    def __len__(self) -> int:
+        return len(self.waiting) + len(self.passed)
+
+
 class CapacityQueue:
     """Assigns queued requests to chains whenever capacity may have become free.
 
+    Requests of different services do not wait for each other.
+
     :param dispatcher: selects chains.
     :param log: receives a line for each refused request.
     """
@@ -33,14 +48,14 @@
     def __init__(self, dispatcher: Dispatcher, log: DecisionLog) -> None:
         self._dispatcher = dispatcher
         self._log = log
-        self._queue = WaitingQueue(lambda organisation: 1.0)
+        self._queues: dict[ServiceId, _ServiceQueue] = {}
         self._waiters: dict[int, _Waiter] = {}
         self._n_tickets = 0
         self._checked_s = float("-inf")
         dispatcher.capacity_callbacks.append(self._assign_waiting)
 
     def __len__(self) -> int:
-        return len(self._queue)
+        return sum(map(len, self._queues.values()))
 
     async def assign(
         self, job: Job, avoid: Iterable[TargetId], max_wait_s: float
@@ -53,15 +68,19 @@
         :raises Refusal: no capacity became free in time; this attempt was not sent.
         """
         waiter = _Waiter(job, frozenset(avoid))
-        if not len(self._queue):
+        queue = self._queues.setdefault(job.service.name, _ServiceQueue())
+        is_first = not len(queue.waiting)
+        if is_first:
             assignment = self._try_assign(waiter)
             if assignment is not None:
                 return assignment
         # Refuse at once if the predicted wait exceeds the limit.
-        predicted_s = self._queue.wait_s(now())
-        if len(self._queue) and predicted_s > max_wait_s:
-            raise self._refusal(job, predicted_s)
-        return await self._wait(waiter, max_wait_s)
+        predicted_s = queue.waiting.wait_s(now())
+        if len(queue.waiting) and predicted_s > max_wait_s:
+            raise self._refusal(queue, job, predicted_s)
+        if is_first and waiter.avoid:
+            queue.passed.append(waiter)
+        return await self._wait(queue, waiter, max_wait_s)
 
     def recheck_capacity(self) -> None:
         """Retry the queue after other daemons reported their load."""
@@ -82,7 +101,9 @@
             except Refusal as refusal:
                 waiter.assigned.set_exception(refusal)
 
-    async def _wait(self, waiter: _Waiter, max_wait_s: float) -> Assignment:
+    async def _wait(
+        self, queue: _ServiceQueue, waiter: _Waiter, max_wait_s: float
+    ) -> Assignment:
         job = waiter.job
         self._n_tickets += 1
         ticket = AdmissionTicket(
@@ -92,17 +113,20 @@
             deadline_s=job.deadline_s,
         )
         self._waiters[ticket.number] = waiter
-        self._queue.push(ticket, job.priority)
+        if waiter not in queue.passed:
+            queue.waiting.push(ticket, job.priority)
         try:
             async with asyncio.timeout(min(max_wait_s, job.remaining_s(now()))):
                 return await asyncio.shield(waiter.assigned)
         except TimeoutError:
             if waiter.assigned.done():
                 return waiter.assigned.result()
-            raise self._refusal(job, max_wait_s) from None
+            raise self._refusal(queue, job, max_wait_s) from None
         finally:
             del self._waiters[ticket.number]
-            self._queue.remove(ticket)
+            queue.waiting.remove(ticket)
+            if waiter in queue.passed:
+                queue.passed.remove(waiter)
             self._release_if_cancelled(waiter)
 
     def _release_if_cancelled(self, waiter: _Waiter) -> None:
@@ -113,13 +137,14 @@
         if assigned.done() and is_cancelled and assigned.exception() is None:
             self._dispatcher.release(assigned.result())
 
-    def _refusal(self, job: Job, predicted_s: float) -> Refusal:
-        retry_after_s = self._queue.retry_after_s(now())
-        self._queue.record_refusal(now())
+    def _refusal(self, queue: _ServiceQueue, job: Job, predicted_s: float) -> Refusal:
+        retry_after_s = queue.waiting.retry_after_s(now())
+        queue.waiting.record_refusal(now())
         self._log.record(
             "request.refused",
             request=job.parameters.request_id,
-            n_waiting=len(self._queue),
+            service=job.service.name,
+            n_waiting=len(queue),
             predicted_ms=round(predicted_s * 1000),
             return_ms=round(retry_after_s * 1000),
         )
@@ -128,19 +153,45 @@
         )
 
     def _assign_waiting(self, is_end: bool) -> None:
-        if is_end:
-            self._queue.record_completion(now())
         self._checked_s = now()
-        while (ticket := self._queue.head) is not None:
+        for queue in self._queues.values():
+            if is_end:
+                queue.waiting.record_completion(now())
+            self._assign_in_turn(queue)
+
+    def _assign_in_turn(self, queue: _ServiceQueue) -> None:
+        passed, queue.passed = queue.passed, []
+        # Targets whose exclusion left no capacity.
+        failed: set[frozenset[TargetId]] = set()
+        for waiter in passed:
+            self._assign_or_pass(queue, waiter, failed)
+        while (ticket := queue.waiting.head) is not None:
             waiter = self._waiters[ticket.number]
-            if waiter.assigned.done():
-                # Refused; its task has not run since.
-                self._queue.pop()
-                continue
+            if not waiter.avoid and not waiter.assigned.done():
+                assignment = self._try_assign(waiter)
+                if assignment is None:
+                    return
+                waiter.assigned.set_result(assignment)
+            else:
+                self._assign_or_pass(queue, waiter, failed)
+            queue.waiting.pop()
+
+    def _assign_or_pass(
+        self,
+        queue: _ServiceQueue,
+        waiter: _Waiter,
+        failed: set[frozenset[TargetId]],
+    ) -> None:
+        if waiter.assigned.done():
+            # Refused; its task has not run since.
+            return
+        assignment = None
+        if waiter.avoid not in failed:
             assignment = self._try_assign(waiter)
-            if assignment is None:
-                return
-            self._queue.pop()
+        if assignment is None:
+            failed.add(waiter.avoid)
+            queue.passed.append(waiter)
+        else:
             waiter.assigned.set_result(assignment)
 
     def _try_assign(self, waiter: _Waiter) -> Assignment | None:
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -5,12 +5,13 @@
 import os
 import random
 
+import msgspec
 import pytest
 
 from cassiaspread_core.base import LogUnavailable, Refusal, Truncated
 from cassiaspread_core.chains import LoadLedger, StageLoad
 from cassiaspread_core.placement import Engine, LayerRange
-from cassiaspread_core.routing import StateAge
+from cassiaspread_core.routing import Service, StateAge
 from cassiaspread_core.targets import TargetHealth
 from cassiaspread_daemon._events import MAX_EVENT_BYTES, EventBuffer
 from cassiaspread_daemon._exchange import AnswerTooLarge, Exchange, ExchangeBroken
@@ -29,7 +30,7 @@
 from cassiaspread_daemon.gateway._router import RetryLimits
 from cassiaspread_daemon.gateway._routing_state import FeedFollower, RoutingState
 from cassiaspread_daemon.gateway._stream import StreamForwarder
-from tests.gateway_jobs import make_job
+from tests.gateway_jobs import MODEL, make_job
 
 
 @pytest.fixture
@@ -70,7 +71,7 @@
             return assignment
 
         for _ in range(8):
-            queue._queue.record_completion(now())
+            queue._queues["pool"].waiting.record_completion(now())
         tasks = []
         for name in ("large", "large", "small"):
             tasks.append(asyncio.create_task(wait(name)))
@@ -104,6 +105,52 @@
     asyncio.run(run())
 
 
+def test_requests_of_a_service_do_not_wait_for_those_of_another(log):
+    async def run():
+        _, queue = make_queue(log)
+        gone = msgspec.structs.replace(make_job(), service=Service("gone", model=MODEL))
+        waiting = asyncio.create_task(queue.assign(gone, (), 5.0))
+        await asyncio.sleep(0)
+        await asyncio.wait_for(queue.assign(make_job(), (), 1.0), 0.5)
+        assert len(queue) == 1
+        waiting.cancel()
+        await asyncio.wait([waiting])
+        assert not len(queue)
+
+    asyncio.run(run())
+
+
+def test_request_that_excludes_the_free_target_holds_up_no_others(log):
+    async def run():
+        dispatcher, queue = make_queue(log)
+        held = [await queue.assign(make_job(), (), 1.0) for _ in range(2)]
+        for _ in range(8):
+            queue._queues["pool"].waiting.record_completion(now())
+        waiting = [
+            asyncio.create_task(queue.assign(make_job(), avoid, 5.0))
+            for avoid in ((), ("e",), (), ("e", "f"), ("e",), ())
+        ]
+        await asyncio.sleep(0)
+        for n_free, assignment in enumerate(held, 1):
+            dispatcher.release(assignment)
+            await asyncio.sleep(0.01)
+            served = [n for n, task in enumerate(waiting) if task.done()]
+            assert served == [0, 2][:n_free]
+        # A target that none of them excludes takes them in the order of their turns.
+        engine = dispatcher._routing_state.engines["e"]
+        other = msgspec.structs.replace(engine, target="g", address="g:1")
+        dispatcher._routing_state.apply_change(EngineChange("g", other))
+        dispatcher.record_targets_changed()
+        await asyncio.sleep(0.01)
+        assert [n for n, task in enumerate(waiting) if task.done()] == [0, 1, 2, 3]
+        for task in waiting:
+            task.cancel()
+        await asyncio.wait(waiting)
+        assert not len(queue)
+
+    asyncio.run(run())
+
+
 def test_request_with_too_long_predicted_wait_is_refused_at_once(log):
     async def run():
         dispatcher, queue = make_queue(log)
@@ -129,8 +176,8 @@
             await queue.assign(make_job(), (), 1.0)
         waiting = asyncio.create_task(queue.assign(make_job(), (), 0.5))
         await asyncio.sleep(0)
-        queue._queue.record_completion(now())
-        queue._queue.record_completion(now())
+        queue._queues["pool"].waiting.record_completion(now())
+        queue._queues["pool"].waiting.record_completion(now())
         times_s = []
         for _ in range(5):
             with pytest.raises(Refusal) as error:
--- a/tests/users_platform/test_changes_in_progress.py
+++ b/tests/users_platform/test_changes_in_progress.py
@@ -9,6 +9,7 @@
 import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
 
 import pytest
 
@@ -26,6 +27,7 @@
 MODEL_ENGINES = ("celje-large", "celje-small", "velenje-large", "velenje-small")
 PLAIN_ENGINES = ("celje-plain", "velenje-plain")
 N_EVENTS = 12
+N_LONG_EVENTS = 48
 EVENT_S = 0.05
 # Time between the start of a run and its answer.
 BEGIN_S = 0.4
@@ -302,6 +304,58 @@
     restore(fleet)
 
 
+@contextmanager
+def full_engines(fleet):
+    """Start a long stream on each engine of the model, and yield their answers."""
+    with ThreadPoolExecutor(8) as pool:
+        n_before = len(fleet.history("run"))
+        answers = [
+            pool.submit(stream, fleet, "/draft/long", LARGE_PROMPT, N_LONG_EVENTS)
+            for _ in MODEL_ENGINES
+        ]
+        wait_for(lambda: len(fleet.history("run")) >= n_before + len(MODEL_ENGINES))
+        yield pool, answers
+
+
+def test_stream_does_not_wait_behind_those_of_another_service(fleet):
+    # A route that moves to another service leaves requests that wait for the old one.
+    publish(fleet, routes=moved_routes(), services=all_services())
+    fleet.add_engine("celje-other", OTHER_MODEL, "celje", "large")
+    wait_for(lambda: stream(fleet, "/draft/x", n_events=1).status == 200)
+    publish(fleet, services=all_services())
+    with full_engines(fleet) as (pool, answers):
+        waiting = pool.submit(stream, fleet, "/draft/waiting", LARGE_PROMPT)
+        time.sleep(EVENT_S)
+        publish(fleet, routes=moved_routes(), services=all_services())
+        assert_stream(stream(fleet, "/draft/moved", n_events=2), 2)
+        assert not any(answer.done() for answer in [*answers, waiting])
+        for answer in answers:
+            assert_stream(answer.result(), N_LONG_EVENTS)
+        assert_stream(waiting.result())
+    fleet.kill("celje-other")
+    restore(fleet)
+
+
+def test_stream_does_not_wait_behind_one_that_avoids_the_free_engine(fleet):
+    with full_engines(fleet) as (_, answers):
+        head = fleet.history("run")[-1]["engine"]
+        fleet.control(head, close_after=2)
+        # The head broke off, so that its stream waits for another engine.
+        wait_for(
+            lambda: any(
+                line["head"] == head
+                for line in fleet.decisions(GATEWAY, "attempt.broken")[-1:]
+            )
+        )
+        time.sleep(BEGIN_S)
+        fleet.control(head, close_after=None)
+        assert_stream(stream(fleet, "/draft/free", LARGE_PROMPT, 2), 2)
+        assert not any(answer.done() for answer in answers)
+        for answer in answers:
+            assert_stream(answer.result(), N_LONG_EVENTS)
+    restore(fleet)
+
+
 def test_leaving_daemon_ends_no_request_in_progress(fleet):
     # The last test of the module: the daemon ends.
     with InProgress(fleet) as requests:
