--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -261,10 +261,12 @@
         lines = self.history_path.read_text().splitlines()
         return [row for row in map(json.loads, lines) if row["kind"] == kind]
 
-    def decisions(self, name, event):
+    def log_lines(self, name):
         lines = (self.folder / f"{name}.log").read_text().splitlines()
-        rows = (json.loads(line) for line in lines if line.startswith("{"))
-        return [row for row in rows if row["event"] == event]
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def decisions(self, name, event):
+        return [row for row in self.log_lines(name) if row["event"] == event]
 
     def kill(self, name, number=signal.SIGKILL):
         self.processes[name].send_signal(number)
