--- a/packages/cassiaspread-core/src/cassiaspread_core/chains/_chain.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/chains/_chain.py
@@ -7,11 +7,12 @@
 """
 
 import itertools
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import NamedTuple
 
 import msgspec
 
-from cassiaspread_core.base import DomainId
+from cassiaspread_core.base import DomainId, TargetId
 from cassiaspread_core.chains._load import StageLoad
 from cassiaspread_core.placement import Engine, LayerRange, ModelSpec, cache_capacity
 
@@ -76,7 +77,11 @@
     )
 
 
-class _Path(msgspec.Struct):
+# An engine that has free capacity, and its time per layer in milliseconds.
+_Candidate = tuple[Engine, float]
+
+
+class _Path(NamedTuple):
     cost_ms: float
     engine: Engine
     previous: "_Path | None"
@@ -108,68 +113,110 @@
         {0, model.n_layers}
         | {bound for e in usable for bound in (e.layers.begin, e.layers.end)}
     )
-    layer_costs_ms = {
-        e.target: _layer_cost_ms(
-            model, e, demand, load_of(e), slowness_of(e), n_unreported
+    sections = [
+        LayerRange(begin, end)
+        for begin, end in itertools.pairwise(bounds)
+        if end <= model.n_layers
+    ]
+    index_by_bound = {bound: index for index, bound in enumerate(bounds)}
+    candidates: list[list[_Candidate]] = [[] for _ in sections]
+    for engine in usable:
+        layer_ms = _layer_cost_ms(
+            model, engine, demand, load_of(engine), slowness_of(engine), n_unreported
         )
-        for e in usable
-    }
-    link_ms = _domain_link_ms(model, demand)
+        if layer_ms == float("inf"):
+            continue
+        candidate = engine, layer_ms
+        first = index_by_bound[engine.layers.begin]
+        for covering in candidates[first : index_by_bound[engine.layers.end]]:
+            covering.append(candidate)
+    if not sections or not all(candidates):
+        return None
     # The daemon and the first engine exchange only the text of prompt and answer.
     remote_head_ms = model.domain_delay_ms * demand.answer_tokens / model.steps_per_pass
-    paths: list[_Path] = []
-    for begin, end in itertools.pairwise(bounds):
-        if end > model.n_layers:
-            break
-        layers = LayerRange(begin, end)
-        paths = _extend_paths(
-            paths, layers, usable, layer_costs_ms, demand, link_ms, remote_head_ms
-        )
-        if not paths:
-            return None
-    if not paths:
-        return None
+    paths = _start_paths(sections[0], candidates[0], demand.domain, remote_head_ms)
+    local_ms = _hop_ms(demand, True, 0.0)
+    crossing_ms = _hop_ms(demand, False, _domain_link_ms(model, demand))
+    for layers, covering in zip(sections[1:], candidates[1:], strict=True):
+        paths = _extend_paths(paths, layers, covering, local_ms, crossing_ms)
     return _build_chain(min(paths, key=lambda path: path.cost_ms))
 
 
+def _start_paths(
+    layers: LayerRange,
+    candidates: Sequence[_Candidate],
+    domain: DomainId,
+    remote_head_ms: float,
+) -> list[_Path]:
+    n_layers = len(layers)
+    return [
+        _Path(
+            (0.0 if engine.domain == domain else remote_head_ms) + layer_ms * n_layers,
+            engine,
+            None,
+            layers,
+        )
+        for engine, layer_ms in candidates
+    ]
+
+
 def _extend_paths(
     paths: Sequence[_Path],
     layers: LayerRange,
-    engines: Sequence[Engine],
-    layer_costs_ms: dict[str, float],
-    demand: RequestDemand,
-    link_ms: float,
-    remote_head_ms: float,
+    candidates: Sequence[_Candidate],
+    local_ms: float,
+    crossing_ms: float,
 ) -> list[_Path]:
-    by_engine = {path.engine.target: path for path in paths}
+    """Return the cheapest path to each engine that runs the next layers.
+
+    :param paths: cheapest path to each engine that runs the layers before.
+    :param layers: the next layers.
+    :param candidates: engines that hold them, and their time per layer.
+    :param local_ms: time of a transfer within a domain, in milliseconds.
+    :param crossing_ms: time of a transfer between domains, in milliseconds.
+    """
+    by_engine: dict[TargetId, _Path] = {}
     by_domain: dict[DomainId, _Path] = {}
     for path in paths:
-        best = by_domain.get(path.engine.domain)
+        engine = path.engine
+        by_engine[engine.target] = path
+        best = by_domain.get(engine.domain)
         if best is None or path.cost_ms < best.cost_ms:
-            by_domain[path.engine.domain] = path
+            by_domain[engine.domain] = path
+    # An engine that stays on its own path saves the transfer, so that it is no matter
+    # whether its own path is the best of its domain.
+    arrivals = {
+        engine_domain: _cheapest_arrival(
+            by_domain, engine_domain, local_ms, crossing_ms
+        )
+        for engine_domain in {engine.domain for engine, _ in candidates}
+    }
+    n_layers = len(layers)
     extended = []
-    for engine in engines:
-        if engine.layers.begin > layers.begin or engine.layers.end < layers.end:
-            continue
-        run_ms = layer_costs_ms[engine.target] * len(layers)
-        if run_ms == float("inf"):
-            continue
-        choices: list[tuple[float, _Path | None]] = []
-        if engine.target in by_engine:
-            choices.append((by_engine[engine.target].cost_ms, by_engine[engine.target]))
-        if layers.begin == 0:
-            is_remote = engine.domain != demand.domain
-            choices.append((remote_head_ms if is_remote else 0.0, None))
-        for domain, path in by_domain.items():
-            if path.engine is not engine:
-                hop_ms = _hop_ms(demand, domain == engine.domain, link_ms)
-                choices.append((path.cost_ms + hop_ms, path))
-        if choices:
-            cost_ms, previous = min(choices, key=lambda choice: choice[0])
-            extended.append(_Path(cost_ms + run_ms, engine, previous, layers))
+    for engine, layer_ms in candidates:
+        cost_ms, previous = arrivals[engine.domain]
+        own = by_engine.get(engine.target)
+        if own is not None and own.cost_ms <= cost_ms:
+            cost_ms, previous = own.cost_ms, own
+        extended.append(_Path(cost_ms + layer_ms * n_layers, engine, previous, layers))
     return extended
 
 
+def _cheapest_arrival(
+    by_domain: Mapping[DomainId, _Path],
+    domain: DomainId,
+    local_ms: float,
+    crossing_ms: float,
+) -> tuple[float, _Path]:
+    return min(
+        (
+            (path.cost_ms + (local_ms if other == domain else crossing_ms), path)
+            for other, path in by_domain.items()
+        ),
+        key=lambda choice: choice[0],
+    )
+
+
 def _hop_ms(demand: RequestDemand, is_local: bool, link_ms: float) -> float:
     local_ms = LOCAL_HOP_MS * demand.answer_tokens
     return local_ms if is_local else local_ms + link_ms
--- a/packages/cassiaspread-core/tests/test_chains.py
+++ b/packages/cassiaspread-core/tests/test_chains.py
@@ -1,6 +1,10 @@
 """Chains run each layer once and spread over engines with free cache."""
 
+import itertools
+import math
+
 import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -11,6 +15,11 @@
     choose_chain,
     stage_load,
 )
+from cassiaspread_core.chains._chain import (
+    _domain_link_ms,
+    _hop_ms,
+    _layer_cost_ms,
+)
 from cassiaspread_core.placement import (
     Accelerator,
     Engine,
@@ -187,6 +196,85 @@
     return e.layers.begin, e.layers.end
 
 
+def list_chains(fleet, sections):
+    """List every way to run the sections in order, as one engine for each section."""
+    holders = [
+        [e for e in fleet if e.layers.begin <= begin and end <= e.layers.end]
+        for begin, end in sections
+    ]
+    return itertools.product(*holders)
+
+
+def predict_ms(engines, sections, demand, load_by_target, slowness_by_target):
+    """Return the predicted time of a chain, from the parts of the cost model."""
+    link_ms = _domain_link_ms(MODEL, demand)
+    is_remote = engines[0].domain != demand.domain
+    total_ms = MODEL.domain_delay_ms * demand.answer_tokens * is_remote
+    for e, (begin, end) in zip(engines, sections, strict=True):
+        load, slowness = load_by_target[e.target], slowness_by_target[e.target]
+        layer_ms = _layer_cost_ms(MODEL, e, demand, load, slowness, 0.0)
+        total_ms += (end - begin) * layer_ms
+    for before, after in itertools.pairwise(engines):
+        if before is not after:
+            total_ms += _hop_ms(demand, before.domain == after.domain, link_ms)
+    return total_ms
+
+
+@settings(max_examples=150, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from([0, 20, 40, 60]),
+            st.sampled_from([20, 40, 60, 80]),
+            st.sampled_from("abc"),
+            st.sampled_from(sorted(KINDS)),
+            st.integers(0, 40),
+            st.sampled_from([0.0, 1e4, 1e6]),
+            st.sampled_from([0, 96]),
+            st.sampled_from([1.0, 3.0]),
+        ),
+        min_size=1,
+        max_size=7,
+    ),
+    st.sampled_from("ad"),
+    st.integers(0, 210),
+)
+def test_no_other_chain_has_a_lower_predicted_time(rows, domain, n_answer):
+    fleet = [
+        engine(f"e{n}", begin, end, engine_domain, kind)
+        for n, (begin, end, engine_domain, kind, *_) in enumerate(rows)
+        if begin < end
+    ]
+    loads = {f"e{n}": StageLoad(*row[4:7]) for n, row in enumerate(rows)}
+    slowness = {f"e{n}": row[7] for n, row in enumerate(rows)}
+    demand = RequestDemand(774, n_answer, domain)
+    sections = [(begin, begin + 20) for begin in range(0, 80, 20)]
+    best_ms = min(
+        (
+            predict_ms(engines, sections, demand, loads, slowness)
+            for engines in list_chains(fleet, sections)
+        ),
+        default=math.inf,
+    )
+    chain = choose_chain(
+        MODEL,
+        fleet,
+        demand,
+        lambda e: loads[e.target],
+        lambda e: slowness[e.target],
+    )
+    if chain is None:
+        assert best_ms == math.inf
+        return
+    assert_exact(chain)
+    engines = [
+        next(s.engine for s in chain if s.layers.begin <= begin < s.layers.end)
+        for begin, _ in sections
+    ]
+    chosen_ms = predict_ms(engines, sections, demand, loads, slowness)
+    assert chosen_ms == pytest.approx(best_ms)
+
+
 def test_ledger_removes_load_of_daemons_that_stopped_reporting():
     ledger = LoadLedger()
     ledger.record_peer_load("d2", {"e": StageLoad(2, 10.0, 1)}, now_s=1.0)
