A leaving daemon answers each request that it has read

A request whose answer was not there at the end of the drain got a closed connection. A request behind an answer without "Connection: close" was read and dropped: the connection closed as soon as that answer had ended.

At the end of the drain the daemon now refuses requests whose answers have not begun, with 502 and the outcome unknown, closes connections without a request, and does both again 0.1 s later for what was being received; gateway.drain_timeout counts them. After an answer it closes a connection if the answer said so or if no byte of another request has arrived; the next answer then has "Connection: close". The frontend alone decides, instead of tornado's no_keep_alive.

test_request_that_outlasts_the_leaving_of_its_daemon_is_refused (closed connection) and one case of test_request_behind_an_answer_of_a_leaving_daemon (no second answer) fail on the code before. The tests of leaving run on Listener, which builds the gateway's kind of connection; their assertions are the same.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
@@ -18,7 +18,7 @@
 )
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
-from cassiaspread_core.base import CassiaspreadError
+from cassiaspread_core.base import CassiaspreadError, Refusal
 from cassiaspread_core.routing import ClientLimits
 from cassiaspread_daemon._caller_stream import CallerStream
 from cassiaspread_daemon._exchange import ANSWER_MEMORY
@@ -44,7 +44,7 @@
     :param headers: the caller's headers.
     :param body: the complete body.
     :param arrived_s: when its headers were read, on the monotonic clock in seconds.
-    :param must_close: returns whether the connection closes after the answer.
+    :param must_close: returns whether an answer that begins now is the last one.
     """
 
     def __init__(
@@ -68,6 +68,9 @@
         self.arrived_s = arrived_s
         self.status = 0
         self._is_ended = False
+        self._is_close_announced = False
+        # Answers the request if its task is cancelled.
+        self.interruption: Refusal | None = None
 
     @property
     def path(self) -> str:
@@ -85,8 +88,9 @@
         return self._is_ended
 
     @property
-    def _is_last(self) -> bool:
-        return self._ends_with_connection or self._must_close()
+    def is_close_announced(self) -> bool:
+        """Whether the answer says that the connection closes after it."""
+        return self._is_close_announced
 
     def start(self, status: int, headers: HTTPHeaders, data: bytes = b"") -> None:
         """Send status and headers of an answer.
@@ -105,7 +109,8 @@
             self._ends_with_connection = True
             # Tornado would confirm a request for keep-alive.
             self.headers.pop("Connection", None)
-        if self._is_last:
+        if self._ends_with_connection or self._must_close():
+            self._is_close_announced = True
             headers["Connection"] = "close"
         self._connection.write_headers(start_line, headers, data)
 
@@ -125,7 +130,7 @@
         self._is_ended = True
         self._connection.finish()
         stream = self._connection.stream
-        if self._is_last and not stream.closed():
+        if self._ends_with_connection and not stream.closed():
             # Done once all data written before has been sent.
             flushed = stream.write(b"")
             flushed.add_done_callback(lambda _: stream.close())
@@ -266,7 +271,7 @@
         self._log = log
         self._limits = ClientLimits()
         self._is_leaving = False
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[InboundRequest, asyncio.Task[None]] = {}
         self._connections: dict[HTTP1ServerConnection, _Connection] = {}
 
     @property
@@ -299,9 +304,20 @@
             stream.closed_callback = lambda: self.on_close(server_conn)
             connection = self._connections[server_conn] = _Connection(stream)
         if connection is not None:
-            connection.begin_wait(self._limits, time.monotonic())
+            self._begin_wait(connection)
         return _RequestReader(self, server_conn, request_conn)
 
+    def _begin_wait(self, connection: _Connection) -> None:
+        answered = connection.inbound
+        connection.begin_wait(self._limits, time.monotonic())
+        if answered is None:
+            return
+        # A request that arrived behind an answer without "Connection: close" is
+        # answered, also by a daemon that is leaving.
+        may_close = self._is_leaving and connection.is_idle
+        if answered.is_close_announced or may_close:
+            connection.close(CloseReason.LEAVING)
+
     def on_close(self, server_conn: HTTP1ServerConnection) -> None:
         """Remove a closed connection; its request is cancelled by its own callback.
 
@@ -387,6 +403,16 @@
         """Close each connection after its next answer from now on."""
         self._is_leaving = True
 
+    def interrupt(self, refusal: Refusal) -> None:
+        """Cancel the requests in progress.
+
+        :param refusal: answers those whose answers have not begun.
+        """
+        for inbound, task in self._tasks.items():
+            if inbound.interruption is None:
+                inbound.interruption = refusal
+                task.cancel()
+
     def close_idle(self, idle_s: float, now_s: float) -> None:
         """Close the connections on which no byte of a request has arrived.
 
@@ -428,8 +454,8 @@
             connection.is_receiving = False
             connection.inbound = inbound
         task = asyncio.create_task(self._run(inbound))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[inbound] = task
+        task.add_done_callback(lambda _: self._tasks.pop(inbound))
         return task
 
     async def _run(self, inbound: InboundRequest) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -13,7 +13,7 @@
 from tornado.httpserver import HTTPServer
 
 from cassiaspread_core.admission import PeakCount
-from cassiaspread_core.base import DomainId, Incarnation, TargetId
+from cassiaspread_core.base import DomainId, Incarnation, Outcome, Refusal, TargetId
 from cassiaspread_core.chains import LoadLedger
 from cassiaspread_core.placement import Engine
 from cassiaspread_core.routing import ClientLimits, RouteTable
@@ -63,6 +63,8 @@
 # Part of the exit timeout that is reserved for the shutdown itself.
 EXIT_MARGIN_S = 0.7
 DRAIN_POLL_S = 0.05
+# Part of the margin within which the last refusals are sent.
+ANSWER_TIME_S = 0.1
 # A connection that was just opened, or whose answer was just read, may be about to
 # carry its next request; it must have been idle for this long to be closed.
 MIN_IDLE_BEFORE_CLOSE_S = 0.3
@@ -379,7 +381,6 @@
         drain_started_s = now()
         self._is_leaving = True
         self._log.record("gateway.leaving", n_open=self._frontend.n_requests)
-        listener.announce_close()
         self._frontend.leave()
         # Further renewals could return the duty to this daemon, which is about to exit.
         await self._supervisor.cancel("duty")
@@ -396,6 +397,20 @@
             if not self._frontend.n_requests and not self._frontend.n_connections:
                 break
             await asyncio.sleep(DRAIN_POLL_S)
+        if self._frontend.n_requests or self._frontend.n_connections:
+            await self._interrupt()
+
+    async def _interrupt(self) -> None:
+        self._log.record(
+            "gateway.drain_timeout",
+            n_open=self._frontend.n_requests,
+            n_connections=self._frontend.n_connections,
+        )
+        # The second round is for requests that were being received in the first.
+        for _ in range(2):
+            self._frontend.close_idle(0.0, now())
+            self._frontend.interrupt(_leaving_refusal())
+            await asyncio.sleep(ANSWER_TIME_S)
 
     def _apply_limits(self, server: HTTPServer, limits: ClientLimits) -> None:
         server.conn_params.max_header_size = limits.max_header_bytes
@@ -445,3 +460,8 @@
             if before is not None:
                 self._pool.drop(before.address)
         self._dispatcher.record_targets_changed()
+
+
+def _leaving_refusal() -> Refusal:
+    detail = "The daemon ends before the answer; the request may have run."
+    return Refusal(502, "leaving", detail, Outcome.UNKNOWN)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -180,8 +180,12 @@
         except CallerDisconnected:
             outcome = "caller-gone"
         except asyncio.CancelledError:
-            outcome = "cancelled"
-            raise
+            refusal = inbound.interruption
+            if refusal is None or inbound.is_started:
+                outcome = "cancelled"
+                raise
+            outcome = refusal.code
+            self._refuse(inbound, parameters, refusal)
         except Exception as error:
             outcome = INTERNAL_ERROR
             self._record_error(parameters, error)
--- a/packages/cassiaspread-daemon/tests/test_front.py
+++ b/packages/cassiaspread-daemon/tests/test_front.py
@@ -9,7 +9,6 @@
 import pytest
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, RequestStartLine
-from tornado.netutil import bind_sockets
 
 from cassiaspread_core.routing import ClientLimits, RequestKind
 from cassiaspread_daemon._exchange import (
@@ -111,23 +110,22 @@
             inbound.end()
 
         frontend = Frontend(handle)
-        [socket] = bind_sockets(0, "127.0.0.1")
-        server = HTTPServer(frontend)
-        server.add_sockets([socket])
-        reader, writer = await asyncio.open_connection(*socket.getsockname())
-        request = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
-        writer.write(request)
-        await reader.readuntil(b"\r\n\r\n")
-        frontend.leave()
-        may_end.set()
-        assert (await reader.readuntil(b"0\r\n\r\n")).endswith(b"whole\r\n0\r\n\r\n")
-        writer.write(request)
-        async with asyncio.timeout(TIMEOUT_S):
-            with suppress(ConnectionError):
-                assert await reader.read() == b""
-        assert len(handled) == 1
-        writer.close()
-        server.stop()
+        with Listener(HTTPServer(frontend), "127.0.0.1", 0) as listener:
+            reader, writer = await asyncio.open_connection(*listener.addresses[0])
+            request = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+            writer.write(request)
+            await reader.readuntil(b"\r\n\r\n")
+            frontend.leave()
+            may_end.set()
+            assert (await reader.readuntil(b"0\r\n\r\n")).endswith(
+                b"whole\r\n0\r\n\r\n"
+            )
+            writer.write(request)
+            async with asyncio.timeout(TIMEOUT_S):
+                with suppress(ConnectionError):
+                    assert await reader.read() == b""
+            assert len(handled) == 1
+            writer.close()
 
     asyncio.run(run())
 
@@ -143,20 +141,17 @@
             inbound.answer(200, {}, b"whole")
 
         frontend = Frontend(handle)
-        [socket] = bind_sockets(0, "127.0.0.1")
-        server = HTTPServer(frontend)
-        server.add_sockets([socket])
-        reader, writer = await asyncio.open_connection(*socket.getsockname())
-        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-        await is_read.wait()
-        frontend.leave()
-        may_answer.set()
-        async with asyncio.timeout(TIMEOUT_S):
-            answer = await reader.read()
-        assert b"Connection: close" in answer
-        assert answer.endswith(b"whole")
-        writer.close()
-        server.stop()
+        with Listener(HTTPServer(frontend), "127.0.0.1", 0) as listener:
+            reader, writer = await asyncio.open_connection(*listener.addresses[0])
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await is_read.wait()
+            frontend.leave()
+            may_answer.set()
+            async with asyncio.timeout(TIMEOUT_S):
+                answer = await reader.read()
+            assert b"Connection: close" in answer
+            assert answer.endswith(b"whole")
+            writer.close()
 
     asyncio.run(run())
 
@@ -164,17 +159,14 @@
 @asynccontextmanager
 async def large_answer(frontend):
     """Connect a caller that does not read its answer yet; yields its reader."""
-    [listening] = bind_sockets(0, "127.0.0.1")
-    server = HTTPServer(frontend)
-    server.add_sockets([listening])
-    reader, writer = await asyncio.open_connection(*listening.getsockname())
-    writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-    async with asyncio.timeout(TIMEOUT_S):
-        while not ANSWER_MEMORY.n_bytes:
-            await asyncio.sleep(0.01)
-        yield reader
-    writer.close()
-    server.stop()
+    with Listener(HTTPServer(frontend), "127.0.0.1", 0) as listener:
+        reader, writer = await asyncio.open_connection(*listener.addresses[0])
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        async with asyncio.timeout(TIMEOUT_S):
+            while not ANSWER_MEMORY.n_bytes:
+                await asyncio.sleep(0.01)
+            yield reader
+        writer.close()
 
 
 def test_answer_that_is_still_being_sent_is_not_closed_as_idle():
@@ -490,3 +482,52 @@
         assert not log.of("request.failed")
 
     asyncio.run(run())
+
+
+async def long_answer(frontend, behind, is_announced):
+    """Return the answers of a daemon that leaves during the first of two requests.
+
+    :param behind: bytes that arrive before the first answer has ended.
+    :param is_announced: whether the daemon leaves before the first answer begins.
+    """
+    inbounds = frontend.inbounds
+    with Listener(HTTPServer(frontend), "127.0.0.1", 0) as listener:
+        reader, writer = await asyncio.open_connection(*listener.addresses[0])
+        writer.write(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n" + behind)
+        first = await inbounds.get()
+        if is_announced:
+            frontend.leave()
+        first.start(200, HTTPHeaders())
+        frontend.leave()
+        first.end()
+        if behind and not is_announced:
+            async with asyncio.timeout(TIMEOUT_S):
+                second = await inbounds.get()
+            second.answer(200, {}, b"whole")
+        async with asyncio.timeout(TIMEOUT_S):
+            answers = await reader.read()
+        writer.close()
+    return answers
+
+
+@pytest.mark.parametrize("is_announced", [False, True])
+@pytest.mark.parametrize("behind", [b"", b"GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"])
+def test_request_behind_an_answer_of_a_leaving_daemon(behind, is_announced):
+    # Without "Connection: close" a caller may rely on the connection.
+    async def run():
+        inbounds = asyncio.Queue()
+
+        async def handle(inbound):
+            await inbounds.put(inbound)
+
+        frontend = Frontend(handle)
+        frontend.inbounds = inbounds
+        answers = await long_answer(frontend, behind, is_announced)
+        assert inbounds.empty()
+        is_answered = bool(behind) and not is_announced
+        assert answers.count(b"HTTP/1.1 200") == 1 + is_answered
+        assert answers.endswith(b"whole") == is_answered
+        n_announced = answers.count(b"Connection: close")
+        assert n_announced == int(is_announced or is_answered)
+
+    asyncio.run(run())
--- a/tests/users_platform/test_lost_answers.py
+++ b/tests/users_platform/test_lost_answers.py
@@ -1,6 +1,7 @@
 """Answers that must not end because a target is silent or a configuration changes."""
 
 import http.client
+import json
 import signal
 import threading
 import time
@@ -276,11 +277,16 @@
         port = deployment.ports[gateway]
         self.connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
 
-    def send(self):
-        headers = {"Host": HOST, "Authorization": f"Bearer {KEY}", "Attempt-Id": "k"}
+    def send(self, path="/stock/1", **headers):
+        headers = {
+            "Host": HOST,
+            "Authorization": f"Bearer {KEY}",
+            "Attempt-Id": "k",
+            **{k.replace("_", "-"): v for k, v in headers.items()},
+        }
         # Reconnecting would hide that the connection was closed.
         self.connection.auto_open = 1 if self.connection.sock is None else 0
-        self.connection.request("GET", "/stock/1", b"", headers)
+        self.connection.request("GET", path, b"", headers)
 
     def request(self):
         self.send()
@@ -289,6 +295,7 @@
     def receive(self):
         response = self.connection.getresponse()
         response.read()
+        self.headers = response.headers
         return response.status
 
 
@@ -340,3 +347,37 @@
     time.sleep(1.0)
     deployment.kill(GATEWAY, signal.SIGCONT)
     assert {caller.receive() for caller in callers} == {200}
+
+
+def test_request_that_outlasts_the_leaving_of_its_daemon_is_refused(deployment):
+    names = ("celje-plain", "velenje-plain")
+    for name in names:
+        deployment.kill(name, signal.SIGSTOP)
+    caller = KeptConnection(deployment)
+    caller.send("/book/1", Deadline_Ms="20000")
+    time.sleep(0.2)
+    deployment.kill(GATEWAY, signal.SIGTERM)
+    response = caller.connection.getresponse()
+    problem = json.loads(response.read())
+    # The request may have run: statuses that promise the contrary would be wrong.
+    assert response.status == 502
+    assert problem["outcome"] == "unknown"
+    assert response.headers["Connection"] == "close"
+    assert deployment.processes[GATEWAY].wait(2.0) == 0
+    [ended] = [
+        row
+        for row in deployment.decisions(GATEWAY, "request.ended")
+        if row["path"] == "/book/1"
+    ]
+    assert ended["outcome"] == "leaving"
+
+
+def test_kept_connections_are_served_while_their_daemon_leaves(deployment):
+    callers = [KeptConnection(deployment) for _ in range(20)]
+    assert {caller.request() for caller in callers} == {200}
+    deployment.kill(GATEWAY, signal.SIGTERM)
+    for caller in callers:
+        time.sleep(0.1)
+        assert caller.request() == 200
+        assert caller.headers["Connection"] == "close"
+    assert deployment.processes[GATEWAY].wait(8.0) == 0
