Size limits hold for open connections; larger requests get 413 or 431

Callers that kept a connection and sent a body or head that a newer configuration allowed got a reset.

tornado reads max_body_size and max_header_size once, when a connection begins to wait, and closes with the rest of the request unread, which resets the connection.

The frontend now checks both against the largest limits since the wait began. It reads a request that is too large to its end, without keeping it, and refuses it with 413 or 431; the connection stays open. Heads over 1 MiB and bodies over 64 MiB, or over a larger configured limit, still close the connection.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_caller_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_caller_stream.py
@@ -17,6 +17,7 @@
     def __init__(self, connection: socket.socket) -> None:
         super().__init__(connection)
         self._n_unconsumed = 0
+        self._n_head_bytes: int | None = 0
         self._arriving_since_s = 0.0
         self._is_ended_by_caller = False
         #: Called once the connection is closed, in the same step of the event loop.
@@ -27,6 +28,11 @@
         """Bytes received that belong to a message which is not complete."""
         return self._n_unconsumed
 
+    @property
+    def n_head_bytes(self) -> int:
+        """Bytes of the head that was read last, 0 if it is not complete."""
+        return self._n_head_bytes or 0
+
     @property
     def arriving_since_s(self) -> float:
         """When the first of these bytes was received, on the monotonic clock."""
@@ -82,6 +88,7 @@
         :param regex: the expression.
         :param max_bytes: the connection closes if no match ends within so many bytes.
         """
+        self._n_head_bytes = None
         return self._follow_read(super().read_until_regex(regex, max_bytes))
 
     def read_until(
@@ -112,4 +119,7 @@
 
     def _record_consumed(self, read: "Future[bytes]") -> None:
         if not read.cancelled() and read.exception() is None:
-            self._n_unconsumed -= len(read.result())
+            n_bytes = len(read.result())
+            self._n_unconsumed -= n_bytes
+            if self._n_head_bytes is None:
+                self._n_head_bytes = n_bytes
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
@@ -69,6 +69,8 @@
         self.status = 0
         self._is_ended = False
         self._is_close_announced = False
+        # Answers the request instead of its target.
+        self.refusal: Refusal | None = None
         # Answers the request if its task is cancelled.
         self.interruption: Refusal | None = None
 
@@ -191,9 +193,9 @@
         self.stream = stream
         # Since when the next request is awaited; None while one is in progress.
         self.waiting_since_s: float | None = None
-        # Largest limits that were in force since then.
-        self.idle_timeout_s = 0.0
-        self.header_timeout_s = 0.0
+        # The largest of each limit that was in force since then, or since the request
+        # in progress was awaited.
+        self.limits = ClientLimits()
         self.n_requests = 0
         # Whether a request is in progress that was not received to its end.
         self.is_receiving = False
@@ -221,16 +223,20 @@
         self.waiting_since_s = now_s
         self.inbound = None
         self.is_receiving = False
-        self.idle_timeout_s = limits.idle_timeout_s
-        self.header_timeout_s = limits.header_timeout_s
+        self.limits = limits
 
     def raise_limits(self, limits: ClientLimits) -> None:
         """Apply larger limits; smaller ones hold from the next wait.
 
         :param limits: limits in force from now on.
         """
-        self.idle_timeout_s = max(self.idle_timeout_s, limits.idle_timeout_s)
-        self.header_timeout_s = max(self.header_timeout_s, limits.header_timeout_s)
+        before = self.limits
+        self.limits = ClientLimits(
+            max(before.max_header_bytes, limits.max_header_bytes),
+            max(before.max_body_bytes, limits.max_body_bytes),
+            max(before.header_timeout_s, limits.header_timeout_s),
+            max(before.idle_timeout_s, limits.idle_timeout_s),
+        )
 
     def find_expired(self, now_s: float) -> CloseReason | None:
         """Return which timeout the caller has exceeded, if any.
@@ -240,11 +246,11 @@
         if self.waiting_since_s is None:
             return None
         if not self.stream.n_buffered:
-            is_over = now_s - self.waiting_since_s >= self.idle_timeout_s
+            is_over = now_s - self.waiting_since_s >= self.limits.idle_timeout_s
             return CloseReason.IDLE if is_over and self.is_idle else None
         # A head may begin before the answer to the request before it has ended.
         arriving_since_s = max(self.waiting_since_s, self.stream.arriving_since_s)
-        is_over = now_s - arriving_since_s >= self.header_timeout_s
+        is_over = now_s - arriving_since_s >= self.limits.header_timeout_s
         # The process may have been suspended while the rest of the head arrived.
         if is_over and not self.stream.has_unread:
             return CloseReason.HEAD_TIMEOUT
@@ -332,9 +338,9 @@
         idle_s = None
         if connection.waiting_since_s is not None:
             idle_s = time.monotonic() - connection.waiting_since_s
-        limit_s = connection.idle_timeout_s
+        limit_s = connection.limits.idle_timeout_s
         if reason is CloseReason.HEAD_TIMEOUT:
-            limit_s = connection.header_timeout_s
+            limit_s = connection.limits.header_timeout_s
         self._log.record(
             "connection.closed",
             reason=reason.value,
@@ -357,6 +363,14 @@
             return CloseReason.ABORTED
         return CloseReason.LEAVING if self._is_leaving else None
 
+    def limits_of(self, server_conn: HTTP1ServerConnection) -> ClientLimits:
+        """Return the limits on the request in progress on a connection.
+
+        :param server_conn: identifies the connection.
+        """
+        connection = self._connections.get(server_conn)
+        return self._limits if connection is None else connection.limits
+
     def set_busy(self, server_conn: HTTP1ServerConnection) -> None:
         """Record that a request begins on a connection.
 
@@ -478,6 +492,8 @@
         self._server_conn = server_conn
         self._connection = connection
         self._chunks: list[bytes] = []
+        self._n_body_bytes = 0
+        self._refusal: Refusal | None = None
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -487,9 +503,22 @@
         self._headers = headers
         self._arrived_s = time.monotonic()
         self._frontend.set_busy(self._server_conn)
+        limit = self._frontend.limits_of(self._server_conn).max_header_bytes
+        if self._server_conn.stream.n_head_bytes > limit:
+            detail = f"At most {limit} bytes of headers."
+            self._refusal = Refusal(431, "headers-too-large", detail)
 
     def data_received(self, chunk: bytes) -> None:
+        self._n_body_bytes += len(chunk)
+        if self._refusal is not None:
+            return
         self._chunks.append(chunk)
+        limit = self._frontend.limits_of(self._server_conn).max_body_bytes
+        if self._n_body_bytes > limit:
+            # The rest is read and dropped, so that the caller can read its answer.
+            self._chunks.clear()
+            detail = f"At most {limit} bytes of body."
+            self._refusal = Refusal(413, "body-too-large", detail)
 
     def finish(self) -> None:
         if self._connection.stream.closed():
@@ -504,6 +533,7 @@
             self._arrived_s,
             lambda: self._frontend.is_leaving,
         )
+        inbound.refusal = self._refusal
         task = self._frontend.run(inbound, self._server_conn)
         self._connection.set_close_callback(task.cancel)
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -63,6 +63,10 @@
 # Part of the exit timeout that is reserved for the shutdown itself.
 EXIT_MARGIN_S = 0.7
 DRAIN_POLL_S = 0.05
+# Requests above these sizes close the connection; those that only exceed the configured
+# limits are read to their end and refused.
+MAX_READ_HEADER_BYTES = 1024 * 1024
+MAX_READ_BODY_BYTES = 64 * 1024 * 1024
 # Part of the margin within which the last refusals are sent.
 ANSWER_TIME_S = 0.1
 # A connection that was just opened, or whose answer was just read, may be about to
@@ -413,8 +417,9 @@
             await asyncio.sleep(ANSWER_TIME_S)
 
     def _apply_limits(self, server: HTTPServer, limits: ClientLimits) -> None:
-        server.conn_params.max_header_size = limits.max_header_bytes
-        server.conn_params.max_body_size = limits.max_body_bytes
+        params = server.conn_params
+        params.max_header_size = max(limits.max_header_bytes, MAX_READ_HEADER_BYTES)
+        params.max_body_size = max(limits.max_body_bytes, MAX_READ_BODY_BYTES)
         self._frontend.apply_limits(limits)
 
     def _handle_reload(self) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -165,6 +165,8 @@
                 parameters = self._codec.read_request(inbound.headers)
             except ValueError as error:
                 raise Refusal(400, "bad-request", str(error)) from None
+            if inbound.refusal is not None:
+                raise inbound.refusal
             job = self._prepare(inbound, parameters)
             kind, fingerprint = job.route.kind.value, job.fingerprint
             take_retry = self._retries.record_request(
--- a/packages/cassiaspread-daemon/tests/test_front.py
+++ b/packages/cassiaspread-daemon/tests/test_front.py
@@ -29,6 +29,7 @@
     n_buffered = 0
     has_unread = False
     arriving_since_s = 0.0
+    n_head_bytes = 0
 
     def __init__(self, on_close=None):
         self.is_closed = False
--- a/tests/users_platform/test_lost_answers.py
+++ b/tests/users_platform/test_lost_answers.py
@@ -277,7 +277,7 @@
         port = deployment.ports[gateway]
         self.connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
 
-    def send(self, path="/stock/1", **headers):
+    def send(self, path="/stock/1", body=b"", **headers):
         headers = {
             "Host": HOST,
             "Authorization": f"Bearer {KEY}",
@@ -286,10 +286,10 @@
         }
         # Reconnecting would hide that the connection was closed.
         self.connection.auto_open = 1 if self.connection.sock is None else 0
-        self.connection.request("GET", path, b"", headers)
+        self.connection.request("GET", path, body, headers)
 
-    def request(self):
-        self.send()
+    def request(self, **options):
+        self.send(**options)
         return self.receive()
 
     def receive(self):
@@ -299,10 +299,8 @@
         return response.status
 
 
-def publish_idle_timeout(deployment, version, idle_timeout_ms):
-    deployment.publish_configuration(
-        version, limits={"idle_timeout_ms": idle_timeout_ms}
-    )
+def publish_limits(deployment, version, **limits):
+    deployment.publish_configuration(version, limits=limits)
     for name in GATEWAYS:
         wait_for(
             lambda name=name: [
@@ -314,19 +312,19 @@
 
 
 def test_raised_idle_timeout_holds_for_connections_that_are_open(deployment):
-    publish_idle_timeout(deployment, 4, 2000)
+    publish_limits(deployment, 4, idle_timeout_ms=2000)
     callers = [KeptConnection(deployment) for _ in range(5)]
     assert {caller.request() for caller in callers} == {200}
-    publish_idle_timeout(deployment, 5, 15_000)
+    publish_limits(deployment, 5, idle_timeout_ms=15_000)
     time.sleep(3.0)
     assert {caller.request() for caller in callers} == {200}
 
 
 def test_lowered_idle_timeout_holds_from_the_next_request(deployment):
-    publish_idle_timeout(deployment, 4, 15_000)
+    publish_limits(deployment, 4, idle_timeout_ms=15_000)
     callers = [KeptConnection(deployment) for _ in range(5)]
     assert {caller.request() for caller in callers} == {200}
-    publish_idle_timeout(deployment, 5, 1000)
+    publish_limits(deployment, 5, idle_timeout_ms=1000)
     time.sleep(2.0)
     assert {caller.request() for caller in callers} == {200}
     time.sleep(2.5)
@@ -337,7 +335,7 @@
 
 def test_request_that_arrives_as_the_idle_timeout_ends_is_answered(deployment):
     # The daemon finds the end of the timeout and the request in the same step.
-    publish_idle_timeout(deployment, 4, 2000)
+    publish_limits(deployment, 4, idle_timeout_ms=2000)
     callers = [KeptConnection(deployment) for _ in range(5)]
     assert {caller.request() for caller in callers} == {200}
     time.sleep(1.4)
@@ -381,3 +379,36 @@
         assert caller.request() == 200
         assert caller.headers["Connection"] == "close"
     assert deployment.processes[GATEWAY].wait(8.0) == 0
+
+
+SMALL_LIMITS = {"max_body_bytes": 1000, "max_header_bytes": 500}
+LARGE_LIMITS = {"max_body_bytes": 1_000_000, "max_header_bytes": 50_000}
+
+
+def test_raised_size_limits_hold_for_connections_that_are_open(deployment):
+    publish_limits(deployment, 4, **SMALL_LIMITS)
+    callers = [KeptConnection(deployment) for _ in range(2)]
+    assert {caller.request() for caller in callers} == {200}
+    publish_limits(deployment, 5, **LARGE_LIMITS)
+    assert callers[0].request(body=b"x" * 900_000) == 200
+    assert callers[1].request(X_Large="x" * 40_000) == 200
+
+
+def test_lowered_size_limits_hold_from_the_next_request(deployment):
+    publish_limits(deployment, 4, **LARGE_LIMITS)
+    callers = [KeptConnection(deployment) for _ in range(2)]
+    assert {caller.request() for caller in callers} == {200}
+
+    def halves():
+        yield b"x" * 400_000
+        # The limits shrink in the middle of the body.
+        publish_limits(deployment, 5, **SMALL_LIMITS)
+        yield b"x" * 400_000
+
+    assert callers[0].request(body=halves(), Content_Length="800000") == 200
+    # This connection has waited since before the change.
+    assert callers[1].request(X_Large="x" * 40_000) == 200
+    for _ in range(2):
+        assert callers[0].request(body=b"x" * 900_000) == 413
+        assert callers[1].request(X_Large="x" * 40_000) == 431
+        assert {caller.request() for caller in callers} == {200}
