A stream leaves a silent engine only for one that responds

A search that found a chain while the engine responded again kept the event loop busy and the chain's load booked; a prefill counted as silence; a refused connection, and any other failure to connect, counted as proof that an engine is gone, also of one that is leaving and may complete its requests; a slow request made a plain target suspect again and again; after a second plain target had refused, the third was asked late; what arrived between two steps of the event loop could be missed.

Change: the search ends when the engine responds; the head of the chain that was found is asked for its report first; silence counts from the last response; only a refused connection to an engine that is not leaving is proof. A silence of a plain target is recorded once. Only ended requests of a service count in its queue's rate.

--- a/packages/cassiaspread-core/src/cassiaspread_core/targets/_silence.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/targets/_silence.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-# A target that is silent for this long and is no longer listed has ended, in seconds.
-# Some leave the list before they have completed their requests.
+# A leaving target that is silent for this long has ended, in seconds. It may refuse
+# connections before it has completed its requests.
 MIN_GONE_SILENCE_S = 3.0
 
 
@@ -17,13 +17,13 @@
     :param duration_s: time since the target last sent anything, in seconds.
     :param is_refused: nothing listens at its address.
     :param is_restarted: another process has its name since the request was sent.
-    :param is_unlisted: a current list of targets does not contain it.
+    :param is_leaving: it is leaving, or a current list of targets does not contain it.
     """
 
     duration_s: float
     is_refused: bool = False
     is_restarted: bool = False
-    is_unlisted: bool = False
+    is_leaving: bool = False
 
 
 def is_gone(silence: Silence) -> bool:
@@ -35,9 +35,11 @@
     False
     >>> is_gone(Silence(duration_s=0.6, is_refused=True))
     True
-    >>> is_gone(Silence(duration_s=0.6, is_unlisted=True))
+    >>> is_gone(Silence(duration_s=0.6, is_refused=True, is_leaving=True))
     False
     """
-    if silence.is_refused or silence.is_restarted:
+    if silence.is_restarted:
         return True
-    return silence.is_unlisted and silence.duration_s >= MIN_GONE_SILENCE_S
+    if silence.is_leaving:
+        return silence.duration_s >= MIN_GONE_SILENCE_S
+    return silence.is_refused
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -61,6 +61,10 @@
     """No connection could be opened: no byte of the request was sent."""
 
 
+class ConnectRefused(ConnectFailed):
+    """Nothing listens at the address."""
+
+
 class ConnectTimedOut(ConnectFailed):
     """The other end did not respond to the attempt to connect."""
 
@@ -322,6 +326,11 @@
         """Headers of the response, empty before it starts."""
         return self._reader.headers if self._reader is not None else HTTPHeaders()
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the headers of the response have arrived, or will not."""
+        return self._reader is not None and self._reader.started.done()
+
     @property
     def delimiter(self) -> Delimiter:
         """What marks the end of the response; known once it has started."""
@@ -376,7 +385,10 @@
             raise ConnectTimedOut(f"{address}: no response in time") from None
         except (OSError, StreamClosedError) as error:
             stream.close()
-            raise ConnectFailed(f"{address}: {error or type(error).__name__}") from None
+            reason = getattr(error, "real_error", None) or error
+            is_refused = isinstance(reason, ConnectionRefusedError)
+            failure = ConnectRefused if is_refused else ConnectFailed
+            raise failure(f"{address}: {reason or type(reason).__name__}") from None
         except asyncio.CancelledError:
             stream.close()
             raise
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_capacity_queue.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_capacity_queue.py
@@ -86,7 +86,7 @@
         """Retry the queue after other daemons reported their load."""
         now_s = now()
         if now_s - self._checked_s >= RECHECK_INTERVAL_S:
-            self._assign_waiting(is_end=False)
+            self._assign_waiting(None)
 
     def refuse_waiting(self, check: Callable[[Job], None]) -> None:
         """Refuse the queued requests that must no longer be sent.
@@ -152,10 +152,10 @@
             503, "no-capacity", "No chain has room for it.", retry_after_s=retry_after_s
         )
 
-    def _assign_waiting(self, is_end: bool) -> None:
+    def _assign_waiting(self, ended: ServiceId | None) -> None:
         self._checked_s = now()
-        for queue in self._queues.values():
-            if is_end:
+        for service, queue in self._queues.items():
+            if service == ended:
                 queue.waiting.record_completion(now())
             self._assign_in_turn(queue)
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_chain_search.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_chain_search.py
@@ -24,6 +24,7 @@
         self._capacity_queue = capacity_queue
         self._dispatcher = dispatcher
         self._task: asyncio.Task[Assignment] | None = None
+        self._avoid: frozenset[TargetId] = frozenset()
 
     def __enter__(self) -> Self:
         return self
@@ -34,11 +35,7 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        found = self.take()
-        if found is not None:
-            self._dispatcher.release(found)
-        if self._task is not None:
-            self._task.cancel()
+        self.stop()
 
     @property
     def tasks(self) -> set[asyncio.Task[Assignment]]:
@@ -46,16 +43,28 @@
         return set() if self._task is None else {self._task}
 
     def start(self, job: Job, avoid: Iterable[TargetId]) -> None:
-        """Search unless a search is in progress.
+        """Search unless such a search is in progress.
 
         :param job: the request.
         :param avoid: targets to exclude.
         """
+        if self._avoid != frozenset(avoid):
+            self.stop()
+            self._avoid = frozenset(avoid)
         if self._task is None:
             self._task = asyncio.create_task(
                 self._capacity_queue.assign(job, avoid, job.remaining_s(now()))
             )
 
+    def stop(self) -> None:
+        """End the search and give back what it has found."""
+        found = self.take()
+        if found is not None:
+            self._dispatcher.release(found, is_end=False)
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
     def take(self) -> Assignment | None:
         """Return the chain that was found, if any; its owner has to release it."""
         task = self._task
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from cassiaspread_core.base import DomainId, TargetId
+from cassiaspread_core.base import DomainId, ServiceId, TargetId
 from cassiaspread_core.chains import (
     Chain,
     LoadLedger,
@@ -68,9 +68,9 @@
         self._unreported = UnreportedStarts(random_state)
         # Number of daemons of this domain, which share its engines; includes this one.
         self.count_domain_daemons: Callable[[], int] = lambda: 1
-        # Called when capacity may have become free: with True when a request ended,
-        # with False when targets changed.
-        self.capacity_callbacks: list[Callable[[bool], None]] = []
+        # Called when capacity may have become free: with the service of a request that
+        # ended, or with None.
+        self.capacity_callbacks: list[Callable[[ServiceId | None], None]] = []
 
     def assign(
         self,
@@ -114,14 +114,15 @@
                 break
         return None
 
-    def release(self, assignment: Assignment) -> None:
-        """Remove an ended request from the load.
+    def release(self, assignment: Assignment, is_end: bool = True) -> None:
+        """Remove a request from the load.
 
         :param assignment: assignment of the request.
+        :param is_end: whether the request has ended; otherwise it was not sent.
         """
         for target, load in assignment.loads:
             self._ledger.remove(target, load)
-        self._notify_capacity(is_end=True)
+        self._notify_capacity(assignment.head.service if is_end else None)
 
     def record_unreachable(self, engine: Engine, now_s: float) -> None:
         """Record a target that refused a connection or stopped responding.
@@ -154,11 +155,11 @@
 
     def record_targets_changed(self) -> None:
         """Retry queued requests after a change of targets."""
-        self._notify_capacity(is_end=False)
+        self._notify_capacity(None)
 
-    def _notify_capacity(self, is_end: bool) -> None:
+    def _notify_capacity(self, ended: ServiceId | None) -> None:
         for callback in self.capacity_callbacks:
-            callback(is_end)
+            callback(ended)
 
     def _choose(
         self,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_loss_probe.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_loss_probe.py
@@ -2,7 +2,7 @@
 
 from enum import Enum
 
-from cassiaspread_daemon._exchange import ConnectFailed, ConnectTimedOut, Exchange
+from cassiaspread_daemon._exchange import ConnectFailed, ConnectRefused, Exchange
 from cassiaspread_daemon.gateway._shared_calls import SharedCalls
 
 # A target in the same region accepts or refuses a connection within a few milliseconds.
@@ -50,7 +50,7 @@
         # A target also closes connections beyond its limit.
         with await Exchange.open(address, CONNECT_TIMEOUT_S):
             return ProbeResult.ALIVE
-    except ConnectTimedOut:
-        return ProbeResult.SILENT
-    except ConnectFailed:
+    except ConnectRefused:
         return ProbeResult.REFUSED
+    except ConnectFailed:
+        return ProbeResult.SILENT
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -71,6 +71,8 @@
         # Attempts that ended and may have run; those in progress may run too.
         self.n_runs = 0
         self.pending: dict[asyncio.Task[Answer], _Attempt] = {}
+        # Attempts whose silence was recorded.
+        self.silent: set[asyncio.Task[Answer]] = set()
         # When to ask another target, on the monotonic clock in seconds.
         self.recheck_s = 0.0
         self.failed: Answer | None = None
@@ -142,8 +144,9 @@
                 answer = await self._end(call, task)
                 if answer is not None:
                     return answer
+                call.recheck_s = now()
             if not done:
-                await self._try_elsewhere(call)
+                self._try_elsewhere(call)
         if call.failed is not None and call.failed.parameters.is_signed:
             return call.failed
         raise self._refusal(call)
@@ -167,12 +170,12 @@
             return False
         call.tried.append(assignment.head.target)
         run = self._quarantine.begin_run(job)
-        call.recheck_s = now() + self._patience_s(call)
         task = asyncio.create_task(self._send(job, assignment))
         task.add_done_callback(lambda _: self._dispatcher.release(assignment))
         # The result of an attempt that is no longer waited for is of no use.
         task.add_done_callback(lambda t: t.cancelled() or t.exception())
         call.pending[task] = _Attempt(assignment, run)
+        call.recheck_s = now() + self._patience_s(call)
         return True
 
     async def _end(self, call: _Call, task: asyncio.Task[Answer]) -> Answer | None:
@@ -202,18 +205,18 @@
             return answer
         self._record_failure(job, assignment, answer)
         call.failed = answer
-        return None
+        is_final = answer.parameters.is_signed and not call.may_try
+        return answer if is_final else None
 
-    async def _try_elsewhere(self, call: _Call) -> None:
+    def _try_elsewhere(self, call: _Call) -> None:
         """Ask another target beside those that are silent, which may still answer."""
-        silent = list(call.pending.values())
+        silent = [task for task in call.pending if task not in call.silent]
         call.recheck_s = now() + RECHECK_S
         is_started = self._start(call)
-        for attempt in silent:
-            self._record_silence(call.job, attempt.assignment, is_started)
-            await self._quarantine.record_interruption(
-                call.job, (attempt.assignment.head,), attempt.run
-            )
+        for task in silent:
+            call.silent.add(task)
+            assignment = call.pending[task].assignment
+            self._record_silence(call.job, assignment, is_started)
 
     def _refusal(self, call: _Call) -> Refusal:
         if call.job.remaining_s(now()) <= 0:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_receive_buffer.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_receive_buffer.py
@@ -4,7 +4,6 @@
 from collections.abc import Awaitable
 
 from cassiaspread_core.admission import HeldAnswer
-from cassiaspread_daemon.gateway._job import now
 
 # Received bytes that wait to be relayed; beyond them no more are read.
 MAX_RECEIVED_BYTES = 64 * 1024
@@ -22,14 +21,11 @@
         self._n_bytes = 0
         self._event = asyncio.Event()
         self._has_room = asyncio.Event()
-        self._received_s = now()
 
-    def silence_s(self, now_s: float) -> float:
-        """Return the time since anything was received, in seconds.
-
-        :param now_s: current time, in seconds.
-        """
-        return now_s - self._received_s
+    @property
+    def has_arrived(self) -> bool:
+        """Whether there are bytes, or the stream has ended."""
+        return self._event.is_set()
 
     def put(self, data: bytes) -> Awaitable[object] | None:
         """Add bytes.
@@ -37,7 +33,6 @@
         :param data: the bytes.
         :returns: what to wait for before more are read, if anything.
         """
-        self._received_s = now()
         self._held.add(len(data))
         if not self._held.is_open:
             return None
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -112,6 +112,8 @@
         self._exchange = exchange
         self._buffer = buffer
         self._may_move = may_move
+        # Engines of other chains that were found to be silent.
+        self._silent_targets: set[TargetId] = set()
 
     async def send(self, headers: Mapping[str, str]) -> AnswerParameters:
         """Send the request and wait for the headers of the answer.
@@ -134,7 +136,9 @@
         try:
             await asyncio.wait([sending], timeout=stall_s)
             if not sending.done():
-                await self._outlast_silence(sending, stall_s)
+                await self._outlast_silence(
+                    sending, lambda: self._exchange.is_answered, stall_s
+                )
             return codec.read_answer(sending.result(), self._exchange.headers)
         finally:
             sending.cancel()
@@ -169,46 +173,59 @@
                 if not await buffer.wait(stall_s):
                     arriving = asyncio.ensure_future(buffer.arrival())
                     try:
-                        await self._outlast_silence(arriving, stall_s)
+                        await self._outlast_silence(
+                            arriving, lambda: buffer.has_arrived, stall_s
+                        )
                     finally:
                         arriving.cancel()
         finally:
             finishing.cancel()
 
     async def _outlast_silence(
-        self, arriving: asyncio.Future[Any], interval_s: float
+        self,
+        arriving: asyncio.Future[Any],
+        has_arrived: Callable[[], bool],
+        interval_s: float,
     ) -> None:
         """Wait for a silent engine, or leave it.
 
-        :param arriving: done once something has arrived.
-        :param interval_s: time between two checks, in seconds.
+        :param arriving: done soon after something has arrived.
+        :param has_arrived: returns at once whether something has.
+        :param interval_s: time between two checks, and since the engine last sent
+            anything, in seconds.
         :raises StreamStalled: the engine is gone, or another chain has room for the
             stream, which is then the stream's ``found``.
         """
         tools, stream = self._tools, self._stream
         is_recorded = False
+        responded_s = now() - interval_s
         with ChainSearch(tools.capacity_queue, tools.dispatcher) as search:
-            while not arriving.done():
-                silent = await self._find_silent(arriving)
-                if silent is not None:
-                    if self._may_move():
-                        avoid = {*stream.avoided, self._assignment.head.target}
-                        search.start(stream.job, {*avoid, silent.engine.target})
-                        await _wait_first({arriving, *search.tasks}, SEARCH_AT_ONCE_S)
-                        self._move(search, silent, arriving)
-                    if not is_recorded:
-                        is_recorded = True
-                        self._record_silence(silent, "waits")
-                    await self._check_gone(silent, arriving)
+            while not has_arrived():
+                silent = await self._find_silent(arriving, self._assignment)
+                if silent is None:
+                    responded_s = now()
+                    search.stop()
+                    await _wait_first({arriving}, interval_s)
+                    continue
+                silence = _Silence(silent, responded_s, has_arrived)
+                if self._may_move():
+                    avoid = {*stream.avoided, *self._silent_targets}
+                    avoid |= {self._assignment.head.target, silent.engine.target}
+                    search.start(stream.job, avoid)
+                    await _wait_first({arriving, *search.tasks}, SEARCH_AT_ONCE_S)
+                    await self._move(search, silence, arriving)
+                if not is_recorded:
+                    is_recorded = True
+                    self._record_silence(silence, "waits")
+                await self._check_gone(silence)
                 await _wait_first({arriving, *search.tasks}, interval_s)
-                if silent is not None:
-                    self._move(search, silent, arriving)
+                await self._move(search, silence, arriving)
 
-    async def _find_silent(self, arriving: asyncio.Future[Any]) -> SilentEngine | None:
+    async def _find_silent(
+        self, arriving: asyncio.Future[Any], assignment: Assignment
+    ) -> SilentEngine | None:
         finding = asyncio.ensure_future(
-            self._tools.stalls.find(
-                self._stream.job.parameters.request_id, self._assignment
-            )
+            self._tools.stalls.find(self._stream.job.parameters.request_id, assignment)
         )
         try:
             await _wait_first({arriving, finding})
@@ -216,41 +233,45 @@
         finally:
             finding.cancel()
 
-    def _move(
-        self, search: ChainSearch, silent: SilentEngine, arriving: asyncio.Future[Any]
+    async def _move(
+        self, search: ChainSearch, silence: "_Silence", arriving: asyncio.Future[Any]
     ) -> None:
-        if arriving.done():
-            return
-        found = search.take()
+        found = None if silence.has_ended() else search.take()
         if found is None:
             return
-        if not self._stream.take_retry():
-            self._tools.dispatcher.release(found)
-            return
-        self._record_silence(silent, "moves")
-        self._stream.found = found
-        raise StreamStalled(silent.engine, silent.reason)
-
-    async def _check_gone(
-        self, silent: SilentEngine, arriving: asyncio.Future[Any]
-    ) -> None:
-        is_gone = await self._tools.stalls.is_gone(
-            silent, self._buffer.silence_s(now())
-        )
-        if is_gone and not arriving.done():
-            self._record_silence(silent, "gone")
-            raise StreamStalled(silent.engine, f"{silent.reason}; it is gone")
-
-    def _record_silence(self, silent: SilentEngine, decision: str) -> None:
+        is_taken = False
+        try:
+            # The stream does not leave one silent engine for another.
+            silent = await self._find_silent(arriving, found)
+            if silent is not None:
+                self._silent_targets.add(silent.engine.target)
+            elif not silence.has_ended():
+                is_taken = self._stream.take_retry()
+        finally:
+            if not is_taken:
+                self._tools.dispatcher.release(found, is_end=False)
+        if is_taken:
+            self._record_silence(silence, "moves")
+            self._stream.found = found
+            raise StreamStalled(silence.of.engine, silence.of.reason)
+
+    async def _check_gone(self, silence: "_Silence") -> None:
+        duration_s = now() - silence.since_s
+        is_gone = await self._tools.stalls.is_gone(silence.of, duration_s)
+        if is_gone and not silence.has_ended():
+            self._record_silence(silence, "gone")
+            raise StreamStalled(silence.of.engine, f"{silence.of.reason}; it is gone")
+
+    def _record_silence(self, silence: "_Silence", decision: str) -> None:
         stream = self._stream
         self._tools.metrics.record_silence(decision)
         self._tools.log.record(
             "stream.silent",
             request=stream.job.parameters.request_id,
             head=self._assignment.head.target,
-            target=silent.engine.target,
-            reason=silent.reason,
-            silent_ms=round(self._buffer.silence_s(now()) * 1000),
+            target=silence.of.engine.target,
+            reason=silence.of.reason,
+            silent_ms=round((now() - silence.since_s) * 1000),
             decision=decision,
             may_move=self._may_move(),
             n_runs=stream.n_runs,
@@ -297,6 +318,19 @@
         inbound.end()
 
 
+class _Silence(NamedTuple):
+    """A silence of an engine under a stream.
+
+    :param of: the engine.
+    :param since_s: when it last responded, on the monotonic clock in seconds.
+    :param has_ended: returns whether something has arrived since.
+    """
+
+    of: SilentEngine
+    since_s: float
+    has_ended: Callable[[], bool]
+
+
 async def _wait_first(
     futures: set[asyncio.Future[Any]], timeout_s: float | None = None
 ) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stalls.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stalls.py
@@ -100,7 +100,7 @@
         """Return whether a silent engine can no longer answer.
 
         :param silent: the engine.
-        :param duration_s: time since the stream last received anything, in seconds.
+        :param duration_s: time since the engine last responded, in seconds.
         """
         engine = silent.engine
         listed = self._routing_state.engines.get(engine.target)
@@ -112,7 +112,7 @@
                 duration_s=duration_s,
                 is_refused=probe is ProbeResult.REFUSED,
                 is_restarted=silent.is_restarted or is_replaced,
-                is_unlisted=is_current and listed is None,
+                is_leaving=is_current if listed is None else listed.is_leaving,
             )
         )
 
