--- a/tests/users_platform/test_explanations.py
+++ b/tests/users_platform/test_explanations.py
@@ -3,6 +3,7 @@
 Each test follows a path of docs/OPERATIONS.md.
 """
 
+import http.client
 import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -11,6 +12,8 @@
 import pytest
 
 from tests.users_platform.deployment import (
+    HOST,
+    KEY,
     MODEL_SERVICE,
     configuration,
     route,
@@ -137,7 +140,9 @@
     # The route allows no other attempt, so that none was denied, and the target ended.
     assert len(lines_of(slow_deployment, "stream.assigned", request="broken")) == 1
     assert not lines_of(slow_deployment, "retry.denied", request="broken")
-    [lost] = lines_of(slow_deployment, "target.lost", request="broken")
+    [lost] = wait_for(
+        lambda: lines_of(slow_deployment, "target.lost", request="broken")
+    )
     assert lost["target"] == head
     [gone] = wait_for(lambda: lines_of(slow_deployment, "engine.gone", target=head))
     assert abs(gone["time_s"] - attempt["time_s"]) < 2.0
@@ -164,6 +169,8 @@
     with stream_in_progress(slow_deployment, "/draft/x", "moved") as (head, answer):
         slow_deployment.kill(head)
         assert answer.result().is_complete
+    line = ended(slow_deployment, "moved")
+    assert (line["status"], line["outcome"]) == (200, "answered")
     first, second = lines_of(slow_deployment, "stream.assigned", request="moved")
     [attempt] = lines_of(slow_deployment, "attempt.broken", request="moved")
     assert first["time_s"] < attempt["time_s"] <= second["time_s"]
@@ -197,3 +204,29 @@
     )
     assert gone["time_s"] < seen[0]["time_s"]
     assert not lines_of(slow_deployment, "target.lost", target=head)
+
+
+def test_connection_that_is_closed_although_its_caller_keeps_it(slow_deployment):
+    idle_timeout_ms = 1000
+    limits = {"idle_timeout_ms": idle_timeout_ms}
+    slow_deployment.publish_configuration(5, limits=limits)
+    wait_for(lambda: lines_of(slow_deployment, "configuration.in_force", version=5))
+    port = slow_deployment.ports[GATEWAY]
+    caller = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    headers = {"Host": HOST, "Authorization": f"Bearer {KEY}", "Attempt-Id": "kept"}
+    caller.request("GET", "/stock/1", headers=headers)
+    assert caller.getresponse().read()
+    assert caller.sock.recv(1) == b""
+    # The gateway closed it: it had been idle for the timeout in force, after one
+    # request, and no part of another one had arrived.
+    [closed] = wait_for(lambda: lines_of(slow_deployment, "connection.closed"))
+    assert closed["reason"] == "idle"
+    assert closed["idle_ms"] >= closed["limit_ms"] == idle_timeout_ms
+    assert closed["n_requests"] == 1
+    assert not closed["is_receiving"]
+    assert not lines_of(slow_deployment, "request.dropped")
+    # The timeout is that of the configuration with which the request ended.
+    line = ended(slow_deployment, "kept")
+    assert line["configuration"] == 5
+    idle_ms = (closed["time_s"] - line["time_s"]) * 1000
+    assert abs(idle_ms - closed["idle_ms"]) < OBJECTIVE_MS
