Soak: silent targets, changed settings, callers that come back

Change: each seed has three series of silences of 0.8 to 1.4 s of engines and plain targets, drawn apart so that earlier seeds keep their faults. Beside each silence the operator changes timeouts, removes or adds a route, shares a route between two services, and SIGHUPs all gateways; the idle timeout is raised and lowered once a seed. Eight more callers keep their connections and come back after pauses of up to 7 s, at idle timeouts of 3 and 9 s. Half of the streams run on a route that allows one attempt.

New checks, from what callers and targets see: a request that ran, whose gateway and targets had no fault but such silences and whose time was not up, ends with a complete answer or a refusal; a request on a connection that was idle for less than four fifths of the timeout in force is answered; what ran is not answered as not run. Earlier checks are as strict as before: the one on SIGTERM leaves the new events out, so it applies to calls beside them too.

--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import select
 import signal
 import subprocess
 import sys
@@ -18,6 +19,7 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
+from itertools import pairwise
 from pathlib import Path
 
 import msgspec
@@ -38,6 +40,8 @@
 )
 
 N_CALLERS = 8
+# Callers that come back on their connections after pauses around the idle timeout.
+N_PATIENT_CALLERS = 8
 REVOKED_KEY = "key-that-goes"
 ORGANISATIONS = {KEY: "celje-shops", REVOKED_KEY: "leaving-shops"}
 DEADLINE_S = 5.0
@@ -101,13 +105,40 @@
 SOUND_ANSWERS = {"close_after": None, "break_how": "close", "flood": None}
 N_ANSWER_FAULTS = 4
 
+# A sound target may be silent for up to this long, in seconds, and goes on. Drawn apart
+# in series, beside which the operator changes settings.
+MAX_SILENCE_S = 1.4
+N_SILENCE_SERIES = 3
+SETTINGS = ("settings-timeout", "settings-route", "settings-service", "settings-hup")
+IDLE_SETTING = "settings-idle"
+# Idle timeouts between which the operator switches, in seconds.
+SHORT_IDLE_S, LONG_IDLE_S = 3.0, 9.0
+# Callers reuse connections that were idle for up to this part of the timeout.
+REUSE_RATIO = 0.8
+LONG_TIMEOUT_S, SHORT_TIMEOUT_S = 8.0, 4.0
+# Time after its ack within which a configuration takes effect.
+APPLY_S = 2.0
+# A leaving gateway may close a connection on which a request arrives at that time.
+CLOSE_SLACK_S = 0.2
+# Silences with less time between them count as one, in seconds.
+MIN_PAUSE_S = 0.2
+IDLE_STEP_S = 0.1
+# Requests that are in progress in the last part of the grace may be cut.
+GRACE_RATIO = 5 / 6
+# Route whose streams run at most once, and a service that shares a route's requests.
+ONCE_ROUTE = route("once", "/once/", "streaming", MODEL_SERVICE, max_attempts=1)
+SIDE_SERVICE = "side-pool"
+SIDE_ENGINES = ("celje-side", "velenje-side")
+# Neither the gateways nor the targets are at fault during these.
+PLANNED = {"engine-silence", IDLE_SETTING, *SETTINGS}
+
 
 class Fault(msgspec.Struct):
     """One fault of a schedule.
 
     :param at_s: begin in seconds from the start.
     :param for_s: duration in seconds.
-    :param kind: a key of ``FAULTS`` or ``ANSWER_FAULTS``.
+    :param kind: a key of ``FAULTS`` or ``ANSWER_FAULTS``, or one of ``PLANNED``.
     :param on: the affected process or proxy route.
     """
 
@@ -118,7 +149,11 @@
 
 
 class Call(msgspec.Struct):
-    """One request as observed by its caller; times are in Unix seconds."""
+    """One request as observed by its caller; times are in Unix seconds.
+
+    :param opened_s: time at which its connection was opened, 0.0 if it was not.
+    :param idle_since_s: time from which its connection was idle.
+    """
 
     id: str
     kind: str
@@ -126,6 +161,8 @@
     key: str
     n_events: int
     begin_s: float
+    opened_s: float = 0.0
+    idle_since_s: float = 0.0
     end_s: float = 0.0
     status: int = 0
     # The body arrived completely.
@@ -165,9 +202,56 @@
         on = random_state.choice(list(ENGINES))
         at_s, for_s = random_state.uniform(0, length_s), random_state.uniform(0.5, 3)
         schedule.append(Fault(at_s, for_s, kind, on))
+    return schedule + draw_silences(seed, length_s)
+
+
+def draw_silences(seed, length_s):
+    """Return silences of sound targets, with changed settings beside them."""
+    random_state = random.Random(f"{seed}-silences")
+    raised_s = random_state.uniform(1.0, 3.0)
+    lowered_s = raised_s + random_state.uniform(0.4, 0.8) * length_s
+    schedule = [Fault(s, 0.1, IDLE_SETTING, "operator") for s in (raised_s, lowered_s)]
+    for _ in range(N_SILENCE_SERIES):
+        at_s = random_state.uniform(0.0, 0.6 * length_s)
+        n_targets = random_state.choice((1, 2, 4))
+        names = random_state.sample([*ENGINES, *SIDE_ENGINES], n_targets)
+        for _ in range(random_state.randrange(1, 4)):
+            for_s = random_state.uniform(0.8, MAX_SILENCE_S)
+            schedule += [Fault(at_s, for_s, "engine-silence", name) for name in names]
+            for kind in SETTINGS:
+                changed_s = at_s + random_state.uniform(0.0, for_s)
+                schedule.append(Fault(changed_s, 0.1, kind, "operator"))
+            at_s += for_s + random_state.uniform(0.3, 0.8)
     return schedule
 
 
+def is_closed(connection):
+    """Return whether the other end closed a connection that carries no request."""
+    readable, _, _ = select.select([connection.sock], [], [], 0.0)
+    return bool(readable)
+
+
+def draw_patient_pause(random_state):
+    """Return a pause around the idle timeout, in seconds."""
+    pauses = ((0.0, 1.0), (1.0, REUSE_RATIO * SHORT_IDLE_S), (SHORT_IDLE_S, 7.0))
+    return random_state.uniform(*random_state.choice(pauses))
+
+
+class Version(msgspec.Struct):
+    """A published configuration; times are in Unix seconds.
+
+    :param sent_s: time from which it may be in force.
+    :param acked_s: time at which the store had accepted it.
+    :param idle_s: its idle timeout, in seconds.
+    :param has_route: whether it contains ``ONCE_ROUTE``.
+    """
+
+    sent_s: float
+    acked_s: float
+    idle_s: float
+    has_route: bool
+
+
 class Soak:
     """A deployment behind a proxy, with callers and injected faults."""
 
@@ -178,12 +262,17 @@
         self.calls = []
         self.revoked_s = None
         self.version = 1
+        # Settings that differ from their first values.
+        self.changed = set()
+        self.published = []
         self.is_over = threading.Event()
         # Time of SIGTERM by process, on the monotonic clock.
         self.sigterm_s = {}
         self.restart_locks = {name: threading.Lock() for name in (*GATEWAYS, *ENGINES)}
         # Time of each start of a process after the first, in Unix seconds.
         self.restarts = []
+        # Addresses of the engines behind the proxy.
+        self.addresses = {}
         # Injected faults with begin and end in Unix seconds, by identity.
         self.injected = {}
 
@@ -203,13 +292,15 @@
         wait_for(lambda: deployment.accepts_connections(proxy))
         for name, (service, zone, kind) in ENGINES.items():
             port = free_port()
-            advertise = f"127.0.0.1:{port}"
+            advertise = self.addresses[name] = f"127.0.0.1:{port}"
             deployment.add_engine(name, service, zone, kind, advertise)
             upstream = f"127.0.0.1:{deployment.ports[name]}"
             self.configure_route(name, listen=port, upstream=upstream)
         for name in CRASH_ENGINES:
             zone = name.split("-")[0]
             deployment.add_engine(name, CRASH_SERVICE, zone, crash_on=CRASH_TEXT)
+        for name in SIDE_ENGINES:
+            deployment.add_engine(name, SIDE_SERVICE, name.split("-")[0])
         upstream = f"127.0.0.1:{deployment.store_port}"
         for name in GATEWAYS:
             port = free_port()
@@ -233,12 +324,31 @@
         ]
         base = configuration(self.version)
         crash_route = route("crash", "/crash/", "idempotent", CRASH_SERVICE)
+        routes = [*base["routes"], crash_route]
+        has_route = "settings-route" not in self.changed
+        if has_route:
+            routes.append(ONCE_ROUTE)
+        is_short = "settings-timeout" in self.changed
+        timeout_ms = 1000 * (SHORT_TIMEOUT_S if is_short else LONG_TIMEOUT_S)
+        routes = [fields | {"timeout_ms": timeout_ms} for fields in routes]
+        if "settings-service" in self.changed:
+            weights = {PLAIN_SERVICE: 1, SIDE_SERVICE: 3}
+            backends = [{"service": s, "weight": w} for s, w in weights.items()]
+            routes = [
+                fields | ({"backends": backends} if fields["name"] == "stock" else {})
+                for fields in routes
+            ]
+        added = [{"name": CRASH_SERVICE}, {"name": SIDE_SERVICE}]
+        idle_s = LONG_IDLE_S if IDLE_SETTING in self.changed else SHORT_IDLE_S
+        sent_s = time.time()
         self.deployment.publish_configuration(
             self.version,
             tenants=tenants,
-            routes=[*base["routes"], crash_route],
-            services=[*base["services"], {"name": CRASH_SERVICE}],
+            routes=routes,
+            services=[*base["services"], *added],
+            limits={"idle_timeout_ms": 1000 * idle_s},
         )
+        self.published.append(Version(sent_s, time.time(), idle_s, has_route))
 
     def serves(self, name):
         try:
@@ -253,10 +363,14 @@
 
     def run(self):
         with (
-            ThreadPoolExecutor(N_CALLERS + 1) as pool,
+            ThreadPoolExecutor(N_CALLERS + N_PATIENT_CALLERS + 1) as pool,
             Respawner(self.deployment, CRASH_ENGINES, RESPAWN_S),
         ):
             callers = [pool.submit(self.run_caller, n) for n in range(N_CALLERS)]
+            callers += [
+                pool.submit(self.run_caller, f"patient-{n}", draw_patient_pause)
+                for n in range(N_PATIENT_CALLERS)
+            ]
             callers.append(pool.submit(self.run_crashing_caller))
             try:
                 self.run_schedule()
@@ -300,6 +414,8 @@
                 self.configure_route(name, delay_s=0.05 if is_begin else 0.0)
             else:
                 self.configure_route(name, mode=action if is_begin else "pass")
+        elif family == "settings" and is_begin:
+            self.change_setting(fault.kind)
         elif fault.kind == "configuration" and is_begin:
             if self.revoked_s is None:
                 self.revoked_s = time.time()
@@ -315,11 +431,21 @@
         elif action == "truncate" and is_begin:
             self.deployment.control("store", truncate=True)
 
+    def change_setting(self, kind):
+        if kind != "settings-hup":
+            self.changed ^= {kind}
+            self.publish_configuration()
+            return
+        for name in GATEWAYS:
+            # The signal would end a process that does not listen yet.
+            if self.deployment.accepts_connections(self.deployment.ports[name]):
+                self.deployment.kill(name, signal.SIGHUP)
+
     def apply_to_process(self, name, action, is_begin):
         process = self.deployment.processes[name]
         if not is_begin:
             process.send_signal(signal.SIGCONT)
-            if action != "pause":
+            if action not in ("pause", "silence"):
                 # The schedule does not wait for a leaving process, which may take up to
                 # GRACE_S to end.
                 threading.Thread(target=self.restart_if_ended, args=(name,)).start()
@@ -327,6 +453,7 @@
         signals = {
             "kill": signal.SIGKILL,
             "pause": signal.SIGSTOP,
+            "silence": signal.SIGSTOP,
             "term": signal.SIGTERM,
             "hup": signal.SIGHUP,
         }
@@ -349,30 +476,36 @@
                 self.deployment.restart(name)
                 self.restarts.append((name, time.time()))
 
-    def run_caller(self, number):
+    def run_caller(self, name, draw_pause=lambda state: state.uniform(0.0, 0.1)):
         """Send calls over persistent connections until the soak is over."""
-        random_state = random.Random(f"{self.seed}-{number}")
-        connection, gateway = None, ""
+        random_state = random.Random(f"{self.seed}-{name}")
+        connection, gateway, opened_s, idle_since_s = None, "", 0.0, 0.0
         while not self.is_over.is_set():
             if connection is None:
                 gateway = random_state.choice(GATEWAYS)
                 port = self.deployment.ports[gateway]
                 connection = http.client.HTTPConnection("127.0.0.1", port, timeout=9.0)
+                opened_s = 0.0
+                with suppress(OSError):
+                    connection.connect()
+                    opened_s = idle_since_s = time.time()
             call = Call(
                 id=os.urandom(8).hex(),
-                kind=random_state.choice(["draft", "draft", "book", "stock"]),
+                kind=random_state.choice(["draft", "once", "book", "stock"]),
                 gateway=gateway,
                 key=random_state.choice([KEY, KEY, REVOKED_KEY]),
                 n_events=random_state.randrange(1, 40),
                 begin_s=time.time(),
+                opened_s=opened_s,
+                idle_since_s=idle_since_s,
             )
             is_reusable = self.send(connection, call)
-            call.end_s = time.time()
+            call.end_s = idle_since_s = time.time()
             self.calls.append(call)
             if not is_reusable:
                 connection.close()
                 connection = None
-            time.sleep(random_state.uniform(0.0, 0.1))
+            self.is_over.wait(draw_pause(random_state))
 
     def run_crashing_caller(self):
         """Send the crashing request again and again, over new connections."""
@@ -401,12 +534,15 @@
             "Deadline-Ms": str(int(DEADLINE_S * 1000)),
             "Authorization": f"Bearer {call.key}",
         }
-        if call.kind == "draft":
+        if call.kind in ("draft", "once"):
             headers |= {"Token-Count": f"100,{4 * call.n_events}", "Model": "m"}
         method = "GET" if call.kind == "stock" else "POST"
         path, body = f"/{call.kind}/{call.id}", b""
         if call.kind == "crash":
             path, body = "/crash/same", CRASH_TEXT.encode()
+        if call.opened_s and is_closed(connection):
+            call.error = "closed before the request was sent"
+            return False
         try:
             connection.request(method, path, body, headers)
             response = connection.getresponse()
@@ -467,14 +603,20 @@
         )
 
     def check_call(self, call, runs):
-        if call.kind == "book" and len(runs) > 1:
+        if call.kind in ("book", "once") and len(runs) > 1:
             yield f"{call.id}: non-idempotent request ran {len(runs)} times"
         if call.kind == "book" and call.status in NOT_RUN_STATUSES and runs:
             yield f"{call.id}: refused with status {call.status}, but ran"
-        if call.status in (404, 400) or (call.status == 401 and call.key == KEY):
+        is_denied = call.status in (404, 400)
+        if call.status == 404 and call.kind == "once":
+            in_force = self.versions_in_force(call.gateway, call.begin_s, call.end_s)
+            is_denied = all(version.has_route for version in in_force)
+        if is_denied or (call.status == 401 and call.key == KEY):
             yield f"{call.id}: valid request denied with status {call.status}"
         if call.status == 200 and call.is_complete:
             yield from self.check_body(call, runs)
+        elif call.kind != "crash":
+            yield from self.check_end(call, runs)
         for run in runs:
             if run["headers"].get("Tenant") != ORGANISATIONS[call.key]:
                 yield f"{call.id}: ran for organisation {run['headers'].get('Tenant')}"
@@ -485,7 +627,7 @@
             layers = [
                 layer for _, begin, end in run["hops"] for layer in range(begin, end)
             ]
-            if call.kind == "draft" and layers != list(range(N_LAYERS)):
+            if call.kind in ("draft", "once") and layers != list(range(N_LAYERS)):
                 yield f"{call.id}: ran layers {layers}"
         if runs and not call.status and self.is_affected_by_sigterm_alone(call):
             yield f"{call.id}: interrupted by SIGTERM of {call.gateway} ({call.error})"
@@ -496,7 +638,7 @@
     def check_body(self, call, runs):
         if not runs:
             yield f"{call.id}: successful response without a run"
-        elif call.kind == "draft":
+        elif call.kind in ("draft", "once"):
             ids = [
                 int(line[4:])
                 for line in call.body.decode().split("\n")
@@ -507,12 +649,113 @@
         elif json.loads(call.body)["path"] != f"/{call.kind}/{call.id}":
             yield f"{call.id}: received the response to another request: {call.body!r}"
 
+    def check_end(self, call, runs):
+        """Check the end of a call that got no successful response."""
+        if self.is_gateway_sound(call):
+            end = (
+                f"{call.kind} at {call.gateway} after {call.end_s - call.begin_s:.2f} s"
+            )
+            end += f", status {call.status} ({call.error or 'incomplete'})"
+            is_sound = runs and self.are_targets_sound(call, runs)
+            if is_sound and (call.error or not call.is_complete):
+                yield f"{call.id}: ran on a sound target, but was cut: {end}"
+            elif call.opened_s and not call.status and self.is_to_be_kept(call):
+                idle_s = call.begin_s - call.idle_since_s
+                yield f"{call.id}: closed after {idle_s:.1f} s of idleness: {end}"
+        is_refused = call.is_complete and call.status in NOT_RUN_STATUSES
+        if runs and is_refused and json.loads(call.body)["outcome"] == "not-run":
+            yield f"{call.id}: {call.kind} ran, but was answered as not run"
+
+    def is_gateway_sound(self, call):
+        """Return whether the gateway of a call must answer it."""
+        spans = [
+            (fault.kind, begin_s, end_s)
+            for fault, begin_s, end_s in self.injected.values()
+            if fault.on == call.gateway and begin_s < call.end_s
+        ]
+        if any(
+            kind in ("gateway-kill", "gateway-pause") and end_s > call.opened_s
+            for kind, _, end_s in spans
+        ) or any(
+            name == call.gateway and call.opened_s < at_s < call.end_s
+            for name, at_s in self.restarts
+        ):
+            return False
+        terms_s = [begin_s for kind, begin_s, _ in spans if kind == "gateway-term"]
+        terms_s = [at_s for at_s in terms_s if at_s > call.opened_s - GRACE_S]
+        if not terms_s:
+            return True
+        return (
+            call.end_s - call.begin_s > CLOSE_SLACK_S
+            and call.end_s < min(terms_s) + GRACE_RATIO * GRACE_S
+        )
+
+    def are_targets_sound(self, call, runs):
+        """Return whether the engines that ran a call had no fault but silences."""
+        if call.end_s - call.begin_s > SHORT_TIMEOUT_S - ANSWER_SLACK_S:
+            return False
+        names = {address: name for name, address in self.addresses.items()}
+        engines = {run["engine"] for run in runs}
+        engines |= {names[address] for run in runs for address, _, _ in run["hops"]}
+        since_s = call.begin_s - SETTLE_S
+        silences = []
+        for fault, begin_s, end_s in self.injected.values():
+            if fault.on not in engines or begin_s > call.end_s or end_s < since_s:
+                continue
+            if fault.kind in ("engine-silence", "engine-pause"):
+                silences.append((fault.on, begin_s, end_s))
+            elif fault.kind != "path-delay":
+                return False
+        if any(
+            name in engines and since_s < at_s < call.end_s
+            for name, at_s in self.restarts
+        ):
+            return False
+        # Silences that touch are one.
+        until = {}
+        for name, begin_s, end_s in sorted(silences):
+            first_s, last_s = until.get(name, (begin_s, begin_s))
+            if begin_s > last_s + MIN_PAUSE_S:
+                first_s = begin_s
+            until[name] = first_s, max(last_s, end_s)
+            if until[name][1] - first_s > MAX_SILENCE_S:
+                return False
+        return True
+
+    def is_to_be_kept(self, call):
+        """Return whether the idle timeout in force keeps the connection of a call."""
+        at_s, limit_s = call.idle_since_s, 0.0
+        while at_s < call.begin_s:
+            in_force = self.versions_in_force(call.gateway, at_s, at_s)
+            limit_s = max(limit_s, min(version.idle_s for version in in_force))
+            if at_s - call.idle_since_s > REUSE_RATIO * limit_s:
+                return False
+            at_s += IDLE_STEP_S
+        return True
+
+    def versions_in_force(self, gateway, begin_s, end_s):
+        """Return the configurations that a gateway may apply in a period."""
+        is_late = any(
+            (fault.kind.startswith("store") or fault.on.partition("/")[0] == gateway)
+            and fault_begin_s < end_s
+            and fault_end_s + SETTLE_S > begin_s
+            for fault, fault_begin_s, fault_end_s in self.injected.values()
+        )
+        versions = [version for version in self.published if version.sent_s <= end_s]
+        return versions[-1:] + [
+            version
+            for version, following in pairwise(versions)
+            if is_late or following.acked_s + APPLY_S > begin_s
+        ]
+
     def is_affected_by_sigterm_alone(self, call):
         """Return whether only SIGTERM to its gateway can have interrupted a call."""
         faults = [
             fault
             for fault, begin_s, end_s in self.injected.values()
-            if begin_s < call.end_s and end_s + SETTLE_S > call.begin_s
+            if begin_s < call.end_s
+            and end_s + SETTLE_S > call.begin_s
+            and fault.kind not in PLANNED
         ]
         return bool(faults) and all(
             fault.kind == "gateway-term" and fault.on == call.gateway
