Test of a stream that leaves a silent engine for one that breaks off, failing

What callers see: a resumable stream ends with status 200 after 4 of 20 events, though its engine was sound, silent for 1.2 s, and went on. Cause: a stream may move off a silent engine while attempts are left, and gives it up before the next engine has sent anything; if that one breaks off, both attempts are used up and nothing is left to wait for. Plain requests keep their silent target meanwhile.

--- a/tests/users_platform/test_lost_answers.py
+++ b/tests/users_platform/test_lost_answers.py
@@ -171,6 +171,17 @@
         assert_all_complete(answers)
 
 
+def test_resumable_stream_outlasts_silence_beside_engines_that_break_off(
+    slow_deployment,
+):
+    with streams_in_progress(slow_deployment, "/draft/x", 1) as answers:
+        [head] = {row["engine"] for row in slow_deployment.history("run")[-1:]}
+        for name in set(ENGINES) - {head}:
+            slow_deployment.control(name, close_after=0, break_text="")
+        silence(slow_deployment, [head])
+        assert_all_complete(answers)
+
+
 def test_streams_outlast_silence_beside_changes_and_reloads(slow_deployment):
     is_over = threading.Event()
 
