Plays of callers that come back beside changes, reloads and ends of daemons

30 callers come back after 0.5, 0.8, 0.95, 1.0 and 1.05 times the largest idle timeout of their wait, while idle timeouts, header and body limits change every 0.7 s, beside SIGHUPs in one play and SIGTERMs with restarts every 4 s in the other. Each request within four fifths is answered, unless its daemon closes idle connections before it exits; no request without an answer was read by its daemon.

--- a/tests/users_platform/test_lost_answers.py
+++ b/tests/users_platform/test_lost_answers.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import os
 import signal
 import threading
 import time
@@ -16,6 +17,7 @@
     KEY,
     MODEL_SERVICE,
     N_LAYERS,
+    Respawner,
     configuration,
     route,
     wait_for,
@@ -292,11 +294,12 @@
         headers = {
             "Host": HOST,
             "Authorization": f"Bearer {KEY}",
-            "Attempt-Id": "k",
+            "Attempt-Id": os.urandom(8).hex(),
             **{k.replace("_", "-"): v for k, v in headers.items()},
         }
         # Reconnecting would hide that the connection was closed.
         self.connection.auto_open = 1 if self.connection.sock is None else 0
+        self.last_id = headers["Attempt-Id"]
         self.connection.request("GET", path, body, headers)
 
     def request(self, **options):
@@ -423,3 +426,135 @@
         assert callers[0].request(body=b"x" * 900_000) == 413
         assert callers[1].request(X_Large="x" * 40_000) == 431
         assert {caller.request() for caller in callers} == {200}
+
+
+# Callers come back after these fractions of the idle timeout.
+FRACTIONS = (0.5, 0.8, 0.95, 1.0, 1.05)
+# Up to this one their connections must be open.
+SOUND_FRACTION = 0.8
+N_CALLERS_EACH = 3
+IDLE_TIMEOUTS_MS = (1000, 2500, 1500, 4000, 1000, 2000)
+CHANGE_INTERVAL_S = 0.7
+PLAY_S = 12.0
+# A leaving daemon begins to close idle connections after this time.
+LEAVING_S = 3.0
+RESTART_S = 2.0
+
+
+class Play:
+    """Callers that come back while limits change and daemons get signals.
+
+    :param deployment: the deployment.
+    :param terminate_s: interval between the ends of daemons, in turns, if any.
+    """
+
+    def __init__(self, deployment, terminate_s=None):
+        self.deployment = deployment
+        self.terminate_s = terminate_s
+        self.idle_timeout_s = 0.0
+        self.end_s = time.monotonic() + PLAY_S
+        self.terminated_s = {name: [] for name in GATEWAYS}
+        # Gateway, fraction, identifier, status or None, time of the request.
+        self.requests = []
+
+    def change_limits(self):
+        version = 4
+        while time.monotonic() < self.end_s:
+            idle_timeout_ms = IDLE_TIMEOUTS_MS[version % len(IDLE_TIMEOUTS_MS)]
+            limits = (SMALL_LIMITS, LARGE_LIMITS)[version % 2]
+            self.deployment.publish_configuration(
+                version, limits={"idle_timeout_ms": idle_timeout_ms, **limits}
+            )
+            self.idle_timeout_s = idle_timeout_ms / 1000
+            if self.terminate_s is None:
+                # A process that starts has no handler yet.
+                for name in GATEWAYS:
+                    self.deployment.kill(name, signal.SIGHUP)
+            version += 1
+            time.sleep(CHANGE_INTERVAL_S)
+
+    def terminate(self):
+        index = 0
+        while time.monotonic() + self.terminate_s < self.end_s:
+            time.sleep(self.terminate_s)
+            name = GATEWAYS[index % 2]
+            self.terminated_s[name].append(time.monotonic())
+            self.deployment.kill(name, signal.SIGTERM)
+            index += 1
+
+    def wait_idle(self, fraction):
+        """Wait for a fraction of the largest idle timeout in force meanwhile."""
+        begin_s, limit_s, idle_s = time.monotonic(), 0.0, 0.0
+        while idle_s <= fraction * limit_s:
+            limit_s = max(limit_s, self.idle_timeout_s)
+            time.sleep(max(0.0, min(0.05, fraction * limit_s - idle_s)) + 0.001)
+            idle_s = time.monotonic() - begin_s
+
+    def come_back(self, gateway, fraction):
+        caller = KeptConnection(self.deployment, gateway)
+        while time.monotonic() < self.end_s:
+            is_new = caller.connection.sock is None
+            sent_s = time.monotonic()
+            caller.last_id = None
+            try:
+                status = caller.request()
+            except (OSError, http.client.HTTPException):
+                status = None
+                caller.connection.close()
+            if not is_new:
+                self.requests.append(
+                    (gateway, fraction, caller.last_id, status, sent_s)
+                )
+            self.wait_idle(0.0 if status is None else fraction)
+
+    def run(self):
+        with ThreadPoolExecutor(64) as pool:
+            tasks = [pool.submit(self.change_limits)]
+            wait_for(lambda: self.idle_timeout_s)
+            if self.terminate_s is not None:
+                tasks.append(pool.submit(self.terminate))
+            tasks += [
+                pool.submit(self.come_back, gateway, fraction)
+                for gateway in GATEWAYS
+                for fraction in FRACTIONS
+                for _ in range(N_CALLERS_EACH)
+            ]
+            for task in tasks:
+                task.result()
+
+    def is_leaving(self, gateway, at_s):
+        return any(
+            begin_s + LEAVING_S <= at_s <= begin_s + 8.0 + RESTART_S
+            for begin_s in self.terminated_s[gateway]
+        )
+
+    def check(self):
+        assert len(self.requests) > 100
+        lost = [row for row in self.requests if row[3] is None]
+        assert {row[3] for row in self.requests} <= {200, None}
+        for gateway, fraction, _, _, sent_s in lost:
+            is_sound = fraction <= SOUND_FRACTION
+            assert not is_sound or self.is_leaving(gateway, sent_s)
+        for name in GATEWAYS:
+            read = {
+                row["request"]
+                for row in self.deployment.decisions(name, "request.ended")
+            }
+            assert not read & {row[2] for row in lost}
+            assert not self.deployment.decisions(name, "log.left_out")
+            assert not self.deployment.decisions(name, "request.failed")
+            dropped = self.deployment.decisions(name, "request.dropped")
+            assert not [row for row in dropped if row["closed_by"] == "gateway"]
+
+
+def test_callers_come_back_beside_changes_of_limits_and_reloads(deployment):
+    play = Play(deployment)
+    play.run()
+    play.check()
+
+
+def test_callers_come_back_beside_the_leaving_of_daemons(deployment):
+    play = Play(deployment, terminate_s=4.0)
+    with Respawner(deployment, GATEWAYS, 0.2):
+        play.run()
+    play.check()
