Tests of the quarantine wait for the probe that records a loss

test_request_is_refused_after_three_targets_ended_one_after_the_other failed once at a load of 22 to 27 ("DID NOT RAISE"). record_interruption waits 20 ms for the probe of a target and returns while it still runs; the test checked the verdict at once. It now waits until the loss is recorded, 5 s at most. No check is changed.

--- a/packages/cassiaspread-daemon/tests/test_gateway_quarantine.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_quarantine.py
@@ -32,6 +32,8 @@
 
 FIRST_RUN = RunStart(1, frozenset())
 
+LOSS_TIMEOUT_S = 5.0
+
 
 @pytest.fixture
 def log(tmp_path):
@@ -71,8 +73,20 @@
 
 async def lose(quarantine, job, n_losses):
     for index in range(n_losses):
-        engine = make_engine(f"e{index}", free_address())
-        await quarantine.record_interruption(job, [engine], quarantine.begin_run(job))
+        await lose_engine(quarantine, job, make_engine(f"e{index}", free_address()))
+
+
+async def lose_engine(quarantine, job, engine):
+    """Interrupt a request; the probe may take longer than the gateway waits for it."""
+    await quarantine.record_interruption(job, [engine], quarantine.begin_run(job))
+    async with asyncio.timeout(LOSS_TIMEOUT_S):
+        while engine.target not in lost_targets(quarantine, job):
+            await asyncio.sleep(0.01)
+
+
+def lost_targets(quarantine, job):
+    record = quarantine.find(job.fingerprint)
+    return set() if record is None else {loss.target for loss in record.losses}
 
 
 def test_request_is_refused_after_three_targets_ended_one_after_the_other(
@@ -101,8 +115,7 @@
 
 
 async def lose_one_more(quarantine, job):
-    engine = make_engine("e-last", free_address())
-    await quarantine.record_interruption(job, [engine], quarantine.begin_run(job))
+    await lose_engine(quarantine, job, make_engine("e-last", free_address()))
 
 
 def test_target_that_accepts_connections_is_not_lost(quarantine):
