Benchmark of a deployment's processor time, by the number of daemons

The output stands in benchmarks/deployment.toml, from which benchmarks/capacity.py makes a table and the slopes for a peer more.

The test of the page compares it with both inputs now.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -11,6 +11,7 @@
 import msgspec
 
 SLOPES_PATH = Path(__file__).with_name("slopes.toml")
+DEPLOYMENT_PATH = Path(__file__).with_name("deployment.toml")
 SECONDS_PER_DAY = 86_400
 
 N_DAEMONS, N_DOMAINS, N_REGIONS = 410, 14, 5
@@ -23,6 +24,7 @@
 LOG_APPENDS_PER_S = 300
 RETENTION_DAYS = 7
 DEDUPE_WINDOW_S = 86_400
+N_MEASURED_DOMAINS = 3
 BOOKING_SHARES = (0.001, 0.01, 0.05)
 CHANGE_BURST_FACTOR = 10
 
@@ -42,6 +44,28 @@
     commit: str
 
 
+class DeploymentRun(msgspec.Struct, frozen=True):
+    """Processor time of a gateway in a deployment, in ms.
+
+    :param n_daemons: number of daemons, in ``N_MEASURED_DOMAINS`` domains.
+    :param load_1min: load of the machine at the end of the run.
+    :param start: parts of a start.
+    :param rest: parts of a second at rest.
+    :param load: parts of a second under requests.
+    """
+
+    n_daemons: int
+    load_1min: float
+    start: dict[str, float]
+    rest: dict[str, float]
+    load: dict[str, float]
+
+    @property
+    def n_peers(self) -> int:
+        """Other daemons of the same domain."""
+        return self.n_daemons // N_MEASURED_DOMAINS - 1
+
+
 class Row(NamedTuple):
     """Cost of one role."""
 
@@ -62,6 +86,12 @@
     )
 
 
+def read_deployment_runs() -> list[DeploymentRun]:
+    """Return the measured runs of ``bench_deployment``, smallest first."""
+    runs = tomllib.loads(DEPLOYMENT_PATH.read_text())["run"]
+    return msgspec.convert(runs, type=list[DeploymentRun])
+
+
 def format_percent(share_of_core: float) -> str:
     """Format a share of a core as a percentage."""
     return f"{100 * share_of_core:.2f} %"
@@ -263,6 +293,37 @@
     ]
 
 
+def deployment_table(runs: list[DeploymentRun]) -> list[str]:
+    """Return the processor time of a daemon by the number of daemons, and its slopes.
+
+    :param runs: the runs, smallest first.
+    """
+    names = [name for name in runs[0].rest if name != "all"]
+    head = "| daemons | peers | load | start | metrics read | part | "
+    lines = [
+        head + " | ".join(name.replace("_", " ") for name in names) + " | all |",
+        "|---" * (len(names) + 7) + "|",
+    ]
+    for run in runs:
+        begin = (
+            f"| {run.n_daemons} | {run.n_peers} | {run.load_1min:.0f} "
+            f"| {run.start['imports']:.0f} | {run.start['scrape']:.1f} "
+        )
+        for part, row in (("at rest", run.rest), ("requests", run.load)):
+            cells = " | ".join(f"{row[name]:.1f}" for name in (*names, "all"))
+            if part == "requests":
+                part = f"{row['requests_per_s']:.2f} requests/s"
+            lines.append(f"{begin}| {part} | {cells} |")
+    first, last = runs[0], runs[-1]
+    slopes = (
+        (name, (last.rest[name] - first.rest[name]) / (last.n_peers - first.n_peers))
+        for name in (*names, "all")
+    )
+    slope_cells = " | ".join(f"{slope:.2f}" for _, slope in slopes)
+    lines.append(f"| a peer more | 1 | | | | at rest | {slope_cells} |")
+    return lines
+
+
 def total_table(v: dict[str, float]) -> list[str]:
     """Return the table of total control costs and their share of the budget.
 
@@ -318,11 +379,14 @@
     return lines
 
 
-def render_page(template: str, slopes: dict[str, Slope]) -> str:
+def render_page(
+    template: str, slopes: dict[str, Slope], runs: list[DeploymentRun]
+) -> str:
     """Render the page from its template.
 
     :param template: text with the names of the computed parts in braces.
     :param slopes: the slopes by name.
+    :param runs: runs of ``bench_deployment``, smallest first.
     """
     v = {name: slope.value for name, slope in slopes.items()}
     n_keys_fit = 100e6 / v["claim_kept_bytes"]
@@ -333,6 +397,7 @@
         "bookings": claim_table(v),
         "bursts": burst_list(v),
         "gateway": gateway_table(v),
+        "deployment": deployment_table(runs),
         "slopes": render_slopes(slopes),
     }
     return template.format(
@@ -349,7 +414,7 @@
 def main() -> None:
     """Print the page."""
     template = SLOPES_PATH.with_name("capacity.md.in").read_text()
-    print(render_page(template, read_slopes()), end="")
+    print(render_page(template, read_slopes(), read_deployment_runs()), end="")
 
 
 if __name__ == "__main__":
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,13 +1,19 @@
 """The capacity page is generated from the measured slopes."""
 
-from benchmarks.capacity import SLOPES_PATH, read_slopes, render_page
+from benchmarks.capacity import (
+    SLOPES_PATH,
+    read_deployment_runs,
+    read_slopes,
+    render_page,
+)
 from tests.fleet import ROOT
 
 
 def test_page_is_current():
     template = SLOPES_PATH.with_name("capacity.md.in").read_text()
     page = (ROOT / "docs/CAPACITY.md").read_text()
-    assert page == render_page(template, read_slopes()), "run `make docs`"
+    current = render_page(template, read_slopes(), read_deployment_runs())
+    assert page == current, "run `make docs`"
 
 
 def test_every_slope_names_a_benchmark():
