--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_decision_log.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_decision_log.py
@@ -58,7 +58,6 @@
         self._encoder = msgspec.json.Encoder(enc_hook=str, decimal_format="number")
         self.n_lost = 0
         self._n_lost_reported = 0
-        self._changed = asyncio.Event()
         os.set_blocking(self._descriptor, False)
 
     def record(self, event: str, **fields: object) -> None:
@@ -67,7 +66,6 @@
         :param event: kind of the line, ``subject.verb``.
         :param fields: the decision and its inputs.
         """
-        self._changed.set()
         now_s = time.monotonic()
         budget = self._budgets.get(event)
         if budget is None:
@@ -98,22 +96,11 @@
         del self._buffer[:n_written]
 
     async def run(self) -> None:
-        """Flush the buffer at regular intervals while there are lines."""
+        """Flush the buffer at regular intervals."""
         while True:
-            if not self._has_unwritten:
-                self._changed.clear()
-                await self._changed.wait()
             await asyncio.sleep(FLUSH_INTERVAL_S)
             self.flush()
 
-    @property
-    def _has_unwritten(self) -> bool:
-        return (
-            bool(self._buffer)
-            or self.n_lost > self._n_lost_reported
-            or any(budget.n_suppressed for budget in self._budgets.values())
-        )
-
     def _add(self, event: str, fields: dict[str, object]) -> None:
         line = {"time_s": round(self._clock(), 4), "process": self._process}
         line["event"] = event
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_duty.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_duty.py
@@ -86,7 +86,7 @@
         self._metrics = metrics
         self._random_state = random_state
         self._fencing_token = 0
-        self._held = asyncio.Event()
+        self._is_holder = False
         self._order_states: dict[TargetId, _OrderState] = {}
         self._last_engine_added_s = now()
         routing_state.engine_callbacks.append(self._record_engine_added)
@@ -94,7 +94,7 @@
     @property
     def is_holder(self) -> bool:
         """Whether this daemon holds the duty."""
-        return self._held.is_set()
+        return self._is_holder
 
     async def renew(self) -> None:
         """Acquire the duty and renew it until cancelled."""
@@ -119,10 +119,9 @@
     async def place(self) -> None:
         """Send placement orders while holding the duty, until cancelled."""
         while True:
-            await self._held.wait()
             await asyncio.sleep(PLACE_INTERVAL_S)
             table = self._routing_state.table
-            if not self.is_holder or table is None:
+            if not self._is_holder or table is None:
                 continue
             for service in list(table.services.values()):
                 if service.model is not None:
@@ -227,15 +226,12 @@
             return OrderOutcome.UNKNOWN
 
     def _set_holder(self, is_holder: bool, fencing_token: int) -> None:
-        if is_holder != self.is_holder or (
+        if is_holder != self._is_holder or (
             is_holder and fencing_token != self._fencing_token
         ):
             self._log.record("duty.changed", is_holder=is_holder, number=fencing_token)
+        self._is_holder = is_holder
         self._fencing_token = fencing_token
-        if is_holder:
-            self._held.set()
-        else:
-            self._held.clear()
 
     def _record_engine_added(self, before: Engine | None, after: Engine | None) -> None:
         if before is None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -7,7 +7,6 @@
 import asyncio
 import random
 from collections.abc import Callable
-from contextlib import suppress
 from typing import Any, TypeVar
 
 import msgspec
@@ -32,11 +31,10 @@
 # well within the time in which a configuration must come into force and a leaving
 # target must get no more work.
 READER_TIMEOUT_S = 1.3
+READER_CHECK_INTERVAL_S = 0.1
 # Time for which the choice of the reader is kept, in seconds. Meanwhile a daemon may
 # read beside a new reader, or wait for the update of one that has left.
 READER_LIFETIME_S = 0.5
-# Shortest wait for the next of these times, in seconds, as timers may be early.
-MIN_WAIT_S = 0.001
 # Changes contained in a snapshot may appear again after its position. After reading a
 # snapshot, a reader publishes complete pages for this long, in seconds, instead of only
 # the changes that are new to it.
@@ -100,10 +98,6 @@
             self._readers[kind] = self._find_reader(self._mesh, kind)
         return self._readers[kind] in (None, self._mesh.sender.incarnation)
 
-    def reader_expires_s(self) -> float:
-        """Return the time at which the choice of the readers expires, in seconds."""
-        return self._readers_expire_s
-
     def _find_reader(self, mesh: Mesh, kind: str) -> Incarnation | None:
         domain_members = [m for m in mesh.active_members() if m.domain == self._domain]
         ranked = rank_members(kind, domain_members)
@@ -167,18 +161,12 @@
         )
         self._feed_sharing = feed_sharing
         self._updated_s = float("-inf")
-        self._behind = asyncio.Event()
+        self._is_behind = False
 
     async def _wait_until_due(self) -> None:
         while not self._is_due():
-            next_check_s = min(
-                self._updated_s + READER_TIMEOUT_S,
-                self._feed_sharing.reader_expires_s(),
-            )
-            with suppress(TimeoutError):
-                async with asyncio.timeout(max(MIN_WAIT_S, next_check_s - now())):
-                    await self._behind.wait()
-        self._behind.clear()
+            await asyncio.sleep(READER_CHECK_INTERVAL_S)
+        self._is_behind = False
         # Restart the timeout, so that a daemon that is not the reader does not read
         # continuously while updates are missing.
         self._updated_s = now()
@@ -186,7 +174,7 @@
     def _is_due(self) -> bool:
         return (
             self._position is None
-            or self._behind.is_set()
+            or self._is_behind
             or now() - self._updated_s > READER_TIMEOUT_S
             or self._feed_sharing.is_reader(self._name, now())
         )
@@ -255,7 +243,7 @@
 
     def _receive(self, update: ConfigurationUpdate) -> None:
         if self._position is None or update.end > self._position:
-            self._behind.set()
+            self._is_behind = True
         elif update.end == self._position:
             self._confirm_current()
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_suspect_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_suspect_sharing.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import random
-from contextlib import suppress
 
 from cassiaspread_core.base import LogUnavailable
 from cassiaspread_core.quarantine import Fingerprint, SuspectRecord
@@ -74,7 +73,6 @@
         self._stored: dict[Fingerprint, SuspectRecord] = {}
         # Times at which fingerprints are compared with the store.
         self._due_s: dict[Fingerprint, float] = {}
-        self._earlier_due = asyncio.Event()
         self.age = StateAge(float("inf"))
         self._follower = FeedFollower(
             "suspects",
@@ -104,7 +102,7 @@
         delay_s = 0.0
         if source is not Source.OWN:
             delay_s = self._random_state.uniform(*OTHERS_DELAY_S)
-        self._compare_after(record.fingerprint, delay_s)
+        self._due_s.setdefault(record.fingerprint, now() + delay_s)
 
     def _publish(self, record: SuspectRecord, source: Source, mesh: Mesh) -> None:
         n_rounds = len({loss.round for loss in record.losses})
@@ -121,7 +119,7 @@
         if self._mesh is not None:
             self._peers_topic.discard(fingerprint)
         delay_s = self._random_state.uniform(*OTHERS_DELAY_S)
-        self._compare_after(fingerprint, delay_s)
+        self._due_s.setdefault(fingerprint, now() + delay_s)
 
     def _receive(self, record: SuspectRecord, sender: Sender) -> None:
         self._quarantine.merge(record, Source.PEER, unix_time_s())
@@ -133,7 +131,7 @@
             self._stored[change.fingerprint] = change.record
             self._quarantine.merge(change.record, Source.STORE, unix_time_s())
         delay_s = self._random_state.uniform(*OTHERS_DELAY_S)
-        self._compare_after(change.fingerprint, delay_s)
+        self._due_s.setdefault(change.fingerprint, now() + delay_s)
 
     def _replace(self, changes: tuple[SuspectChange, ...]) -> None:
         self._stored = {}
@@ -141,27 +139,11 @@
             self._apply(change)
         for record in self._quarantine.records():
             delay_s = self._random_state.uniform(*OTHERS_DELAY_S)
-            self._compare_after(record.fingerprint, delay_s)
-
-    def _compare_after(self, fingerprint: Fingerprint, delay_s: float) -> None:
-        """Compare a fingerprint with the store after a delay, or when it is due."""
-        self._due_s.setdefault(fingerprint, now() + delay_s)
-        self._earlier_due.set()
-
-    async def _wait_until_due(self) -> None:
-        """Wait until a fingerprint is due, and for others that are due with it."""
-        while not any(due_s <= now() for due_s in self._due_s.values()):
-            self._earlier_due.clear()
-            due_s = min(self._due_s.values(), default=None)
-            wait_s = None if due_s is None else max(0.0, due_s - now())
-            with suppress(TimeoutError):
-                async with asyncio.timeout(wait_s):
-                    await self._earlier_due.wait()
-        await asyncio.sleep(WRITE_INTERVAL_S)
+            self._due_s.setdefault(record.fingerprint, now() + delay_s)
 
     async def _write(self) -> None:
         while True:
-            await self._wait_until_due()
+            await asyncio.sleep(WRITE_INTERVAL_S)
             now_s = now()
             due = [f for f, due_s in self._due_s.items() if due_s <= now_s]
             changes = []
@@ -193,9 +175,9 @@
             self._log.record(
                 "suspects.not_written", n_records=len(changes), reason=str(error)
             )
-            delay_s = WRITE_RETRY_S * self._random_state.uniform(1.0, 2.0)
+            retry_s = now() + WRITE_RETRY_S * self._random_state.uniform(1.0, 2.0)
             for change in changes:
-                self._compare_after(change.fingerprint, delay_s)
+                self._due_s.setdefault(change.fingerprint, retry_s)
             return
         self._log.record(
             "suspects.written", fingerprints=[c.fingerprint for c in changes]
