--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -325,16 +325,10 @@
         self._feed_sharing.publish(self._name, update)
 
     def _receive(self, update: EngineUpdate) -> None:
-        position = self._position
-        if position is not None and update.start <= position <= update.end:
-            # A daemon that read the feed itself has a part of the changes. It must not
-            # count the same renewal twice.
-            is_whole = position == update.start
-            engines = self._routing_state.engines
-            for change in {c.target: c for c in update.changes}.values():
-                if is_whole or engines.get(change.target) != change.engine:
-                    self._apply_change(change)
-            for target in update.renewed if is_whole else ():
+        if self._position == update.start:
+            for change in update.changes:
+                self._apply_change(change)
+            for target in update.renewed:
                 self._routing_state.record_renewed(target)
             self._changed_targets.clear()
             self._position = update.end
