--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -166,7 +166,7 @@
         if assignment is None:
             return False
         if call.tried and not call.take_retry():
-            self._dispatcher.release(assignment)
+            self._dispatcher.release(assignment, is_end=False)
             return False
         call.tried.append(assignment.head.target)
         run = self._quarantine.begin_run(job)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
@@ -139,7 +139,7 @@
                 await self._outlast_silence(
                     sending, lambda: self._exchange.is_answered, stall_s
                 )
-            return codec.read_answer(sending.result(), self._exchange.headers)
+            return codec.read_answer(await sending, self._exchange.headers)
         finally:
             sending.cancel()
 
@@ -197,17 +197,21 @@
             stream, which is then the stream's ``found``.
         """
         tools, stream = self._tools, self._stream
+
+        def has_ended() -> bool:
+            return arriving.done() or has_arrived()
+
         is_recorded = False
         responded_s = now() - interval_s
         with ChainSearch(tools.capacity_queue, tools.dispatcher) as search:
-            while not has_arrived():
+            while not has_ended():
                 silent = await self._find_silent(arriving, self._assignment)
                 if silent is None:
                     responded_s = now()
                     search.stop()
                     await _wait_first({arriving}, interval_s)
                     continue
-                silence = _Silence(silent, responded_s, has_arrived)
+                silence = _Silence(silent, responded_s, has_ended)
                 if self._may_move():
                     avoid = {*stream.avoided, *self._silent_targets}
                     avoid |= {self._assignment.head.target, silent.engine.target}
