A silent stream starts on a second chain beside its first one

Callers saw a stream end after 4 of 20 events: it had left its silent sound engine, the next one broke off, and both attempts were used up.

Cause: the first connection was closed before the second chain had sent anything. Change: the first connection stays open; the second start waits with its first event for its turn, and the attempt whose event comes first goes on. Each event belongs to one run; runs stay within the attempts of the route, and each second start takes a retry.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_events.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_events.py
@@ -47,6 +47,12 @@
         """Whether an event has begun that is not complete."""
         return bool(self._remainder.strip(LINE_ENDS))
 
+    def fork(self) -> "EventBuffer":
+        """Return a buffer for another attempt that resumes after the last event."""
+        events = EventBuffer(self.last_id)
+        events.n_events = self.n_events
+        return events
+
     def feed(self, data: bytes) -> bytes:
         """Add received bytes.
 
@@ -69,10 +75,6 @@
             self._record_last_id(complete)
         return complete
 
-    def drop_remainder(self) -> None:
-        """Discard an event that its engine did not complete."""
-        self._remainder.clear()
-
     def _record_last_id(self, events: bytes) -> None:
         start = events.rfind(b"\n" + ID_FIELD)
         start = 0 if start < 0 else start + 1
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
@@ -22,6 +22,11 @@
 from cassiaspread_daemon.gateway._job import Job, TakeRetry, now
 from cassiaspread_daemon.gateway._protocols import AnswerParameters, HeaderCodec
 from cassiaspread_daemon.gateway._receive_buffer import ReceiveBuffer
+from cassiaspread_daemon.gateway._second_start import (
+    AttemptResult,
+    SecondStart,
+    Turn,
+)
 from cassiaspread_daemon.gateway._stalls import (
     SilentEngine,
     StallDetector,
@@ -55,13 +60,33 @@
         self.n_runs = 0
         self.avoided: set[TargetId] = set()
         self.failure_reason = ""
-        # The chain that a silent stream moves to; its retry is taken already.
-        self.found: Assignment | None = None
+        # Attempt on another chain, beside one whose engine is silent.
+        self.second: SecondStart | None = None
+
+    def record_result(self, result: AttemptResult) -> None:
+        """Count an attempt that ended.
 
-    def take_found(self) -> Assignment | None:
-        """Return the chain to move to, if any, for its next attempt."""
-        found, self.found = self.found, None
-        return found
+        :param result: its result.
+        """
+        if result is not AttemptResult.NOT_RUN:
+            self.n_runs += 1
+
+    def take_second(self) -> SecondStart | None:
+        """Return the second start, if any, to go on with it."""
+        second, self.second = self.second, None
+        return second
+
+    async def stop_second(self) -> AttemptResult | None:
+        """End the second start and count it.
+
+        :returns: its result, if there was one.
+        """
+        second = self.take_second()
+        if second is None:
+            return None
+        result = await second.stop()
+        self.record_result(result)
+        return result
 
 
 class RelayTools(msgspec.Struct, frozen=True):
@@ -86,15 +111,17 @@
 class Relay:
     """Sends one attempt and relays its events.
 
-    While the engine is silent, the stream may move to another chain; it stays as long
-    as none has room for it and the engine may go on.
+    While the engine is silent, the stream may start on a second chain beside it. The
+    first of both that has an event goes on.
 
     :param tools: shared by all relays.
     :param stream: the stream.
     :param assignment: its chain.
     :param exchange: connection to the head of the chain.
     :param buffer: bytes received on it.
+    :param turn: permission to write to the caller.
     :param may_move: returns whether the stream may be sent to another chain.
+    :param begin_second: sends the stream to a second chain, because of an engine.
     """
 
     def __init__(
@@ -104,14 +131,19 @@
         assignment: Assignment,
         exchange: Exchange,
         buffer: ReceiveBuffer,
+        turn: Turn,
         may_move: Callable[[], bool],
+        begin_second: Callable[[Assignment, SilentEngine], None],
     ) -> None:
         self._tools = tools
         self._stream = stream
         self._assignment = assignment
         self._exchange = exchange
         self._buffer = buffer
+        self._turn = turn
         self._may_move = may_move
+        self._begin_second = begin_second
+        self._events = stream.events.fork()
         # Engines of other chains that were found to be silent.
         self._silent_targets: set[TargetId] = set()
 
@@ -150,27 +182,28 @@
         """
         stream, buffer = self._stream, self._buffer
         job, inbound = stream.job, stream.job.inbound
-        n_events_before = stream.events.n_events
+        n_events_before = self._events.n_events
         finishing = asyncio.ensure_future(self._exchange.finish())
         finishing.add_done_callback(lambda _: buffer.wake())
         stall_s = job.route.max_event_gap_s * STALL_PAUSE_RATIO
-        if not stream.events.n_events:
+        if not self._events.n_events:
             stall_s = job.route.objective_s * STALL_OBJECTIVE_RATIO
         try:
             while True:
                 is_ended = finishing.done()
-                complete = stream.events.feed(buffer.take())
+                complete = self._events.feed(buffer.take())
                 self._check_event_count()
                 if complete:
+                    await self._take_turn()
                     self._start_answer()
                     await inbound.write(complete)
                     buffer.release(len(complete))
                     stall_s = job.route.max_event_gap_s * STALL_PAUSE_RATIO
                 if is_ended:
                     finishing.result()
-                    await self._finish(stream.events.n_events - n_events_before)
+                    await self._finish(self._events.n_events - n_events_before)
                     return
-                if not await buffer.wait(stall_s):
+                if stream.second is not None or not await buffer.wait(stall_s):
                     arriving = asyncio.ensure_future(buffer.arrival())
                     try:
                         await self._outlast_silence(
@@ -181,6 +214,15 @@
         finally:
             finishing.cancel()
 
+    async def _take_turn(self) -> None:
+        """Wait for the permission to write, and end a second start."""
+        await self._turn.take()
+        self._stream.events = self._events
+        second = self._stream.second
+        if second is not None:
+            result = await self._stream.stop_second()
+            self._record_second_ended(second, result, "the first one went on")
+
     async def _outlast_silence(
         self,
         arriving: asyncio.Future[Any],
@@ -193,8 +235,7 @@
         :param has_arrived: returns at once whether something has.
         :param interval_s: time between two checks, and since the engine last sent
             anything, in seconds.
-        :raises StreamStalled: the engine is gone, or another chain has room for the
-            stream, which is then the stream's ``found``.
+        :raises StreamStalled: the engine is gone, or the second start has an event.
         """
         tools, stream = self._tools, self._stream
 
@@ -206,10 +247,11 @@
         with ChainSearch(tools.capacity_queue, tools.dispatcher) as search:
             while not has_ended():
                 silent = await self._find_silent(arriving, self._assignment)
+                await self._check_second(has_ended, responded_s)
                 if silent is None:
                     responded_s = now()
                     search.stop()
-                    await _wait_first({arriving}, interval_s)
+                    await _wait_first({arriving, *self._second_futures}, interval_s)
                     continue
                 silence = _Silence(silent, responded_s, has_ended)
                 if self._may_move():
@@ -217,13 +259,21 @@
                     avoid |= {self._assignment.head.target, silent.engine.target}
                     search.start(stream.job, avoid)
                     await _wait_first({arriving, *search.tasks}, SEARCH_AT_ONCE_S)
-                    await self._move(search, silence, arriving)
+                    await self._start_second(search, silence, arriving)
                 if not is_recorded:
                     is_recorded = True
                     self._record_silence(silence, "waits")
                 await self._check_gone(silence)
-                await _wait_first({arriving, *search.tasks}, interval_s)
-                await self._move(search, silence, arriving)
+                await _wait_first(
+                    {arriving, *search.tasks, *self._second_futures}, interval_s
+                )
+                await self._start_second(search, silence, arriving)
+                await self._check_second(has_ended, responded_s)
+
+    @property
+    def _second_futures(self) -> set[asyncio.Future[Any]]:
+        second = self._stream.second
+        return set() if second is None else second.futures
 
     async def _find_silent(
         self, arriving: asyncio.Future[Any], assignment: Assignment
@@ -232,12 +282,12 @@
             self._tools.stalls.find(self._stream.job.parameters.request_id, assignment)
         )
         try:
-            await _wait_first({arriving, finding})
-            return None if arriving.done() else finding.result()
+            await _wait_first({arriving, finding, *self._second_futures})
+            return finding.result() if finding.done() else None
         finally:
             finding.cancel()
 
-    async def _move(
+    async def _start_second(
         self, search: ChainSearch, silence: "_Silence", arriving: asyncio.Future[Any]
     ) -> None:
         found = None if silence.has_ended() else search.take()
@@ -245,7 +295,7 @@
             return
         is_taken = False
         try:
-            # The stream does not leave one silent engine for another.
+            # A stream that waits for one silent engine does not start on another.
             silent = await self._find_silent(arriving, found)
             if silent is not None:
                 self._silent_targets.add(silent.engine.target)
@@ -255,9 +305,22 @@
             if not is_taken:
                 self._tools.dispatcher.release(found, is_end=False)
         if is_taken:
-            self._record_silence(silence, "moves")
-            self._stream.found = found
-            raise StreamStalled(silence.of.engine, silence.of.reason)
+            self._record_silence(silence, "begins")
+            self._begin_second(found, silence.of)
+
+    async def _check_second(
+        self, has_ended: Callable[[], bool], since_s: float
+    ) -> None:
+        """Leave the silent engine if the second start has an event."""
+        second = self._stream.second
+        if second is None:
+            return
+        if second.has_ended:
+            result = await self._stream.stop_second()
+            self._record_second_ended(second, result, "it ended before its first event")
+        elif second.has_event and not has_ended():
+            self._record_silence(_Silence(second.silent, since_s, has_ended), "moves")
+            raise StreamStalled(second.silent.engine, second.silent.reason)
 
     async def _check_gone(self, silence: "_Silence") -> None:
         duration_s = now() - silence.since_s
@@ -282,10 +345,21 @@
             n_events=stream.events.n_events,
         )
 
+    def _record_second_ended(
+        self, second: SecondStart, result: AttemptResult | None, reason: str
+    ) -> None:
+        self._tools.log.record(
+            "second.ended",
+            request=self._stream.job.parameters.request_id,
+            silent=second.silent.engine.target,
+            result=None if result is None else result.value,
+            reason=reason,
+        )
+
     def _check_event_count(self) -> None:
         n_tokens = self._stream.job.parameters.max_answer_tokens
         max_events = n_tokens + MAX_EVENTS_WITHOUT_TOKENS
-        if n_tokens and self._stream.events.n_events > max_events:
+        if n_tokens and self._events.n_events > max_events:
             raise AnswerTooLarge(
                 f"more than {max_events} events for at most {n_tokens} tokens"
             )
@@ -300,7 +374,7 @@
         tools.metrics.record_first_event(now() - stream.job.inbound.arrived_s)
 
     async def _finish(self, n_events: int) -> None:
-        inbound, events = self._stream.job.inbound, self._stream.events
+        inbound, events = self._stream.job.inbound, self._events
         delimiter = self._exchange.delimiter
         self._tools.log.record(
             "attempt.ended",
@@ -316,6 +390,7 @@
             )
         if not n_events and delimiter is Delimiter.CLOSE:
             raise ExchangeBroken("the stream ended before its first event")
+        await self._take_turn()
         self._start_answer()
         if events.remainder:
             await inbound.write(events.remainder)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from enum import Enum
 
 from cassiaspread_core.base import Refusal, TargetId
 from cassiaspread_core.placement import Engine
@@ -38,7 +37,16 @@
 from cassiaspread_daemon.gateway._quarantine import Quarantine
 from cassiaspread_daemon.gateway._receive_buffer import ReceiveBuffer
 from cassiaspread_daemon.gateway._relay import Relay, RelayTools, StreamState
-from cassiaspread_daemon.gateway._stalls import StallDetector, StreamStalled
+from cassiaspread_daemon.gateway._second_start import (
+    AttemptResult,
+    SecondStart,
+    Turn,
+)
+from cassiaspread_daemon.gateway._stalls import (
+    SilentEngine,
+    StallDetector,
+    StreamStalled,
+)
 
 CONNECT_TIMEOUT_S = 0.25
 # Maximum number of chains tried for one request; a chain that refuses has not run it.
@@ -48,13 +56,6 @@
 RETRY_AFTER_S = 0.3
 
 
-class _AttemptResult(Enum):
-    COMPLETE = "whole"
-    NOT_RUN = "not-run"
-    BROKEN = "broken"
-    FAILED = "failed"
-
-
 class StreamForwarder:
     """Sends streaming requests to chains of engines and relays the events.
 
@@ -104,34 +105,46 @@
         try:
             await self._try_chains(stream)
         finally:
-            found = stream.take_found()
-            if found is not None:
-                self._dispatcher.release(found)
+            await stream.stop_second()
 
     async def _try_chains(self, stream: StreamState) -> None:
-        while stream.found is not None or self._may_try(stream):
-            self._check_quarantine(stream)
-            assignment = stream.take_found()
-            if assignment is None:
-                assignment = await self._assign(stream)
+        while stream.second is not None or self._may_try(stream):
+            second = stream.take_second()
+            if second is not None:
+                result = await second.proceed()
             else:
-                self._record_assigned(stream, assignment, 0.0)
-            stream.n_tried += 1
-            try:
-                self._check_quarantine(stream)
-            except Refusal:
-                self._dispatcher.release(assignment)
-                raise
-            result = await self._attempt(stream, assignment)
+                result = await self._try_chain(stream)
             self._metrics.record_attempt(result.value)
-            if result is _AttemptResult.COMPLETE:
+            if result is AttemptResult.COMPLETE:
                 return
-            if result is not _AttemptResult.NOT_RUN:
-                stream.n_runs += 1
-                if stream.found is None and not self._may_resume(stream):
-                    break
+            stream.record_result(result)
+            if result is AttemptResult.NOT_RUN or stream.second is not None:
+                continue
+            if not self._may_resume(stream):
+                break
         raise self._refusal(stream)
 
+    async def _try_chain(self, stream: StreamState) -> AttemptResult:
+        self._check_quarantine(stream)
+        assignment = await self._assign(stream)
+        stream.n_tried += 1
+        try:
+            self._check_quarantine(stream)
+        except Refusal:
+            self._dispatcher.release(assignment)
+            raise
+        return await self._attempt(stream, assignment, Turn(is_granted=True))
+
+    def _begin_second(
+        self, stream: StreamState, assignment: Assignment, silent: SilentEngine
+    ) -> None:
+        """Send a stream to a second chain; its retry is taken already."""
+        stream.n_tried += 1
+        self._record_assigned(stream, assignment, 0.0)
+        stream.second = SecondStart(
+            silent, lambda turn: self._attempt(stream, assignment, turn)
+        )
+
     def _may_try(self, stream: StreamState) -> bool:
         if not stream.n_tried:
             return True
@@ -150,6 +163,7 @@
         route = stream.job.route
         return (
             route.is_resumable
+            and stream.second is None
             and stream.n_runs + 1 < route.max_attempts
             and stream.n_tried < MAX_CHAINS_TRIED
             and not self._quarantine.is_refused(stream.job)
@@ -199,15 +213,15 @@
         )
 
     async def _attempt(
-        self, stream: StreamState, assignment: Assignment
-    ) -> _AttemptResult:
+        self, stream: StreamState, assignment: Assignment, turn: Turn
+    ) -> AttemptResult:
         run = self._quarantine.begin_run(stream.job)
         try:
-            return await self._relay(stream, assignment)
+            return await self._relay(stream, assignment, turn)
         except ConnectFailed as error:
             self._dispatcher.record_unreachable(assignment.head, now())
             self._record_broken(stream, assignment, str(error), is_sent=False)
-            return _AttemptResult.NOT_RUN
+            return AttemptResult.NOT_RUN
         except ExchangeBroken as error:
             self._record_head_failure(assignment, error)
             self._record_broken(stream, assignment, str(error), is_sent=True)
@@ -215,12 +229,11 @@
             await self._quarantine.record_interruption(
                 stream.job, engines, run, stream.events.n_events
             )
-            return _AttemptResult.BROKEN
+            return AttemptResult.BROKEN
         except TimeoutError:
             self._record_broken(stream, assignment, "deadline", is_sent=True)
             raise timeout_refusal(is_sent=True) from None
         finally:
-            stream.events.drop_remainder()
             stream.avoided.add(assignment.head.target)
             self._dispatcher.release(assignment)
 
@@ -234,8 +247,8 @@
             self._health.record_failure(head, now())
 
     async def _relay(
-        self, stream: StreamState, assignment: Assignment
-    ) -> _AttemptResult:
+        self, stream: StreamState, assignment: Assignment, turn: Turn
+    ) -> AttemptResult:
         job, head = stream.job, assignment.head
         parameters = ForwardParameters(
             timeout_s=job.remaining_s(now()),
@@ -263,17 +276,20 @@
                     assignment,
                     exchange,
                     ReceiveBuffer(held),
-                    lambda: self._may_move(stream),
+                    turn,
+                    # A second start waits for its engine as long as the first does.
+                    lambda: turn.is_granted and self._may_move(stream),
+                    lambda found, silent: self._begin_second(stream, found, silent),
                 )
                 answer = await relay.send(headers)
                 if answer.status != 200 or not answer.is_signed:
                     return await self._handle_failed_answer(
-                        stream, assignment, exchange, answer
+                        stream, assignment, exchange, answer, turn
                     )
                 await relay.relay_events()
         self._dispatcher.record_success(assignment, now())
         self._quarantine.record_answer(stream.job, unix_time_s())
-        return _AttemptResult.COMPLETE
+        return AttemptResult.COMPLETE
 
     async def _handle_failed_answer(
         self,
@@ -281,7 +297,8 @@
         assignment: Assignment,
         exchange: Exchange,
         answer: AnswerParameters,
-    ) -> _AttemptResult:
+        turn: Turn,
+    ) -> AttemptResult:
         job = stream.job
         # The events of an answer without a signature are of no use.
         response = None if answer.status == 200 else await exchange.finish()
@@ -299,16 +316,17 @@
             at_fault=at_fault,
         )
         if answer.is_not_run:
-            return _AttemptResult.NOT_RUN
+            return AttemptResult.NOT_RUN
         if answer.is_signed:
             self._quarantine.record_answer(job, unix_time_s())
         if not answer.is_signed or response is None or self._is_repeatable(stream):
-            return _AttemptResult.FAILED
-        if not stream.is_started:
+            return AttemptResult.FAILED
+        is_only = turn.is_granted and stream.second is None
+        if is_only and not stream.is_started:
             headers = self._codec.answer_headers(response.headers)
             job.inbound.answer(answer.status, headers, response.body)
-            return _AttemptResult.COMPLETE
-        return _AttemptResult.FAILED
+            return AttemptResult.COMPLETE
+        return AttemptResult.FAILED
 
     def _is_repeatable(self, stream: StreamState) -> bool:
         return stream.n_runs + 1 < stream.job.route.max_attempts and (
--- a/tests/users_platform/test_lost_answers.py
+++ b/tests/users_platform/test_lost_answers.py
@@ -184,6 +184,27 @@
         assert_all_complete(answers)
 
 
+def test_silent_stream_runs_on_as_many_engines_as_its_route_allows(slow_deployment):
+    # The second engine falls silent as well, before its first event.
+    with streams_in_progress(slow_deployment, "/draft/x", 1) as answers:
+        [head] = {row["engine"] for row in slow_deployment.history("run")[-1:]}
+        others = set(ENGINES) - {head}
+        for name in others:
+            slow_deployment.control(name, begin_s=2 * SILENCE_S)
+        silence(slow_deployment, [head])
+        assert_all_complete(answers)
+    runs = [row["headers"]["Attempt-Id"] for row in slow_deployment.history("run")]
+    assert len(runs) - len(set(runs)) == 1
+    waits = {row["decision"] for row in decisions_of(slow_deployment, "stream.silent")}
+    assert waits == {"begins", "waits"}
+    [ended] = decisions_of(slow_deployment, "second.ended")
+    assert ended["reason"] == "the first one went on"
+
+
+def decisions_of(deployment, event):
+    return [row for name in GATEWAYS for row in deployment.decisions(name, event)]
+
+
 def test_streams_outlast_silence_beside_changes_and_reloads(slow_deployment):
     is_over = threading.Event()
 
