Daemons of domains without a seed address find each other

Cause: daemons tell those of other domains only of their own domain, so that two daemons that know only seeds elsewhere never hear of each other. Change: a daemon passes on the daemons of other domains that it knows. Their own domain takes them as members to be checked by direct contact; a third domain only as addresses to ask, since it could not learn of their loss.

test_daemons_of_a_domain_without_a_seed_find_each_other failed before (2 of 2).

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_members.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_members.py
@@ -1,6 +1,6 @@
 """Updates the membership view and publishes its records to peers."""
 
-from cassiaspread_core.base import Incarnation
+from cassiaspread_core.base import DomainId, Incarnation
 from cassiaspread_core.membership import (
     Member,
     MemberRecord,
@@ -13,6 +13,9 @@
 from cassiaspread_daemon.mesh._gossip import Topics
 from cassiaspread_daemon.mesh._message import Sender
 
+# Addresses kept for each domain that this one may have no contact with.
+MAX_INTRODUCED = 8
+
 
 def to_member(sender: Sender) -> Member:
     """Return the member that corresponds to a sender.
@@ -39,6 +42,16 @@
         self._topic.put(own.incarnation, MemberRecord(own))
         self._topic.put(own.incarnation, MemberRecord(own), is_cross_domain=True)
         self._now_s = 0.0
+        self._introduced: dict[DomainId, dict[str, None]] = {}
+
+    @property
+    def introduced(self) -> dict[str, DomainId]:
+        """Addresses of daemons that daemons of third domains know, newest last."""
+        return {
+            address: domain
+            for domain, addresses in self._introduced.items()
+            for address in addresses
+        }
 
     @property
     def view(self) -> MembershipView:
@@ -98,13 +111,32 @@
         return transitions
 
     def _receive(self, record: MemberRecord, sender: Sender) -> None:
+        own, domain = self._own.domain, record.member.domain
+        if sender.domain != own and domain not in (own, sender.domain):
+            # Only its own domain knows whether a daemon is lost: others tell only
+            # where to ask.
+            self._introduce(record)
+            return
         if self._view.merge_record(record, self._now_s):
             self._publish(record.member.incarnation)
 
+    def _introduce(self, record: MemberRecord) -> None:
+        addresses = self._introduced.setdefault(record.member.domain, {})
+        addresses.pop(record.member.address, None)
+        if not record.is_lost:
+            addresses[record.member.address] = None
+        if len(addresses) > MAX_INTRODUCED:
+            addresses.pop(next(iter(addresses)))
+
     def _publish(self, incarnation: Incarnation) -> None:
         record = self._view.record(incarnation)
-        if record is not None:
-            self._topic.put(incarnation, record)
+        if record is None:
+            return
+        self._topic.put(incarnation, record)
+        if record.member.domain != self._own.domain:
+            # Daemons of a domain without a seed address learn of each other only from
+            # other domains.
+            self._topic.put(incarnation, record, is_cross_domain=True)
 
     def _publish_cross_domain(self, member: Member, state: MemberState) -> None:
         is_lost = state is MemberState.LOST
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
@@ -331,7 +331,7 @@
         now_s = time.monotonic()
         view = self._members.view
         lost = view.members(now_s, MemberState.LOST)
-        seed_addresses = dict(self._seed_addresses())
+        seed_addresses = self._members.introduced | dict(self._seed_addresses())
         seed_addresses |= {m.address: m.domain for m in lost}
         for address in seed_addresses:
             seed_addresses[address] = (
--- a/packages/cassiaspread-daemon/tests/test_mesh.py
+++ b/packages/cassiaspread-daemon/tests/test_mesh.py
@@ -12,13 +12,20 @@
 from tests.fleet import free_port
 
 SKEW_S = 7.0
+# A few rounds of gossip, one second each.
+MEETING_BOUND_S = 10.0
 
 
-def build_mesh(name: str, now_s: float) -> tuple[Mesh, EventRing]:
+def build_mesh(
+    name: str, now_s: float, domain: str = "d", seeds: tuple[str, ...] = ()
+) -> tuple[Mesh, EventRing]:
     address = f"127.0.0.1:{free_port()}"
     events = EventRing(name, 100, lambda: now_s)
-    sender = Sender(VmId(name), DomainId("d"), Incarnation(name), address)
-    return Mesh(sender, events, Supervisor(name), list, address), events
+    sender = Sender(VmId(name), DomainId(domain), Incarnation(name), address)
+    supervisor = Supervisor(name)
+    return Mesh(sender, events, supervisor, lambda: dict.fromkeys(seeds), address), (
+        events
+    )
 
 
 def test_events_are_in_causal_order_with_clocks_seconds_apart():
@@ -58,3 +65,28 @@
 
     with pytest.raises(PeerUnreachable, match=r"bad message|handler failed"):
         asyncio.run(main())
+
+
+@pytest.mark.parametrize("n_daemons", [2, 5])
+def test_daemons_of_a_domain_without_a_seed_find_each_other(n_daemons):
+    async def main() -> None:
+        seed, _ = build_mesh("seed", 1.0, "a")
+        seeds = (seed.sender.address,)
+        others = [
+            build_mesh(f"{domain}{n}", 1.0, domain, seeds)[0]
+            for domain in "bc"
+            for n in range(n_daemons)
+        ]
+        names = {mesh.sender.vm for mesh in (seed, *others)}
+        async with AsyncExitStack() as stack:
+            for mesh in (seed, *others):
+                await stack.enter_async_context(mesh)
+            async with asyncio.timeout(MEETING_BOUND_S):
+                while any(vms_of(mesh) != names for mesh in (seed, *others)):
+                    await asyncio.sleep(0.1)
+
+    asyncio.run(main())
+
+
+def vms_of(mesh):
+    return {member.vm for member in mesh.active_members()}
