One daemon of the fleet reads the store for all others

Change: one reader for the fleet, which sends pages and configurations to its own domain and to one daemon of each other domain; a daemon without updates reads, and sends on what it reads; few candidates in each domain apply for the duty; one daemon of each domain watches the suspects. An update proves its age with the receiver's own clock, so that one that waited while its receiver was paused does not extend the validity of keys.

--- a/packages/cassiaspread-core/src/cassiaspread_core/placement/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/placement/__init__.py
@@ -1,5 +1,6 @@
 """Assignment of the layers of a model to engines."""
 
+from cassiaspread_core.placement._candidates import HOLDER_TIMEOUT_S, is_candidate
 from cassiaspread_core.placement._layout import (
     Coverage,
     Move,
@@ -18,6 +19,7 @@
 from cassiaspread_core.placement._rebalance import plan_moves
 
 __all__ = [
+    "HOLDER_TIMEOUT_S",
     "NO_LAYERS",
     "Accelerator",
     "Coverage",
@@ -27,6 +29,7 @@
     "Move",
     "cache_capacity",
     "choose_cache_sequences",
+    "is_candidate",
     "max_layers",
     "plan_layout",
     "plan_moves",
--- a/packages/cassiaspread-core/src/cassiaspread_core/routing/_table.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/routing/_table.py
@@ -113,6 +113,7 @@
     :param services: all services.
     :param organisations: organisation of each key; ``None`` if requests carry no keys.
     :param limits: limits on the requests of callers.
+    :param document: what the configuration was decoded from.
     """
 
     def __init__(
@@ -122,8 +123,10 @@
         services: Sequence[Service],
         organisations: Mapping[str, Organisation] | None,
         limits: ClientLimits,
+        document: bytes = b"",
     ) -> None:
         self.version = version
+        self.document = document
         self.services = {service.name: service for service in services}
         self.limits = limits
         self._organisations = organisations
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_duty.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_duty.py
@@ -3,31 +3,40 @@
 One daemon at a time holds the duty. Only the holder sends placement orders to engines.
 Each order carries the holder's fencing token, by which engines refuse the orders of an
 earlier holder.
+
+A few daemons of each failure domain apply for the duty. The others hear by gossip that
+it is held, and apply when they have not heard so for some time.
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Mapping
 
 import msgspec
 
 from cassiaspread_core.base import LogUnavailable, TargetId
+from cassiaspread_core.membership import Member
 from cassiaspread_core.placement import (
     Engine,
     LayerRange,
     ModelSpec,
     Move,
+    is_candidate,
     plan_layout,
     plan_moves,
 )
 from cassiaspread_core.routing import Service
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
+from cassiaspread_daemon.gateway._fleet_view import FleetView
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
 from cassiaspread_daemon.gateway._job import now
 from cassiaspread_daemon.gateway._protocols import Duty, EngineApi, OrderOutcome
 from cassiaspread_daemon.gateway._routing_state import RoutingState
+from cassiaspread_daemon.mesh import Mesh, Sender
 
+TOPIC = "duty"
 RENEW_INTERVAL_S = 1.0
 PLACE_INTERVAL_S = 0.25
 # Engines that start together register within this time, in seconds. The first layout
@@ -41,6 +50,15 @@
 LOAD_TIME_FACTOR = 2.0
 
 
+class HolderSign(msgspec.Struct, frozen=True, array_like=True):
+    """Sign that the duty is held.
+
+    :param age_s: time since the holder's last renewal, in whole seconds.
+    """
+
+    age_s: int
+
+
 class _PendingOrder(msgspec.Struct):
     layers: LayerRange
     expires_s: float
@@ -65,6 +83,8 @@
     :param duty: grants the duty to one daemon at a time.
     :param engine_api: sends requests to engines.
     :param routing_state: configuration and engines.
+    :param mesh: messages between daemons; ``None`` if they do not communicate.
+    :param fleet: the daemons among which the candidates are selected.
     :param log: receives a line for each order and each change of the duty.
     :param metrics: counts orders.
     :param random_state: spreads the renewals of many daemons.
@@ -75,10 +95,17 @@
         duty: Duty,
         engine_api: EngineApi,
         routing_state: RoutingState,
+        mesh: Mesh | None,
+        fleet: FleetView,
         log: DecisionLog,
         metrics: GatewayMetrics,
         random_state: random.Random,
     ) -> None:
+        self._mesh = mesh
+        self._fleet = fleet
+        self._held_s = now()
+        if mesh is not None:
+            mesh.add_topic(TOPIC, self._produce, HolderSign, self._consume)
         self._duty = duty
         self._engine_api = engine_api
         self._routing_state = routing_state
@@ -97,17 +124,37 @@
         return self._is_holder
 
     async def renew(self) -> None:
-        """Acquire the duty and renew it until cancelled."""
+        """Apply for the duty and renew it until cancelled."""
         while True:
-            try:
-                state = await self._duty.renew(self._fencing_token)
-                self._set_holder(state.is_holder, state.fencing_token)
-            except LogUnavailable as error:
-                # The holder continues: engines refuse its fencing token once another
-                # daemon holds the duty.
-                self._log.record("duty.not_renewed", reason=str(error))
+            if self._must_renew(now()):
+                await self._renew_once()
             await asyncio.sleep(RENEW_INTERVAL_S * self._random_state.uniform(0.9, 1.1))
 
+    async def _renew_once(self) -> None:
+        try:
+            state = await self._duty.renew(self._fencing_token)
+        except LogUnavailable as error:
+            # The holder continues: engines refuse its fencing token once another
+            # daemon holds the duty.
+            self._log.record("duty.not_renewed", reason=str(error))
+            return
+        self._set_holder(state.is_holder, state.fencing_token)
+        if state.is_holder:
+            self._held_s = now()
+
+    def _must_renew(self, now_s: float) -> bool:
+        if self._is_holder or self._mesh is None:
+            return True
+        own: Member = self._mesh.own_member
+        members = self._fleet.members(now_s)
+        return is_candidate(own, members, now_s - self._held_s)
+
+    def _produce(self) -> HolderSign:
+        return HolderSign(math.ceil(now() - self._held_s))
+
+    def _consume(self, sign: HolderSign, sender: Sender) -> None:
+        self._held_s = max(self._held_s, now() - sign.age_s)
+
     async def leave(self) -> None:
         """Release the duty."""
         self._set_holder(False, self._fencing_token)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -1,53 +1,119 @@
-"""Sharing of store feeds: one daemon of each failure domain reads for the others.
+"""Sharing of store feeds: one daemon of the fleet reads for all others.
 
-If every daemon read the store, identical reads of one domain would exhaust the store's
-call quota and be charged for.
+If every daemon read the store, the number of calls would grow with the fleet. The
+reader sends what it has read to the daemons of its failure domain and to one daemon of
+each other domain, which passes it on. A daemon that receives no update in time reads
+the store itself, and sends on what it has read.
+
+An update may wait in a socket while its receiver is paused, so that its arrival says
+nothing about its age. The receiver's acknowledgement therefore carries the time of its
+clock, and the next update returns it together with the time that has passed since.
 """
 
 import asyncio
 import random
+import zlib
 from collections.abc import Callable
+from enum import Enum
 from typing import Any, TypeVar
 
 import msgspec
 
-from cassiaspread_core.base import DomainId, Incarnation, TargetId
-from cassiaspread_core.membership import rank_members
+from cassiaspread_core.base import DomainId, LogUnavailable, TargetId
+from cassiaspread_core.membership import Member, rank_members
 from cassiaspread_core.routing import RouteTable, StateAge
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
+from cassiaspread_daemon.gateway._fleet_view import FleetView
 from cassiaspread_daemon.gateway._job import now
-from cassiaspread_daemon.gateway._protocols import EngineChange, Feed, FeedPage
+from cassiaspread_daemon.gateway._protocols import (
+    ConfigurationFeed,
+    EngineChange,
+    Feed,
+    FeedPage,
+)
 from cassiaspread_daemon.gateway._routing_state import (
     FeedFollower,
     RoutingState,
     suspended_clock_s,
 )
-from cassiaspread_daemon.mesh import Empty, Mesh, PeerUnreachable, Sender
+from cassiaspread_daemon.mesh import Mesh, PeerUnreachable, Sender
 
 SEND_TIMEOUT_S = 0.5
-# A daemon that has received no update of a feed for this long reads it itself, in
-# seconds. This is longer than the interval between updates of a working reader, and
-# well within the time in which a configuration must come into force and a leaving
+# A daemon without updates reads the store after this time, in seconds, if it passes
+# updates on to its domain, and after the longer time otherwise. The shortest bound for
+# a new configuration in the users' deployments is two seconds.
+CONFIGURATION_TIMEOUTS_S = (1.3, 1.6)
+# The same for the list of targets, as fractions of the time within which a leaving
 # target must get no more work.
-READER_TIMEOUT_S = 1.3
-READER_CHECK_INTERVAL_S = 0.1
-# Time for which the choice of the reader is kept, in seconds. Meanwhile a daemon may
-# read beside a new reader, or wait for the update of one that has left.
+ENGINE_TIMEOUT_SHARES = (0.6, 0.8)
+TIMEOUT_SPREAD = (0.9, 1.1)
+UPDATE_CHECK_INTERVAL_S = 0.1
+# Time for which the choice of the reader is kept, in seconds. Meanwhile two daemons may
+# read, or none before the timeout.
 READER_LIFETIME_S = 0.5
 # Changes contained in a snapshot may appear again after its position. After reading a
 # snapshot, a reader publishes complete pages for this long, in seconds, instead of only
 # the changes that are new to it.
 FULL_PAGES_S = 5.0
+# Larger configurations are read from the store by each daemon, since the link of the
+# reader's VM may be slow.
+MAX_DOCUMENT_BYTES = 64 * 1024
 
 Item = TypeVar("Item")
 
 
+class ReaderRole(Enum):
+    """Task of a daemon in reading a feed.
+
+    FLEET: it reads the store for all daemons.
+    DOMAIN: it receives the updates for its failure domain and passes them on.
+    NONE: it receives updates.
+    """
+
+    FLEET = "fleet"
+    DOMAIN = "domain"
+    NONE = "none"
+
+
+class _Update(msgspec.Struct, frozen=True, array_like=True):
+    """Update sent to one peer.
+
+    :param content: the update.
+    :param peer_clock_s: time on the peer's clock in its last acknowledgement; ``None``
+        before the first one.
+    :param confirmed_after_s: time from the arrival of that acknowledgement until the
+        content was current, in seconds; may be negative.
+    """
+
+    content: msgspec.Raw
+    peer_clock_s: float | None
+    confirmed_after_s: float
+
+
+class _Acknowledgement(msgspec.Struct, frozen=True, array_like=True):
+    """Reply to an update.
+
+    :param clock_s: time on the receiver's clock, in seconds.
+    :param position: position up to which the receiver has the feed, if it has any.
+    """
+
+    clock_s: float
+    position: int | None
+
+
+class _PeerClock(msgspec.Struct, frozen=True):
+    clock_s: float
+    received_s: float
+    position: int | None
+
+
 class FeedSharing:
-    """Selects the reader of a feed in a domain and distributes the reader's updates.
+    """Selects the reader of a feed and distributes its updates.
 
     :param domain: failure domain of this daemon.
     :param mesh: messages between daemons; ``None`` if they do not communicate.
+    :param fleet: the daemons among which the reader is selected.
     :param supervisor: runs the tasks that send updates to peers.
     :param log: receives a line for each peer that could not be notified.
     """
@@ -56,6 +122,7 @@
         self,
         domain: DomainId,
         mesh: Mesh | None,
+        fleet: FleetView,
         supervisor: Supervisor,
         log: DecisionLog,
     ) -> None:
@@ -63,76 +130,152 @@
         self._mesh = mesh
         self._supervisor = supervisor
         self._log = log
-        self._readers: dict[str, Incarnation | None] = {}
-        self._readers_expire_s = float("-inf")
+        self._fleet = fleet
+        self._roles: dict[str, ReaderRole] = {}
+        self._roles_expire_s = float("-inf")
+        self._peer_clocks: dict[tuple[str, str], _PeerClock] = {}
 
     def subscribe(
-        self, kind: str, update_type: Any, receive: Callable[[Any], None]
+        self,
+        kind: str,
+        update_type: Any,
+        receive: Callable[[Any, float | None], None],
+        forward: Callable[[Any], None],
+        read_position: Callable[[], int | None],
     ) -> None:
         """Register the receiver of the updates of one feed.
 
         :param kind: name of the feed.
         :param update_type: type of its updates.
-        :param receive: called with each update.
+        :param receive: called with each update, and the time at which its content was
+            current, if that is known.
+        :param forward: called with an update to pass on to the own domain.
+        :param read_position: returns up to which position this daemon has the feed.
         """
-
-        async def handle(update: Any, sender: Sender) -> Empty:
-            receive(update)
-            return Empty()
+        decoder = msgspec.msgpack.Decoder(update_type)
+
+        async def handle(update: _Update, sender: Sender) -> _Acknowledgement:
+            content = decoder.decode(update.content)
+            current_s = None
+            if update.peer_clock_s is not None:
+                current_s = update.peer_clock_s + update.confirmed_after_s
+            receive(content, current_s)
+            if sender.domain != self._domain:
+                forward(content)
+            return _Acknowledgement(suspended_clock_s(), read_position())
 
         if self._mesh is not None:
-            self._mesh.register(kind, update_type, handle)
+            self._mesh.register(f"feed-{kind}", _Update, handle)
 
-    def is_reader(self, kind: str, now_s: float) -> bool:
-        """Return whether this daemon reads a feed for its domain.
+    def role(self, kind: str, now_s: float) -> ReaderRole:
+        """Return the task of this daemon in reading a feed.
 
         :param kind: name of the feed.
         :param now_s: current time, in seconds.
         """
         if self._mesh is None:
-            return True
-        if now_s >= self._readers_expire_s:
-            self._readers.clear()
-            self._readers_expire_s = now_s + READER_LIFETIME_S
-        if kind not in self._readers:
-            self._readers[kind] = self._find_reader(self._mesh, kind)
-        return self._readers[kind] in (None, self._mesh.sender.incarnation)
-
-    def _find_reader(self, mesh: Mesh, kind: str) -> Incarnation | None:
-        domain_members = [m for m in mesh.active_members() if m.domain == self._domain]
-        ranked = rank_members(kind, domain_members)
-        return ranked[0].incarnation if ranked else None
-
-    def publish(self, kind: str, update: Any) -> None:
-        """Send an update to the other daemons of the domain.
+            return ReaderRole.FLEET
+        if now_s >= self._roles_expire_s:
+            self._roles.clear()
+            self._roles_expire_s = now_s + READER_LIFETIME_S
+        if kind not in self._roles:
+            self._roles[kind] = self._find_role(self._mesh, kind, now_s)
+        return self._roles[kind]
+
+    def _find_role(self, mesh: Mesh, kind: str, now_s: float) -> ReaderRole:
+        ranked = rank_members(kind, self._fleet.members(now_s))
+        if not ranked:
+            return ReaderRole.NONE
+        own = mesh.sender.incarnation
+        if ranked[0].incarnation == own:
+            return ReaderRole.FLEET
+        first = next((m for m in ranked if m.domain == self._domain), None)
+        is_first = first is not None and first.incarnation == own
+        return ReaderRole.DOMAIN if is_first else ReaderRole.NONE
+
+    def publish(
+        self,
+        kind: str,
+        build: Callable[[int | None], Any],
+        confirmed_s: float | None,
+        is_forwarded: bool = False,
+    ) -> None:
+        """Send an update to the other daemons of the domain, and to other domains.
 
         :param kind: name of the feed.
-        :param update: the update.
+        :param build: returns the update for a peer that has the feed up to a position.
+        :param confirmed_s: time at which the update was current, if it is known, on a
+            clock that also counts suspended time.
+        :param is_forwarded: whether it came from another domain. It goes only to the
+            own one then, as do the updates of a daemon without a task.
         """
         if self._mesh is None:
             return
-        for peer in self._mesh.peers():
-            if peer.sender.domain == self._domain:
-                self._send_to_peer(peer.sender.address, kind, update)
-
-    def _send_to_peer(self, address: str, kind: str, update: Any) -> None:
-        assert self._mesh is not None
-        mesh = self._mesh
-
+        for address in self._receivers(self._mesh, kind, is_forwarded):
+            self._send_to_peer(self._mesh, address, kind, build, confirmed_s)
+
+    def _receivers(self, mesh: Mesh, kind: str, is_forwarded: bool) -> list[str]:
+        peers = [peer.sender for peer in mesh.peers()]
+        addresses = [p.address for p in peers if p.domain == self._domain]
+        if is_forwarded or self.role(kind, now()) is ReaderRole.NONE:
+            return addresses
+        firsts: dict[DomainId, Member] = {}
+        for member in rank_members(kind, self._fleet.members(now())):
+            firsts.setdefault(member.domain, member)
+        others = (m for domain, m in firsts.items() if domain != self._domain)
+        return addresses + [member.address for member in others]
+
+    def _send_to_peer(
+        self,
+        mesh: Mesh,
+        address: str,
+        kind: str,
+        build: Callable[[int | None], Any],
+        confirmed_s: float | None,
+    ) -> None:
         async def send() -> None:
-            try:
-                await mesh.ask(address, kind, update, Empty, SEND_TIMEOUT_S)
-            except PeerUnreachable as error:
-                self._log.record("peer.not_told", peer=address, reason=str(error))
+            # The first update to a peer does not confirm anything, but the next one.
+            is_first = (kind, address) not in self._peer_clocks
+            for _ in range(1 + is_first):
+                update = self._build_update(kind, address, build, confirmed_s)
+                try:
+                    reply = await mesh.ask(
+                        address,
+                        f"feed-{kind}",
+                        update,
+                        _Acknowledgement,
+                        SEND_TIMEOUT_S,
+                    )
+                except PeerUnreachable as error:
+                    self._peer_clocks.pop((kind, address), None)
+                    self._log.record("peer.not_told", peer=address, reason=str(error))
+                    return
+                self._peer_clocks[kind, address] = _PeerClock(
+                    reply.clock_s, suspended_clock_s(), reply.position
+                )
 
         self._supervisor.start_once(f"{kind}-{address}-{now()}", send)
 
+    def _build_update(
+        self,
+        kind: str,
+        address: str,
+        build: Callable[[int | None], Any],
+        confirmed_s: float | None,
+    ) -> _Update:
+        clock = self._peer_clocks.get((kind, address))
+        content = build(None if clock is None else clock.position)
+        raw = msgspec.Raw(msgspec.msgpack.encode(content))
+        if clock is None or confirmed_s is None:
+            return _Update(raw, None, 0.0)
+        return _Update(raw, clock.clock_s, confirmed_s - clock.received_s)
+
 
 class SharedFeedFollower(FeedFollower[Item]):
     """Keeps a copy of a feed current from its own reads or from the reader's updates.
 
     :param kind: name of the feed.
-    :param feed_sharing: distributes updates within the domain.
+    :param feed_sharing: distributes updates.
     :param feed: the feed.
     :param apply: applies one item.
     :param replace: applies a snapshot.
@@ -140,6 +283,8 @@
     :param log: receives a line when the feed becomes unavailable or available again.
     :param wait_s: how long the store may wait for changes, in seconds.
     :param interval_s: pause between two reads, in seconds.
+    :param timeouts_s: time without updates after which this daemon reads the store, in
+        seconds: if it passes updates on, and otherwise.
     :param random_state: spreads the retries of many daemons.
     """
 
@@ -154,59 +299,75 @@
         log: DecisionLog,
         wait_s: float,
         interval_s: float,
+        timeouts_s: tuple[float, float],
         random_state: random.Random,
     ) -> None:
         super().__init__(
             kind, feed, apply, replace, age, log, wait_s, interval_s, random_state
         )
         self._feed_sharing = feed_sharing
+        self._domain_timeout_s, self._timeout_s = timeouts_s
+        # Of several daemons without updates, one reads before the others.
+        self._timeout_factor = 1.0
         self._updated_s = float("-inf")
         self._is_behind = False
 
+    @property
+    def _role(self) -> ReaderRole:
+        return self._feed_sharing.role(self._name, now())
+
     async def _wait_until_due(self) -> None:
         while not self._is_due():
-            await asyncio.sleep(READER_CHECK_INTERVAL_S)
+            await asyncio.sleep(UPDATE_CHECK_INTERVAL_S)
         self._is_behind = False
-        # Restart the timeout, so that a daemon that is not the reader does not read
-        # continuously while updates are missing.
+        # A daemon that is not the reader does not read continuously while updates are
+        # missing.
+        self._restart_timeout()
+
+    def _restart_timeout(self) -> None:
         self._updated_s = now()
+        self._timeout_factor = self._random_state.uniform(*TIMEOUT_SPREAD)
 
     def _is_due(self) -> bool:
-        return (
-            self._position is None
-            or self._is_behind
-            or now() - self._updated_s > READER_TIMEOUT_S
-            or self._feed_sharing.is_reader(self._name, now())
-        )
+        role = self._role
+        if self._position is None or self._is_behind:
+            return True
+        if role is ReaderRole.FLEET and not self._is_unavailable:
+            return True
+        is_none = role is ReaderRole.NONE
+        timeout_s = self._timeout_s if is_none else self._domain_timeout_s
+        return now() - self._updated_s > timeout_s * self._timeout_factor
 
     def _next_wait_s(self) -> float:
         # A daemon that is not the reader has already waited for an update.
-        return self._wait_s if self._feed_sharing.is_reader(self._name, now()) else 0.0
+        return self._wait_s if self._role is ReaderRole.FLEET else 0.0
 
-    def _confirm_current(self) -> None:
+    def _confirm_current(self, current_s: float | None) -> None:
         """Record that this copy is current according to the reader."""
-        # The reader's update arrives within the send timeout after its read.
-        self._age.confirm(suspended_clock_s() - SEND_TIMEOUT_S)
-        self._updated_s = now()
+        if current_s is None:
+            return
+        self._age.confirm(current_s)
+        self._restart_timeout()
 
 
 class ConfigurationUpdate(msgspec.Struct, frozen=True, array_like=True):
-    """Position up to which the reader has read.
+    """A configuration, and the position up to which the reader has read.
 
     :param end: position of the next page.
+    :param document: the compressed configuration; empty if the receiver has it, or has
+        to read it from the store.
     """
 
     end: int
+    document: bytes = b""
 
 
 class ConfigurationFollower(SharedFeedFollower[RouteTable]):
-    """Keeps the configuration current; each daemon reads a new one itself.
+    """Keeps the configuration current.
 
-    :param feed_sharing: distributes updates within the domain.
+    :param feed_sharing: distributes updates.
     :param feed: the configuration.
-    :param apply: applies one configuration.
-    :param replace: applies a snapshot.
-    :param age: records when the copy was current.
+    :param routing_state: holds the configuration.
     :param log: receives a line when the feed becomes unavailable or available again.
     :param wait_s: how long the store may wait for changes, in seconds.
     :param random_state: spreads the retries of many daemons.
@@ -215,10 +376,8 @@
     def __init__(
         self,
         feed_sharing: FeedSharing,
-        feed: Feed[RouteTable],
-        apply: Callable[[RouteTable], None],
-        replace: Callable[[tuple[RouteTable, ...]], None],
-        age: StateAge,
+        feed: ConfigurationFeed,
+        routing_state: RoutingState,
         log: DecisionLog,
         wait_s: float,
         random_state: random.Random,
@@ -227,25 +386,82 @@
             "configuration",
             feed_sharing,
             feed,
-            apply,
-            replace,
-            age,
+            routing_state.apply_table,
+            self._apply_snapshot,
+            routing_state.configuration_age,
             log,
             wait_s,
             0.0,
+            CONFIGURATION_TIMEOUTS_S,
             random_state,
         )
-        feed_sharing.subscribe(self._name, ConfigurationUpdate, self._receive)
+        self._routing_state = routing_state
+        self._configurations = feed
+        self._compressed: tuple[RouteTable | None, bytes] = (None, b"")
+        feed_sharing.subscribe(
+            self._name,
+            ConfigurationUpdate,
+            self._receive,
+            self._forward,
+            lambda: self._position,
+        )
+
+    def _apply_snapshot(self, tables: tuple[RouteTable, ...]) -> None:
+        if not tables and self._routing_state.table is not None:
+            raise LogUnavailable("the store holds no configuration any more")
+        for table in tables:
+            self._routing_state.apply_table(table)
 
     def _on_page(self, start: int | None, page: FeedPage[RouteTable]) -> None:
-        if self._feed_sharing.is_reader(self._name, now()):
-            self._feed_sharing.publish(self._name, ConfigurationUpdate(page.position))
+        if start is not None:
+            self._publish(is_forwarded=False)
+
+    def _publish(self, is_forwarded: bool) -> None:
+        if self._position is None:
+            return
+        end = self._position
 
-    def _receive(self, update: ConfigurationUpdate) -> None:
-        if self._position is None or update.end > self._position:
+        def build(position: int | None) -> ConfigurationUpdate:
+            if position == end:
+                return ConfigurationUpdate(end)
+            return ConfigurationUpdate(end, self._compress())
+
+        self._feed_sharing.publish(
+            self._name, build, self._age.current_at_s, is_forwarded
+        )
+
+    def _compress(self) -> bytes:
+        table = self._routing_state.table
+        if self._compressed[0] is not table:
+            document = b"" if table is None else zlib.compress(table.document)
+            if len(document) > MAX_DOCUMENT_BYTES:
+                document = b""
+            self._compressed = table, document
+        return self._compressed[1]
+
+    def _receive(self, update: ConfigurationUpdate, current_s: float | None) -> None:
+        is_newer = self._position is None or update.end > self._position
+        if is_newer and update.document:
+            table = self._decode(update.document)
+            if table is not None:
+                self._routing_state.apply_table(table)
+                self._position = update.end
+        if self._position == update.end:
+            self._confirm_current(current_s)
+        elif is_newer:
             self._is_behind = True
-        elif update.end == self._position:
-            self._confirm_current()
+
+    def _decode(self, document: bytes) -> RouteTable | None:
+        try:
+            return self._configurations.decode(zlib.decompress(document))
+        except (zlib.error, ValueError) as error:
+            # The store has it as well.
+            self._log.record("configuration.unreadable", reason=str(error))
+            return None
+
+    def _forward(self, update: ConfigurationUpdate) -> None:
+        if self._position == update.end:
+            self._publish(is_forwarded=True)
 
 
 class EngineUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -266,12 +482,14 @@
 class EngineFollower(SharedFeedFollower[EngineChange]):
     """Keeps the list of targets current; updates contain its changes.
 
-    :param feed_sharing: distributes updates within the domain.
+    :param feed_sharing: distributes updates.
     :param routing_state: holds the targets.
     :param feed: the list.
     :param replace: applies a snapshot.
     :param log: receives a line when the feed becomes unavailable or available again.
     :param interval_s: pause between two reads, in seconds.
+    :param leaving_timeout_s: time within which a leaving target must get no more work,
+        in seconds.
     :param random_state: spreads the retries of many daemons.
     """
 
@@ -283,8 +501,10 @@
         replace: Callable[[tuple[EngineChange, ...]], None],
         log: DecisionLog,
         interval_s: float,
+        leaving_timeout_s: float,
         random_state: random.Random,
     ) -> None:
+        domain_share, share = ENGINE_TIMEOUT_SHARES
         super().__init__(
             "engines",
             feed_sharing,
@@ -295,13 +515,20 @@
             log,
             0.0,
             interval_s,
+            (domain_share * leaving_timeout_s, share * leaving_timeout_s),
             random_state,
         )
         self._routing_state = routing_state
         self._replace_all = replace
         self._snapshot_s = float("-inf")
         self._changed_targets: set[TargetId] = set()
-        feed_sharing.subscribe(self._name, EngineUpdate, self._receive)
+        feed_sharing.subscribe(
+            self._name,
+            EngineUpdate,
+            self._receive,
+            self._forward,
+            lambda: self._position,
+        )
 
     def _apply_change(self, change: EngineChange) -> None:
         is_new = self._routing_state.apply_change(change)
@@ -314,18 +541,27 @@
 
     def _on_page(self, start: int | None, page: FeedPage[EngineChange]) -> None:
         changed_targets, self._changed_targets = self._changed_targets, set()
-        if start is None or not self._feed_sharing.is_reader(self._name, now()):
+        if start is None:
             return
-        update = EngineUpdate(
-            start,
-            page.position,
-            tuple(c for c in page.items if c.target in changed_targets),
-            tuple(c.target for c in page.items if c.engine is not None),
+        self._publish(
+            EngineUpdate(
+                start,
+                page.position,
+                tuple(c for c in page.items if c.target in changed_targets),
+                tuple(c.target for c in page.items if c.engine is not None),
+            ),
+            is_forwarded=False,
         )
-        self._feed_sharing.publish(self._name, update)
 
-    def _receive(self, update: EngineUpdate) -> None:
-        if self._position == update.start:
+    def _publish(self, update: EngineUpdate, is_forwarded: bool) -> None:
+        self._feed_sharing.publish(
+            self._name, lambda position: update, self._age.current_at_s, is_forwarded
+        )
+
+    def _receive(self, update: EngineUpdate, current_s: float | None) -> None:
+        position = self._position
+        # Each change has the newest entry, so that a part of them may be known already.
+        if position is not None and update.start <= position <= update.end:
             for change in update.changes:
                 self._apply_change(change)
             for target in update.renewed:
@@ -335,4 +571,8 @@
         if self._position == update.end:
             # An update that ends at another position confirms nothing; without a
             # confirmation this daemon reads the feed itself.
-            self._confirm_current()
+            self._confirm_current(current_s)
+
+    def _forward(self, update: EngineUpdate) -> None:
+        if self._position == update.end:
+            self._publish(update, is_forwarded=True)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -16,7 +16,7 @@
 from cassiaspread_core.base import DomainId, Incarnation, Outcome, Refusal, TargetId
 from cassiaspread_core.chains import LoadLedger
 from cassiaspread_core.placement import Engine
-from cassiaspread_core.routing import ClientLimits, RouteTable
+from cassiaspread_core.routing import ClientLimits
 from cassiaspread_core.targets import TargetHealth
 from cassiaspread_core.timeline import EventRing
 from cassiaspread_daemon._exchange import ANSWER_MEMORY
@@ -31,6 +31,7 @@
     EngineFollower,
     FeedSharing,
 )
+from cassiaspread_daemon.gateway._fleet_view import FleetView
 from cassiaspread_daemon.gateway._frontend import Frontend, InboundRequest
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
 from cassiaspread_daemon.gateway._job import now, unix_time_s
@@ -130,23 +131,34 @@
             lambda target: self._health.record_renewal(target, now())
         )
         self._routing_state.renewal_callbacks.append(self._handle_renewal)
+        self._capacity_queue = CapacityQueue(self._dispatcher, log)
+        self._quarantine.verdict_callbacks.append(self._recheck_quarantine)
+        self._frontend = Frontend(self._build_router(random_state).handle, log)
+        self._register_gauges()
+        self._exit_stack = ExitStack()
+        self._mesh = self._build_mesh()
+        self._fleet = FleetView(self._mesh, now())
         self._duty = PlacementDuty(
             platform.duty,
             platform.engine_api,
             self._routing_state,
+            self._mesh,
+            self._fleet,
             log,
             self._metrics,
             random_state,
         )
-        self._capacity_queue = CapacityQueue(self._dispatcher, log)
-        self._quarantine.verdict_callbacks.append(self._recheck_quarantine)
-        self._frontend = Frontend(self._build_router(random_state).handle, log)
-        self._register_gauges()
-        self._exit_stack = ExitStack()
-        self._mesh = self._build_mesh()
+        self._feed_sharing = FeedSharing(
+            settings.domain,
+            self._mesh,
+            self._fleet,
+            self._supervisor.add_child("relay"),
+            log,
+        )
         self._suspect_sharing = SuspectSharing(
             self._quarantine,
             self._mesh,
+            self._feed_sharing,
             platform.suspects,
             self._supervisor.add_child("suspects"),
             log,
@@ -196,6 +208,11 @@
             "Bytes of answers that were received and not yet sent to their callers.",
             lambda: ANSWER_MEMORY.n_bytes,
         )
+        self._metrics.observe_counts(
+            "cassiaspread.gateway.store_calls",
+            "Calls to the platform's store, by kind.",
+            self._platform.store_calls,
+        )
         observe(
             "cassiaspread.gateway.connections",
             "Connections opened to targets and to the store.",
@@ -281,31 +298,24 @@
         return dict.fromkeys(map(str, self._settings.seeds))
 
     def _build_followers(self, random_state: random.Random) -> list[FeedFollower]:
-        routing_state = self._routing_state
-        feed_sharing = FeedSharing(
-            self._settings.domain,
-            self._mesh,
-            self._supervisor.add_child("relay"),
-            self._log,
-        )
+        settings, routing_state = self._settings, self._routing_state
         return [
             ConfigurationFollower(
-                feed_sharing,
+                self._feed_sharing,
                 self._platform.configuration,
-                routing_state.apply_table,
-                self._replace_table,
-                routing_state.configuration_age,
+                routing_state,
                 self._log,
                 CONFIGURATION_WAIT_S,
                 random_state,
             ),
             EngineFollower(
-                feed_sharing,
+                self._feed_sharing,
                 routing_state,
                 self._platform.engines,
                 self._replace_engines,
                 self._log,
-                self._settings.leaving_timeout_s * ENGINES_INTERVAL_SHARE,
+                settings.leaving_timeout_s * ENGINES_INTERVAL_SHARE,
+                settings.leaving_timeout_s,
                 random_state,
             ),
         ]
@@ -436,10 +446,6 @@
         headers = {"Content-Type": "text/plain; version=0.0.4"}
         inbound.answer(200, headers, self._metrics.render())
 
-    def _replace_table(self, tables: tuple[RouteTable, ...]) -> None:
-        for table in tables:
-            self._routing_state.apply_table(table)
-
     def _replace_engines(self, changes: tuple[EngineChange, ...]) -> None:
         self._routing_state.retain({change.target for change in changes})
         for change in changes:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway_metrics.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway_metrics.py
@@ -1,6 +1,6 @@
 """Counters and latency histograms of the gateway."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
@@ -121,6 +121,24 @@
 
         self._meter.create_observable_gauge(name, [callback], description=description)
 
+    def observe_counts(
+        self, name: str, description: str, read: Callable[[], Mapping[str, int]]
+    ) -> None:
+        """Add a counter by kind whose values are read when metrics are collected.
+
+        :param name: name of the instrument.
+        :param description: description of the values.
+        :param read: returns the count of each kind.
+        """
+
+        def callback(options: CallbackOptions) -> Iterable[Observation]:
+            return [
+                Observation(count, {**self._attributes, "kind": kind})
+                for kind, count in read().items()
+            ]
+
+        self._meter.create_observable_counter(name, [callback], description=description)
+
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
         return generate_latest(REGISTRY)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
@@ -4,7 +4,7 @@
 formats; all decisions are made in the gateway.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from enum import Enum
 from typing import Generic, Protocol, TypeVar
 
@@ -223,6 +223,17 @@
         """
 
 
+class ConfigurationFeed(Feed[RouteTable], Protocol):
+    """Configurations that the operator publishes."""
+
+    def decode(self, document: bytes) -> RouteTable:
+        """Decode the document of a configuration.
+
+        :param document: the document, as kept by its table.
+        :raises ValueError: it is malformed.
+        """
+
+
 class EngineChange(msgspec.Struct, frozen=True):
     """Change of a target's entry.
 
@@ -294,7 +305,10 @@
 
     header_codec: HeaderCodec
     engine_api: EngineApi
-    configuration: Feed[RouteTable]
+    configuration: ConfigurationFeed
     engines: Feed[EngineChange]
     suspects: SuspectTopic
     duty: Duty
+
+    def store_calls(self) -> Mapping[str, int]:
+        """Return the number of calls to the store since the start, by kind."""
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
@@ -217,19 +217,21 @@
 
     async def _read(self) -> None:
         requested_s = suspended_clock_s()
-        if self._position is None:
+        start = self._position
+        if start is None:
             page: FeedPage[Item] = await self._feed.snapshot()
             self._replace(page.items)
             self._age.confirm(requested_s)
         else:
             wait_s = self._next_wait_s()
-            page = await self._feed.changes(self._position, wait_s)
+            page = await self._feed.changes(start, wait_s)
             for item in page.items:
                 self._apply(item)
             # The store returns an empty page only after the full wait.
             waited_s = 0.0 if page.items else wait_s
             self._age.confirm(min(requested_s + waited_s, suspended_clock_s()))
-        start, self._position = self._position, page.position
+        # An update of another daemon may have come meanwhile.
+        self._position = max(page.position, self._position or 0)
         self._on_page(start, page)
 
     def _record_unavailable(self, reason: str) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_suspect_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_suspect_sharing.py
@@ -4,17 +4,21 @@
 rounds go to all daemons and are also kept in the store, for daemons that start later or
 that the others cannot reach. The records in the store are compared with those held
 whenever either changes, so that what an outage or an older copy of the store has lost
-is written again.
+is written again. After its start a daemon reads the store only if it is the first of
+its domain; the others hear of the records by gossip.
 """
 
 import asyncio
 import random
+from collections.abc import Callable
+from typing import Any
 
 from cassiaspread_core.base import LogUnavailable
 from cassiaspread_core.quarantine import Fingerprint, SuspectRecord
 from cassiaspread_core.routing import StateAge
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
+from cassiaspread_daemon.gateway._feed_sharing import FeedSharing, ReaderRole
 from cassiaspread_daemon.gateway._job import now, unix_time_s
 from cassiaspread_daemon.gateway._protocols import SuspectChange, SuspectTopic
 from cassiaspread_daemon.gateway._quarantine import (
@@ -28,7 +32,9 @@
 TOPIC = "suspects"
 # How long the store waits for a change before it returns an empty page, in seconds.
 # Peers that reach each other do not depend on the store.
-STORE_WAIT_S = 8.0
+STORE_WAIT_S = 20.0
+# Interval between two checks whether this daemon has to read, in seconds.
+ROLE_CHECK_INTERVAL_S = 1.0
 # Pause between two reads while records change, in seconds.
 READ_INTERVAL_S = 0.5
 # Number of rounds from which a record is sent to peers at once and kept in the store.
@@ -43,11 +49,30 @@
 MAX_RECORDS_PER_WRITE = 64
 
 
+class _SuspectFollower(FeedFollower[SuspectChange]):
+    """Reads the records in the store while this daemon is the first of its domain."""
+
+    def __init__(
+        self, is_reader: Callable[[], bool], *arguments: Any, **options: Any
+    ) -> None:
+        super().__init__(*arguments, **options)
+        self._is_reader = is_reader
+
+    async def _wait_until_due(self) -> None:
+        if self._position is None or self._is_reader():
+            return
+        while not self._is_reader():
+            await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
+        # The records heard of meanwhile are compared with all that the store holds.
+        self._position = None
+
+
 class SuspectSharing:
     """Keeps the records of this daemon, its peers and the store in agreement.
 
     :param quarantine: holds the records.
     :param mesh: messages between daemons; ``None`` if they do not communicate.
+    :param feed_sharing: selects the daemon that reads the records in the store.
     :param topic: records in the store.
     :param supervisor: runs the tasks.
     :param log: receives a line when the store becomes unavailable or available again.
@@ -58,6 +83,7 @@
         self,
         quarantine: Quarantine,
         mesh: Mesh | None,
+        feed_sharing: FeedSharing,
         topic: SuspectTopic,
         supervisor: Supervisor,
         log: DecisionLog,
@@ -65,6 +91,7 @@
     ) -> None:
         self._quarantine = quarantine
         self._mesh = mesh
+        self._feed_sharing = feed_sharing
         self._store_topic = topic
         self._supervisor = supervisor
         self._log = log
@@ -74,8 +101,9 @@
         # Times at which fingerprints are compared with the store.
         self._due_s: dict[Fingerprint, float] = {}
         self.age = StateAge(float("inf"))
-        self._follower = FeedFollower(
-            "suspects",
+        self._follower = _SuspectFollower(
+            self._is_reader,
+            TOPIC,
             topic,
             self._apply,
             self._replace,
@@ -96,9 +124,14 @@
         self._supervisor.start("suspects-read", self._follower.run)
         self._supervisor.start("suspects-write", self._write)
 
+    def _is_reader(self) -> bool:
+        return self._feed_sharing.role(TOPIC, now()) is not ReaderRole.NONE
+
     def _handle_change(self, record: SuspectRecord, source: Source) -> None:
         if self._mesh is not None:
             self._publish(record, source, self._mesh)
+        if source is not Source.OWN and not self._is_reader():
+            return
         delay_s = 0.0
         if source is not Source.OWN:
             delay_s = self._random_state.uniform(*OTHERS_DELAY_S)
@@ -118,6 +151,8 @@
     def _handle_expiry(self, fingerprint: Fingerprint) -> None:
         if self._mesh is not None:
             self._peers_topic.discard(fingerprint)
+        if not self._is_reader():
+            return
         delay_s = self._random_state.uniform(*OTHERS_DELAY_S)
         self._due_s.setdefault(fingerprint, now() + delay_s)
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
@@ -108,6 +108,11 @@
         """Identity of this daemon in its messages."""
         return self._sender
 
+    @property
+    def own_member(self) -> Member:
+        """This daemon as a member of the fleet."""
+        return self._members.view.own
+
     @property
     def traffic(self) -> Traffic:
         """Messages and bytes sent and received since the start."""
--- a/packages/cassiaspread-daemon/tests/test_gateway_quarantine.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_quarantine.py
@@ -16,6 +16,8 @@
 from cassiaspread_daemon.gateway import DecisionLog, FeedPage, SuspectChange
 from cassiaspread_daemon.gateway import _quarantine as quarantine_module
 from cassiaspread_daemon.gateway._capacity_queue import CapacityQueue
+from cassiaspread_daemon.gateway._feed_sharing import FeedSharing
+from cassiaspread_daemon.gateway._fleet_view import FleetView
 from cassiaspread_daemon.gateway._job import unix_time_s
 from cassiaspread_daemon.gateway._quarantine import (
     CLEARED_LIFETIME_S,
@@ -287,8 +289,11 @@
 def run_sharing(quarantine, log, topic, use):
     async def run():
         async with Supervisor("sharing") as supervisor:
+            feed_sharing = FeedSharing(
+                "celje", None, FleetView(None, 0.0), supervisor, log
+            )
             sharing = SuspectSharing(
-                quarantine, None, topic, supervisor, log, random.Random(1)
+                quarantine, None, feed_sharing, topic, supervisor, log, random.Random(1)
             )
             sharing.start()
             await use(sharing)
--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -105,6 +105,8 @@
         self.processes = {}
         self.commands = {}
         self.ports = {}
+        # Addresses of ports that are not served on 127.0.0.1.
+        self.hosts = {}
         self.peer_port = free_port()
         self.free_peer_ips = list(PEER_IPS)
         self.store_port = self.ports["store"] = free_port()
@@ -130,10 +132,15 @@
 
     def accepts_connections(self, port):
         with socket.socket() as probe:
-            return probe.connect_ex(("127.0.0.1", port)) == 0
+            return probe.connect_ex((self.host(port), port)) == 0
+
+    def host(self, port):
+        return self.hosts.get(port, "127.0.0.1")
 
     def call(self, port, method, path, body=b"", headers=None, timeout_s=10.0):
-        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout_s)
+        connection = http.client.HTTPConnection(
+            self.host(port), port, timeout=timeout_s
+        )
         try:
             connection.request(method, path, body, headers or {})
             response = connection.getresponse()
@@ -200,8 +207,9 @@
             seeds = [f"{seed_ip}:{peer_port}" for seed_ip in PEER_IPS[:3]]
         flags = []
         if metrics:
-            self.ports[f"{name}/metrics"] = free_port()
-            flags = ["--metrics-port", self.ports[f"{name}/metrics"]]
+            metrics_port = self.ports[f"{name}/metrics"] = free_port()
+            self.hosts[metrics_port] = ip
+            flags = ["--metrics-port", metrics_port]
         self.ports[name], self.ports[f"{name}/ready"] = port, readiness_port
         settings = {
             "node_name": name,
