Engines that leave or want a pause are believed from their answers

Two new rules: an engine that leaves says so in all its answers, and one that refuses with 503 may name a time for which it wants nothing from this VM. Neither was in any code: such engines got requests until the list said so, or went on being asked.

Change: the adapter decodes both into a notice. An engine that leaves stays leaving until its next start, also when the list or a restored entry says otherwise and while the store is out of reach; other daemons hear it by gossip. An engine that wants a pause gets no request, order or report until its end on the steady clock; a restarted one is free. A caller who finds all engines closed is told when the first is back.

Values that are no finite number of seconds, or negative, are no pause; more than an hour counts as an hour.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/__init__.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/__init__.py
@@ -4,9 +4,11 @@
 from cassiaspread_daemon.gateway._gateway import Gateway
 from cassiaspread_daemon.gateway._pool import ConnectionPool
 from cassiaspread_daemon.gateway._protocols import (
+    NO_NOTICE,
     AnswerParameters,
     DutyState,
     EngineChange,
+    EngineNotice,
     EngineReport,
     FeedPage,
     ForwardParameters,
@@ -18,11 +20,13 @@
 from cassiaspread_daemon.gateway._settings import GatewaySettings
 
 __all__ = [
+    "NO_NOTICE",
     "AnswerParameters",
     "ConnectionPool",
     "DecisionLog",
     "DutyState",
     "EngineChange",
+    "EngineNotice",
     "EngineReport",
     "FeedPage",
     "ForwardParameters",
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
@@ -17,7 +17,11 @@
 )
 from cassiaspread_core.placement import Engine
 from cassiaspread_core.routing import Service
-from cassiaspread_core.targets import DomainReachability, TargetHealth
+from cassiaspread_core.targets import (
+    DomainReachability,
+    TargetClosures,
+    TargetHealth,
+)
 from cassiaspread_daemon.gateway._routing_state import RoutingState
 
 PLAIN_LOAD = StageLoad(n_sequences=1, token_layers=0.0, n_heads=1)
@@ -48,6 +52,7 @@
     :param routing_state: targets in the current list.
     :param ledger: load in progress.
     :param health: health of the targets.
+    :param closures: targets that want no requests.
     :param random_state: breaks ties between equal targets.
     """
 
@@ -57,12 +62,14 @@
         routing_state: RoutingState,
         ledger: LoadLedger,
         health: TargetHealth,
+        closures: TargetClosures,
         random_state: random.Random,
     ) -> None:
         self.domain = domain
         self._routing_state = routing_state
         self._ledger = ledger
         self._health = health
+        self._closures = closures
         self._reachability = DomainReachability()
         self._random_state = random_state
         self._unreported = UnreportedStarts(random_state)
@@ -91,7 +98,7 @@
         engines = [
             e
             for e in self._routing_state.engines_of(service.name)
-            if e.target not in avoided
+            if e.target not in avoided and not self._closures.is_closed(e, now_s)
         ]
         healthy = [
             e
@@ -114,6 +121,17 @@
                 break
         return None
 
+    def opens_in_s(self, service: Service, now_s: float) -> float:
+        """Return the time until a target of a service takes requests, in seconds.
+
+        :param service: the service.
+        :param now_s: current time, in seconds.
+        :returns: 0 if one does, or if there is none.
+        """
+        engines = self._routing_state.engines_of(service.name)
+        times_s = (self._closures.opens_in_s(engine, now_s) for engine in engines)
+        return min(times_s, default=0.0)
+
     def release(self, assignment: Assignment, is_end: bool = True) -> None:
         """Remove a request from the load.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_duty.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_duty.py
@@ -27,6 +27,7 @@
     plan_moves,
 )
 from cassiaspread_core.routing import Service
+from cassiaspread_core.targets import TargetClosures
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._fleet_view import FleetView
@@ -85,6 +86,7 @@
     :param routing_state: configuration and engines.
     :param mesh: messages between daemons; ``None`` if they do not communicate.
     :param fleet: the daemons among which the candidates are selected.
+    :param closures: engines that want no requests.
     :param log: receives a line for each order and each change of the duty.
     :param metrics: counts orders.
     :param random_state: spreads the renewals of many daemons.
@@ -97,12 +99,14 @@
         routing_state: RoutingState,
         mesh: Mesh | None,
         fleet: FleetView,
+        closures: TargetClosures,
         log: DecisionLog,
         metrics: GatewayMetrics,
         random_state: random.Random,
     ) -> None:
         self._mesh = mesh
         self._fleet = fleet
+        self._closures = closures
         self._held_s = now()
         if mesh is not None:
             mesh.add_topic(TOPIC, self._produce, HolderSign, self._consume)
@@ -176,7 +180,11 @@
 
     async def _place_service(self, service: Service) -> None:
         engines = self._routing_state.engines_of(service.name)
-        moves = self._plan(service, engines)
+        moves = [
+            move
+            for move in self._plan(service, engines)
+            if not self._closures.is_closed(move.engine, now())
+        ]
         if moves and service.model is not None:
             model = service.model
             await asyncio.gather(*(self._order(model, move) for move in moves))
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -17,7 +17,7 @@
 from cassiaspread_core.chains import LoadLedger
 from cassiaspread_core.placement import Engine
 from cassiaspread_core.routing import ClientLimits
-from cassiaspread_core.targets import TargetHealth
+from cassiaspread_core.targets import TargetClosures, TargetHealth
 from cassiaspread_core.timeline import EventRing
 from cassiaspread_daemon._exchange import ANSWER_MEMORY
 from cassiaspread_daemon._listener import Listener
@@ -26,6 +26,7 @@
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._dispatch import Dispatcher
 from cassiaspread_daemon.gateway._duty import PlacementDuty
+from cassiaspread_daemon.gateway._engine_notices import EngineNotices
 from cassiaspread_daemon.gateway._feed_sharing import (
     ConfigurationFollower,
     EngineFollower,
@@ -111,6 +112,7 @@
             log, settings.max_configuration_age_s, settings.max_configuration_age_s
         )
         self._health = TargetHealth()
+        self._closures = TargetClosures()
         self._pool = pool
         self._quarantine = Quarantine(
             lambda engine: self._dispatcher.is_domain_unreachable(engine, now()),
@@ -124,6 +126,7 @@
             self._routing_state,
             self._ledger,
             self._health,
+            self._closures,
             random_state,
         )
         self._routing_state.engine_callbacks.append(self._handle_engine_change)
@@ -133,10 +136,18 @@
         self._routing_state.renewal_callbacks.append(self._handle_renewal)
         self._capacity_queue = CapacityQueue(self._dispatcher, log)
         self._quarantine.verdict_callbacks.append(self._recheck_quarantine)
-        self._frontend = Frontend(self._build_router(random_state).handle, log)
-        self._register_gauges()
         self._exit_stack = ExitStack()
         self._mesh = self._build_mesh()
+        self._notices = EngineNotices(
+            self._routing_state,
+            self._closures,
+            self._dispatcher,
+            self._mesh,
+            log,
+            self._metrics,
+        )
+        platform.engine_api.notice_callbacks.append(self._notices.record_at)
+        self._frontend = Frontend(self._build_router(random_state).handle, log)
         self._fleet = FleetView(self._mesh, now())
         self._duty = PlacementDuty(
             platform.duty,
@@ -144,6 +155,7 @@
             self._routing_state,
             self._mesh,
             self._fleet,
+            self._closures,
             log,
             self._metrics,
             random_state,
@@ -165,6 +177,7 @@
             random_state,
         )
         self._followers = self._build_followers(random_state)
+        self._register_gauges()
 
     def _register_gauges(self) -> None:
         routing_state, observe = self._routing_state, self._metrics.observe
@@ -227,10 +240,15 @@
             self._dispatcher,
             self._health,
             self._quarantine,
+            self._notices,
             self._log,
         )
         stalls = StallDetector(
-            self._platform.engine_api, self._routing_state, self._health, self._log
+            self._platform.engine_api,
+            self._routing_state,
+            self._health,
+            self._closures,
+            self._log,
         )
         stream = StreamForwarder(
             codec,
@@ -240,6 +258,7 @@
             self._health,
             self._quarantine,
             stalls,
+            self._notices,
             self._log,
             self._metrics,
         )
@@ -468,6 +487,7 @@
         if is_new or before.incarnation != after.incarnation:
             engine = before or after
             self._health.forget(engine.target)
+            self._closures.forget(engine.target)
             if before is not None:
                 self._pool.drop(before.address)
         self._dispatcher.record_targets_changed()
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway_metrics.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway_metrics.py
@@ -47,6 +47,10 @@
             "cassiaspread.gateway.silences",
             description="Silences of engines under a stream, by decision.",
         )
+        self._notices = self._meter.create_counter(
+            "cassiaspread.gateway.notices",
+            description="What targets say of themselves, by kind.",
+        )
         self._orders = self._meter.create_counter(
             "cassiaspread.gateway.orders", description="Orders to engines, by outcome."
         )
@@ -97,10 +101,17 @@
     def record_silence(self, decision: str) -> None:
         """Count a silence of an engine under a stream.
 
-        :param decision: ``moves``, ``waits`` or ``gone``.
+        :param decision: ``begins``, ``moves``, ``waits`` or ``gone``.
         """
         self._silences.add(1, {**self._attributes, "decision": decision})
 
+    def record_notice(self, kind: str) -> None:
+        """Count what a target says of itself.
+
+        :param kind: ``leaving`` or ``pause``.
+        """
+        self._notices.add(1, {**self._attributes, "kind": kind})
+
     def record_order(self, outcome: str) -> None:
         """Count an order to an engine.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -9,6 +9,7 @@
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken, Response
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._dispatch import Assignment, Dispatcher
+from cassiaspread_daemon.gateway._engine_notices import EngineNotices
 from cassiaspread_daemon.gateway._job import (
     Job,
     TakeRetry,
@@ -98,6 +99,7 @@
     :param dispatcher: selects targets.
     :param health: health of the targets.
     :param quarantine: refuses requests that crash their targets.
+    :param notices: receives what targets say of themselves.
     :param log: receives a line for each decision.
     """
 
@@ -108,6 +110,7 @@
         dispatcher: Dispatcher,
         health: TargetHealth,
         quarantine: Quarantine,
+        notices: EngineNotices,
         log: DecisionLog,
     ) -> None:
         self._codec = codec
@@ -115,6 +118,7 @@
         self._dispatcher = dispatcher
         self._health = health
         self._quarantine = quarantine
+        self._notices = notices
         self._log = log
 
     async def forward(self, job: Job, take_retry: TakeRetry) -> None:
@@ -223,8 +227,12 @@
             return timeout_refusal(is_sent=call.n_runs > 0)
         if call.n_runs:
             return target_failed_refusal(str(call.error or "the target failed"))
+        opens_in_s = self._dispatcher.opens_in_s(call.job.service, now())
         return Refusal(
-            503, "no-capacity", "No target took it.", retry_after_s=RETRY_AFTER_S
+            503,
+            "no-capacity",
+            "No target took it.",
+            retry_after_s=max(RETRY_AFTER_S, opens_in_s),
         )
 
     def _patience_s(self, call: _Call) -> float:
@@ -277,6 +285,7 @@
             n_bytes=len(response.body),
         )
         answer = self._codec.read_answer(status, response.headers)
+        self._notices.record(head, answer.notice, now())
         if not answer.is_signed and not answer.is_not_run and status < 400:
             raise ExchangeBroken(f"answer {status} without a signature")
         return Answer(response, answer)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
@@ -4,7 +4,7 @@
 formats; all decisions are made in the gateway.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from enum import Enum
 from typing import Generic, Protocol, TypeVar
 
@@ -60,6 +60,21 @@
     last_event_id: str | None = None
 
 
+class EngineNotice(msgspec.Struct, frozen=True, kw_only=True):
+    """What a target says of itself in an answer.
+
+    :param is_leaving: whether it leaves and takes no new requests.
+    :param pause_s: for how long it wants no requests from this VM, in seconds, if it
+        says so.
+    """
+
+    is_leaving: bool = False
+    pause_s: float | None = None
+
+
+NO_NOTICE = EngineNotice()
+
+
 class AnswerParameters(msgspec.Struct, frozen=True, kw_only=True):
     """Parameters of an answer, decoded from a target's status and headers.
 
@@ -67,12 +82,14 @@
     :param is_not_run: whether the target guarantees that the request did not run.
     :param is_signed: whether the answer carries the target's signature.
     :param failed_address: address of the engine that caused a failure, if specified.
+    :param notice: what the target says of itself.
     """
 
     status: int
     is_not_run: bool = False
     is_signed: bool = False
     failed_address: str | None = None
+    notice: EngineNotice = NO_NOTICE
 
 
 class HeaderCodec(Protocol):
@@ -163,7 +180,12 @@
 
 
 class EngineApi(Protocol):
-    """Status requests and placement orders to engines."""
+    """Status requests and placement orders to engines.
+
+    Callbacks receive the address of an engine and what it says of itself in an answer.
+    """
+
+    notice_callbacks: list[Callable[[str, EngineNotice], None]]
 
     async def report(self, address: str, timeout_s: float) -> EngineReport:
         """Request an engine's state.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
@@ -16,6 +16,8 @@
 
 Item = TypeVar("Item")
 
+# Targets that left are remembered, since their entries may come back.
+MAX_LEFT = 10_000
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 0.8
 
@@ -42,6 +44,8 @@
         self.configuration_age = StateAge(max_configuration_age_s)
         self.engines: dict[TargetId, Engine] = {}
         self.engines_age = StateAge(max_engines_age_s)
+        # Incarnation of each target that left, oldest first.
+        self._left: dict[TargetId, int] = {}
         self.engine_callbacks: list[Callable[[Engine | None, Engine | None], None]] = []
         self.renewal_callbacks: list[Callable[[TargetId], None]] = []
         self.table_callbacks: list[Callable[[RouteTable], None]] = []
@@ -67,7 +71,9 @@
         """
         before = self.engines.get(change.target)
         after = change.engine
-        if _has_left(before, after):
+        if after is not None and after.is_leaving:
+            self.record_left(after.target, after.incarnation)
+        elif after is not None and self.has_left(after.target, after.incarnation):
             # An older copy of the list, or a late record, does not bring it back.
             after = msgspec.structs.replace(after, is_leaving=True)
         if before == after:
@@ -85,6 +91,25 @@
             self.record_renewed(change.target)
         return True
 
+    def has_left(self, target: TargetId, incarnation: int) -> bool:
+        """Return whether a target said that it leaves.
+
+        :param target: the target.
+        :param incarnation: its process.
+        """
+        return self._left.get(target) == incarnation
+
+    def record_left(self, target: TargetId, incarnation: int) -> None:
+        """Record that a target leaves; it takes no more work until its next start.
+
+        :param target: the target.
+        :param incarnation: its process.
+        """
+        self._left.pop(target, None)
+        self._left[target] = incarnation
+        if len(self._left) > MAX_LEFT:
+            del self._left[next(iter(self._left))]
+
     def record_renewed(self, target: TargetId) -> None:
         """Record that a target renewed its entry, which is on the list already.
 
@@ -135,17 +160,6 @@
             )
 
 
-def _has_left(before: Engine | None, after: Engine | None) -> bool:
-    """Return whether an entry contradicts the leaving of the same incarnation."""
-    return (
-        before is not None
-        and after is not None
-        and before.is_leaving
-        and not after.is_leaving
-        and before.incarnation == after.incarnation
-    )
-
-
 class FeedFollower(Generic[Item]):
     """Keeps a copy of a feed current.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stalls.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stalls.py
@@ -4,7 +4,7 @@
 
 from cassiaspread_core.base import RequestId
 from cassiaspread_core.placement import Engine
-from cassiaspread_core.targets import Silence, TargetHealth, is_gone
+from cassiaspread_core.targets import Silence, TargetClosures, TargetHealth, is_gone
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._dispatch import Assignment
@@ -51,6 +51,7 @@
     :param engine_api: sends requests to engines.
     :param routing_state: the current list of engines.
     :param health: records the engines that do not respond.
+    :param closures: engines that want no requests.
     :param log: receives a line for each engine that is marked suspect.
     """
 
@@ -59,11 +60,13 @@
         engine_api: EngineApi,
         routing_state: RoutingState,
         health: TargetHealth,
+        closures: TargetClosures,
         log: DecisionLog,
     ) -> None:
         self._engine_api = engine_api
         self._routing_state = routing_state
         self._health = health
+        self._closures = closures
         self._log = log
         self._probe = LossProbe()
         self._reports = SharedCalls(self._fetch_report, REPORT_LIFETIME_S)
@@ -78,6 +81,9 @@
         :returns: ``None`` if all engines of the chain respond.
         """
         head = assignment.head
+        if self._closures.is_closed(head, now()):
+            # It wants no requests, also no such ones.
+            return None
         try:
             report = await self._reports.result(head.address, now())
         except (ConnectFailed, ExchangeBroken) as error:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -19,6 +19,7 @@
 from cassiaspread_daemon.gateway._capacity_queue import CapacityQueue
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._dispatch import Assignment, Dispatcher
+from cassiaspread_daemon.gateway._engine_notices import EngineNotices
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
 from cassiaspread_daemon.gateway._job import (
     Job,
@@ -66,6 +67,7 @@
     :param health: health of the targets.
     :param quarantine: refuses requests that crash their targets.
     :param stalls: detects the engine that a silent stream waits for.
+    :param notices: receives what engines say of themselves.
     :param log: receives a line for each decision.
     :param metrics: counts attempts and records times.
     """
@@ -79,6 +81,7 @@
         health: TargetHealth,
         quarantine: Quarantine,
         stalls: StallDetector,
+        notices: EngineNotices,
         log: DecisionLog,
         metrics: GatewayMetrics,
     ) -> None:
@@ -88,6 +91,7 @@
         self._capacity_queue = capacity_queue
         self._health = health
         self._quarantine = quarantine
+        self._notices = notices
         self._log = log
         self._metrics = metrics
         self._tools = RelayTools(
@@ -176,8 +180,12 @@
             return target_failed_refusal(
                 stream.failure_reason or "the stream broke off"
             )
+        opens_in_s = self._dispatcher.opens_in_s(stream.job.service, now())
         return Refusal(
-            503, "no-capacity", "No chain took it.", retry_after_s=RETRY_AFTER_S
+            503,
+            "no-capacity",
+            "No chain took it.",
+            retry_after_s=max(RETRY_AFTER_S, opens_in_s),
         )
 
     async def _assign(self, stream: StreamState) -> Assignment:
@@ -282,6 +290,7 @@
                     lambda found, silent: self._begin_second(stream, found, silent),
                 )
                 answer = await relay.send(headers)
+                self._notices.record(head, answer.notice, now())
                 if answer.status != 200 or not answer.is_signed:
                     return await self._handle_failed_answer(
                         stream, assignment, exchange, answer, turn
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -12,7 +12,7 @@
 from cassiaspread_core.chains import LoadLedger, StageLoad
 from cassiaspread_core.placement import Engine, LayerRange
 from cassiaspread_core.routing import Service, StateAge
-from cassiaspread_core.targets import TargetHealth
+from cassiaspread_core.targets import TargetClosures, TargetHealth
 from cassiaspread_daemon._events import MAX_EVENT_BYTES, EventBuffer
 from cassiaspread_daemon._exchange import AnswerTooLarge, Exchange, ExchangeBroken
 from cassiaspread_daemon.gateway import DecisionLog, FeedPage
@@ -54,7 +54,12 @@
     )
     routing_state.apply_change(EngineChange("e", engine))
     dispatcher = Dispatcher(
-        "d", routing_state, LoadLedger(), TargetHealth(), random.Random(1)
+        "d",
+        routing_state,
+        LoadLedger(),
+        TargetHealth(),
+        TargetClosures(),
+        random.Random(1),
     )
     return dispatcher, CapacityQueue(dispatcher, log)
 
@@ -432,7 +437,7 @@
         waiting = asyncio.create_task(queue.assign(make_job(), (), 1.0))
         await asyncio.sleep(0)
         forwarder = StreamForwarder(
-            None, None, dispatcher, queue, None, None, None, log, FakeMetrics()
+            None, None, dispatcher, queue, None, None, None, None, log, FakeMetrics()
         )
         stream = StreamState(make_job(), lambda: True)
         stream.is_started = True
--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -4,18 +4,22 @@
 begins to run. A request whose body is that of ``--call-on`` calls the URL of
 ``--call-url`` first, as a run that depends on another service does.
 
-``POST /control`` sets ``full`` (refuse with 503, not run), ``drop_response`` (run and
-close the connection), ``fail`` (500), ``omit_signature``, ``state``, ``begin_s`` (time
-between the start of a run and its answer), ``event_s`` (pause between events),
-``answer_bytes`` (length of an answer that is no stream), ``unframed`` (answers have
-neither a length nor chunks and end with the connection), ``close_after`` (number of
-events after which a stream is broken off; other answers after their first half),
-``break_text`` (sent before that), ``break_how`` (``close``, ``reset``, or ``end`` for a
-last chunk) and ``flood``, which sends bytes without end: in the ``head`` of an answer,
-a ``line`` or ``events`` of a stream, one ``chunk``, many ``chunks``, many interim
-responses (``interim``), or a body that ends with the connection (``body``). One line is
-appended to the history for each run, each order, each run whose caller disconnected and
-each answer without end.
+``POST /control`` sets ``full`` (refuse with 503, not run), ``retry_after`` (value of
+``Retry-After`` beside such a refusal), ``leaving`` (say so in all answers),
+``drop_response`` (run and close the connection), ``fail`` (500), ``omit_signature``,
+``state``, ``begin_s`` (time between the start of a run and its answer), ``event_s``
+(pause between events), ``answer_bytes`` (length of an answer that is no stream),
+``unframed`` (answers have neither a length nor chunks and end with the connection),
+``close_after`` (number of events after which a stream is broken off; other answers
+after their first half), ``break_text`` (sent before that), ``break_how`` (``close``,
+``reset``, or ``end`` for a last chunk) and ``flood``, which sends bytes without end: in
+the ``head`` of an answer, a ``line`` or ``events`` of a stream, one ``chunk``, many
+``chunks``, many interim responses (``interim``), or a body that ends with the
+connection (``body``).
+
+One line is appended to the history for each run, each order, each refusal, each report
+to a gateway beside ``retry_after``, each run whose caller disconnected and each answer
+without end.
 """
 
 import argparse
@@ -57,6 +61,10 @@
 }
 
 
+# Marks the reports that one engine requests of another.
+STAGE_HEADER = "Stage-Check"
+
+
 class Engine:
     def __init__(self, arguments):
         self.id = arguments.id
@@ -73,6 +81,8 @@
         self.break_text, self.break_how = BREAK_TEXT, "close"
         self.unframed = False
         self.flood = None
+        self.retry_after = None
+        self.leaving = False
         self.begin_s = 0.0
         self.event_s = 0.02
         self.answer_bytes = 0
@@ -114,6 +124,8 @@
 class EngineHandler(RequestHandler):
     def initialize(self, engine):
         self.engine = engine
+        if engine.leaving:
+            self.set_header("Server-Leaving", "1")
 
 
 class ControlHandler(EngineHandler):
@@ -126,6 +138,8 @@
 class ReportHandler(EngineHandler):
     def get(self):
         engine = self.engine
+        if engine.retry_after is not None and STAGE_HEADER not in self.request.headers:
+            engine.append_history(kind="report")
         stalled = [{"id": i, "address": a} for i, a in engine.stalled.items()]
         self.finish(
             {
@@ -191,7 +205,10 @@
     get = post = put = delete = run
 
     def refuse(self, status):
+        self.engine.append_history(kind="refusal", status=status)
         self.set_status(status)
+        if status == 503 and self.engine.retry_after is not None:
+            self.set_header("Retry-After", self.engine.retry_after)
         self.set_header("Not-Executed", "1")
         self.set_header("Instance-Id", self.engine.id)
         self.finish()
@@ -208,7 +225,9 @@
         for address, begin, end in self.stages():
             try:
                 response = await AsyncHTTPClient().fetch(
-                    f"http://{address}/-/report", request_timeout=0.5
+                    f"http://{address}/-/report",
+                    request_timeout=0.5,
+                    headers={STAGE_HEADER: "1"},
                 )
             except (OSError, HTTPClientError):
                 return address
--- a/tests/users_platform/test_headers.py
+++ b/tests/users_platform/test_headers.py
@@ -32,3 +32,36 @@
         PlatformHeaderCodec().is_answer_to(HTTPHeaders(headers), RequestId("own"))
         is is_own
     )
+
+
+@pytest.mark.parametrize(
+    ("status", "text", "pause_s"),
+    [
+        (503, "2", 2.0),
+        (503, "0.25", 0.25),
+        (503, "0", 0.0),
+        (503, "1e9", 1e9),
+        (503, "-1", None),
+        (503, "inf", None),
+        (503, "nan", None),
+        (503, "soon", None),
+        (503, "", None),
+        (503, "Fri, 04 Dec 2026 14:00:00 GMT", None),
+        (500, "2", None),
+        (200, "2", None),
+    ],
+)
+def test_pause_is_a_number_of_seconds_beside_503(status, text, pause_s):
+    headers = HTTPHeaders({"Retry-After": text})
+    answer = PlatformHeaderCodec().read_answer(status, headers)
+    assert answer.notice.pause_s == pause_s
+
+
+@pytest.mark.parametrize(
+    ("text", "is_leaving"), [("1", True), ("0", False), ("", False), ("yes", False)]
+)
+def test_engine_leaves_if_it_says_so(text, is_leaving):
+    headers = HTTPHeaders({"Server-Leaving": text})
+    answer = PlatformHeaderCodec().read_answer(200, headers)
+    assert answer.notice.is_leaving is is_leaving
+    assert not PlatformHeaderCodec().read_answer(200, HTTPHeaders()).notice.is_leaving
