Streams need a permit for each link between domains that their chain crosses

Cause, by the chains of those streams: while engines of all domains are lost, the chains left cross between two domains. A prompt takes 0.17 s on that link at the small size, 31 a second were sent, and a transfer waits for those before it, so that none arrived in time. The choice of chains only makes a crossing dear. Change: one daemon keeps the schedule of each link; a stream whose chain crosses it asks there, and is sent another way, waits or is refused while the link is in use. Without an answer a daemon takes its share.

--- a/packages/cassiaspread-core/src/cassiaspread_core/chains/_chain.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/chains/_chain.py
@@ -95,6 +95,7 @@
     load_of: Callable[[Engine], StageLoad],
     slowness_of: Callable[[Engine], float] = lambda engine: 1.0,
     n_unreported: float = 0.0,
+    is_link_open: Callable[[DomainId, DomainId], bool] = lambda a, b: True,
 ) -> Chain | None:
     """Return the chain with the lowest predicted time.
 
@@ -106,6 +107,7 @@
         time of its kind of accelerator.
     :param n_unreported: requests of the same size that each engine may have in
         addition to its reported load.
+    :param is_link_open: returns whether a chain may cross between two domains.
     :returns: the chain, or ``None`` when no chain has enough free capacity.
     """
     usable = [e for e in engines if e.layers]
@@ -138,7 +140,11 @@
     local_ms = _hop_ms(demand, True, 0.0)
     crossing_ms = _hop_ms(demand, False, _domain_link_ms(model, demand))
     for layers, covering in zip(sections[1:], candidates[1:], strict=True):
-        paths = _extend_paths(paths, layers, covering, local_ms, crossing_ms)
+        paths = _extend_paths(
+            paths, layers, covering, local_ms, crossing_ms, is_link_open
+        )
+        if not paths:
+            return None
     return _build_chain(min(paths, key=lambda path: path.cost_ms))
 
 
@@ -166,6 +172,7 @@
     candidates: Sequence[_Candidate],
     local_ms: float,
     crossing_ms: float,
+    is_link_open: Callable[[DomainId, DomainId], bool],
 ) -> list[_Path]:
     """Return the cheapest path to each engine that runs the next layers.
 
@@ -174,6 +181,7 @@
     :param candidates: engines that hold them, and their time per layer.
     :param local_ms: time of a transfer within a domain, in milliseconds.
     :param crossing_ms: time of a transfer between domains, in milliseconds.
+    :param is_link_open: returns whether a chain may cross between two domains.
     """
     by_engine: dict[TargetId, _Path] = {}
     by_domain: dict[DomainId, _Path] = {}
@@ -187,7 +195,7 @@
     # whether its own path is the best of its domain.
     arrivals = {
         engine_domain: _cheapest_arrival(
-            by_domain, engine_domain, local_ms, crossing_ms
+            by_domain, engine_domain, local_ms, crossing_ms, is_link_open
         )
         for engine_domain in {engine.domain for engine, _ in candidates}
     }
@@ -198,6 +206,8 @@
         own = by_engine.get(engine.target)
         if own is not None and own.cost_ms <= cost_ms:
             cost_ms, previous = own.cost_ms, own
+        if previous is None:
+            continue
         extended.append(_Path(cost_ms + layer_ms * n_layers, engine, previous, layers))
     return extended
 
@@ -207,13 +217,16 @@
     domain: DomainId,
     local_ms: float,
     crossing_ms: float,
-) -> tuple[float, _Path]:
+    is_link_open: Callable[[DomainId, DomainId], bool],
+) -> tuple[float, _Path | None]:
     return min(
         (
             (path.cost_ms + (local_ms if other == domain else crossing_ms), path)
             for other, path in by_domain.items()
+            if other == domain or is_link_open(other, domain)
         ),
         key=lambda choice: choice[0],
+        default=(float("inf"), None),
     )
 
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_capacity_queue.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_capacity_queue.py
@@ -8,6 +8,7 @@
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._dispatch import Assignment, Dispatcher
 from cassiaspread_daemon.gateway._job import NO_ORGANISATION, Job, now
+from cassiaspread_daemon.gateway._link_permits import LinkPermits
 
 # Peers report their load many times a second; the queue is rechecked at most once per
 # interval, in seconds.
@@ -42,11 +43,15 @@
     Requests of different services do not wait for each other.
 
     :param dispatcher: selects chains.
+    :param links: gives permits for the links that chains cross.
     :param log: receives a line for each refused request.
     """
 
-    def __init__(self, dispatcher: Dispatcher, log: DecisionLog) -> None:
+    def __init__(
+        self, dispatcher: Dispatcher, links: LinkPermits, log: DecisionLog
+    ) -> None:
         self._dispatcher = dispatcher
+        self._links = links
         self._log = log
         self._queues: dict[ServiceId, _ServiceQueue] = {}
         self._waiters: dict[int, _Waiter] = {}
@@ -67,6 +72,21 @@
         :param max_wait_s: longest wait in seconds.
         :raises Refusal: no capacity became free in time; this attempt was not sent.
         """
+        end_s = now() + max_wait_s
+        while True:
+            assignment = await self._assign(job, avoid, end_s - now())
+            is_permitted = False
+            try:
+                is_permitted = await self._links.acquire(assignment, job)
+            finally:
+                if not is_permitted:
+                    self._dispatcher.release(assignment, is_end=False)
+            if is_permitted:
+                return assignment
+
+    async def _assign(
+        self, job: Job, avoid: Iterable[TargetId], max_wait_s: float
+    ) -> Assignment:
         waiter = _Waiter(job, frozenset(avoid))
         queue = self._queues.setdefault(job.service.name, _ServiceQueue())
         is_first = not len(queue.waiting)
@@ -116,7 +136,8 @@
         if waiter not in queue.passed:
             queue.waiting.push(ticket, job.priority)
         try:
-            async with asyncio.timeout(min(max_wait_s, job.remaining_s(now()))):
+            wait_s = max(0.0, min(max_wait_s, job.remaining_s(now())))
+            async with asyncio.timeout(wait_s):
                 return await asyncio.shield(waiter.assigned)
         except TimeoutError:
             if waiter.assigned.done():
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
@@ -8,11 +8,13 @@
 from cassiaspread_core.base import DomainId, ServiceId, TargetId
 from cassiaspread_core.chains import (
     Chain,
+    LinkId,
     LoadLedger,
     RequestDemand,
     StageLoad,
     UnreportedStarts,
     choose_chain,
+    link_between,
     stage_load,
 )
 from cassiaspread_core.placement import Engine
@@ -73,6 +75,8 @@
         self._reachability = DomainReachability()
         self._random_state = random_state
         self._unreported = UnreportedStarts(random_state)
+        # Times until which no chain crosses links that are in use.
+        self._closed_links: dict[LinkId, float] = {}
         # Number of daemons of this domain, which share its engines; includes this one.
         self.count_domain_daemons: Callable[[], int] = lambda: 1
         # Called when capacity may have become free: with the service of a request that
@@ -121,6 +125,14 @@
                 break
         return None
 
+    def close_link(self, link: LinkId, until_s: float) -> None:
+        """Avoid chains that cross a link.
+
+        :param link: the link.
+        :param until_s: time until which to avoid it, in seconds.
+        """
+        self._closed_links[link] = until_s
+
     def opens_in_s(self, service: Service, now_s: float) -> float:
         """Return the time until a target of a service takes requests, in seconds.
 
@@ -194,6 +206,7 @@
                 lambda e: self._ledger.total(e.target),
                 lambda e: self._health.slowness(e.target, now_s),
                 self._unreported.draw(self.count_domain_daemons() - 1, now_s),
+                lambda a, b: self._is_link_open(link_between(a, b), now_s),
             )
             return None if chain is None else to_assignment(chain, demand)
         if not engines:
@@ -201,6 +214,9 @@
         head = min(engines, key=self._plain_sort_key(now_s))
         return Assignment(head, (), ((head.target, PLAIN_LOAD),))
 
+    def _is_link_open(self, link: LinkId, now_s: float) -> bool:
+        return now_s >= self._closed_links.get(link, float("-inf"))
+
     def _plain_sort_key(
         self, now_s: float
     ) -> Callable[[Engine], tuple[float, bool, float]]:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -36,6 +36,7 @@
 from cassiaspread_daemon.gateway._frontend import Frontend, InboundRequest
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
 from cassiaspread_daemon.gateway._job import now, unix_time_s
+from cassiaspread_daemon.gateway._link_permits import LinkPermits
 from cassiaspread_daemon.gateway._loads import LoadSharing
 from cassiaspread_daemon.gateway._plain import PlainForwarder
 from cassiaspread_daemon.gateway._pool import ConnectionPool
@@ -134,10 +135,14 @@
             lambda target: self._health.record_renewal(target, now())
         )
         self._routing_state.renewal_callbacks.append(self._handle_renewal)
-        self._capacity_queue = CapacityQueue(self._dispatcher, log)
         self._quarantine.verdict_callbacks.append(self._recheck_quarantine)
         self._exit_stack = ExitStack()
         self._mesh = self._build_mesh()
+        self._fleet = FleetView(self._mesh, now())
+        links = LinkPermits(self._mesh, self._fleet, self._dispatcher, log)
+        self._capacity_queue = CapacityQueue(self._dispatcher, links, log)
+        if self._mesh is not None:
+            self._share_loads(self._mesh)
         self._notices = EngineNotices(
             self._routing_state,
             self._closures,
@@ -148,7 +153,6 @@
         )
         platform.engine_api.notice_callbacks.append(self._notices.record_at)
         self._frontend = Frontend(self._build_router(random_state).handle, log)
-        self._fleet = FleetView(self._mesh, now())
         self._duty = PlacementDuty(
             platform.duty,
             platform.engine_api,
@@ -296,22 +300,23 @@
             return None
         address = str(settings.peer_listen)
         incarnation = Incarnation(str(uuid6.uuid7()))
-        mesh = Mesh(
+        return Mesh(
             Sender(settings.vm, settings.domain, incarnation, address),
             EventRing(settings.vm, N_EVENTS, time.time),
             self._supervisor.add_child("mesh"),
             self._seed_addresses,
             address,
         )
+
+    def _share_loads(self, mesh: Mesh) -> None:
         sharing = LoadSharing(
-            settings.domain,
+            self._settings.domain,
             mesh,
             self._ledger,
             self._health,
             self._capacity_queue.recheck_capacity,
         )
         self._dispatcher.count_domain_daemons = sharing.count_domain_daemons
-        return mesh
 
     def _seed_addresses(self) -> dict[str, DomainId | None]:
         return dict.fromkeys(map(str, self._settings.seeds))
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -22,8 +22,10 @@
 )
 from cassiaspread_daemon.gateway._chain_search import ChainSearch
 from cassiaspread_daemon.gateway._dispatch import Dispatcher
+from cassiaspread_daemon.gateway._fleet_view import FleetView
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
 from cassiaspread_daemon.gateway._job import now
+from cassiaspread_daemon.gateway._link_permits import LinkPermits
 from cassiaspread_daemon.gateway._pool import ConnectionPool, _idle_time_s
 from cassiaspread_daemon.gateway._protocols import EngineChange
 from cassiaspread_daemon.gateway._relay import StreamState
@@ -61,7 +63,8 @@
         TargetClosures(),
         random.Random(1),
     )
-    return dispatcher, CapacityQueue(dispatcher, log)
+    links = LinkPermits(None, FleetView(None, 0.0), dispatcher, log)
+    return dispatcher, CapacityQueue(dispatcher, links, log)
 
 
 def test_requests_wait_in_fair_order_while_caches_are_full(log):
--- a/packages/cassiaspread-daemon/tests/test_gateway_quarantine.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_quarantine.py
@@ -345,7 +345,7 @@
 
 def test_waiting_request_is_refused_when_its_quarantine_is_known(quarantine, log):
     async def run():
-        queue = CapacityQueue(FullDispatcher(), log)
+        queue = CapacityQueue(FullDispatcher(), None, log)
         quarantine.verdict_callbacks.append(
             lambda: queue.refuse_waiting(
                 lambda job: quarantine.check(job, False, unix_time_s())
--- a/packages/cassiaspread-daemon/tests/test_relay.py
+++ b/packages/cassiaspread-daemon/tests/test_relay.py
@@ -8,6 +8,7 @@
 
 from cassiaspread_daemon._exchange import ExchangeBroken
 from cassiaspread_daemon.gateway._relay import Relay, RelayTools, StreamState
+from cassiaspread_daemon.gateway._second_start import Turn
 from tests.gateway_jobs import make_job
 
 OBJECTIVE_S = 0.05
@@ -56,7 +57,10 @@
         job = msgspec.structs.replace(job, route=route, inbound=inbound)
         stream = StreamState(job, lambda: True)
         buffer = SimpleNamespace(put=None)
-        relay = Relay(tools, stream, None, exchange, buffer, lambda: False)
+        turn = Turn(is_granted=True)
+        relay = Relay(
+            tools, stream, None, exchange, buffer, turn, lambda: False, lambda *_: None
+        )
         try:
             async with asyncio.timeout(TIMEOUT_S):
                 return await relay.send({})
