Daemons lend each other the retries that they do not need

Change: a daemon without a retry left asks three others, which count what they lend as their own, so that the sum stays within the limit; loans are used within a second.

--- a/packages/cassiaspread-core/src/cassiaspread_core/admission/_retry_window.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/_retry_window.py
@@ -16,6 +16,8 @@
 # The process that it replaces may have used its share; together with USED_RATIO the
 # bound holds even if all daemons are restarted within one window.
 START_RATIO = 0.25
+# Fraction of its free retries that a daemon lends at once.
+LENT_RATIO = 0.5
 
 
 class RetryUsage(NamedTuple):
@@ -75,15 +77,31 @@
         :param n_daemons: number of daemons that share the slack.
         :returns: whether the retry is allowed.
         """
+        if self._n_free(now_s, n_daemons) < 1:
+            return False
+        self._retries.append(now_s)
+        return True
+
+    def lend(self, n_asked: int, now_s: float, n_daemons: int) -> int:
+        """Take retries for another daemon; they count as this one's.
+
+        :param n_asked: number of retries asked.
+        :param now_s: current time, in seconds.
+        :param n_daemons: number of daemons that share the slack.
+        :returns: number of retries lent.
+        """
+        n_free = self._n_free(now_s, n_daemons)
+        n_lent = max(0, min(n_asked, int(n_free * LENT_RATIO)))
+        self._retries.extend([now_s] * n_lent)
+        return n_lent
+
+    def _n_free(self, now_s: float, n_daemons: int) -> float:
         self._remove_expired(now_s)
         share = self._slack / max(1, n_daemons)
         if now_s < self._started_s + self._window_s:
             share *= START_RATIO
         allowed = self._ratio * len(self._requests) + share
-        if len(self._retries) + 1 > USED_RATIO * allowed:
-            return False
-        self._retries.append(now_s)
-        return True
+        return USED_RATIO * allowed - len(self._retries)
 
     def usage(self, now_s: float, n_daemons: int) -> RetryUsage:
         """Return the counts that a decision is based on.
--- a/packages/cassiaspread-core/tests/test_retry_window.py
+++ b/packages/cassiaspread-core/tests/test_retry_window.py
@@ -63,3 +63,33 @@
     assert n_retries <= slack
     # Afterwards it has its whole share.
     assert sum(successor.try_acquire(15.0, n_daemons) for _ in range(50)) == 16
+
+
+@pytest.mark.parametrize("n_lenders", [1, 3])
+def test_loans_serve_one_daemon_and_keep_the_limit_over_all(n_lenders):
+    # The streams of a lost engine belong to one of 22 daemons with ten requests each.
+    n_daemons, slack = 22, 48.0
+    windows = [RetryWindow(0.2, slack, window_s=10.0) for _ in range(n_daemons)]
+    for window in windows:
+        for _ in range(10):
+            window.record_request(now_s=0.0)
+    random_state = random.Random(3)
+    own = sum(windows[0].try_acquire(1.0, n_daemons) for _ in range(100))
+    n_lent = 0
+    for _ in range(100):
+        for lender in random_state.sample(windows[1:], n_lenders):
+            n_lent += lender.lend(2, now_s=1.0, n_daemons=n_daemons)
+    assert own + n_lent > 5 * own
+    # Lenders keep some for themselves, and nobody may exceed the limit together.
+    others = sum(
+        window.try_acquire(1.0, n_daemons) for window in windows[1:] for _ in range(9)
+    )
+    assert others >= n_daemons - 1
+    assert own + n_lent + others <= 0.2 * 10 * n_daemons + slack
+
+
+def test_daemon_without_free_retries_lends_none():
+    window = RetryWindow(0.2, 10.0, window_s=10.0)
+    while window.try_acquire(0.0, n_daemons=2):
+        pass
+    assert window.lend(5, now_s=0.0, n_daemons=2) == 0
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -42,7 +42,8 @@
 from cassiaspread_daemon.gateway._pool import ConnectionPool
 from cassiaspread_daemon.gateway._protocols import EngineChange, Platform
 from cassiaspread_daemon.gateway._quarantine import Quarantine
-from cassiaspread_daemon.gateway._router import RetryLimits, Router
+from cassiaspread_daemon.gateway._retry_limits import RetryLimits
+from cassiaspread_daemon.gateway._router import Router
 from cassiaspread_daemon.gateway._routing_state import (
     FeedFollower,
     RoutingState,
@@ -271,8 +272,11 @@
             settings.retry_slack,
             settings.retry_window_s,
             self._count_daemons,
+            self._mesh,
+            self._fleet,
             self._log,
             self._metrics,
+            random_state,
             now(),
         )
         return Router(
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_job.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_job.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 
@@ -22,7 +22,7 @@
 NO_ORGANISATION = OrganisationId("")
 
 # Takes one retry from a budget and returns whether one was left.
-TakeRetry = Callable[[], bool]
+TakeRetry = Callable[[], Awaitable[bool]]
 
 
 class Job(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -125,7 +125,7 @@
         """Send a request and answer its caller.
 
         :param job: the request.
-        :param take_retry: takes one retry from the budget of this daemon.
+        :param take_retry: takes one retry from the budget of the service.
         :raises Refusal: no target answered the request.
         """
         call = _Call(job, take_retry)
@@ -138,7 +138,7 @@
         job.inbound.answer(answer.response.status, headers, answer.response.body)
 
     async def _run(self, call: _Call) -> Answer:
-        while call.pending or self._start(call):
+        while call.pending or await self._start(call):
             done, _ = await asyncio.wait(
                 call.pending,
                 timeout=max(0.0, call.recheck_s - now()),
@@ -150,12 +150,12 @@
                     return answer
                 call.recheck_s = now()
             if not done:
-                self._try_elsewhere(call)
+                await self._try_elsewhere(call)
         if call.failed is not None and call.failed.parameters.is_signed:
             return call.failed
         raise self._refusal(call)
 
-    def _start(self, call: _Call) -> bool:
+    async def _start(self, call: _Call) -> bool:
         """Send the request to another target; return whether one may have it."""
         job = call.job
         if not call.may_try or job.remaining_s(now()) <= 0:
@@ -169,8 +169,13 @@
         )
         if assignment is None:
             return False
-        if call.tried and not call.take_retry():
-            self._dispatcher.release(assignment, is_end=False)
+        is_allowed = not call.tried
+        try:
+            is_allowed = is_allowed or await call.take_retry()
+        finally:
+            if not is_allowed:
+                self._dispatcher.release(assignment, is_end=False)
+        if not is_allowed:
             return False
         call.tried.append(assignment.head.target)
         run = self._quarantine.begin_run(job)
@@ -212,11 +217,11 @@
         is_final = answer.parameters.is_signed and not call.may_try
         return answer if is_final else None
 
-    def _try_elsewhere(self, call: _Call) -> None:
+    async def _try_elsewhere(self, call: _Call) -> None:
         """Ask another target beside those that are silent, which may still answer."""
         silent = [task for task in call.pending if task not in call.silent]
         call.recheck_s = now() + RECHECK_S
-        is_started = self._start(call)
+        is_started = await self._start(call)
         for task in silent:
             call.silent.add(task)
             assignment = call.pending[task].assignment
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
@@ -48,7 +48,7 @@
     """Progress of one stream across all its attempts.
 
     :param job: the request.
-    :param take_retry: takes one retry from the budget of this daemon.
+    :param take_retry: takes one retry from the budget of the service.
     """
 
     def __init__(self, job: Job, take_retry: TakeRetry) -> None:
@@ -300,7 +300,7 @@
             if silent is not None:
                 self._silent_targets.add(silent.engine.target)
             elif not silence.has_ended():
-                is_taken = self._stream.take_retry()
+                is_taken = await self._stream.take_retry()
         finally:
             if not is_taken:
                 self._tools.dispatcher.release(found, is_end=False)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -3,10 +3,8 @@
 import asyncio
 import random
 import traceback
-from collections.abc import Callable
 from pathlib import Path
 
-from cassiaspread_core.admission import RetryWindow
 from cassiaspread_core.base import (
     OrganisationId,
     Outcome,
@@ -30,12 +28,12 @@
 from cassiaspread_daemon.gateway._job import (
     NO_ORGANISATION,
     Job,
-    TakeRetry,
     now,
     send_refusal,
 )
 from cassiaspread_daemon.gateway._plain import PlainForwarder
 from cassiaspread_daemon.gateway._protocols import HeaderCodec, RequestParameters
+from cassiaspread_daemon.gateway._retry_limits import RetryLimits
 from cassiaspread_daemon.gateway._routing_state import RoutingState, suspended_clock_s
 from cassiaspread_daemon.gateway._stream import StreamForwarder
 
@@ -48,69 +46,6 @@
 INTERNAL_ERROR = "internal-error"
 
 
-class RetryLimits:
-    """Retry budgets of this daemon, by service.
-
-    :param ratio: retries allowed for each request.
-    :param slack: retries allowed in a window beyond that, over all daemons.
-    :param window_s: length of the window in seconds.
-    :param count_daemons: returns how many daemons share the slack.
-    :param log: receives a line for each retry that is denied.
-    :param metrics: counts retries.
-    :param started_s: when this daemon started, on the monotonic clock in seconds.
-    """
-
-    def __init__(
-        self,
-        ratio: float,
-        slack: float,
-        window_s: float,
-        count_daemons: Callable[[], int],
-        log: DecisionLog,
-        metrics: GatewayMetrics,
-        started_s: float,
-    ) -> None:
-        self._ratio = ratio
-        self._slack = slack
-        self._window_s = window_s
-        self._count_daemons = count_daemons
-        self._log = log
-        self._metrics = metrics
-        self._started_s = started_s
-        self._windows: dict[ServiceId, RetryWindow] = {}
-
-    def record_request(self, service: ServiceId, request_id: RequestId) -> TakeRetry:
-        """Count a new request.
-
-        :param service: service that runs the request.
-        :param request_id: the request.
-        :returns: function that takes one retry from the service's budget, if any is
-            left.
-        """
-        window = self._windows.get(service)
-        if window is None:
-            window = RetryWindow(
-                self._ratio, self._slack, self._window_s, self._started_s
-            )
-            self._windows[service] = window
-        window.record_request(now())
-
-        def take_retry() -> bool:
-            n_daemons = self._count_daemons()
-            is_allowed = window.try_acquire(now(), n_daemons)
-            self._metrics.record_retry(is_allowed)
-            if not is_allowed:
-                self._log.record(
-                    "retry.denied",
-                    request=request_id,
-                    service=service,
-                    **window.usage(now(), n_daemons)._asdict(),
-                )
-            return is_allowed
-
-        return take_retry
-
-
 class Router:
     """Answers callers' requests.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -102,7 +102,7 @@
         """Send a request and relay its stream.
 
         :param job: the request.
-        :param take_retry: takes one retry from the budget of this daemon.
+        :param take_retry: takes one retry from the budget of the service.
         :raises Refusal: the stream could not be completed.
         """
         stream = StreamState(job, take_retry)
@@ -112,7 +112,7 @@
             await stream.stop_second()
 
     async def _try_chains(self, stream: StreamState) -> None:
-        while stream.second is not None or self._may_try(stream):
+        while stream.second is not None or await self._may_try(stream):
             second = stream.take_second()
             if second is not None:
                 result = await second.proceed()
@@ -149,10 +149,10 @@
             silent, lambda turn: self._attempt(stream, assignment, turn)
         )
 
-    def _may_try(self, stream: StreamState) -> bool:
+    async def _may_try(self, stream: StreamState) -> bool:
         if not stream.n_tried:
             return True
-        return stream.n_tried < MAX_CHAINS_TRIED and stream.take_retry()
+        return stream.n_tried < MAX_CHAINS_TRIED and await stream.take_retry()
 
     def _check_quarantine(self, stream: StreamState) -> None:
         has_run = stream.n_runs > 0
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -29,7 +29,7 @@
 from cassiaspread_daemon.gateway._pool import ConnectionPool, _idle_time_s
 from cassiaspread_daemon.gateway._protocols import EngineChange
 from cassiaspread_daemon.gateway._relay import StreamState
-from cassiaspread_daemon.gateway._router import RetryLimits
+from cassiaspread_daemon.gateway._retry_limits import RetryLimits
 from cassiaspread_daemon.gateway._routing_state import FeedFollower, RoutingState
 from cassiaspread_daemon.gateway._stream import StreamForwarder
 from tests.gateway_jobs import MODEL, make_job
@@ -403,14 +403,21 @@
         slack=20.0,
         window_s=10.0,
         count_daemons=lambda: 8,
+        mesh=None,
+        fleet=FleetView(None, 0.0),
         log=log,
         metrics=GatewayMetrics("celje"),
+        random_state=random.Random(1),
         started_s=now() - 60.0,
     )
     take = [limits.record_request("pool", "r") for _ in range(10)][-1]
     # 0.8 of (0.2 x 10 requests + a slack of 20 over 8 daemons).
-    assert [take() for _ in range(4)] == [True, True, True, False]
-    assert limits.record_request("other", "r")()
+
+    async def take_all():
+        return [await take() for _ in range(4)]
+
+    assert asyncio.run(take_all()) == [True, True, True, False]
+    assert asyncio.run(limits.record_request("other", "r")())
     log.flush()
     denied = json.loads((tmp_path / "log").read_text())
     assert denied["event"] == "retry.denied"
