Targets that turn requests away get none for a time; a holder hears of its successor

Callers were refused in dozens a second: the heads of chains named a dark stage as the cause, and each daemon sent the next request through it again, as no other chain had room. Besides, a holder of the placement duty that the store turned away went on beside its successor, and both moved layers.

Change: a target that turned a request away, was named as the cause or refused a connection gets nothing for 0.5 s, twice as long after each request that fails after it; other daemons hear it at once. A holder that hears of a higher fencing token stops.

--- a/packages/cassiaspread-core/src/cassiaspread_core/targets/_health.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/targets/_health.py
@@ -15,6 +15,10 @@
 # answer, in seconds. The time doubles with each consecutive failure.
 MIN_SUSPECT_S = 1.0
 MAX_SUSPECT_S = 8.0
+# Bounds of the time for which a target that turned a request away, or was named as the
+# cause, gets none, in seconds. The time doubles with each request after it.
+MIN_AVOIDED_S = 0.5
+MAX_AVOIDED_S = 4.0
 # Maximum delay between the writing and the reading of a target's renewal, in seconds.
 RENEWAL_LAG_S = 1.2
 # Another daemon's report of an unreachable target is ignored if the target answered
@@ -38,6 +42,9 @@
     unreachable_at_s: float = float("-inf")
     renewed_at_s: float = float("-inf")
     succeeded_at_s: float = float("-inf")
+    avoided_until_s: float = float("-inf")
+    avoided_duration_s: float = 0.0
+    is_avoidance_reported: bool = False
     slowness: float = 1.0
     slowness_at_s: float = float("-inf")
 
@@ -122,6 +129,15 @@
         )
         return is_silent or now_s < record.suspect_until_s
 
+    def is_avoided(self, target: TargetId, now_s: float) -> bool:
+        """Return whether a request to a target would be turned away again.
+
+        :param target: the target.
+        :param now_s: current time, in seconds.
+        """
+        record = self._records.get(target)
+        return record is not None and now_s < record.avoided_until_s
+
     def unreachable_ages_s(self, now_s: float) -> dict[TargetId, float]:
         """Return the time since this daemon last found each target unreachable.
 
@@ -134,6 +150,17 @@
             if now_s - record.unreachable_at_s < MIN_SUSPECT_S
         }
 
+    def avoided_s(self, now_s: float) -> dict[TargetId, float]:
+        """Return for how much longer targets are avoided, in seconds.
+
+        :param now_s: current time, in seconds.
+        """
+        return {
+            target: record.avoided_until_s - now_s
+            for target, record in self._records.items()
+            if record.avoided_until_s > now_s and not record.is_avoidance_reported
+        }
+
     def slowness(self, target: TargetId, now_s: float) -> float:
         """Return the response time of a target relative to the usual time of its kind.
 
@@ -174,6 +201,8 @@
         """
         record = self._records.setdefault(target, _HealthRecord())
         record.succeeded_at_s = now_s
+        record.avoided_until_s = float("-inf")
+        record.avoided_duration_s = 0.0
         if record.failure_rate:
             record.unreachable_at_s = float("-inf")
             record.failure_rate *= 1.0 - RESULT_WEIGHT
@@ -206,6 +235,39 @@
         record.unreachable_at_s = now_s
         self._mark_suspect(record, now_s)
 
+    def record_rejection(self, target: TargetId, now_s: float) -> bool:
+        """Record that a request did not run since a target can't take it.
+
+        :param target: the target.
+        :param now_s: current time, in seconds.
+        :returns: whether the target is avoided from now on.
+        """
+        record = self._records.setdefault(target, _HealthRecord())
+        if now_s < record.avoided_until_s:
+            return False
+        record.avoided_duration_s = min(
+            MAX_AVOIDED_S, max(MIN_AVOIDED_S, 2 * record.avoided_duration_s)
+        )
+        record.avoided_until_s = now_s + record.avoided_duration_s
+        record.is_avoidance_reported = False
+        return True
+
+    def record_reported_avoidance(
+        self, target: TargetId, duration_s: float, now_s: float
+    ) -> None:
+        """Record that another daemon avoids a target, whose requests it turned away.
+
+        :param target: the target.
+        :param duration_s: for how much longer, in seconds.
+        :param now_s: current time, in seconds.
+        """
+        record = self._records.setdefault(target, _HealthRecord())
+        until_s = now_s + min(duration_s, MAX_AVOIDED_S)
+        is_newer = now_s - record.succeeded_at_s > SUCCESS_PRECEDENCE_S
+        if is_newer and until_s > record.avoided_until_s:
+            record.avoided_until_s = until_s
+            record.is_avoidance_reported = True
+
     def record_slowness(self, target: TargetId, slowness: float, now_s: float) -> None:
         """Record a measurement of the slowness of a target.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
@@ -79,6 +79,8 @@
         self._closed_links: dict[LinkId, float] = {}
         # Number of daemons of this domain, which share its engines; includes this one.
         self.count_domain_daemons: Callable[[], int] = lambda: 1
+        # Called when a target is avoided that was not before.
+        self.on_avoided: Callable[[], None] = lambda: None
         # Called when capacity may have become free: with the service of a request that
         # ended, or with None.
         self.capacity_callbacks: list[Callable[[ServiceId | None], None]] = []
@@ -113,7 +115,9 @@
                 or not self._reachability.is_unreachable(e.domain, now_s)
             )
         ]
-        for candidates in (healthy, engines):
+        # A suspect target may be well; one that turns requests away is of no use.
+        possible = [e for e in engines if not self._health.is_avoided(e.target, now_s)]
+        for candidates in (healthy, possible):
             assignment = self._choose(service, demand, candidates, now_s)
             if assignment is not None:
                 for target, load in assignment.loads:
@@ -121,7 +125,7 @@
                 if assignment.chain:
                     self._unreported.record_start(now_s)
                 return assignment
-            if len(healthy) == len(engines):
+            if len(healthy) == len(possible):
                 break
         return None
 
@@ -163,6 +167,16 @@
         self._health.record_unreachable(engine.target, now_s)
         self._reachability.record_unreachable(engine.domain, engine.target, now_s)
 
+    def record_rejection(self, target: TargetId, now_s: float) -> None:
+        """Record that a request did not run since a target can't take it.
+
+        :param target: the target.
+        :param now_s: current time, in seconds.
+        """
+        self._health.record_unreachable(target, now_s)
+        if self._health.record_rejection(target, now_s):
+            self.on_avoided()
+
     def is_domain_unreachable(self, engine: Engine, now_s: float) -> bool:
         """Return whether the failure domain of a target seems to be cut off.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_duty.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_duty.py
@@ -55,9 +55,11 @@
     """Sign that the duty is held.
 
     :param age_s: time since the holder's last renewal, in whole seconds.
+    :param fencing_token: highest fencing token of a holder that is known.
     """
 
     age_s: int
+    fencing_token: int = 0
 
 
 class _PendingOrder(msgspec.Struct):
@@ -108,6 +110,7 @@
         self._fleet = fleet
         self._closures = closures
         self._held_s = now()
+        self._highest_token = 0
         if mesh is not None:
             mesh.add_topic(TOPIC, self._produce, HolderSign, self._consume)
         self._duty = duty
@@ -145,6 +148,7 @@
         self._set_holder(state.is_holder, state.fencing_token)
         if state.is_holder:
             self._held_s = now()
+            self._highest_token = max(self._highest_token, state.fencing_token)
 
     def _must_renew(self, now_s: float) -> bool:
         if self._is_holder or self._mesh is None:
@@ -154,10 +158,14 @@
         return is_candidate(own, members, now_s - self._held_s)
 
     def _produce(self) -> HolderSign:
-        return HolderSign(math.ceil(now() - self._held_s))
+        return HolderSign(math.ceil(now() - self._held_s), self._highest_token)
 
     def _consume(self, sign: HolderSign, sender: Sender) -> None:
         self._held_s = max(self._held_s, now() - sign.age_s)
+        self._highest_token = max(self._highest_token, sign.fencing_token)
+        if self._is_holder and sign.fencing_token > self._fencing_token:
+            # The store turned this daemon away while it passed the duty on.
+            self._set_holder(False, self._fencing_token)
 
     async def leave(self) -> None:
         """Release the duty."""
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -321,6 +321,7 @@
             self._capacity_queue.recheck_capacity,
         )
         self._dispatcher.count_domain_daemons = sharing.count_domain_daemons
+        self._dispatcher.on_avoided = mesh.gossip_now
 
     def _seed_addresses(self) -> dict[str, DomainId | None]:
         return dict.fromkeys(map(str, self._settings.seeds))
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_loads.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_loads.py
@@ -31,11 +31,14 @@
     :param own: load of the daemon itself, by engine.
     :param domain: load of all daemons of its domain, by engine.
     :param unreachable_ms: time since it found each target unreachable, in milliseconds.
+    :param avoided_ms: for how much longer it sends nothing to targets that turned its
+        requests away, in milliseconds.
     """
 
     own: dict[TargetId, Row]
     domain: dict[TargetId, Row]
     unreachable_ms: dict[TargetId, int] = {}
+    avoided_ms: dict[TargetId, int] = {}
 
 
 class LoadSharing:
@@ -83,7 +86,8 @@
         return LoadReport(
             {t: _to_row(load) for t, load in own.items()},
             domain,
-            {t: round(age_s * MILLISECONDS_PER_SECOND) for t, age_s in ages_s.items()},
+            _to_ms(ages_s),
+            _to_ms(self._health.avoided_s(now())),
         )
 
     def _consume(self, report: LoadReport, sender: Sender) -> None:
@@ -91,6 +95,9 @@
         for target, age_ms in report.unreachable_ms.items():
             at_s = now_s - age_ms / MILLISECONDS_PER_SECOND
             self._health.record_reported_unreachable(target, at_s, now_s)
+        for target, duration_ms in report.avoided_ms.items():
+            duration_s = duration_ms / MILLISECONDS_PER_SECOND
+            self._health.record_reported_avoidance(target, duration_s, now_s)
         if sender.domain == self._domain:
             loads = _to_loads(report.own)
             self._domain_ledger.record_peer_load(sender.incarnation, loads, now())
@@ -102,6 +109,10 @@
         self._on_report()
 
 
+def _to_ms(times_s: dict[TargetId, float]) -> dict[TargetId, int]:
+    return {t: round(time_s * MILLISECONDS_PER_SECOND) for t, time_s in times_s.items()}
+
+
 def _to_row(load: StageLoad) -> Row:
     return load.n_sequences, round(load.token_layers), load.n_heads
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -228,6 +228,7 @@
             return await self._relay(stream, assignment, turn)
         except ConnectFailed as error:
             self._dispatcher.record_unreachable(assignment.head, now())
+            self._dispatcher.record_rejection(assignment.head.target, now())
             self._record_broken(stream, assignment, str(error), is_sent=False)
             return AttemptResult.NOT_RUN
         except ExchangeBroken as error:
@@ -313,7 +314,10 @@
         response = None if answer.status == 200 else await exchange.finish()
         stream.failure_reason = f"the head answered {answer.status}"
         at_fault = self._find_at_fault(assignment, answer)
-        self._health.record_unreachable(at_fault, now())
+        if answer.is_not_run:
+            self._dispatcher.record_rejection(at_fault, now())
+        else:
+            self._health.record_unreachable(at_fault, now())
         stream.avoided.add(at_fault)
         self._log.record(
             "attempt.failed",
