--- a/packages/cassiaspread-core/tests/test_targets.py
+++ b/packages/cassiaspread-core/tests/test_targets.py
@@ -72,3 +72,41 @@
     assert health.slowness("t", now_s=3.0) == 4.0
     assert health.slowness("t", now_s=8.0) == 1.0
     assert health.slowness("u", now_s=3.0) == 1.0
+
+
+def test_target_that_turns_requests_away_gets_none_for_growing_times():
+    health = TargetHealth()
+    assert not health.is_avoided("t", now_s=0.0)
+    now_s, pauses_s = 0.0, []
+    for _ in range(5):
+        assert health.record_rejection("t", now_s)
+        # Requests that were on their way do not count again.
+        assert not health.record_rejection("t", now_s + 0.1)
+        pause_s = 0.0
+        while health.is_avoided("t", now_s + pause_s):
+            pause_s += 0.25
+        pauses_s.append(pause_s)
+        now_s += pause_s
+    assert pauses_s == [0.5, 1.0, 2.0, 4.0, 4.0]
+    health.record_success("t", now_s)
+    assert not health.is_avoided("t", now_s)
+
+
+def test_other_daemons_avoid_it_as_long_and_do_not_pass_it_on():
+    health, other = TargetHealth(), TargetHealth()
+    health.record_rejection("t", now_s=10.0)
+    [(target, duration_s)] = health.avoided_s(now_s=10.1).items()
+    other.record_reported_avoidance(target, duration_s, now_s=50.0)
+    assert other.is_avoided("t", now_s=50.3)
+    assert not other.is_avoided("t", now_s=50.5)
+    assert other.avoided_s(now_s=50.1) == {}
+
+
+def test_target_that_has_just_answered_is_not_avoided_on_a_report():
+    health = TargetHealth()
+    health.record_success("t", now_s=9.5)
+    health.record_reported_avoidance("t", 4.0, now_s=10.0)
+    assert not health.is_avoided("t", now_s=10.1)
+    health.record_reported_avoidance("t", 1000.0, now_s=12.0)
+    assert health.is_avoided("t", now_s=15.9)
+    assert not health.is_avoided("t", now_s=16.1)
