--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -102,6 +102,14 @@
     "answers-break": {"close_after": 2, "break_how": "end"},
     "answers-endless": {"flood": "chunks"},
 }
+# Engines that say that they leave, and end, or want a pause. Drawn apart.
+NOTICES = {
+    "notice-leaving": {"leaving": True},
+    "notice-pause": {"full": True, "retry_after": "1.5"},
+}
+N_NOTICES = 3
+# A request may be on its way when an engine asks for none.
+NOTICE_SLACK_S = 0.5
 SOUND_ANSWERS = {"close_after": None, "break_how": "close", "flood": None}
 N_ANSWER_FAULTS = 4
 
@@ -202,6 +210,12 @@
         on = random_state.choice(list(ENGINES))
         at_s, for_s = random_state.uniform(0, length_s), random_state.uniform(0.5, 3)
         schedule.append(Fault(at_s, for_s, kind, on))
+    random_state = random.Random(f"{seed}-notices")
+    for _ in range(N_NOTICES):
+        kind = random_state.choice(list(NOTICES))
+        on = random_state.choice(list(ENGINES))
+        at_s, for_s = random_state.uniform(0, length_s), random_state.uniform(0.5, 2)
+        schedule.append(Fault(at_s, for_s, kind, on))
     return schedule + draw_silences(seed, length_s)
 
 
@@ -408,6 +422,8 @@
             # The process may be down or paused.
             with suppress(OSError, http.client.HTTPException):
                 self.deployment.control(fault.on, timeout_s=CONTROL_TIMEOUT_S, **values)
+        elif family == "notice":
+            self.give_notice(fault, is_begin)
         elif family == "path":
             name = fault.on.replace("/", "-")
             if action == "delay":
@@ -431,6 +447,16 @@
         elif action == "truncate" and is_begin:
             self.deployment.control("store", truncate=True)
 
+    def give_notice(self, fault, is_begin):
+        if fault.kind == "notice-leaving" and not is_begin:
+            # The process may have ended before.
+            self.deployment.kill(fault.on)
+            threading.Thread(target=self.restart_if_ended, args=(fault.on,)).start()
+            return
+        values = NOTICES[fault.kind] if is_begin else {"full": False}
+        with suppress(OSError, http.client.HTTPException):
+            self.deployment.control(fault.on, timeout_s=CONTROL_TIMEOUT_S, **values)
+
     def change_setting(self, kind):
         if kind != "settings-hup":
             self.changed ^= {kind}
@@ -571,8 +597,31 @@
         findings = []
         for call in self.calls:
             findings += self.check_call(call, runs.get(call.id, []))
+        for name in GATEWAYS:
+            findings += self.check_notices(name)
         return [*findings, *self.check_crashes(runs)]
 
+    def check_notices(self, gateway):
+        """Check that engines which leave or want a pause get no streams."""
+        leaving_s, closed_s = {}, {}
+        for row in self.deployment.log_lines(gateway):
+            now_s, target = row["time_s"], row.get("target")
+            if row["event"] == "gateway.started":
+                leaving_s, closed_s = {}, {}
+            elif row["event"] == "engine.seen":
+                leaving_s.pop(target, None)
+                closed_s.pop(target, None)
+            elif row["event"] == "engine.leaving":
+                leaving_s[target] = now_s
+            elif row["event"] == "engine.closed":
+                closed_s[target] = now_s, now_s + row["for_ms"] / 1000
+            elif row["event"] == "stream.assigned":
+                for target, _, _ in row["chain"]:
+                    begin_s, end_s = closed_s.get(target, (now_s, now_s))
+                    is_left = now_s > leaving_s.get(target, now_s) + NOTICE_SLACK_S
+                    if is_left or begin_s + NOTICE_SLACK_S < now_s < end_s:
+                        yield f"{row['request']}: sent to {target} after its notice"
+
     def check_crashes(self, runs):
         """Check that the crashing request is not run again and again."""
         crashes = sorted(row["at_s"] for row in self.deployment.history("crash"))
