An update confirms only the process whose clock it carries

Another VM may take the address of a daemon; its clock, which counts from its start, made the age of its copy negative, so that keys would have stayed valid for longer than their bound. test_clock_of_an_earlier_process_at_an_address_confirms_nothing fails without the check. Messages that time out close the connection to their peer, so loans and permits wait 0.25 s.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -19,7 +19,7 @@
 
 import msgspec
 
-from cassiaspread_core.base import DomainId, LogUnavailable, TargetId
+from cassiaspread_core.base import DomainId, Incarnation, LogUnavailable, TargetId
 from cassiaspread_core.membership import Member, rank_members
 from cassiaspread_core.routing import RouteTable, StateAge
 from cassiaspread_daemon._supervisor import Supervisor
@@ -84,28 +84,32 @@
         before the first one.
     :param confirmed_after_s: time from the arrival of that acknowledgement until the
         content was current, in seconds; may be negative.
+    :param peer: process that sent the acknowledgement; another one at its address has
+        another clock.
     """
 
     content: msgspec.Raw
-    peer_clock_s: float | None
-    confirmed_after_s: float
+    peer_clock_s: float | None = None
+    confirmed_after_s: float = 0.0
+    peer: Incarnation = Incarnation("")
 
 
 class _Acknowledgement(msgspec.Struct, frozen=True, array_like=True):
     """Reply to an update.
 
-    :param clock_s: time on the receiver's clock, in seconds.
+    :param receiver: process that received the update.
+    :param clock_s: time on its clock, in seconds.
     :param position: position up to which the receiver has the feed, if it has any.
     """
 
+    receiver: Incarnation
     clock_s: float
     position: int | None
 
 
 class _PeerClock(msgspec.Struct, frozen=True):
-    clock_s: float
+    acknowledgement: _Acknowledgement
     received_s: float
-    position: int | None
 
 
 class FeedSharing:
@@ -152,20 +156,22 @@
         :param forward: called with an update to pass on to the own domain.
         :param read_position: returns up to which position this daemon has the feed.
         """
+        if self._mesh is None:
+            return
         decoder = msgspec.msgpack.Decoder(update_type)
+        own = self._mesh.sender.incarnation
 
         async def handle(update: _Update, sender: Sender) -> _Acknowledgement:
             content = decoder.decode(update.content)
             current_s = None
-            if update.peer_clock_s is not None:
+            if update.peer_clock_s is not None and update.peer == own:
                 current_s = update.peer_clock_s + update.confirmed_after_s
             receive(content, current_s)
             if sender.domain != self._domain:
                 forward(content)
-            return _Acknowledgement(suspended_clock_s(), read_position())
+            return _Acknowledgement(own, suspended_clock_s(), read_position())
 
-        if self._mesh is not None:
-            self._mesh.register(f"feed-{kind}", _Update, handle)
+        self._mesh.register(f"feed-{kind}", _Update, handle)
 
     def role(self, kind: str, now_s: float) -> ReaderRole:
         """Return the task of this daemon in reading a feed.
@@ -251,7 +257,7 @@
                     self._log.record("peer.not_told", peer=address, reason=str(error))
                     return
                 self._peer_clocks[kind, address] = _PeerClock(
-                    reply.clock_s, suspended_clock_s(), reply.position
+                    reply, suspended_clock_s()
                 )
 
         self._supervisor.start_once(f"{kind}-{address}-{now()}", send)
@@ -264,11 +270,13 @@
         confirmed_s: float | None,
     ) -> _Update:
         clock = self._peer_clocks.get((kind, address))
-        content = build(None if clock is None else clock.position)
+        last = None if clock is None else clock.acknowledgement
+        content = build(None if last is None else last.position)
         raw = msgspec.Raw(msgspec.msgpack.encode(content))
-        if clock is None or confirmed_s is None:
-            return _Update(raw, None, 0.0)
-        return _Update(raw, clock.clock_s, confirmed_s - clock.received_s)
+        if clock is None or last is None or confirmed_s is None:
+            return _Update(raw)
+        after_s = confirmed_s - clock.received_s
+        return _Update(raw, last.clock_s, after_s, last.receiver)
 
 
 class SharedFeedFollower(FeedFollower[Item]):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_link_permits.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_link_permits.py
@@ -24,7 +24,8 @@
 from cassiaspread_daemon.mesh import Mesh, PeerUnreachable, Sender
 
 KIND = "link-permit"
-ASK_TIMEOUT_S = 0.1
+# A message that is not answered in time also closes the connection to the peer.
+ASK_TIMEOUT_S = 0.25
 # Shortest time for which a link is avoided after a refusal, in seconds.
 MIN_CLOSED_S = 0.02
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_retry_limits.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_retry_limits.py
@@ -24,7 +24,8 @@
 # Daemons asked for a loan at once, and retries asked of each.
 N_LENDERS = 3
 N_RETRIES_ASKED = 2
-ASK_TIMEOUT_S = 0.05
+# A message that is not answered in time also closes the connection to the peer.
+ASK_TIMEOUT_S = 0.25
 # Loans are used within this time, in seconds, since the lender counts them at once and
 # not when they are used.
 LOAN_LIFETIME_S = 1.0
--- a/packages/cassiaspread-daemon/tests/test_feed_sharing.py
+++ b/packages/cassiaspread-daemon/tests/test_feed_sharing.py
@@ -129,3 +129,21 @@
                 assert receiver.received[0] == (7, None)
 
     run_fleet(tmp_path, use)
+
+
+def test_clock_of_an_earlier_process_at_an_address_confirms_nothing(tmp_path, clock):
+    async def use(receivers, network):
+        reader = receivers[roles(receivers).index(ReaderRole.FLEET)]
+        reader.sharing.publish("feed", lambda _: 7, clock["now_s"])
+        await asyncio.sleep(0.05)
+        # Another VM has taken the address; its clock started anew.
+        replaced = next(r for r in receivers if r.received)
+        mesh = replaced.sharing._mesh
+        mesh.sender = Sender("vm", mesh.sender.domain, "new", mesh.sender.address)
+        again = Receiver(mesh, replaced.sharing)
+        clock["now_s"] = 5.0
+        reader.sharing.publish("feed", lambda _: 8, 101.0)
+        await asyncio.sleep(0.05)
+        assert again.received[0] == (8, None)
+
+    run_fleet(tmp_path, use)
