Test of streams beside one that avoids a free engine waits for the break of this engine

The last attempt.broken line of an earlier test of the module named the same engine, so that the fault was taken back before it had an effect. The test counts only later lines now.

--- a/tests/users_platform/test_changes_in_progress.py
+++ b/tests/users_platform/test_changes_in_progress.py
@@ -339,12 +339,13 @@
 def test_stream_does_not_wait_behind_one_that_avoids_the_free_engine(fleet):
     with full_engines(fleet) as (_, answers):
         head = fleet.history("run")[-1]["engine"]
+        n_before = len(fleet.decisions(GATEWAY, "attempt.broken"))
         fleet.control(head, close_after=2)
         # The head broke off, so that its stream waits for another engine.
         wait_for(
             lambda: any(
                 line["head"] == head
-                for line in fleet.decisions(GATEWAY, "attempt.broken")[-1:]
+                for line in fleet.decisions(GATEWAY, "attempt.broken")[n_before:]
             )
         )
         time.sleep(BEGIN_S)
