--- a/tests/users_platform/test_store_calls.py
+++ b/tests/users_platform/test_store_calls.py
@@ -12,8 +12,8 @@
     f"gateway-{zone}-{n}" for zone in ("celje", "velenje") for n in range(3)
 )
 # Calls a second on a calm day, with two domains: the configuration once a second, the
-# list of engines every 0.8 s, and renewals of the duty by four candidates and by a holder
-# that is none of them.
+# list of engines every 0.8 s, and renewals of the duty by four candidates and by a
+# holder that is none of them.
 CALLS_PER_S = 1.0 + 1 / 0.8 + 5.0
 # Long polls of the suspects that begin, and calls at the ends of the measured time.
 N_OTHER_CALLS = 8
