Leaving engines are told at once; a started daemon gives no sign of a holder it has not heard of

Found on reading the change. A daemon that had just started told that the duty was held at its start, which put off the time after which all daemons apply.

The takeover is played with a frozen holder too.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_duty.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_duty.py
@@ -109,7 +109,9 @@
         self._mesh = mesh
         self._fleet = fleet
         self._closures = closures
-        self._held_s = now()
+        self._started_s = now()
+        # Time of the last sign of a holder; none was seen at first.
+        self._held_s = float("-inf")
         self._highest_token = 0
         if mesh is not None:
             mesh.add_topic(TOPIC, self._produce, HolderSign, self._consume)
@@ -155,9 +157,12 @@
             return True
         own: Member = self._mesh.own_member
         members = self._fleet.members(now_s)
-        return is_candidate(own, members, now_s - self._held_s)
+        since_s = max(self._held_s, self._started_s)
+        return is_candidate(own, members, now_s - since_s)
 
-    def _produce(self) -> HolderSign:
+    def _produce(self) -> HolderSign | None:
+        if math.isinf(self._held_s):
+            return None
         return HolderSign(math.ceil(now() - self._held_s), self._highest_token)
 
     def _consume(self, sign: HolderSign, sender: Sender) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -81,8 +81,8 @@
 # Time for which a daemon is counted that is no longer seen, in seconds; partitions of
 # failure domains take minutes at the most.
 COUNTED_DAEMONS_S = 300.0
-# Daemons gossip every second; they do so at once for a target that turns requests away,
-# but not more often than this, in seconds.
+# Daemons gossip every second; they do so at once for a target that turns requests away
+# or leaves, but not more often than this, in seconds.
 MIN_URGENT_INTERVAL_S = 1.0
 # Minimum for the number of daemons, since a daemon may not have discovered the others
 # yet.
@@ -126,7 +126,7 @@
         )
         self._ledger = LoadLedger()
         self._daemon_peak = PeakCount(COUNTED_DAEMONS_S)
-        self._avoided_told_s = float("-inf")
+        self._urgent_s = float("-inf")
         self._dispatcher = Dispatcher(
             settings.domain,
             self._routing_state,
@@ -153,6 +153,7 @@
             self._closures,
             self._dispatcher,
             self._mesh,
+            self._gossip_soon,
             log,
             self._metrics,
         )
@@ -325,12 +326,13 @@
             self._capacity_queue.recheck_capacity,
         )
         self._dispatcher.count_domain_daemons = sharing.count_domain_daemons
-        self._dispatcher.on_avoided = lambda: self._tell_avoided(mesh)
+        self._dispatcher.on_avoided = self._gossip_soon
 
-    def _tell_avoided(self, mesh: Mesh) -> None:
-        if now() - self._avoided_told_s >= MIN_URGENT_INTERVAL_S:
-            self._avoided_told_s = now()
-            mesh.gossip_now()
+    def _gossip_soon(self) -> None:
+        is_due = now() - self._urgent_s >= MIN_URGENT_INTERVAL_S
+        if self._mesh is not None and is_due:
+            self._urgent_s = now()
+            self._mesh.gossip_now()
 
     def _seed_addresses(self) -> dict[str, DomainId | None]:
         return dict.fromkeys(map(str, self._settings.seeds))
--- a/packages/cassiaspread-daemon/tests/test_duty.py
+++ b/packages/cassiaspread-daemon/tests/test_duty.py
@@ -95,9 +95,22 @@
         fleet.known = []
         await renew_for(duty, 0.05)
         assert store.n_renewals == 0
-        # Signs of a holder are as old as their senders say.
+        # Signs of a holder are as old as their senders say, rounded up.
         mesh.consume(HolderSign(3, 9), None)
-        assert 0 < mesh.produce().age_s <= 3
+        assert 3 <= mesh.produce().age_s <= 4
         assert mesh.produce().fencing_token == 9
 
     asyncio.run(run())
+
+
+def test_daemon_that_has_heard_of_no_holder_gives_no_sign_of_one(log):
+    async def run():
+        duty, store, mesh, _ = make_duty(log)
+        assert mesh.produce() is None
+        store.state = DutyState(7, is_holder=False)
+        await renew_for(duty, 0.05)
+        assert mesh.produce() is None
+        mesh.consume(HolderSign(2, 7), None)
+        assert mesh.produce().age_s >= 2
+
+    asyncio.run(run())
--- a/tests/users_platform/test_store_calls.py
+++ b/tests/users_platform/test_store_calls.py
@@ -106,9 +106,10 @@
         assert row["time_s"] - published_s < APPLY_BOUND_S
 
 
-def test_duty_passes_to_another_candidate(fleet):
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+def test_duty_passes_to_another_candidate(fleet, number):
     holder = find_holder(fleet)
-    fleet.kill(holder)
+    fleet.kill(holder, number)
     wait_for(lambda: find_holder(fleet) != holder, TAKEOVER_BOUND_S)
 
 
