Log lines on answers that did not reach their callers, and on a delayed event loop

Nothing told a full link from a busy loop: request.ended is written when the kernel has taken the answer.

answer.delayed, .delivered and .not_delivered follow an ended answer until the caller's end has acknowledged it; loop.delayed says how late a timer ran and how much processor time the loop used meanwhile; peer.not_told has the feed and its bytes; a counter has the bytes between daemons by kind of message. No change of logic.

--- a/packages/cassiaspread-core/src/cassiaspread_core/routing/_table.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/routing/_table.py
@@ -139,6 +139,11 @@
         """Whether requests carry keys."""
         return self._organisations is not None
 
+    @property
+    def n_routes(self) -> int:
+        """Number of routes."""
+        return sum(map(len, self._by_host.values()))
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, or ``None``.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_caller_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_caller_stream.py
@@ -1,12 +1,18 @@
 """Connections of callers that know what has arrived and was not consumed yet."""
 
+import fcntl
 import socket
+import struct
+import termios
 import time
 from asyncio import Future
 from collections.abc import Callable
 
 from tornado.iostream import IOStream
 
+# Number of bytes in the answer of the ioctl that reads a socket's send queue.
+N_BYTES = struct.Struct("i")
+
 
 class CallerStream(IOStream):
     """Connection of a caller.
@@ -20,6 +26,7 @@
         self._n_head_bytes: int | None = 0
         self._arriving_since_s = 0.0
         self._is_ended_by_caller = False
+        self._n_unacknowledged_at_close = 0
         #: Called once the connection is closed, in the same step of the event loop.
         self.closed_callback: Callable[[], None] | None = None
 
@@ -46,6 +53,22 @@
         except OSError:
             return False
 
+    @property
+    def n_unacknowledged(self) -> int:
+        """Bytes written that the caller's end has not acknowledged.
+
+        Of a closed connection, the number when it was closed.
+        """
+        if self.closed():
+            return self._n_unacknowledged_at_close
+        n_queued = self._total_write_index - self._total_write_done_index
+        try:
+            answer = fcntl.ioctl(self.socket, termios.TIOCOUTQ, N_BYTES.pack(0))
+        except OSError:
+            # The kernel does not tell, for example after a reset.
+            return n_queued
+        return n_queued + N_BYTES.unpack(answer)[0]
+
     @property
     def is_ended(self) -> bool:
         """Whether the caller has closed or reset the connection."""
@@ -57,6 +80,8 @@
         :param exc_info: error to keep, or whether to keep the current one.
         """
         was_closed = self.closed()
+        if not was_closed:
+            self._n_unacknowledged_at_close = self.n_unacknowledged
         super().close(exc_info)
         callback, self.closed_callback = self.closed_callback, None
         if callback is not None and not was_closed:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -254,7 +254,13 @@
                     )
                 except PeerUnreachable as error:
                     self._peer_clocks.pop((kind, address), None)
-                    self._log.record("peer.not_told", peer=address, reason=str(error))
+                    self._log.record(
+                        "peer.not_told",
+                        peer=address,
+                        feed=kind,
+                        n_bytes=len(update.content),
+                        reason=str(error),
+                    )
                     return
                 self._peer_clocks[kind, address] = _PeerClock(
                     reply, suspended_clock_s()
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
@@ -18,11 +18,12 @@
 )
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
-from cassiaspread_core.base import CassiaspreadError, Refusal
+from cassiaspread_core.base import CassiaspreadError, Refusal, RequestId
 from cassiaspread_core.routing import ClientLimits
 from cassiaspread_daemon._caller_stream import CallerStream
 from cassiaspread_daemon._exchange import ANSWER_MEMORY
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
+from cassiaspread_daemon.gateway._deliveries import Deliveries
 
 # A timeout is noticed up to this much later.
 TIMEOUT_INTERVAL_S = 0.25
@@ -66,6 +67,8 @@
         self.headers = headers
         self.body = body
         self.arrived_s = arrived_s
+        # Identifies the request in log lines, once its headers are decoded.
+        self.request_id = RequestId("")
         self.status = 0
         self._is_ended = False
         self._is_close_announced = False
@@ -94,6 +97,11 @@
         """Whether the answer says that the connection closes after it."""
         return self._is_close_announced
 
+    @property
+    def stream(self) -> CallerStream:
+        """Connection that it was received on."""
+        return self._connection.stream
+
     def start(self, status: int, headers: HTTPHeaders, data: bytes = b"") -> None:
         """Send status and headers of an answer.
 
@@ -279,6 +287,7 @@
         self._is_leaving = False
         self._tasks: dict[InboundRequest, asyncio.Task[None]] = {}
         self._connections: dict[HTTP1ServerConnection, _Connection] = {}
+        self._deliveries = Deliveries(log)
 
     @property
     def n_requests(self) -> int:
@@ -290,6 +299,11 @@
         """Whether each connection closes after its next answer."""
         return self._is_leaving
 
+    @property
+    def n_undelivered(self) -> int:
+        """Answers that ended and are not known to have reached their callers."""
+        return len(self._deliveries)
+
     @property
     def n_connections(self) -> int:
         """Open connections."""
@@ -332,6 +346,7 @@
         connection = self._connections.pop(server_conn, None)
         if connection is None or self._log is None:
             return
+        self._deliveries.close(connection.stream, time.monotonic())
         reason = connection.reason or self._find_reason(connection)
         if reason is None:
             return
@@ -454,6 +469,7 @@
         while True:
             await asyncio.sleep(TIMEOUT_INTERVAL_S)
             self.close_expired(time.monotonic())
+            self._deliveries.check(time.monotonic())
 
     def run(
         self, inbound: InboundRequest, server_conn: HTTP1ServerConnection
@@ -479,6 +495,8 @@
             # An incomplete answer must not appear complete.
             inbound.abort()
             raise
+        if inbound.is_ended:
+            self._deliveries.add(inbound.stream, inbound.request_id, time.monotonic())
 
 
 class _RequestReader(HTTPMessageDelegate):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -38,6 +38,7 @@
 from cassiaspread_daemon.gateway._job import now, unix_time_s
 from cassiaspread_daemon.gateway._link_permits import LinkPermits
 from cassiaspread_daemon.gateway._loads import LoadSharing
+from cassiaspread_daemon.gateway._loop_monitor import LoopMonitor
 from cassiaspread_daemon.gateway._plain import PlainForwarder
 from cassiaspread_daemon.gateway._pool import ConnectionPool
 from cassiaspread_daemon.gateway._protocols import EngineChange, Platform
@@ -231,6 +232,17 @@
             "Bytes of answers that were received and not yet sent to their callers.",
             lambda: ANSWER_MEMORY.n_bytes,
         )
+        observe(
+            "cassiaspread.gateway.undelivered_answers",
+            "Answers that ended and are not known to have reached their callers.",
+            lambda: self._frontend.n_undelivered,
+        )
+        if self._mesh is not None:
+            self._metrics.observe_counts(
+                "cassiaspread.gateway.peer_bytes",
+                "Bytes sent to and received from other daemons, by kind of message.",
+                self._mesh.bytes_by_kind,
+            )
         self._metrics.observe_counts(
             "cassiaspread.gateway.store_calls",
             "Calls to the platform's store, by kind.",
@@ -362,6 +374,8 @@
 
     async def __aenter__(self) -> Self:
         self._supervisor.start("log", self._log.run)
+        monitor = LoopMonitor(self._log, self._metrics.record_loop_delay)
+        self._supervisor.start("loop-monitor", monitor.run)
         if self._mesh is not None:
             await self._mesh.__aenter__()
         for index, follower in enumerate(self._followers):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway_metrics.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway_metrics.py
@@ -51,6 +51,11 @@
             "cassiaspread.gateway.notices",
             description="What targets say of themselves, by kind.",
         )
+        self._loop_delays = self._meter.create_histogram(
+            "cassiaspread.gateway.loop.delay",
+            unit="s",
+            description="Time by which a timer of the event loop ran late.",
+        )
         self._orders = self._meter.create_counter(
             "cassiaspread.gateway.orders", description="Orders to engines, by outcome."
         )
@@ -83,6 +88,13 @@
         """
         self._waits.record(waited_s, self._attributes)
 
+    def record_loop_delay(self, delay_s: float) -> None:
+        """Record by how much a timer of the event loop ran late.
+
+        :param delay_s: the delay in seconds.
+        """
+        self._loop_delays.record(delay_s, self._attributes)
+
     def record_attempt(self, result: str) -> None:
         """Count a request sent to a target.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -98,6 +98,7 @@
         try:
             try:
                 parameters = self._codec.read_request(inbound.headers)
+                inbound.request_id = parameters.request_id
             except ValueError as error:
                 raise Refusal(400, "bad-request", str(error)) from None
             if inbound.refusal is not None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
@@ -58,10 +58,18 @@
         if self.table is not None and table.version <= self.table.version:
             return
         before = None if self.table is None else self.table.version
+        started_s = time.monotonic()
         self.table = table
-        self._log.record("configuration.in_force", version=table.version, before=before)
         for callback in self.table_callbacks:
             callback(table)
+        self._log.record(
+            "configuration.in_force",
+            version=table.version,
+            before=before,
+            n_routes=table.n_routes,
+            n_bytes=len(table.document),
+            apply_ms=round((time.monotonic() - started_s) * 1000, 1),
+        )
 
     def apply_change(self, change: EngineChange) -> bool:
         """Apply a change of a target's entry.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
 from types import TracebackType
@@ -87,6 +88,7 @@
         self._senders = SenderTable()
         self._urgent = asyncio.Event()
         self._n_rounds = 0
+        self._bytes_by_kind: Counter[str] = Counter()
         self.transition_callbacks: list[Callable[[MemberTransition], None]] = []
         self.register(GOSSIP_KIND, Gossip, self._answer_gossip)
 
@@ -118,6 +120,10 @@
         """Messages and bytes sent and received since the start."""
         return self._transport.traffic
 
+    def bytes_by_kind(self) -> Mapping[str, int]:
+        """Return the bytes of the exchanges that this daemon began, by kind."""
+        return self._bytes_by_kind
+
     def announce_leaving(self) -> None:
         """Notify the peers at once that this daemon takes no new work."""
         self._sender = msgspec.structs.replace(self._sender, is_leaving=True)
@@ -256,7 +262,9 @@
             self._contacts.sender_id(address),
         )
         data = msgspec.msgpack.encode(request)
+        self._bytes_by_kind[kind] += len(data)
         reply_data = await self._transport.exchange(address, data, timeout_s)
+        self._bytes_by_kind[kind] += len(reply_data)
         try:
             reply = msgspec.msgpack.decode(reply_data, type=Envelope)
             sender = self._senders.resolve(reply.sender)
--- /dev/null
+++ b/packages/cassiaspread-daemon/tests/test_loop_monitor.py
@@ -0,0 +1,56 @@
+"""Lines on an event loop that ran nothing for a time."""
+
+import asyncio
+import time
+
+import pytest
+
+from cassiaspread_daemon.gateway._loop_monitor import (
+    CHECK_INTERVAL_S,
+    MIN_LOGGED_DELAY_S,
+    LoopMonitor,
+)
+
+BLOCKED_S = 0.5
+
+
+class RecordingLog:
+    def __init__(self):
+        self.rows = []
+
+    def record(self, event, **fields):
+        assert event == "loop.delayed"
+        self.rows.append(fields)
+
+
+def spin(duration_s):
+    end_s = time.thread_time() + duration_s
+    while time.thread_time() < end_s:
+        pass
+
+
+@pytest.mark.parametrize(("block", "is_busy"), [(spin, True), (time.sleep, False)])
+def test_line_tells_a_busy_loop_from_a_paused_process(block, is_busy):
+    async def run():
+        log, delays_s = RecordingLog(), []
+        monitor = asyncio.create_task(LoopMonitor(log, delays_s.append).run())
+        await asyncio.sleep(CHECK_INTERVAL_S / 2)
+        block(BLOCKED_S)
+        await asyncio.sleep(2 * CHECK_INTERVAL_S)
+        monitor.cancel()
+        return log.rows, delays_s
+
+    rows, delays_s = asyncio.run(run())
+    row = max(rows, key=lambda row: row["delay_ms"])
+    assert row["delay_ms"] >= (BLOCKED_S - CHECK_INTERVAL_S) * 1000
+    assert max(delays_s) >= BLOCKED_S - CHECK_INTERVAL_S
+    assert (row["busy_ms"] >= BLOCKED_S * 900) == is_busy
+
+
+def test_short_delay_is_counted_without_a_line():
+    log, delays_s = RecordingLog(), []
+    monitor = LoopMonitor(log, delays_s.append)
+    monitor.check(5.0, 5.0 + MIN_LOGGED_DELAY_S / 2, 0.0)
+    monitor.check(5.0, 4.9, 0.0)
+    assert log.rows == []
+    assert delays_s == [pytest.approx(MIN_LOGGED_DELAY_S / 2), 0.0]
