Daemons send large messages to each other in pieces, two at a time

Cause: a message of any size to any number of peers was handed to the kernel at once, so that all of it was queued on the VM's link before the next answer. A message over 8 KB is now sent in pieces, each after the reply to the one before; two pieces of a daemon are on the way at a time (13 ms of a link of 10 Mbit/s). The timeout holds for each piece. Small messages do not wait. A daemon of a release without pieces gets the whole message.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
@@ -30,6 +31,15 @@
 from cassiaspread_daemon.mesh._gossip import Gossip, Topic, Topics
 from cassiaspread_daemon.mesh._members import Members, to_member
 from cassiaspread_daemon.mesh._message import Envelope, Sender, short_id
+from cassiaspread_daemon.mesh._pieces import (
+    N_LANES,
+    PIECE_BYTES,
+    LargeMessage,
+    Piece,
+    PieceReceiver,
+    PieceRejected,
+    split_message,
+)
 from cassiaspread_daemon.mesh._senders import SenderTable, UnknownSender
 from cassiaspread_daemon.mesh._transport import PeerUnreachable, Traffic, Transport
 
@@ -38,6 +48,7 @@
 N_GOSSIP_ATTEMPTS = 2
 URGENT_DELAY_S = 0.1
 GOSSIP_KIND = "gossip"
+PIECE_KIND = "piece"
 UNKNOWN_SENDER = "unknown sender"
 
 Body = TypeVar("Body")
@@ -90,7 +101,11 @@
         self._n_rounds = 0
         self._bytes_by_kind: Counter[str] = Counter()
         self.transition_callbacks: list[Callable[[MemberTransition], None]] = []
+        self._message_numbers = itertools.count()
+        self._lanes = asyncio.Semaphore(N_LANES)
+        self._pieces = PieceReceiver()
         self.register(GOSSIP_KIND, Gossip, self._answer_gossip)
+        self.register(PIECE_KIND, Piece, self._answer_piece)
 
     async def __aenter__(self) -> Self:
         await self._transport.__aenter__()
@@ -223,11 +238,13 @@
     ) -> Body:
         """Send a request to a daemon and return the reply's body.
 
+        A large request is sent in pieces, one after the other.
+
         :param address: ``host:port`` where the peer receives messages.
         :param kind: kind of the request.
         :param body: body of the request.
         :param reply_type: type of the reply's body.
-        :param timeout_s: maximum wait for each attempt, in seconds.
+        :param timeout_s: maximum wait for the reply to each message, in seconds.
         :raises PeerUnreachable: no valid reply arrived, or it reports an error.
         """
         reply = await self._exchange(address, kind, body, timeout_s)
@@ -237,6 +254,25 @@
 
     async def _exchange(
         self, address: str, kind: str, body: Any, timeout_s: float
+    ) -> Envelope:
+        content = msgspec.Raw(msgspec.msgpack.encode(body))
+        if len(content) <= PIECE_BYTES:
+            return await self._exchange_whole(address, kind, content, timeout_s)
+        message = msgspec.msgpack.encode(LargeMessage(kind, content))
+        for piece in split_message(next(self._message_numbers), message):
+            async with self._lanes:
+                reply = await self._exchange_whole(
+                    address, PIECE_KIND, piece, timeout_s
+                )
+            if reply.error is not None:
+                break
+        if reply.error is not None and not piece.begin:
+            # A daemon of an earlier release knows no pieces.
+            return await self._exchange_whole(address, kind, content, timeout_s)
+        return reply
+
+    async def _exchange_whole(
+        self, address: str, kind: str, body: Any, timeout_s: float
     ) -> Envelope:
         uses_short_id = self._contacts.accepts_short_id(address, self._own_id)
         reply = await self._send(address, kind, body, timeout_s, uses_short_id)
@@ -311,7 +347,7 @@
             return self._reply(request, await handler(body, sender))
         except UnknownSender:
             return self._reply(request, None, UNKNOWN_SENDER)
-        except (KeyError, msgspec.MsgspecError) as error:
+        except (KeyError, msgspec.MsgspecError, PieceRejected) as error:
             return self._reply(request, None, f"bad message: {error}")
         except Exception:
             logging.exception(
@@ -319,6 +355,16 @@
             )
             return self._reply(request, None, "the handler failed")
 
+    async def _answer_piece(self, piece: Piece, sender: Sender) -> Any:
+        data = self._pieces.add(sender.incarnation, piece)
+        if data is None:
+            return None
+        message = msgspec.msgpack.decode(data, type=LargeMessage)
+        body_type, handler = self._handlers[message.kind]
+        return await handler(
+            msgspec.msgpack.decode(message.body, type=body_type), sender
+        )
+
     async def _gossip(self) -> None:
         while True:
             is_urgent = self._urgent.is_set()
@@ -337,6 +383,7 @@
         for transition in self._members.tick(time.monotonic()):
             if transition.state is MemberState.LOST:
                 self._topics.remove_peer(transition.member.incarnation)
+                self._pieces.remove_sender(transition.member.incarnation)
             for callback in self.transition_callbacks:
                 callback(transition)
 
