--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_deliveries.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_deliveries.py
@@ -69,7 +69,8 @@
         :param now_s: current time, in seconds.
         """
         delivery = self._deliveries.pop(stream, None)
-        if delivery is not None and stream.n_unacknowledged:
+        # After a close by the gateway the kernel goes on sending.
+        if delivery is not None and stream.is_ended and stream.n_unacknowledged:
             n_bytes = stream.n_unacknowledged
             self._record("answer.not_delivered", delivery, n_bytes, now_s)
 
--- a/packages/cassiaspread-daemon/tests/test_deliveries.py
+++ b/packages/cassiaspread-daemon/tests/test_deliveries.py
@@ -95,6 +95,26 @@
     assert all(row["n_bytes"] > 0 for row in rows)
 
 
+def test_answer_before_a_close_by_the_gateway_has_no_line():
+    async def answer(inbound):
+        inbound.answer(200, {}, b"whole")
+
+    async def run():
+        log = RecordingLog()
+        frontend = Frontend(answer, log)
+        frontend.leave()
+        with Listener(HTTPServer(frontend), "127.0.0.1", 0) as listener:
+            reader, writer = await asyncio.open_connection(*listener.addresses[0])
+            writer.write(REQUEST)
+            assert (await reader.read()).endswith(b"whole")
+            while frontend.n_connections:
+                await asyncio.sleep(0.01)
+            writer.close()
+        assert "answer.not_delivered" not in log.events
+
+    asyncio.run(run())
+
+
 def test_delayed_answer_is_found_without_another_request():
     async def answer(inbound):
         inbound.answer(200, {}, LARGE_BODY)
