Large configurations are passed on from daemon to daemon

What callers saw: a request that its gateway counted as answered reached its caller neither as an answer nor as a refusal, beside a configuration with 1,720 routes more.

Cause: the daemon that reads the store sent the document to all daemons of its domain at the same moment.

Change: documents over 2 KB are no part of the updates any more. They go through a tree of the domain's daemons, two receivers each, which are asked first whether they need it; a daemon that is not reached is replaced by those it would have sent to. A daemon that heard of a document and did not get it within 0.9 s reads the store. The limit of 64 KB, beyond which each daemon read the store at once, is 256 KB now.

--- a/packages/cassiaspread-core/src/cassiaspread_core/membership/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/membership/__init__.py
@@ -16,7 +16,11 @@
     MemberState,
     merge_records,
 )
-from cassiaspread_core.membership._rendezvous import choose_delegates, rank_members
+from cassiaspread_core.membership._rendezvous import (
+    choose_delegates,
+    find_children,
+    rank_members,
+)
 from cassiaspread_core.membership._view import (
     LOST_AFTER_S,
     MembershipView,
@@ -37,6 +41,7 @@
     "MembershipView",
     "choose_contacts",
     "choose_delegates",
+    "find_children",
     "merge_records",
     "rank_members",
 ]
--- a/packages/cassiaspread-core/src/cassiaspread_core/membership/_rendezvous.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/membership/_rendezvous.py
@@ -8,10 +8,12 @@
 
 import xxhash
 
-from cassiaspread_core.base import DomainId
+from cassiaspread_core.base import DomainId, Incarnation
 from cassiaspread_core.membership._member import Member
 
 N_DELEGATES = 2
+# Daemons that each daemon of a tree sends to.
+FAN_OUT = 2
 
 
 def rank_members(key: str, members: Iterable[Member]) -> list[Member]:
@@ -44,3 +46,21 @@
     """
     candidates = (m for m in members if m.domain == domain)
     return rank_members(f"{domain}|{other}", candidates)[:N_DELEGATES]
+
+
+def find_children(
+    key: str, members: Iterable[Member], root: Incarnation, parent: Incarnation
+) -> list[Member]:
+    """Return the daemons that a daemon sends to in a tree of all members.
+
+    :param key: key for which the tree is built.
+    :param members: the daemons.
+    :param root: daemon from which the tree begins.
+    :param parent: the daemon that sends.
+    """
+    others = [m for m in rank_members(key, members) if m.incarnation != root]
+    order = [root, *(m.incarnation for m in others)]
+    if parent not in order:
+        return []
+    first = FAN_OUT * order.index(parent)
+    return others[first : first + FAN_OUT]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -24,6 +24,7 @@
 from cassiaspread_core.routing import RouteTable, StateAge
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
+from cassiaspread_daemon.gateway._document_spread import Document, DocumentSpread
 from cassiaspread_daemon.gateway._fleet_view import FleetView
 from cassiaspread_daemon.gateway._job import now
 from cassiaspread_daemon.gateway._protocols import (
@@ -56,9 +57,14 @@
 # snapshot, a reader publishes complete pages for this long, in seconds, instead of only
 # the changes that are new to it.
 FULL_PAGES_S = 5.0
-# Larger configurations are read from the store by each daemon, since the link of the
-# reader's VM may be slow.
-MAX_DOCUMENT_BYTES = 64 * 1024
+# Up to this size a configuration is part of the updates, which go to all daemons of a
+# domain at once. Larger ones are passed on from daemon to daemon.
+MAX_UPDATE_BYTES = 2 * 1024
+# Larger configurations are read from the store by each daemon.
+MAX_DOCUMENT_BYTES = 256 * 1024
+# A daemon that heard of a configuration and did not get it reads the store after this
+# time, in seconds.
+DOCUMENT_TIMEOUT_S = 0.9
 
 Item = TypeVar("Item")
 
@@ -220,16 +226,55 @@
         for address in self._receivers(self._mesh, kind, is_forwarded):
             self._send_to_peer(self._mesh, address, kind, build, confirmed_s)
 
-    def _receivers(self, mesh: Mesh, kind: str, is_forwarded: bool) -> list[str]:
-        peers = [peer.sender for peer in mesh.peers()]
-        addresses = [p.address for p in peers if p.domain == self._domain]
+    def spread(
+        self,
+        kind: str,
+        newest: Callable[[], tuple[int, bytes] | None],
+        receive: Callable[[Document, Sender], bool],
+    ) -> DocumentSpread | None:
+        """Return what passes the large documents of a feed on, if there are peers.
+
+        :param kind: name of the feed.
+        :param newest: see :class:`DocumentSpread`.
+        :param receive: see :class:`DocumentSpread`.
+        """
+        if self._mesh is None:
+            return None
+        return DocumentSpread(
+            kind,
+            self._domain,
+            self._mesh,
+            lambda: self._fleet.members(now()),
+            self._supervisor,
+            self._log,
+            newest,
+            receive,
+        )
+
+    def is_own_domain(self, sender: Sender) -> bool:
+        """Return whether a daemon belongs to the failure domain of this one.
+
+        :param sender: the daemon.
+        """
+        return sender.domain == self._domain
+
+    def heads(self, kind: str, is_forwarded: bool) -> list[Member]:
+        """Return the daemons of other domains that this daemon sends updates to.
+
+        :param kind: name of the feed.
+        :param is_forwarded: whether the update came from another domain.
+        """
         if is_forwarded or self.role(kind, now()) is ReaderRole.NONE:
-            return addresses
+            return []
         firsts: dict[DomainId, Member] = {}
         for member in rank_members(kind, self._fleet.members(now())):
             firsts.setdefault(member.domain, member)
-        others = (m for domain, m in firsts.items() if domain != self._domain)
-        return addresses + [member.address for member in others]
+        return [m for domain, m in firsts.items() if domain != self._domain]
+
+    def _receivers(self, mesh: Mesh, kind: str, is_forwarded: bool) -> list[str]:
+        peers = [peer.sender for peer in mesh.peers()]
+        addresses = [p.address for p in peers if p.domain == self._domain]
+        return addresses + [m.address for m in self.heads(kind, is_forwarded)]
 
     def _send_to_peer(
         self,
@@ -368,12 +413,15 @@
     """A configuration, and the position up to which the reader has read.
 
     :param end: position of the next page.
-    :param document: the compressed configuration; empty if the receiver has it, or has
-        to read it from the store.
+    :param document: the compressed configuration; empty if the receiver has it, or
+        gets it in another way.
+    :param is_coming: whether it is passed on from daemon to daemon; otherwise a
+        receiver that lacks it reads the store.
     """
 
     end: int
     document: bytes = b""
+    is_coming: bool = False
 
 
 class ConfigurationFollower(SharedFeedFollower[RouteTable]):
@@ -412,6 +460,13 @@
         self._routing_state = routing_state
         self._configurations = feed
         self._compressed: tuple[RouteTable | None, bytes] = (None, b"")
+        # Position of the document that was passed on last.
+        self._spread_end: int | None = None
+        # Since when a document that is passed on is awaited.
+        self._awaited_since_s: float | None = None
+        self._spread = feed_sharing.spread(
+            self._name, self._newest_document, self._receive_document
+        )
         feed_sharing.subscribe(
             self._name,
             ConfigurationUpdate,
@@ -433,16 +488,26 @@
     def _publish(self, is_forwarded: bool) -> None:
         if self._position is None:
             return
-        end = self._position
+        end, document = self._position, self._compress()
+        is_spread = len(document) > MAX_UPDATE_BYTES
 
         def build(position: int | None) -> ConfigurationUpdate:
-            if position == end:
-                return ConfigurationUpdate(end)
-            return ConfigurationUpdate(end, self._compress())
+            if position == end or is_spread:
+                return ConfigurationUpdate(end, is_coming=is_spread)
+            return ConfigurationUpdate(end, document)
 
         self._feed_sharing.publish(
             self._name, build, self._age.current_at_s, is_forwarded
         )
+        if self._spread is not None and is_spread and self._spread_end != end:
+            self._spread_end = end
+            self._spread.publish(self._feed_sharing.heads(self._name, is_forwarded))
+
+    def _newest_document(self) -> tuple[int, bytes] | None:
+        document = self._compress()
+        if self._position is None or not document:
+            return None
+        return self._position, document
 
     def _compress(self) -> bytes:
         table = self._routing_state.table
@@ -456,15 +521,49 @@
     def _receive(self, update: ConfigurationUpdate, current_s: float | None) -> None:
         is_newer = self._position is None or update.end > self._position
         if is_newer and update.document:
-            table = self._decode(update.document)
-            if table is not None:
-                self._routing_state.apply_table(table)
-                self._position = update.end
+            self._apply_document(update.end, update.document)
         if self._position == update.end:
+            self._awaited_since_s = None
             self._confirm_current(current_s)
+        elif is_newer and update.is_coming:
+            if self._awaited_since_s is None:
+                self._awaited_since_s = now()
         elif is_newer:
             self._is_behind = True
 
+    def _receive_document(self, document: Document, sender: Sender) -> bool:
+        if self._position is not None and document.end <= self._position:
+            return False
+        if not self._apply_document(document.end, document.data):
+            self._is_behind = True
+            return False
+        self._spread_end = document.end
+        # Its reader is at work, so that a confirmation follows.
+        self._restart_timeout()
+        if not self._feed_sharing.is_own_domain(sender):
+            self._publish(is_forwarded=True)
+        return True
+
+    def _apply_document(self, end: int, document: bytes) -> bool:
+        table = self._decode(document)
+        if table is None:
+            return False
+        self._compressed = table, document
+        self._routing_state.apply_table(table)
+        self._position = end
+        return True
+
+    def _is_due(self) -> bool:
+        since_s = self._awaited_since_s
+        if since_s is not None:
+            timeout_s = DOCUMENT_TIMEOUT_S * self._timeout_factor
+            return now() - since_s > timeout_s or super()._is_due()
+        return super()._is_due()
+
+    def _restart_timeout(self) -> None:
+        super()._restart_timeout()
+        self._awaited_since_s = None
+
     def _decode(self, document: bytes) -> RouteTable | None:
         try:
             return self._configurations.decode(zlib.decompress(document))
