Tests of the distribution of configurations to a fleet

Small, large and too large ones, some that follow each other, and a document that does not arrive: one daemon reads for all, and without the document each reads the store in time.

--- /dev/null
+++ b/packages/cassiaspread-daemon/tests/test_configuration_follower.py
@@ -0,0 +1,183 @@
+"""Distribution of configurations to the daemons of a fleet."""
+
+import asyncio
+import os
+import random
+import time
+from collections import Counter
+
+import pytest
+
+from cassiaspread_core.base import DomainId, Incarnation
+from cassiaspread_core.routing import ClientLimits, RouteTable
+from cassiaspread_daemon._supervisor import Supervisor
+from cassiaspread_daemon.gateway import DecisionLog
+from cassiaspread_daemon.gateway._feed_sharing import (
+    DOCUMENT_TIMEOUT_S,
+    MAX_DOCUMENT_BYTES,
+    MAX_UPDATE_BYTES,
+    TIMEOUT_SPREAD,
+    ConfigurationFollower,
+    FeedSharing,
+)
+from cassiaspread_daemon.gateway._fleet_view import FleetView
+from cassiaspread_daemon.gateway._protocols import FeedPage
+from cassiaspread_daemon.gateway._routing_state import RoutingState
+from cassiaspread_daemon.mesh import PeerUnreachable, Sender
+from tests.fake_mesh import FakeMesh, FakeNetwork
+
+DOMAINS = ("a", "b")
+N_DAEMONS = 6
+WAIT_S = 0.2
+TIMEOUT_S = 5.0
+# Each daemon may need this long to be scheduled, with a loaded machine.
+MARGIN_S = 1.0
+
+
+def document(version, n_bytes):
+    """Return a document that hardly becomes smaller by compression."""
+    return version.to_bytes(4, "big") + random.Random(version).randbytes(n_bytes)
+
+
+class Store:
+    """Holds the documents; each read is counted by reader."""
+
+    def __init__(self):
+        self.documents = [document(1, 10)]
+        self.changed = asyncio.Event()
+        self.n_reads = Counter()
+
+    def publish(self, data):
+        self.documents.append(data)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class FakeFeed:
+    def __init__(self, store, reader):
+        self.store = store
+        self.reader = reader
+
+    def decode(self, data):
+        version = int.from_bytes(data[:4], "big")
+        return RouteTable(version, [], [], None, ClientLimits(), data)
+
+    async def snapshot(self):
+        data = self.store.documents[-1]
+        return FeedPage((self.decode(data),), len(self.store.documents))
+
+    async def changes(self, position, wait_s):
+        if position == len(self.store.documents) and wait_s:
+            try:
+                await asyncio.wait_for(self.store.changed.wait(), wait_s)
+            except TimeoutError:
+                return FeedPage((), position)
+        new = self.store.documents[position:]
+        if new:
+            self.store.n_reads[self.reader] += 1
+        tables = tuple(map(self.decode, new[-1:]))
+        return FeedPage(tables, len(self.store.documents))
+
+
+class LossyMesh(FakeMesh):
+    """Loses all messages of some kinds."""
+
+    lost_kinds = ()
+
+    async def ask(self, address, kind, body, reply_type, timeout_s):
+        if kind in self.lost_kinds:
+            raise PeerUnreachable(address)
+        return await super().ask(address, kind, body, reply_type, timeout_s)
+
+
+def run_fleet(tmp_path, use, lost_kinds=()):
+    async def main():
+        descriptor = os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT)
+        log = DecisionLog("d", descriptor)
+        senders = [
+            Sender(f"vm-{d}-{n}", DomainId(d), Incarnation(f"{d}{n}"), f"{d}:{n}")
+            for d in DOMAINS
+            for n in range(N_DAEMONS)
+        ]
+        network, store, states = FakeNetwork(), Store(), []
+        async with Supervisor("fleet") as supervisor:
+            for sender in senders:
+                mesh = LossyMesh(network, sender, senders)
+                mesh.lost_kinds = lost_kinds
+                state = RoutingState(log, 60.0, 60.0)
+                # The daemons share one supervisor, whose tasks have unique names.
+                sharing = FeedSharing(
+                    sender.domain,
+                    mesh,
+                    FleetView(mesh, 0.0),
+                    supervisor.add_child(sender.vm),
+                    log,
+                )
+                follower = ConfigurationFollower(
+                    sharing,
+                    FakeFeed(store, sender.vm),
+                    state,
+                    log,
+                    WAIT_S,
+                    random.Random(0),
+                )
+                supervisor.start(sender.vm, follower.run)
+                states.append(state)
+            # The first updates to each daemon confirm nothing.
+            await asyncio.sleep(3 * WAIT_S)
+            await use(store, states)
+        os.close(descriptor)
+
+    asyncio.run(main())
+
+
+async def wait_in_force(states, version):
+    """Wait until a version is in force on all daemons; return how long it took."""
+    started_s = time.monotonic()
+    while any(s.table is None or s.table.version < version for s in states):
+        assert time.monotonic() - started_s < TIMEOUT_S
+        await asyncio.sleep(0.01)
+    return time.monotonic() - started_s
+
+
+@pytest.mark.parametrize(
+    "n_bytes", [MAX_UPDATE_BYTES // 2, 40 * MAX_UPDATE_BYTES, MAX_DOCUMENT_BYTES - 1024]
+)
+def test_one_daemon_reads_a_configuration_for_all(tmp_path, n_bytes):
+    async def use(store, states):
+        for version in (2, 3):
+            store.publish(document(version, n_bytes))
+            await wait_in_force(states, version)
+        assert len(store.n_reads) == 1
+
+    run_fleet(tmp_path, use)
+
+
+def test_configurations_that_follow_each_other_reach_all_daemons(tmp_path):
+    async def use(store, states):
+        for version in range(2, 12):
+            store.publish(document(version, 20 * MAX_UPDATE_BYTES))
+            await asyncio.sleep(0.05)
+        await wait_in_force(states, 11)
+
+    run_fleet(tmp_path, use)
+
+
+def test_daemon_that_does_not_get_a_document_reads_the_store(tmp_path):
+    async def use(store, states):
+        store.publish(document(2, 20 * MAX_UPDATE_BYTES))
+        took_s = await wait_in_force(states, 2)
+        # Daemons of the other domain are not told, since their own one has it late.
+        assert took_s < 2 * DOCUMENT_TIMEOUT_S * TIMEOUT_SPREAD[1] + MARGIN_S
+        assert len(store.n_reads) > 1
+
+    run_fleet(tmp_path, use, lost_kinds=("document-configuration",))
+
+
+def test_configuration_too_large_to_be_passed_on_is_read_by_each_daemon(tmp_path):
+    async def use(store, states):
+        store.publish(document(2, MAX_DOCUMENT_BYTES + 1024))
+        await wait_in_force(states, 2)
+        assert len(store.n_reads) == len(states)
+
+    run_fleet(tmp_path, use)
