A cancellation that meets an arriving message or an urgent round of gossip is not lost

What callers may have seen: a request that a leaving daemon ended got no refusal while it asked another daemon for a retry, one whose caller had left ran on, and a daemon that stopped beside messages of its peers never ended.

Cause: pynng returns the result of an operation that ends as its task is cancelled, and drops the cancellation; asyncio.wait_for of Python 3.11 does the same. Every stop waits for its cancelled tasks, so that it waited for ever.

Supervisor.cancel also swallowed the cancellation of its own caller.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_requests.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_requests.py
@@ -50,7 +50,8 @@
             await self._idle.wait()
             self._started.clear()
             try:
-                await asyncio.wait_for(self._started.wait(), idle_s)
+                async with asyncio.timeout(idle_s):
+                    await self._started.wait()
             except TimeoutError:
                 if not self._n_requests:
                     return
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_supervisor.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_supervisor.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 from types import TracebackType
 from typing import Self
 
@@ -77,8 +76,9 @@
         task = self._tasks.pop(name, None)
         if task is not None:
             task.cancel()
-            with suppress(asyncio.CancelledError):
-                await task
+            # Does not raise what the task raises, but passes on a cancellation of the
+            # caller.
+            await asyncio.wait([task])
 
     async def stop(self) -> None:
         """Stop all children, then cancel all tasks."""
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
@@ -375,8 +375,10 @@
                 self._supervisor.start_once(
                     f"gossip-{address}", self._gossip_task(address)
                 )
+            # Unlike asyncio.wait_for, this loses no cancellation.
             with suppress(TimeoutError):
-                await asyncio.wait_for(self._urgent.wait(), GOSSIP_INTERVAL_S)
+                async with asyncio.timeout(GOSSIP_INTERVAL_S):
+                    await self._urgent.wait()
                 await asyncio.sleep(URGENT_DELAY_S)
 
     def _tick(self) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_transport.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_transport.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from types import TracebackType
-from typing import Self
+from typing import Self, TypeVar
 
 import pynng
 
@@ -19,6 +19,8 @@
 N_REPLY_CONTEXTS = 64
 IDLE_SOCKET_S = 60.0
 
+Result = TypeVar("Result")
+
 
 class PeerUnreachable(CassiaspreadError):
     """A peer did not answer; the request may have reached it."""
@@ -105,8 +107,8 @@
         try:
             with requester.socket.new_context() as context:
                 async with asyncio.timeout(timeout_s):
-                    await context.asend(request)
-                    reply = await context.arecv()
+                    await complete(context.asend(request))
+                    reply = await complete(context.arecv())
         except (TimeoutError, pynng.NNGException) as error:
             self._drop(address, requester)
             reason = str(error) or "no reply in time"
@@ -138,7 +140,24 @@
     async def _reply(self) -> None:
         with self._replier.new_context() as context:
             while True:
-                request = await context.arecv()
+                request = await complete(context.arecv())
                 reply = await self._answer(request)
-                await context.asend(reply)
+                await complete(context.asend(reply))
                 self._traffic.add(len(reply), len(request))
+
+
+async def complete(operation: Awaitable[Result]) -> Result:
+    """Return the result of an operation of pynng.
+
+    An operation that ends as its task is cancelled does not pass the cancellation on.
+
+    :param operation: the operation.
+    :raises asyncio.CancelledError: the task was cancelled meanwhile.
+    """
+    task = asyncio.current_task()
+    assert task is not None
+    n_before = task.cancelling()
+    result = await operation
+    if task.cancelling() > n_before:
+        raise asyncio.CancelledError
+    return result
--- a/packages/cassiaspread-daemon/tests/test_mesh.py
+++ b/packages/cassiaspread-daemon/tests/test_mesh.py
@@ -1,7 +1,7 @@
 """Messages between daemons over real sockets."""
 
 import asyncio
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 
 import pytest
 
@@ -9,11 +9,14 @@
 from cassiaspread_core.timeline import EventRing, merge_events
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.mesh import Empty, Mesh, PeerUnreachable, Sender
+from cassiaspread_daemon.mesh._transport import complete
 from tests.fleet import free_port
 
 SKEW_S = 7.0
 # A few rounds of gossip, one second each.
 MEETING_BOUND_S = 10.0
+# Nothing that a stop waits for takes longer than a gossip round.
+STOP_BOUND_S = 3.0
 
 
 def build_mesh(
@@ -90,3 +93,90 @@
 
 def vms_of(mesh):
     return {member.vm for member in mesh.active_members()}
+
+
+@pytest.mark.parametrize("n_steps", range(6))
+def test_daemon_that_stops_beside_an_urgent_round_of_gossip_ends(n_steps):
+    async def main() -> None:
+        mesh, _ = build_mesh("d1", 1.0)
+        async with AsyncExitStack() as stack:
+            await stack.enter_async_context(mesh)
+            await asyncio.sleep(0.05)
+            mesh.gossip_now()
+            for _ in range(n_steps):
+                await asyncio.sleep(0)
+            stopping = asyncio.create_task(stack.pop_all().aclose())
+            done, _ = await asyncio.wait([stopping], timeout=STOP_BOUND_S)
+            assert done
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("n_exchanges", range(1, 9))
+def test_daemon_that_stops_beside_messages_of_its_peers_ends(n_exchanges):
+    async def main() -> None:
+        mesh, _ = build_mesh("d1", 1.0)
+        peer, _ = build_mesh("d2", 1.0)
+
+        async def answer(body: Empty, sender: Sender) -> Empty:
+            return Empty()
+
+        async def ask() -> None:
+            with suppress(PeerUnreachable):
+                while True:
+                    await peer.ask(mesh.sender.address, "q", Empty(), Empty, 1.0)
+
+        mesh.register("q", Empty, answer)
+        async with peer:
+            async with AsyncExitStack() as stack:
+                await stack.enter_async_context(mesh)
+                asking = [asyncio.create_task(ask()) for _ in range(n_exchanges)]
+                await asyncio.sleep(0.1)
+                stopping = asyncio.create_task(stack.pop_all().aclose())
+                done, _ = await asyncio.wait([stopping], timeout=STOP_BOUND_S)
+                assert done
+            for task in asking:
+                task.cancel()
+
+    asyncio.run(main())
+
+
+def test_cancelled_exchange_ends_although_its_reply_arrives_at_the_same_time():
+    # As pynng does when an operation can no longer be cancelled.
+    async def end_anyway() -> bytes:
+        with suppress(asyncio.CancelledError):
+            await asyncio.sleep(MEETING_BOUND_S)
+        return b"reply"
+
+    async def main() -> None:
+        task = asyncio.create_task(complete(end_anyway()))
+        await asyncio.sleep(0)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        assert await complete(end_anyway_at_once()) == b"reply"
+
+    async def end_anyway_at_once() -> bytes:
+        return b"reply"
+
+    asyncio.run(main())
+
+
+def test_caller_of_a_stop_can_be_cancelled():
+    async def main() -> None:
+        supervisor = Supervisor("s")
+
+        async def ignore() -> None:
+            with suppress(asyncio.CancelledError):
+                await asyncio.sleep(MEETING_BOUND_S)
+            await asyncio.sleep(0.2)
+
+        supervisor.start("slow", ignore)
+        await asyncio.sleep(0)
+        stopping = asyncio.create_task(supervisor.stop())
+        await asyncio.sleep(0.05)
+        stopping.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await stopping
+
+    asyncio.run(main())
