Updates of the list of targets name those that did not renew their entries

Every update listed each renewal in its page, several for each target: 13 bytes each, to every daemon of the domain at once, so that the reader's share of its link grew with the product of targets and daemons. Where more than half of the targets renewed their entries, as is usual, the update names the others: under 100 bytes for 5,900 targets that all did (test). Renewals in quick succession count once, so nothing is lost. A daemon of an earlier release sees no renewals in such an update.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -13,7 +13,7 @@
 import asyncio
 import random
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Container, Iterable
 from enum import Enum
 from typing import Any, TypeVar
 
@@ -583,13 +583,47 @@
     :param start: position of the page.
     :param end: position of the next page.
     :param changes: targets that changed.
-    :param renewed: targets that renewed their entry.
+    :param renewed: targets that renewed their entry, if they are few.
+    :param not_renewed: otherwise those that did not.
     """
 
     start: int
     end: int
     changes: tuple[EngineChange, ...]
-    renewed: tuple[TargetId, ...]
+    renewed: tuple[TargetId, ...] = ()
+    not_renewed: tuple[TargetId, ...] | None = None
+
+    def find_renewed(self, listed: Iterable[TargetId]) -> list[TargetId]:
+        """Return the targets that renewed their entry.
+
+        :param listed: all targets on the list.
+        """
+        if self.not_renewed is None:
+            return list(self.renewed)
+        others = set(self.not_renewed)
+        return [target for target in listed if target not in others]
+
+
+def build_engine_update(
+    start: int,
+    page: FeedPage[EngineChange],
+    changed: Container[TargetId],
+    listed: Collection[TargetId],
+) -> EngineUpdate:
+    """Return the update with a page of the list of targets.
+
+    :param start: position of the page.
+    :param page: the page, which was applied.
+    :param changed: targets whose entry differs from the one before.
+    :param listed: all targets on the list.
+    """
+    changes = tuple(c for c in page.items if c.target in changed)
+    # A target may renew its entry several times within a page.
+    renewed = {c.target: None for c in page.items if c.engine is not None}
+    if 2 * len(renewed) <= len(listed):
+        return EngineUpdate(start, page.position, changes, tuple(renewed))
+    others = tuple(target for target in listed if target not in renewed)
+    return EngineUpdate(start, page.position, changes, not_renewed=others)
 
 
 class EngineFollower(SharedFeedFollower[EngineChange]):
@@ -656,15 +690,9 @@
         changed_targets, self._changed_targets = self._changed_targets, set()
         if start is None:
             return
-        self._publish(
-            EngineUpdate(
-                start,
-                page.position,
-                tuple(c for c in page.items if c.target in changed_targets),
-                tuple(c.target for c in page.items if c.engine is not None),
-            ),
-            is_forwarded=False,
-        )
+        listed = self._routing_state.engines
+        update = build_engine_update(start, page, changed_targets, listed)
+        self._publish(update, is_forwarded=False)
 
     def _publish(self, update: EngineUpdate, is_forwarded: bool) -> None:
         self._feed_sharing.publish(
@@ -677,7 +705,7 @@
         if position is not None and update.start <= position <= update.end:
             for change in update.changes:
                 self._apply_change(change)
-            for target in update.renewed:
+            for target in update.find_renewed(self._routing_state.engines):
                 self._routing_state.record_renewed(target)
             self._changed_targets.clear()
             self._position = update.end
--- a/packages/cassiaspread-daemon/tests/test_feed_sharing.py
+++ b/packages/cassiaspread-daemon/tests/test_feed_sharing.py
@@ -3,13 +3,20 @@
 import asyncio
 import os
 
+import msgspec
 import pytest
 
+from cassiaspread_core.placement import Engine
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.gateway import DecisionLog
 from cassiaspread_daemon.gateway import _feed_sharing as feed_sharing
-from cassiaspread_daemon.gateway._feed_sharing import FeedSharing, ReaderRole
+from cassiaspread_daemon.gateway._feed_sharing import (
+    FeedSharing,
+    ReaderRole,
+    build_engine_update,
+)
 from cassiaspread_daemon.gateway._fleet_view import FleetView
+from cassiaspread_daemon.gateway._protocols import EngineChange, FeedPage
 from cassiaspread_daemon.mesh import Sender
 from tests.fake_mesh import FakeMesh, FakeNetwork
 
@@ -147,3 +154,26 @@
         assert again.received[0] == (8, None)
 
     run_fleet(tmp_path, use)
+
+
+def renewal(target):
+    engine = Engine(target=target, service="s", address="10.0.0.1:1", domain="d")
+    return EngineChange(target, engine)
+
+
+@pytest.mark.parametrize("n_renewed", [0, 1, 49, 50, 51, 99, 100])
+def test_update_tells_which_targets_renewed_their_entries(n_renewed):
+    listed = [f"i-{n:08x}" for n in range(100)]
+    renewed = listed[:n_renewed]
+    # Each of them twice, as with a page over several heartbeats.
+    page = FeedPage(tuple(map(renewal, renewed + renewed)), 9)
+    update = build_engine_update(3, page, set(), listed)
+    assert sorted(update.find_renewed(listed)) == renewed
+
+
+def test_update_of_many_targets_that_all_renew_their_entries_is_small():
+    # As many as at the target size.
+    listed = [f"i-{n:08x}" for n in range(5900)]
+    page = FeedPage(tuple(map(renewal, listed)), 9)
+    update = build_engine_update(3, page, set(), listed)
+    assert len(msgspec.msgpack.encode(update)) < 100
