--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -22,7 +22,7 @@
 DOMAINS = ("celje", "velenje")
 DEFAULT_TIMEOUT_S = 15.0
 # Addresses at which gateways that communicate listen for each other; all use one port.
-PEER_IPS = tuple(f"127.0.0.{n}" for n in range(2, 8))
+PEER_IPS = tuple(f"127.0.0.{n}" for n in range(2, 9))
 RESPAWN_POLL_S = 0.05
 
 
@@ -197,9 +197,15 @@
         metrics=False,
         store_port=None,
         has_peers=False,
+        launcher=("-m", "cassiaspread_platform"),
+        environment=None,
+        waits=True,
         **bounds,
     ):
-        """Start a gateway; with ``has_peers`` it communicates with others like it."""
+        """Start a gateway; with ``has_peers`` it communicates with others like it.
+
+        Without ``waits`` it may not listen yet.
+        """
         port, readiness_port = free_port(), free_port()
         ip, peer_port, seeds = "127.0.0.1", free_port(), []
         if has_peers:
@@ -234,12 +240,12 @@
         path.write_text(json.dumps(settings))
         self.start(
             name,
-            "-m",
-            "cassiaspread_platform",
+            *launcher,
             *flags,
-            environment={"CASSIASPREAD_BOOT": str(path)},
+            environment={"CASSIASPREAD_BOOT": str(path), **(environment or {})},
         )
-        self.wait_listening(name)
+        if waits:
+            self.wait_listening(name)
 
     def wait_listening(self, name):
         """Wait until a gateway listens on all of its ports, one after the other."""
