A leaving daemon refuses what it can't finish any more

Callers saw a stream that was cut although it was sent later than three seconds after SIGTERM, and requests that were run and got neither an answer nor a refusal in the last tenth of a second before the process ended.

The drain has a fixed end. A request whose head or body arrived late, on a connection that was still open, was accepted whatever the time left; after the second round of refusals at the end of the drain nothing was refused any more.

Both tests failed before: a stream whose body ended 3.3 s after SIGTERM got status 200 and was cut after 856 bytes; of requests that ended every 10 ms from 7.1 s on, one was run by an engine and its connection closed without an answer (27 before it were answered). From the close of the listener on, streams whose deadline comes after the end of the drain are refused with 503, not run, and from that end every request is: a refusal needs no time. Plain requests are accepted until then, since they can be refused with an unknown outcome at any time before their answer.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -159,7 +159,8 @@
             self._metrics,
         )
         platform.engine_api.notice_callbacks.append(self._notices.record_at)
-        self._frontend = Frontend(self._build_router(random_state).handle, log)
+        self._router = self._build_router(random_state)
+        self._frontend = Frontend(self._router.handle, log)
         self._duty = PlacementDuty(
             platform.duty,
             platform.engine_api,
@@ -455,10 +456,11 @@
         await self._supervisor.cancel("placement")
         self._supervisor.start_once("leave-duty", self._duty.leave)
         await asyncio.sleep(BALANCER_LAG_S)
-        listener.stop()
         drain_deadline_s = (
             drain_started_s + self._settings.exit_timeout_s - EXIT_MARGIN_S
         )
+        self._router.refuse_late(drain_deadline_s)
+        listener.stop()
         # A request received later on a keep-alive connection could not be completed.
         while now() < drain_deadline_s:
             self._frontend.close_idle(MIN_IDLE_BEFORE_CLOSE_S, now())
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -44,6 +44,8 @@
 # Timeout of a request whose caller specifies none, in seconds.
 DEFAULT_TIMEOUT_S = 60.0
 INTERNAL_ERROR = "internal-error"
+# Another daemon can take a request that this one, which leaves, does not accept.
+RETRY_AFTER_LEAVING_S = 0.1
 
 
 class Router:
@@ -85,6 +87,19 @@
         self._log = log
         self._metrics = metrics
         self._random_state = random_state
+        # When the requests in progress are broken off, once the daemon leaves.
+        self._end_s: float | None = None
+
+    def refuse_late(self, end_s: float) -> None:
+        """Refuse the requests that come from now on and may not end in time.
+
+        An answer that has begun can't be refused any more, so a stream is accepted only
+        if its deadline comes first.
+
+        :param end_s: when the requests in progress are broken off, on the monotonic
+            clock in seconds.
+        """
+        self._end_s = end_s
 
     async def handle(self, inbound: InboundRequest) -> None:
         """Answer one request.
@@ -105,6 +120,7 @@
                 raise inbound.refusal
             job = self._prepare(inbound, parameters)
             kind, fingerprint = job.route.kind.value, job.fingerprint
+            self._check_end(job, now())
             take_retry = self._retries.record_request(
                 job.service.name, parameters.request_id
             )
@@ -162,6 +178,13 @@
             fingerprint=_fingerprint_of(inbound, organisation_id),
         )
 
+    def _check_end(self, job: Job, now_s: float) -> None:
+        if self._end_s is None:
+            return
+        is_stream = job.route.kind is RequestKind.STREAM
+        if (job.deadline_s if is_stream else now_s) >= self._end_s:
+            raise _leaving_refusal()
+
     def _find_organisation(
         self, table: RouteTable, route: Route, parameters: RequestParameters
     ) -> Organisation | None:
@@ -255,6 +278,13 @@
     return Refusal(500, INTERNAL_ERROR, detail, Outcome.UNKNOWN)
 
 
+def _leaving_refusal() -> Refusal:
+    detail = "The daemon may end before the answer."
+    return Refusal(
+        503, "leaving", detail, Outcome.NOT_RUN, retry_after_s=RETRY_AFTER_LEAVING_S
+    )
+
+
 def _not_known_refusal(detail: str) -> Refusal:
     return Refusal(
         503, "not-known", detail, Outcome.NOT_RUN, retry_after_s=RETRY_AFTER_UNKNOWN_S
--- a/tests/users_platform/test_lost_answers.py
+++ b/tests/users_platform/test_lost_answers.py
@@ -7,7 +7,7 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 import pytest
 
@@ -37,6 +37,13 @@
 # A stream whose engine is really gone ends at the latest after this long: the store
 # drops the entry after three missed renewals.
 GONE_BOUND_S = 6.0
+# The balancer sends a leaving daemon no requests later than this.
+LATE_S = 3.3
+# Time from SIGTERM to the last requests before the end of a daemon, how many there are,
+# and the time within which they are sent.
+LATE_END_S = 7.1
+N_LATE = 60
+LATE_SPAN_S = 0.6
 
 
 @pytest.fixture
@@ -416,6 +423,82 @@
     assert deployment.processes[GATEWAY].wait(8.0) == 0
 
 
+class LateRequest:
+    """A request whose body ends a while after its head was sent."""
+
+    def __init__(self, deployment, path, **headers):
+        port = deployment.ports[GATEWAY]
+        self.connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+        self.connection.putrequest("POST", path, skip_host=True)
+        self.attempt_id = os.urandom(8).hex()
+        headers = {
+            "Host": HOST,
+            "Authorization": f"Bearer {KEY}",
+            "Attempt-Id": self.attempt_id,
+            "Content-Length": "5",
+            **{k.replace("_", "-"): v for k, v in headers.items()},
+        }
+        for name, value in headers.items():
+            self.connection.putheader(name, value)
+        self.connection.endheaders(b"or")
+
+    def end(self):
+        self.connection.send(b"der")
+
+    def answer(self):
+        response = self.connection.getresponse()
+        return response, response.read()
+
+
+def test_late_stream_that_its_leaving_daemon_can_not_finish_is_refused(
+    slow_deployment,
+):
+    n_runs = len(slow_deployment.history("run"))
+    long = LateRequest(
+        slow_deployment, "/once/x", Token_Count="100,400", Deadline_Ms="20000"
+    )
+    short = LateRequest(
+        slow_deployment, "/once/x", Token_Count="100,40", Deadline_Ms="5500"
+    )
+    slow_deployment.kill(GATEWAY, signal.SIGTERM)
+    time.sleep(LATE_S)
+    long.end()
+    short.end()
+    refusal, body = long.answer()
+    assert refusal.status == 503
+    assert json.loads(body)["outcome"] == "not-run"
+    assert float(refusal.headers["Retry-After"]) > 0
+    assert refusal.headers["Connection"] == "close"
+    answer, body = short.answer()
+    assert answer.status == 200
+    assert body.count(b"data: ") == 10
+    assert len(slow_deployment.history("run")) == n_runs + 1
+    assert slow_deployment.processes[GATEWAY].wait(8.0) == 0
+
+
+def test_request_read_when_its_leaving_daemon_ends_is_answered(deployment):
+    for name in ("celje-plain", "velenje-plain"):
+        deployment.control(name, begin_s=10.0)
+    callers = [LateRequest(deployment, "/book/x") for _ in range(N_LATE)]
+    deployment.kill(GATEWAY, signal.SIGTERM)
+    time.sleep(LATE_END_S)
+    for caller in callers:
+        with suppress(OSError):
+            caller.end()
+        time.sleep(LATE_SPAN_S / N_LATE)
+    n_answers = {True: 0, False: 0}
+    ids = {row["headers"].get("Attempt-Id") for row in deployment.history("run")}
+    for caller in callers:
+        has_run = caller.attempt_id in ids
+        try:
+            caller.answer()
+            n_answers[has_run] += 1
+        except (OSError, http.client.HTTPException):
+            assert not has_run, n_answers
+    assert n_answers[True] > 0
+    assert n_answers[False] > 0
+
+
 SMALL_LIMITS = {"max_body_bytes": 1000, "max_header_bytes": 500}
 LARGE_LIMITS = {"max_body_bytes": 1_000_000, "max_header_bytes": 50_000}
 
