A request read in the step that interrupts all others is refused too

A request that a leaving daemon had read in the step of the event loop in which it refuses those in progress got neither an answer nor a refusal, and no log line.

Its task was cancelled before it had run for the first time: then none of its code runs, so that nothing refuses the request or closes its connection, and the second round does not find it. The new test interrupts as soon as a request is read; before, its caller waited for five seconds in vain. Tasks are cancelled with the next iteration now, after the first step of those that had not begun.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
@@ -437,10 +437,12 @@
 
         :param refusal: answers those whose answers have not begun.
         """
+        loop = asyncio.get_running_loop()
         for inbound, task in self._tasks.items():
             if inbound.interruption is None:
                 inbound.interruption = refusal
-                task.cancel()
+                # A task that has not begun yet begins before, so that it can answer.
+                loop.call_soon(task.cancel)
 
     def close_idle(self, idle_s: float, now_s: float) -> None:
         """Close the connections on which no byte of a request has arrived.
--- a/packages/cassiaspread-daemon/tests/test_front.py
+++ b/packages/cassiaspread-daemon/tests/test_front.py
@@ -10,6 +10,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from cassiaspread_core.base import Refusal
 from cassiaspread_core.routing import ClientLimits, RequestKind
 from cassiaspread_daemon._exchange import (
     ANSWER_MEMORY,
@@ -532,3 +533,28 @@
         assert n_announced == int(is_announced or is_answered)
 
     asyncio.run(run())
+
+
+def test_request_read_in_the_step_that_interrupts_all_is_refused():
+    # Its task is cancelled before it has run at all.
+    class Interrupting(Frontend):
+        def run(self, inbound, server_conn):
+            task = super().run(inbound, server_conn)
+            self.interrupt(Refusal(502, "leaving", "The daemon ends."))
+            return task
+
+    async def run():
+        log = RecordingLog()
+        router = failing_router(log, lambda *_: asyncio.sleep(60.0))
+        frontend = Interrupting(router.handle, log)
+        with Listener(HTTPServer(frontend), "127.0.0.1", 0) as listener:
+            reader, writer = await asyncio.open_connection(*listener.addresses[0])
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            async with asyncio.timeout(TIMEOUT_S):
+                head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 502 ")
+            writer.close()
+        [ended] = log.of("request.ended")
+        assert ended["outcome"] == "leaving"
+
+    asyncio.run(run())
