A lack of descriptors ends no listener and keeps no event loop busy

A process that leaves accepts the connections that wait before it closes its listening sockets. An error other than two expected ones (no descriptor or buffer free, or a network error of the connection) left the drain with an exception: the process would have ended with all its requests in progress, without an answer.

The listener accepts by itself now: after an error it pauses for 0.1 s while it serves, and when it stops it goes on up to 16 errors.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_listener.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_listener.py
@@ -1,15 +1,24 @@
 """Listening sockets of an HTTP server that close without losing a connection."""
 
+import asyncio
 import socket
-from collections.abc import Callable
 from types import TracebackType
 from typing import Self
 
+from absl import logging
 from tornado.httpserver import HTTPServer
-from tornado.netutil import add_accept_handler, bind_sockets
+from tornado.ioloop import IOLoop
+from tornado.netutil import bind_sockets
 
 from cassiaspread_daemon._caller_stream import CallerStream
 
+# Connections accepted in one iteration of the event loop.
+MAX_ACCEPTED = 128
+# Pause after an error, which a lack of descriptors or buffers causes, in seconds.
+ACCEPT_PAUSE_S = 0.1
+# After so many errors a listener that stops leaves the rest of its connections.
+MAX_ACCEPT_ERRORS = 16
+
 
 class Listener:
     """Owns the listening sockets of one server; a context manager.
@@ -25,13 +34,12 @@
     def __init__(self, server: HTTPServer, host: str, port: int) -> None:
         self._server = server
         self._sockets = bind_sockets(port, host)
-        self._remove_handlers: list[Callable[[], None]] = []
+        # Sockets that do not accept for a while after an error.
+        self._paused: dict[socket.socket, asyncio.TimerHandle] = {}
 
     def __enter__(self) -> Self:
         for listening_socket in self._sockets:
-            self._remove_handlers.append(
-                add_accept_handler(listening_socket, self._serve)
-            )
+            self._watch(listening_socket)
         return self
 
     def __exit__(
@@ -53,23 +61,66 @@
 
     def stop(self) -> None:
         """Accept pending connections, then close the listening sockets."""
-        for remove in self._remove_handlers:
-            remove()
-        self._remove_handlers.clear()
         for listening_socket in self._sockets:
-            self._accept_pending(listening_socket)
+            timer = self._paused.pop(listening_socket, None)
+            if timer is not None:
+                timer.cancel()
+            else:
+                IOLoop.current().remove_handler(listening_socket)
+            self._accept_all(listening_socket)
             listening_socket.close()
         self._sockets.clear()
 
-    def _accept_pending(self, listening_socket: socket.socket) -> None:
-        while True:
+    def _watch(self, listening_socket: socket.socket) -> None:
+        IOLoop.current().add_handler(listening_socket, self._handle_ready, IOLoop.READ)
+
+    def _handle_ready(self, listening_socket: socket.socket, events: int) -> None:
+        try:
+            for _ in range(MAX_ACCEPTED):
+                if not self._accept(listening_socket):
+                    return
+        except OSError as error:
+            # The socket stays ready, so that the event loop would do nothing else.
+            self._record_error(listening_socket, error)
+            IOLoop.current().remove_handler(listening_socket)
+            self._paused[listening_socket] = asyncio.get_running_loop().call_later(
+                ACCEPT_PAUSE_S, self._resume, listening_socket
+            )
+
+    def _resume(self, listening_socket: socket.socket) -> None:
+        del self._paused[listening_socket]
+        self._watch(listening_socket)
+
+    def _accept_all(self, listening_socket: socket.socket) -> None:
+        n_errors = 0
+        while n_errors < MAX_ACCEPT_ERRORS:
             try:
-                connection, address = listening_socket.accept()
-            except BlockingIOError:
-                return
-            except ConnectionAbortedError:
-                continue
-            self._serve(connection, address)
+                if not self._accept(listening_socket):
+                    return
+            except OSError as error:
+                self._record_error(listening_socket, error)
+                n_errors += 1
+
+    def _accept(self, listening_socket: socket.socket) -> bool:
+        """Accept a connection; return whether there may be more of them."""
+        try:
+            connection, address = listening_socket.accept()
+        except BlockingIOError:
+            return False
+        except ConnectionAbortedError:
+            return True
+        self._serve(connection, address)
+        return True
+
+    def _record_error(self, listening_socket: socket.socket, error: OSError) -> None:
+        logging.log_every_n_seconds(
+            logging.WARNING,
+            "no connection accepted at %s, next attempt after %g s: %s",
+            1,
+            listening_socket.getsockname(),
+            ACCEPT_PAUSE_S,
+            error,
+        )
 
     def _serve(self, connection: socket.socket, address: tuple) -> None:
         self._server.handle_stream(CallerStream(connection), address)
