An error in a callback of a change concerns neither the others nor the feed

A callback of a new configuration, of a target or of a renewal that raised ended the follower of the feed. The configuration was set by then, so that the next read skipped it: the other callbacks never got it (callers' limits would stay those of an older version), and no line said that it was in force. After an error in a callback of a renewal the follower would fail at the same page again and again, and none of the later changes would arrive.

Each callback's error is logged now with its frames (callback.failed), and the rest goes on. The three new tests failed before.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_decision_log.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_decision_log.py
@@ -9,7 +9,9 @@
 import os
 import sys
 import time
+import traceback
 from collections.abc import Callable
+from pathlib import Path
 
 import msgspec
 
@@ -111,3 +113,16 @@
             return
         self._buffer += data
         self._buffer += b"\n"
+
+
+def describe_error(error: Exception) -> dict[str, object]:
+    """Return the fields of a line on an unexpected error.
+
+    :param error: the error; it was raised.
+    """
+    frames = traceback.extract_tb(error.__traceback__)
+    return {
+        "error": type(error).__name__,
+        "reason": str(error),
+        "frames": [f"{Path(f.filename).name}:{f.lineno} {f.name}" for f in frames],
+    }
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import random
-import traceback
-from pathlib import Path
 
 from cassiaspread_core.base import (
     OrganisationId,
@@ -21,7 +19,7 @@
     RouteTable,
     Service,
 )
-from cassiaspread_daemon.gateway._decision_log import DecisionLog
+from cassiaspread_daemon.gateway._decision_log import DecisionLog, describe_error
 from cassiaspread_daemon.gateway._dispatch import Dispatcher
 from cassiaspread_daemon.gateway._frontend import CallerDisconnected, InboundRequest
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
@@ -142,7 +140,11 @@
             self._refuse(inbound, parameters, refusal)
         except Exception as error:
             outcome = INTERNAL_ERROR
-            self._record_error(parameters, error)
+            self._log.record(
+                "request.failed",
+                request=parameters.request_id,
+                **describe_error(error),
+            )
             self._refuse(inbound, parameters, _internal_refusal())
         finally:
             self._record_end(inbound, parameters, kind, fingerprint, outcome)
@@ -231,16 +233,6 @@
             return
         send_refusal(inbound, self._codec, parameters, refusal, self._random_state)
 
-    def _record_error(self, parameters: RequestParameters, error: Exception) -> None:
-        frames = traceback.extract_tb(error.__traceback__)
-        self._log.record(
-            "request.failed",
-            request=parameters.request_id,
-            error=type(error).__name__,
-            reason=str(error),
-            frames=[f"{Path(f.filename).name}:{f.lineno} {f.name}" for f in frames],
-        )
-
     def _record_end(
         self,
         inbound: InboundRequest,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Generic, TypeVar
 
 import msgspec
@@ -11,7 +11,7 @@
 from cassiaspread_core.base import LogUnavailable, ServiceId, TargetId, Truncated
 from cassiaspread_core.placement import Engine
 from cassiaspread_core.routing import RouteTable, StateAge
-from cassiaspread_daemon.gateway._decision_log import DecisionLog
+from cassiaspread_daemon.gateway._decision_log import DecisionLog, describe_error
 from cassiaspread_daemon.gateway._protocols import EngineChange, Feed, FeedPage
 
 Item = TypeVar("Item")
@@ -60,8 +60,7 @@
         before = None if self.table is None else self.table.version
         started_s = time.monotonic()
         self.table = table
-        for callback in self.table_callbacks:
-            callback(table)
+        self._notify(self.table_callbacks, table)
         self._log.record(
             "configuration.in_force",
             version=table.version,
@@ -93,8 +92,7 @@
         else:
             self.engines[change.target] = after
         self._log_change(change.target, before, after)
-        for callback in self.engine_callbacks:
-            callback(before, after)
+        self._notify(self.engine_callbacks, before, after)
         if after is not None:
             self.record_renewed(change.target)
         return True
@@ -123,8 +121,7 @@
 
         :param target: the target.
         """
-        for callback in self.renewal_callbacks:
-            callback(target)
+        self._notify(self.renewal_callbacks, target)
 
     def retain(self, targets: set[TargetId]) -> None:
         """Remove the targets that a snapshot does not contain.
@@ -145,6 +142,17 @@
             if engine.service == service and not engine.is_leaving
         ]
 
+    def _notify(
+        self, callbacks: Sequence[Callable[..., None]], *changed: object
+    ) -> None:
+        for callback in callbacks:
+            try:
+                callback(*changed)
+            except Exception as error:
+                # What has changed is in force already, and the other callbacks and the
+                # rest of the feed must not lack it.
+                self._log.record("callback.failed", **describe_error(error))
+
     def _log_change(
         self, target: TargetId, before: Engine | None, after: Engine | None
     ) -> None:
--- /dev/null
+++ b/packages/cassiaspread-daemon/tests/test_routing_state.py
@@ -0,0 +1,105 @@
+"""An unexpected error in a callback of the configuration or the list of targets."""
+
+import asyncio
+import random
+from contextlib import suppress
+
+from cassiaspread_core.placement import Engine, LayerRange
+from cassiaspread_core.routing import ClientLimits, RouteTable
+from cassiaspread_daemon.gateway._protocols import EngineChange, FeedPage
+from cassiaspread_daemon.gateway._routing_state import FeedFollower, RoutingState
+
+
+class RecordingLog:
+    def __init__(self):
+        self.rows = []
+
+    def record(self, event, **fields):
+        self.rows.append({"event": event, **fields})
+
+    def of(self, event):
+        return [row for row in self.rows if row["event"] == event]
+
+
+def table(version):
+    return RouteTable(version, [], [], None, ClientLimits())
+
+
+def engine(name):
+    return Engine(
+        target=name,
+        service="pool",
+        address=f"{name}:1",
+        domain="d",
+        accelerator="card",
+        layers=LayerRange(0, 8),
+        n_slots=8,
+    )
+
+
+def fail(*args):
+    raise KeyError("layers")
+
+
+def test_failed_callback_leaves_a_configuration_in_force_everywhere():
+    log, applied = RecordingLog(), []
+    state = RoutingState(log, 5.0, 5.0)
+    state.table_callbacks += [fail, lambda t: applied.append(t.version)]
+    for version in (3, 4):
+        with suppress(KeyError):
+            state.apply_table(table(version))
+    assert applied == [3, 4]
+    assert [row["version"] for row in log.of("configuration.in_force")] == [3, 4]
+    failed = log.of("callback.failed")
+    assert [row["error"] for row in failed] == ["KeyError"] * 2
+    assert failed[0]["frames"][-1].endswith(" fail")
+
+
+def test_failed_callback_of_a_target_concerns_no_other_callback():
+    log, seen, renewed = RecordingLog(), [], []
+    state = RoutingState(log, 5.0, 5.0)
+    state.engine_callbacks += [fail, lambda before, after: seen.append(after.target)]
+    state.renewal_callbacks += [fail, renewed.append]
+    for _ in range(2):
+        with suppress(KeyError):
+            state.apply_change(EngineChange("a", engine("a")))
+    assert seen == ["a"]
+    assert renewed == ["a", "a"]
+    assert len(log.of("callback.failed")) == 3
+
+
+def test_feed_is_followed_past_a_target_whose_callback_fails():
+    log = RecordingLog()
+    state = RoutingState(log, 5.0, 5.0)
+    state.renewal_callbacks.append(lambda name: fail() if name == "a" else None)
+
+    class Feed:
+        async def snapshot(self):
+            return FeedPage((), 1)
+
+        async def changes(self, position, wait_s):
+            await asyncio.sleep(0)
+            changes = [EngineChange(name, engine(name)) for name in ("a", "b")]
+            return FeedPage(tuple(changes), position + 1)
+
+    follower = FeedFollower(
+        "f",
+        Feed(),
+        state.apply_change,
+        lambda items: None,
+        state.engines_age,
+        log,
+        0.0,
+        0.01,
+        random.Random(1),
+    )
+
+    async def run():
+        task = asyncio.create_task(follower.run())
+        done, _ = await asyncio.wait({task}, timeout=0.2)
+        task.cancel()
+        # Its supervisor would start it again, at the same change.
+        assert not done
+
+    asyncio.run(run())
+    assert set(state.engines) == {"a", "b"}
