A refused HEAD request gets its refusal

Every refusal of a HEAD request (unknown route or key, no capacity, an error) closed the connection without an answer: tornado raises for a body in the answer to such a request, and closes the connection before it has sent the headers.

The answer has the headers alone now, with the length of what is left out. Four of the new tests failed before (answers of status 200 and 404 with bodies of 5 bytes and 4 MB); those without a body passed.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
@@ -165,6 +165,9 @@
         """
         all_headers = HTTPHeaders(headers)
         all_headers["Content-Length"] = str(len(body))
+        if self.method == "HEAD":
+            # Its answer has the headers of one with a body, and none.
+            body = b""
         if len(body) <= MAX_JOINED_BYTES:
             self.start(status, all_headers, body)
         else:
--- a/packages/cassiaspread-daemon/tests/test_front.py
+++ b/packages/cassiaspread-daemon/tests/test_front.py
@@ -558,3 +558,30 @@
         assert ended["outcome"] == "leaving"
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("status", [200, 204, 304, 404])
+@pytest.mark.parametrize("body", [b"", b"whole", LARGE_BODY])
+def test_answer_to_a_head_request_has_headers_alone(status, body):
+    # A body would be taken for the beginning of the next answer.
+    if status in (204, 304):
+        body = b""
+
+    async def handle(inbound):
+        inbound.answer(status, {"Attempt-Id": "r"}, body)
+
+    async def run():
+        log = RecordingLog()
+        with Listener(HTTPServer(Frontend(handle, log)), "127.0.0.1", 0) as listener:
+            reader, writer = await asyncio.open_connection(*listener.addresses[0])
+            for connection in (b"", b"Connection: close\r\n"):
+                writer.write(b"HEAD / HTTP/1.1\r\nHost: h\r\n" + connection + b"\r\n")
+                async with asyncio.timeout(TIMEOUT_S):
+                    head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 %d " % status)
+                assert b"Content-Length: %d\r\n" % len(body) in head
+            async with asyncio.timeout(TIMEOUT_S):
+                assert await reader.read() == b""
+            writer.close()
+
+    asyncio.run(run())
