Headers that can't be sent are followed by a refusal

If the headers of an answer could not be written, the connection closed without an answer: the request counted as answered from the moment at which it was tried, so that the refusal after the error was taken for one too late. Nothing was sent by then. The status is recorded once the headers are written. The new test, with a line feed in a header, failed before. Tornado refuses such headers of engines while it reads them, so that no way is known on which a caller would have met this.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
@@ -109,7 +109,6 @@
         :param headers: headers; without a content length the body is sent in chunks.
         :param data: beginning of the body.
         """
-        self.status = status
         try:
             reason = HTTPStatus(status).phrase
         except ValueError:
@@ -123,6 +122,8 @@
             self._is_close_announced = True
             headers["Connection"] = "close"
         self._connection.write_headers(start_line, headers, data)
+        # Not before: headers that can't be sent are followed by a refusal.
+        self.status = status
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body and wait until the connection accepts more.
--- a/packages/cassiaspread-daemon/tests/test_front.py
+++ b/packages/cassiaspread-daemon/tests/test_front.py
@@ -585,3 +585,16 @@
             writer.close()
 
     asyncio.run(run())
+
+
+def test_answer_whose_headers_can_not_be_sent_is_replaced_by_a_refusal():
+    async def answer(job, take_retry):
+        job.inbound.answer(200, {"X": "a\nb"}, b"whole")
+
+    log = RecordingLog()
+    reply = asyncio.run(answer_of(log, answer))
+    assert reply.startswith(b"HTTP/1.1 500 ")
+    assert reply.endswith(b"}")
+    assert len(log.of("request.failed")) == 1
+    [ended] = log.of("request.ended")
+    assert ended["status"] == 500
