A leaving daemon announces the close to callers of HTTP/1.0 too

To a caller of HTTP/1.0 that asked for keep-alive a leaving daemon answered with Connection: Keep-Alive and closed the connection after the answer, so that a request that the caller sent next could be lost. Tornado confirms the request for keep-alive after the gateway has set its own header. The caller's header is removed in this case too, as for answers that end with the connection. The new test failed before.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
@@ -116,11 +116,12 @@
         start_line = ResponseStartLine("HTTP/1.1", status, reason)
         if self._version == "HTTP/1.0" and "Content-Length" not in headers:
             self._ends_with_connection = True
-            # Tornado would confirm a request for keep-alive.
-            self.headers.pop("Connection", None)
         if self._ends_with_connection or self._must_close():
             self._is_close_announced = True
             headers["Connection"] = "close"
+            if self._version == "HTTP/1.0":
+                # Tornado would confirm a request for keep-alive.
+                self.headers.pop("Connection", None)
         self._connection.write_headers(start_line, headers, data)
         # Not before: headers that can't be sent are followed by a refusal.
         self.status = status
--- a/packages/cassiaspread-daemon/tests/test_front.py
+++ b/packages/cassiaspread-daemon/tests/test_front.py
@@ -598,3 +598,20 @@
     assert len(log.of("request.failed")) == 1
     [ended] = log.of("request.ended")
     assert ended["status"] == 500
+
+
+def test_leaving_daemon_announces_the_close_to_a_caller_of_http_1_0():
+    # It would send its next request on the connection that is being closed.
+    async def run():
+        frontend = Frontend(answer_whole)
+        frontend.leave()
+        with Listener(HTTPServer(frontend), "127.0.0.1", 0) as listener:
+            reader, writer = await asyncio.open_connection(*listener.addresses[0])
+            writer.write(b"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
+            async with asyncio.timeout(TIMEOUT_S):
+                answer = await reader.read()
+            assert b"Connection: close\r\n" in answer
+            assert answer.endswith(b"whole")
+            writer.close()
+
+    asyncio.run(run())
