A request without a descriptor for its connection counts as not sent

While the process had no free descriptor, each request was answered with status 500 and an unknown outcome (an unexpected error), although none of its bytes had been sent; callers must not repeat such a request if it may run once only. Opening the socket lay outside of the code that turns errors of connecting into ConnectFailed. The new test, with a socket that can't be created, failed before; no play with a real lack was made.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -376,7 +376,12 @@
         host, _, port = address.rpartition(":")
         # Hosts are IP addresses: no resolver is needed, which would use a thread.
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        stream = ResponseStream(socket.socket(family), read_chunk_size=MAX_HEAD_BYTES)
+        try:
+            new_socket = socket.socket(family)
+        except OSError as error:
+            # No descriptor or buffer is free.
+            raise ConnectFailed(f"{address}: {error}") from None
+        stream = ResponseStream(new_socket, read_chunk_size=MAX_HEAD_BYTES)
         try:
             async with asyncio.timeout(timeout_s):
                 await stream.connect((host.strip("[]"), int(port)))
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -1,9 +1,11 @@
 """Tests of the gateway's components under the loads and failures they handle."""
 
 import asyncio
+import errno
 import json
 import os
 import random
+import socket
 
 import msgspec
 import pytest
@@ -14,7 +16,12 @@
 from cassiaspread_core.routing import Service, StateAge
 from cassiaspread_core.targets import TargetClosures, TargetHealth
 from cassiaspread_daemon._events import MAX_EVENT_BYTES, EventBuffer
-from cassiaspread_daemon._exchange import AnswerTooLarge, Exchange, ExchangeBroken
+from cassiaspread_daemon._exchange import (
+    AnswerTooLarge,
+    ConnectFailed,
+    Exchange,
+    ExchangeBroken,
+)
 from cassiaspread_daemon.gateway import DecisionLog, FeedPage
 from cassiaspread_daemon.gateway._capacity_queue import (
     RECHECK_INTERVAL_S,
@@ -278,6 +285,20 @@
     asyncio.run(run())
 
 
+def test_request_without_a_descriptor_for_its_connection_was_not_sent(monkeypatch):
+    # Any other error has an unknown outcome: a caller may not repeat its request then.
+    def fail(family):
+        raise OSError(errno.EMFILE, "no descriptor")
+
+    async def run():
+        monkeypatch.setattr(socket, "socket", fail)
+        with pytest.raises(ConnectFailed, match="no descriptor"):
+            await Exchange.open("127.0.0.1:9", 1.0)
+        monkeypatch.undo()
+
+    asyncio.run(run())
+
+
 def test_answer_to_an_earlier_request_is_discarded():
     async def run():
         stray = b"HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold"
