An error in the search for one waiting request ends no other

An unexpected error while a chain was searched for a waiting request was raised in whatever had made the room: the end of another request, which was answered with 500 or cut, or the handling of the list of engines. The faulty request stayed at the head of its queue, so that this would have happened again with the end of each request, and the others waited behind it.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_capacity_queue.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_capacity_queue.py
@@ -189,10 +189,8 @@
         while (ticket := queue.waiting.head) is not None:
             waiter = self._waiters[ticket.number]
             if not waiter.avoid and not waiter.assigned.done():
-                assignment = self._try_assign(waiter)
-                if assignment is None:
+                if not self._end_wait(waiter):
                     return
-                waiter.assigned.set_result(assignment)
             else:
                 self._assign_or_pass(queue, waiter, failed)
             queue.waiting.pop()
@@ -206,14 +204,21 @@
         if waiter.assigned.done():
             # Refused; its task has not run since.
             return
-        assignment = None
-        if waiter.avoid not in failed:
-            assignment = self._try_assign(waiter)
-        if assignment is None:
+        if waiter.avoid in failed or not self._end_wait(waiter):
             failed.add(waiter.avoid)
             queue.passed.append(waiter)
-        else:
+
+    def _end_wait(self, waiter: _Waiter) -> bool:
+        """Assign a queued request; return whether it no longer waits."""
+        try:
+            assignment = self._try_assign(waiter)
+        except Exception as error:
+            # It ends this request, not the one that gave its room back.
+            waiter.assigned.set_exception(error)
+            return True
+        if assignment is not None:
             waiter.assigned.set_result(assignment)
+        return assignment is not None
 
     def _try_assign(self, waiter: _Waiter) -> Assignment | None:
         job = waiter.job
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -166,6 +166,38 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("avoid", [(), ("f",)])
+def test_error_in_the_search_for_one_request_ends_no_other(log, avoid):
+    # It would be raised where another request gives its room back.
+    async def run():
+        dispatcher, queue = make_queue(log)
+        held = [await queue.assign(make_job(), (), 1.0) for _ in range(2)]
+        for _ in range(8):
+            queue._queues["pool"].waiting.record_completion(now())
+        faulty = make_job()
+        waiting = [
+            asyncio.create_task(queue.assign(job, avoid, 5.0))
+            for job in (make_job(), faulty, make_job())
+        ]
+        await asyncio.sleep(0)
+        assign = dispatcher.assign
+
+        def fail(service, demand, now_s, avoid=()):
+            if demand is faulty.demand:
+                raise KeyError("layers")
+            return assign(service, demand, now_s, avoid)
+
+        dispatcher.assign = fail
+        for assignment in held:
+            dispatcher.release(assignment)
+        await asyncio.wait(waiting, timeout=1.0)
+        assert isinstance(waiting[1].exception(), KeyError)
+        assert all(waiting[n].result() for n in (0, 2))
+        assert not len(queue)
+
+    asyncio.run(run())
+
+
 def test_request_with_too_long_predicted_wait_is_refused_at_once(log):
     async def run():
         dispatcher, queue = make_queue(log)
