Routes are found by their prefix, not by a scan of all of them

With thousands of routes of one host each request scanned all of them, longest prefix first, so that the event loop of a small VM had less time for everything else after a configuration that added many.

The routes of a host are indexed by prefix, and each distinct length is looked up once, longest first. A property test compares the results with a scan written from the definition; it passes on the former code too.

--- a/packages/cassiaspread-core/src/cassiaspread_core/routing/_table.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/routing/_table.py
@@ -105,6 +105,31 @@
     idle_timeout_s: float = 15.0
 
 
+class _HostRoutes:
+    """Routes of one host, indexed by their prefixes."""
+
+    def __init__(self) -> None:
+        self._by_prefix: dict[str, Route] = {}
+        # Distinct lengths of the prefixes, which are few, longest first.
+        self._lengths: list[int] = []
+
+    def add(self, route: Route) -> None:
+        """Add a route unless there is one with its prefix."""
+        self._by_prefix.setdefault(route.prefix, route)
+        if len(route.prefix) not in self._lengths:
+            self._lengths.append(len(route.prefix))
+            self._lengths.sort(reverse=True)
+
+    def find(self, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path, or ``None``."""
+        for length in self._lengths:
+            route = self._by_prefix.get(path[:length])
+            # The whole of a shorter path may match, and no longer prefix does then.
+            if route is not None:
+                return route
+        return None
+
+
 class RouteTable:
     """One version of the configuration, indexed for look-ups.
 
@@ -130,9 +155,13 @@
         self.services = {service.name: service for service in services}
         self.limits = limits
         self._organisations = organisations
-        self._by_host: dict[str, list[Route]] = {}
-        for route in sorted(routes, key=lambda r: len(r.prefix), reverse=True):
-            self._by_host.setdefault(route.host.lower(), []).append(route)
+        self._routes = tuple(routes)
+        self._by_host: dict[str, _HostRoutes] = {}
+        for route in routes:
+            host = route.host.lower()
+            if host not in self._by_host:
+                self._by_host[host] = _HostRoutes()
+            self._by_host[host].add(route)
 
     @property
     def requires_keys(self) -> bool:
@@ -142,7 +171,7 @@
     @property
     def n_routes(self) -> int:
         """Number of routes."""
-        return sum(map(len, self._by_host.values()))
+        return len(self._routes)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, or ``None``.
@@ -153,8 +182,8 @@
         host = host.lower()
         routes = self._by_host.get(host)
         if routes is None:
-            routes = self._by_host.get(host.rpartition(":")[0], ())
-        return next((r for r in routes if path.startswith(r.prefix)), None)
+            routes = self._by_host.get(host.rpartition(":")[0])
+        return None if routes is None else routes.find(path)
 
     def find_organisation(self, key: str) -> Organisation | None:
         """Return the organisation that owns a key, or ``None``.
@@ -165,5 +194,4 @@
 
     def routed_services(self) -> set[ServiceId]:
         """Return the names of the services that receive requests of a route."""
-        routes = (route for routes in self._by_host.values() for route in routes)
-        return {backend.service for route in routes for backend in route.backends}
+        return {backend.service for r in self._routes for backend in r.backends}
--- a/packages/cassiaspread-core/tests/test_routing.py
+++ b/packages/cassiaspread-core/tests/test_routing.py
@@ -1,5 +1,8 @@
 """Look-up of routes and keys, and the age limit of copies of shared state."""
 
+from hypothesis import example, given
+from hypothesis import strategies as st
+
 from cassiaspread_core.routing import (
     Backend,
     ClientLimits,
@@ -41,6 +44,37 @@
     assert table.routed_services() == {"pool"}
 
 
+def find_linearly(routes, host, path):
+    """Return the route as its definition says, without any index."""
+    hosts = {route.host.lower() for route in routes}
+    host = host.lower()
+    if host not in hosts:
+        host = host.rpartition(":")[0]
+    found = None
+    for route in routes:
+        is_match = route.host.lower() == host and path.startswith(route.prefix)
+        if is_match and (found is None or len(route.prefix) > len(found.prefix)):
+            found = route
+    return found
+
+
+HOSTS = ("x", "X", "x:80", "y", "")
+PATHS = st.text("/ab", max_size=8)
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from(HOSTS), PATHS), max_size=12),
+    st.sampled_from((*HOSTS, "x:8080", "Y:1", "z")),
+    PATHS,
+)
+@example([("x", "/a/"), ("X", "/a/"), ("x", "/"), ("y", "/a/b/")], "x:1", "/a/b/")
+def test_index_of_routes_finds_what_a_scan_of_all_finds(pairs, host, path):
+    routes = [make_route(str(n), *pair) for n, pair in enumerate(pairs)]
+    table = make_table(*routes)
+    assert table.find_route(host, path) is find_linearly(routes, host, path)
+    assert table.n_routes == len(routes)
+
+
 def test_requests_that_may_be_sent_again():
     stream = {"kind": RequestKind.STREAM}
     for fields, may_repeat in [
