An answer arrives although another request is behind its end

A caller that had sent more bytes behind a request with Connection: close lost the end of the answer, or found its connection reset: closing a socket with unread bytes makes the kernel reset the connection and drop what it has not sent yet. By the code the same holds for the last answer of a leaving daemon; that was not tried.

What has arrived, up to 1 MB, is read before the close. Both new tests (answers of 5 and 500,000 bytes, a slow caller, two further requests) failed before with a reset. A caller that goes on sending after the close still gets a reset.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_caller_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_caller_stream.py
@@ -7,11 +7,14 @@
 import time
 from asyncio import Future
 from collections.abc import Callable
+from contextlib import suppress
 
 from tornado.iostream import IOStream
 
 # Number of bytes in the answer of the ioctl that reads a socket's send queue.
 N_BYTES = struct.Struct("i")
+# Bytes read at most from a connection that is being closed.
+MAX_DROPPED_BYTES = 1024 * 1024
 
 
 class CallerStream(IOStream):
@@ -82,11 +85,27 @@
         was_closed = self.closed()
         if not was_closed:
             self._n_unacknowledged_at_close = self.n_unacknowledged
+            self._drop_unread()
         super().close(exc_info)
         callback, self.closed_callback = self.closed_callback, None
         if callback is not None and not was_closed:
             callback()
 
+    def _drop_unread(self) -> None:
+        """Read what has arrived.
+
+        Closing a socket with unread bytes resets the connection, and the end of an
+        answer that the kernel has not sent yet is lost.
+        """
+        n_bytes = 0
+        # An error means that nothing more can be read.
+        with suppress(OSError):
+            while n_bytes < MAX_DROPPED_BYTES:
+                n_read = len(self.socket.recv(self.read_chunk_size))
+                if not n_read:
+                    return
+                n_bytes += n_read
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read into a buffer; called by tornado.
 
--- a/packages/cassiaspread-daemon/tests/test_front.py
+++ b/packages/cassiaspread-daemon/tests/test_front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 import time
 from contextlib import asynccontextmanager, suppress
 from types import SimpleNamespace
@@ -615,3 +616,40 @@
             writer.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("n_answer_bytes", [5, 500_000])
+def test_answer_arrives_although_another_request_is_behind_its_end(n_answer_bytes):
+    # Closing a socket with unread bytes drops what it has not sent.
+    body = b"x" * n_answer_bytes
+    last = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+
+    async def run():
+        may_answer = asyncio.Event()
+
+        async def handle(inbound):
+            await may_answer.wait()
+            inbound.answer(200, {}, body)
+
+        log = RecordingLog()
+        frontend = Frontend(handle, log)
+        with Listener(HTTPServer(frontend), "127.0.0.1", 0) as listener:
+            caller = socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.connect(listener.addresses[0])
+            caller.sendall(last)
+            while not frontend.n_requests:
+                await asyncio.sleep(0.01)
+            caller.sendall(2 * last)
+            may_answer.set()
+            async with asyncio.timeout(TIMEOUT_S):
+                while frontend.n_connections:
+                    await asyncio.sleep(0.01)
+            caller.settimeout(TIMEOUT_S)
+            answer = b""
+            while data := caller.recv(65536):
+                answer += data
+            caller.close()
+        assert answer.endswith(b"\r\n\r\n" + body)
+
+    asyncio.run(run())
