A connection accepted as the listener stops is served before the process ends

A leaving daemon accepts the connections that wait before it closes its listening sockets. If nothing else was open, it ended at once: the frontend counts a connection from the next step of the event loop on, and the drain looked at the count in the same step. A request on such a connection got neither an answer nor a refusal. It needs a caller that connects after the event loop last looked at its sockets and before the listener stops three seconds after SIGTERM, which a busy loop makes longer.

The drain looks at the count after its first pause. The new test connects and sends a request just before the sockets close; before, nothing had been answered when the daemon was done.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -463,10 +463,11 @@
         listener.stop()
         # A request received later on a keep-alive connection could not be completed.
         while now() < drain_deadline_s:
+            # The frontend learns of the connections accepted last after this step.
+            await asyncio.sleep(DRAIN_POLL_S)
             self._frontend.close_idle(MIN_IDLE_BEFORE_CLOSE_S, now())
             if not self._frontend.n_requests and not self._frontend.n_connections:
                 break
-            await asyncio.sleep(DRAIN_POLL_S)
         if self._frontend.n_requests or self._frontend.n_connections:
             await self._interrupt()
 
