A second start that is stopped before it has begun releases its chain

A second start that was stopped in the step in which it was made never ran, so that the load of its chain stayed booked until the end of the process, and later streams waited for room that was there. It happens if an event of the first chain arrives while another daemon is asked for a retry. The task is cancelled after its first step now. The new test failed before; no run with whole gateways was made.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_second_start.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_second_start.py
@@ -106,7 +106,8 @@
 
         :returns: its result; ``BROKEN`` if it was in progress.
         """
-        self._task.cancel()
+        # It begins first if it has not yet, so that it releases what it owns.
+        asyncio.get_running_loop().call_soon(self._task.cancel)
         await asyncio.wait({self._task})
         if self._task.cancelled():
             return AttemptResult.BROKEN
--- a/packages/cassiaspread-daemon/tests/test_second_start.py
+++ b/packages/cassiaspread-daemon/tests/test_second_start.py
@@ -66,6 +66,23 @@
     assert released == [True]
 
 
+def test_second_start_that_is_stopped_at_once_releases_its_chain():
+    # The code of a task that is cancelled before it has begun does not run at all.
+    released = []
+
+    async def attempt(turn):
+        try:
+            await turn.take()
+        finally:
+            released.append(True)
+
+    async def run():
+        return await SecondStart(None, attempt).stop()
+
+    assert asyncio.run(run()) is AttemptResult.BROKEN
+    assert released == [True]
+
+
 def test_second_start_at_its_deadline_counts_as_run():
     async def attempt(turn):
         raise Refusal(504, "timeout", "No answer came in time.")
