A request whose own task is not cancelled is answered

If something that a request waited for was cancelled, for example a call shared by several requests, its caller's connection was closed without an answer, and the log said that the caller had left. Only a cancellation of the request's own task means that now; any other is an unexpected error (request.failed, status 500, outcome unknown). The new test, with a shared task that is cancelled, failed before. In the present code nothing was found that cancels such a task while its gateway runs.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_decision_log.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_decision_log.py
@@ -115,7 +115,7 @@
         self._buffer += b"\n"
 
 
-def describe_error(error: Exception) -> dict[str, object]:
+def describe_error(error: BaseException) -> dict[str, object]:
     """Return the fields of a line on an unexpected error.
 
     :param error: the error; it was raised.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -131,21 +131,21 @@
             self._refuse(inbound, parameters, refusal)
         except CallerDisconnected:
             outcome = "caller-gone"
-        except asyncio.CancelledError:
+        except asyncio.CancelledError as error:
             refusal = inbound.interruption
-            if refusal is None or inbound.is_started:
+            if not _is_cancelled():
+                # Something that it waited for was; its caller is still there.
+                outcome = INTERNAL_ERROR
+                self._answer_error(inbound, parameters, error)
+            elif refusal is None or inbound.is_started:
                 outcome = "cancelled"
                 raise
-            outcome = refusal.code
-            self._refuse(inbound, parameters, refusal)
+            else:
+                outcome = refusal.code
+                self._refuse(inbound, parameters, refusal)
         except Exception as error:
             outcome = INTERNAL_ERROR
-            self._log.record(
-                "request.failed",
-                request=parameters.request_id,
-                **describe_error(error),
-            )
-            self._refuse(inbound, parameters, _internal_refusal())
+            self._answer_error(inbound, parameters, error)
         finally:
             self._record_end(inbound, parameters, kind, fingerprint, outcome)
 
@@ -233,6 +233,17 @@
             return
         send_refusal(inbound, self._codec, parameters, refusal, self._random_state)
 
+    def _answer_error(
+        self,
+        inbound: InboundRequest,
+        parameters: RequestParameters,
+        error: BaseException,
+    ) -> None:
+        self._log.record(
+            "request.failed", request=parameters.request_id, **describe_error(error)
+        )
+        self._refuse(inbound, parameters, _internal_refusal())
+
     def _record_end(
         self,
         inbound: InboundRequest,
@@ -265,6 +276,11 @@
     return fingerprint_of(organisation or NO_ORGANISATION, ANY_SERVICE, content)
 
 
+def _is_cancelled() -> bool:
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _internal_refusal() -> Refusal:
     detail = "The request could not be handled; it may have run."
     return Refusal(500, INTERNAL_ERROR, detail, Outcome.UNKNOWN)
--- a/packages/cassiaspread-daemon/tests/test_front.py
+++ b/packages/cassiaspread-daemon/tests/test_front.py
@@ -653,3 +653,19 @@
         assert answer.endswith(b"\r\n\r\n" + body)
 
     asyncio.run(run())
+
+
+def test_request_is_answered_if_something_it_waits_for_is_cancelled():
+    # Its own task is not, so that its caller is still there.
+    async def wait(job, take_retry):
+        shared = asyncio.ensure_future(asyncio.sleep(60.0))
+        asyncio.get_running_loop().call_later(0.01, shared.cancel)
+        await asyncio.shield(shared)
+
+    log = RecordingLog()
+    answer = asyncio.run(answer_of(log, wait))
+    assert answer.startswith(b"HTTP/1.1 500 ")
+    [failed] = log.of("request.failed")
+    assert failed["error"] == "CancelledError"
+    [ended] = log.of("request.ended")
+    assert (ended["outcome"], ended["status"]) == ("internal-error", 500)
