--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
@@ -109,7 +109,6 @@
         :param headers: headers; without a content length the body is sent in chunks.
         :param data: beginning of the body.
         """
-        self.status = status
         try:
             reason = HTTPStatus(status).phrase
         except ValueError:
@@ -117,12 +116,15 @@
         start_line = ResponseStartLine("HTTP/1.1", status, reason)
         if self._version == "HTTP/1.0" and "Content-Length" not in headers:
             self._ends_with_connection = True
-            # Tornado would confirm a request for keep-alive.
-            self.headers.pop("Connection", None)
         if self._ends_with_connection or self._must_close():
             self._is_close_announced = True
             headers["Connection"] = "close"
+            if self._version == "HTTP/1.0":
+                # Tornado would confirm a request for keep-alive.
+                self.headers.pop("Connection", None)
         self._connection.write_headers(start_line, headers, data)
+        # Not before: headers that can't be sent are followed by a refusal.
+        self.status = status
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body and wait until the connection accepts more.
@@ -165,6 +167,9 @@
         """
         all_headers = HTTPHeaders(headers)
         all_headers["Content-Length"] = str(len(body))
+        if self.method == "HEAD":
+            # Its answer has the headers of one with a body, and none.
+            body = b""
         if len(body) <= MAX_JOINED_BYTES:
             self.start(status, all_headers, body)
         else:
@@ -437,10 +442,12 @@
 
         :param refusal: answers those whose answers have not begun.
         """
+        loop = asyncio.get_running_loop()
         for inbound, task in self._tasks.items():
             if inbound.interruption is None:
                 inbound.interruption = refusal
-                task.cancel()
+                # A task that has not begun yet begins before, so that it can answer.
+                loop.call_soon(task.cancel)
 
     def close_idle(self, idle_s: float, now_s: float) -> None:
         """Close the connections on which no byte of a request has arrived.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import random
-import traceback
-from pathlib import Path
 
 from cassiaspread_core.base import (
     OrganisationId,
@@ -21,7 +19,7 @@
     RouteTable,
     Service,
 )
-from cassiaspread_daemon.gateway._decision_log import DecisionLog
+from cassiaspread_daemon.gateway._decision_log import DecisionLog, describe_error
 from cassiaspread_daemon.gateway._dispatch import Dispatcher
 from cassiaspread_daemon.gateway._frontend import CallerDisconnected, InboundRequest
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
@@ -44,6 +42,8 @@
 # Timeout of a request whose caller specifies none, in seconds.
 DEFAULT_TIMEOUT_S = 60.0
 INTERNAL_ERROR = "internal-error"
+# Another daemon can take a request that this one, which leaves, does not accept.
+RETRY_AFTER_LEAVING_S = 0.1
 
 
 class Router:
@@ -85,6 +85,19 @@
         self._log = log
         self._metrics = metrics
         self._random_state = random_state
+        # When the requests in progress are broken off, once the daemon leaves.
+        self._end_s: float | None = None
+
+    def refuse_late(self, end_s: float) -> None:
+        """Refuse the requests that come from now on and may not end in time.
+
+        An answer that has begun can't be refused any more, so a stream is accepted only
+        if its deadline comes first.
+
+        :param end_s: when the requests in progress are broken off, on the monotonic
+            clock in seconds.
+        """
+        self._end_s = end_s
 
     async def handle(self, inbound: InboundRequest) -> None:
         """Answer one request.
@@ -105,6 +118,7 @@
                 raise inbound.refusal
             job = self._prepare(inbound, parameters)
             kind, fingerprint = job.route.kind.value, job.fingerprint
+            self._check_end(job, now())
             take_retry = self._retries.record_request(
                 job.service.name, parameters.request_id
             )
@@ -117,17 +131,21 @@
             self._refuse(inbound, parameters, refusal)
         except CallerDisconnected:
             outcome = "caller-gone"
-        except asyncio.CancelledError:
+        except asyncio.CancelledError as error:
             refusal = inbound.interruption
-            if refusal is None or inbound.is_started:
+            if not _is_cancelled():
+                # Something that it waited for was; its caller is still there.
+                outcome = INTERNAL_ERROR
+                self._answer_error(inbound, parameters, error)
+            elif refusal is None or inbound.is_started:
                 outcome = "cancelled"
                 raise
-            outcome = refusal.code
-            self._refuse(inbound, parameters, refusal)
+            else:
+                outcome = refusal.code
+                self._refuse(inbound, parameters, refusal)
         except Exception as error:
             outcome = INTERNAL_ERROR
-            self._record_error(parameters, error)
-            self._refuse(inbound, parameters, _internal_refusal())
+            self._answer_error(inbound, parameters, error)
         finally:
             self._record_end(inbound, parameters, kind, fingerprint, outcome)
 
@@ -162,6 +180,13 @@
             fingerprint=_fingerprint_of(inbound, organisation_id),
         )
 
+    def _check_end(self, job: Job, now_s: float) -> None:
+        if self._end_s is None:
+            return
+        is_stream = job.route.kind is RequestKind.STREAM
+        if (job.deadline_s if is_stream else now_s) >= self._end_s:
+            raise _leaving_refusal()
+
     def _find_organisation(
         self, table: RouteTable, route: Route, parameters: RequestParameters
     ) -> Organisation | None:
@@ -208,15 +233,16 @@
             return
         send_refusal(inbound, self._codec, parameters, refusal, self._random_state)
 
-    def _record_error(self, parameters: RequestParameters, error: Exception) -> None:
-        frames = traceback.extract_tb(error.__traceback__)
+    def _answer_error(
+        self,
+        inbound: InboundRequest,
+        parameters: RequestParameters,
+        error: BaseException,
+    ) -> None:
         self._log.record(
-            "request.failed",
-            request=parameters.request_id,
-            error=type(error).__name__,
-            reason=str(error),
-            frames=[f"{Path(f.filename).name}:{f.lineno} {f.name}" for f in frames],
+            "request.failed", request=parameters.request_id, **describe_error(error)
         )
+        self._refuse(inbound, parameters, _internal_refusal())
 
     def _record_end(
         self,
@@ -250,11 +276,23 @@
     return fingerprint_of(organisation or NO_ORGANISATION, ANY_SERVICE, content)
 
 
+def _is_cancelled() -> bool:
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _internal_refusal() -> Refusal:
     detail = "The request could not be handled; it may have run."
     return Refusal(500, INTERNAL_ERROR, detail, Outcome.UNKNOWN)
 
 
+def _leaving_refusal() -> Refusal:
+    detail = "The daemon may end before the answer."
+    return Refusal(
+        503, "leaving", detail, Outcome.NOT_RUN, retry_after_s=RETRY_AFTER_LEAVING_S
+    )
+
+
 def _not_known_refusal(detail: str) -> Refusal:
     return Refusal(
         503, "not-known", detail, Outcome.NOT_RUN, retry_after_s=RETRY_AFTER_UNKNOWN_S
--- a/packages/cassiaspread-daemon/tests/test_front.py
+++ b/packages/cassiaspread-daemon/tests/test_front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 import time
 from contextlib import asynccontextmanager, suppress
 from types import SimpleNamespace
@@ -10,6 +11,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from cassiaspread_core.base import Refusal
 from cassiaspread_core.routing import ClientLimits, RequestKind
 from cassiaspread_daemon._exchange import (
     ANSWER_MEMORY,
@@ -532,3 +534,138 @@
         assert n_announced == int(is_announced or is_answered)
 
     asyncio.run(run())
+
+
+def test_request_read_in_the_step_that_interrupts_all_is_refused():
+    # Its task is cancelled before it has run at all.
+    class Interrupting(Frontend):
+        def run(self, inbound, server_conn):
+            task = super().run(inbound, server_conn)
+            self.interrupt(Refusal(502, "leaving", "The daemon ends."))
+            return task
+
+    async def run():
+        log = RecordingLog()
+        router = failing_router(log, lambda *_: asyncio.sleep(60.0))
+        frontend = Interrupting(router.handle, log)
+        with Listener(HTTPServer(frontend), "127.0.0.1", 0) as listener:
+            reader, writer = await asyncio.open_connection(*listener.addresses[0])
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            async with asyncio.timeout(TIMEOUT_S):
+                head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 502 ")
+            writer.close()
+        [ended] = log.of("request.ended")
+        assert ended["outcome"] == "leaving"
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("status", [200, 204, 304, 404])
+@pytest.mark.parametrize("body", [b"", b"whole", LARGE_BODY])
+def test_answer_to_a_head_request_has_headers_alone(status, body):
+    # A body would be taken for the beginning of the next answer.
+    if status in (204, 304):
+        body = b""
+
+    async def handle(inbound):
+        inbound.answer(status, {"Attempt-Id": "r"}, body)
+
+    async def run():
+        log = RecordingLog()
+        with Listener(HTTPServer(Frontend(handle, log)), "127.0.0.1", 0) as listener:
+            reader, writer = await asyncio.open_connection(*listener.addresses[0])
+            for connection in (b"", b"Connection: close\r\n"):
+                writer.write(b"HEAD / HTTP/1.1\r\nHost: h\r\n" + connection + b"\r\n")
+                async with asyncio.timeout(TIMEOUT_S):
+                    head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 %d " % status)
+                assert b"Content-Length: %d\r\n" % len(body) in head
+            async with asyncio.timeout(TIMEOUT_S):
+                assert await reader.read() == b""
+            writer.close()
+
+    asyncio.run(run())
+
+
+def test_answer_whose_headers_can_not_be_sent_is_replaced_by_a_refusal():
+    async def answer(job, take_retry):
+        job.inbound.answer(200, {"X": "a\nb"}, b"whole")
+
+    log = RecordingLog()
+    reply = asyncio.run(answer_of(log, answer))
+    assert reply.startswith(b"HTTP/1.1 500 ")
+    assert reply.endswith(b"}")
+    assert len(log.of("request.failed")) == 1
+    [ended] = log.of("request.ended")
+    assert ended["status"] == 500
+
+
+def test_leaving_daemon_announces_the_close_to_a_caller_of_http_1_0():
+    # It would send its next request on the connection that is being closed.
+    async def run():
+        frontend = Frontend(answer_whole)
+        frontend.leave()
+        with Listener(HTTPServer(frontend), "127.0.0.1", 0) as listener:
+            reader, writer = await asyncio.open_connection(*listener.addresses[0])
+            writer.write(b"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
+            async with asyncio.timeout(TIMEOUT_S):
+                answer = await reader.read()
+            assert b"Connection: close\r\n" in answer
+            assert answer.endswith(b"whole")
+            writer.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("n_answer_bytes", [5, 500_000])
+def test_answer_arrives_although_another_request_is_behind_its_end(n_answer_bytes):
+    # Closing a socket with unread bytes drops what it has not sent.
+    body = b"x" * n_answer_bytes
+    last = b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+
+    async def run():
+        may_answer = asyncio.Event()
+
+        async def handle(inbound):
+            await may_answer.wait()
+            inbound.answer(200, {}, body)
+
+        log = RecordingLog()
+        frontend = Frontend(handle, log)
+        with Listener(HTTPServer(frontend), "127.0.0.1", 0) as listener:
+            caller = socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.connect(listener.addresses[0])
+            caller.sendall(last)
+            while not frontend.n_requests:
+                await asyncio.sleep(0.01)
+            caller.sendall(2 * last)
+            may_answer.set()
+            async with asyncio.timeout(TIMEOUT_S):
+                while frontend.n_connections:
+                    await asyncio.sleep(0.01)
+            caller.settimeout(TIMEOUT_S)
+            answer = b""
+            while data := caller.recv(65536):
+                answer += data
+            caller.close()
+        assert answer.endswith(b"\r\n\r\n" + body)
+
+    asyncio.run(run())
+
+
+def test_request_is_answered_if_something_it_waits_for_is_cancelled():
+    # Its own task is not, so that its caller is still there.
+    async def wait(job, take_retry):
+        shared = asyncio.ensure_future(asyncio.sleep(60.0))
+        asyncio.get_running_loop().call_later(0.01, shared.cancel)
+        await asyncio.shield(shared)
+
+    log = RecordingLog()
+    answer = asyncio.run(answer_of(log, wait))
+    assert answer.startswith(b"HTTP/1.1 500 ")
+    [failed] = log.of("request.failed")
+    assert failed["error"] == "CancelledError"
+    [ended] = log.of("request.ended")
+    assert (ended["outcome"], ended["status"]) == ("internal-error", 500)
