A stream does not end at once for a sign that its engine is gone

Callers saw streams cut after three to thirty events, on routes that may not be resumed, while their engine was sound: it paused for 0.8 s or was silent for 1.2 s. Log: stream.silent with decision "gone" 305 to 748 ms after the last event.

Cause: three signs counted as proof at once. A report or an entry of another incarnation: the list may lag behind a restart, so that the stream was sent to the new process under the old entry, and a report of that same process then "proved" that it was gone; or another process has taken the name while the first one goes on. Nothing listens at the address: an engine that leaves may stop listening before the list shows that it leaves.

All signs need the three seconds of silence now that a leaving engine had already. A process that ends closes its connections, which ends the attempt at once as before; a stream that may move starts on a second chain as soon as before.

--- a/packages/cassiaspread-core/src/cassiaspread_core/targets/_silence.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/targets/_silence.py
@@ -6,8 +6,10 @@
 
 import msgspec
 
-# A leaving target that is silent for this long has ended, in seconds. It may refuse
-# connections before it has completed its requests.
+# A target that is silent for this long and shows a sign of its end has ended, in
+# seconds. A process that ends closes its connections. One that leaves may refuse new
+# ones before it has completed its requests, also before the list shows that it leaves,
+# and the list may show a process of its name that began before the request was sent.
 MIN_GONE_SILENCE_S = 3.0
 
 
@@ -16,7 +18,8 @@
 
     :param duration_s: time since the target last sent anything, in seconds.
     :param is_refused: nothing listens at its address.
-    :param is_restarted: another process has its name since the request was sent.
+    :param is_restarted: another process has its name, possibly since the request was
+        sent.
     :param is_leaving: it is leaving, or a current list of targets does not contain it.
     """
 
@@ -27,19 +30,16 @@
 
 
 def is_gone(silence: Silence) -> bool:
-    """Return whether a silent target can no longer answer.
+    """Return whether a silent target, whose connection is open, can't answer any more.
 
     :param silence: what is known of it.
 
     >>> is_gone(Silence(duration_s=10.0))
     False
     >>> is_gone(Silence(duration_s=0.6, is_refused=True))
-    True
-    >>> is_gone(Silence(duration_s=0.6, is_refused=True, is_leaving=True))
     False
+    >>> is_gone(Silence(duration_s=3.0, is_refused=True))
+    True
     """
-    if silence.is_restarted:
-        return True
-    if silence.is_leaving:
-        return silence.duration_s >= MIN_GONE_SILENCE_S
-    return silence.is_refused
+    has_sign = silence.is_refused or silence.is_restarted or silence.is_leaving
+    return has_sign and silence.duration_s >= MIN_GONE_SILENCE_S
