--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -11,7 +11,8 @@
 (pause between events), ``answer_bytes`` (length of an answer that is no stream),
 ``unframed`` (answers have neither a length nor chunks and end with the connection),
 ``close_after`` (number of events after which a stream is broken off; other answers
-after their first half), ``renews`` (whether the entry is renewed),
+after their first half), ``lie`` (how reports lie: ``errors``, ``hang``, ``reset``, or
+``bad`` for bytes that are no report), ``renews`` (whether the entry is renewed),
 ``listens`` (false: no new connections, those that are open stay),
 ``break_text`` (sent before that), ``break_how`` (``close``,
 ``reset``, or ``end`` for a last chunk) and ``flood``, which sends bytes without end: in
@@ -90,6 +91,7 @@
         self.answer_bytes = 0
         self.state = "ready"
         self.renewals = 0
+        self.lie = None
         self.renews = True
         self.server = None
 
@@ -151,8 +153,11 @@
 
 
 class ReportHandler(EngineHandler):
-    def get(self):
+    async def get(self):
         engine = self.engine
+        if engine.lie is not None and STAGE_HEADER not in self.request.headers:
+            await self.lie(engine.lie)
+            return
         if engine.retry_after is not None and STAGE_HEADER not in self.request.headers:
             engine.append_history(kind="report")
         stalled = [{"id": i, "address": a} for i, a in engine.stalled.items()]
@@ -173,6 +178,16 @@
             }
         )
 
+    async def lie(self, how):
+        if how == "reset":
+            reset(self.request.connection.stream)
+            return
+        if how == "hang":
+            await asyncio.sleep(3600)
+        if how == "errors":
+            self.set_status(500)
+        self.finish("no report")
+
 
 class OrderHandler(EngineHandler):
     async def post(self):
@@ -386,12 +401,15 @@
             self.end()
             return
         if engine.break_how == "reset":
-            stream.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-            )
+            reset(stream)
         stream.close()
 
 
+def reset(stream):
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    stream.close()
+
+
 async def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--port", type=int, required=True)
