A connection that opens while the event loop is held up is used

A gateway whose loop ran nothing for longer than the 0.25 s that a connection may take gave up connections that the kernel had opened in time. It took their sound targets for unreachable, avoided the heads of streams for 0.5 to 4 s, told other daemons so, and had fewer targets left for the request.

Evidence: in seven plays at two connections to engines that ran were given up ("no response in time"), 13 and 2 ms from a line loop.delayed of 613 and 194 ms.

Cause: the timeout cancelled the wait in the same iteration of the loop in which the connection was found to be open. Now the result decides: it is there if the kernel opened the connection before the loop ran again.

test_sound_engines_stay_reachable_while_their_gateway_is_held_up failed before in two of two runs and passed once after; test_connection_that_opens_while_the_loop_is_held_up_is_used failed before (ConnectTimedOut) and passes.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -378,11 +378,13 @@
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         stream = ResponseStream(socket.socket(family), read_chunk_size=MAX_HEAD_BYTES)
         try:
-            async with asyncio.timeout(timeout_s):
-                await stream.connect((host.strip("[]"), int(port)))
-        except TimeoutError:
-            stream.close()
-            raise ConnectTimedOut(f"{address}: no response in time") from None
+            connecting = stream.connect((host.strip("[]"), int(port)))
+            await asyncio.wait([connecting], timeout=timeout_s)
+            # Only the result tells: the event loop may have been held up meanwhile.
+            if not connecting.done():
+                stream.close()
+                raise ConnectTimedOut(f"{address}: no response in time")
+            await connecting
         except (OSError, StreamClosedError) as error:
             stream.close()
             reason = getattr(error, "real_error", None) or error
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import time
 
 import msgspec
 import pytest
@@ -510,3 +511,19 @@
         assert events.feed(block) == b""
     with pytest.raises(AnswerTooLarge):
         events.feed(b"x")
+
+
+def test_connection_that_opens_while_the_loop_is_held_up_is_used():
+    # The kernel opens it in time; the event loop finds out later.
+    async def run():
+        server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        opening = asyncio.ensure_future(Exchange.open(f"127.0.0.1:{port}", 0.1))
+        await asyncio.sleep(0)
+        time.sleep(0.3)
+        try:
+            (await opening).close()
+        finally:
+            server.close()
+
+    asyncio.run(run())
--- a/tests/users_platform/test_flapping_engines.py
+++ b/tests/users_platform/test_flapping_engines.py
@@ -40,6 +40,7 @@
 N_CALLERS_EACH = 3
 # Delay of a restarted engine's first entry.
 ENTRY_DELAY_S = 0.8
+HELD_UP_S = 0.4
 
 
 def routes(n_more=0):
@@ -419,6 +420,13 @@
     return play
 
 
+def hold_up(play):
+    """Stop the gateway for longer than a connection may take, again and again."""
+    while not play.is_over:
+        silence(play.deployment, GATEWAY, HELD_UP_S)
+        time.sleep(HELD_UP_S)
+
+
 SOUND = ("model-a", "model-b", "model-c", "plain-a", "plain-b")
 FLAPPING = ("model-flap", "plain-flap")
 # Faults, and whether an engine holds half of the layers only.
@@ -475,3 +483,9 @@
 @pytest.mark.parametrize("mix", MIXES)
 def test_whole_requests_are_answered_or_refused(bare_deployment, mix):
     play_through(bare_deployment, *MIXES[mix])
+
+
+def test_sound_engines_stay_reachable_while_their_gateway_is_held_up(bare_deployment):
+    play_through(bare_deployment, [hold_up])
+    assert bare_deployment.decisions(GATEWAY, "loop.delayed")
+    assert not bare_deployment.decisions(GATEWAY, "attempt.broken")
