Gossip is due by the last gossip, not by other messages

Contacts took every message between two daemons for an exchange of gossip. A daemon that reads feeds from another one asks it every 0.8 to 1 s, so that gossip between the two was due only for the probe after 2.5 s: every 3 s instead of every second. All that gossip tells is as late, loads too.

test_other_messages_do_not_put_off_gossip failed three times of three before (4 messages in 8 s) and passed three of three; four new cases of test_contact_is_due failed before. A pair of daemons exchanges gossip once in 0.9 s at most, as pairs without feeds did already.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_contacts.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_contacts.py
@@ -3,9 +3,9 @@
 from cassiaspread_core.base import DomainId
 from cassiaspread_daemon.mesh._message import Sender, ShortId, short_id
 
-# Peers exchange messages about once a second. The side that sent the last request
-# sends the next one after REQUESTER_INTERVAL_S; the other side takes over only after
-# RESPONDER_INTERVAL_S.
+# Peers exchange gossip about once a second. The side that sent the last request sends
+# the next one after REQUESTER_INTERVAL_S; the other side takes over only after
+# RESPONDER_INTERVAL_S. Other messages carry no gossip and don't put it off.
 REQUESTER_INTERVAL_S = 0.9
 RESPONDER_INTERVAL_S = 1.4
 
@@ -28,6 +28,8 @@
         self.acknowledged_id = ShortId(0)
         self.exchanged_s = NEVER_S
         self.answered_s = NEVER_S
+        self.gossiped_s = NEVER_S
+        self.was_requester = False
         self.failed_s = NEVER_S
         self.is_failing = False
 
@@ -74,7 +76,12 @@
         return None if sender is None else sender.domain
 
     def record_answer(
-        self, address: str, sender: Sender, own: ShortId, now_s: float
+        self,
+        address: str,
+        sender: Sender,
+        own: ShortId,
+        now_s: float,
+        is_gossip: bool,
     ) -> None:
         """Record an answer.
 
@@ -82,20 +89,27 @@
         :param sender: sender of the answer.
         :param own: short identifier of this daemon.
         :param now_s: current time, in seconds.
+        :param is_gossip: whether the messages were gossip.
         """
         contact = self._contact(address)
         self._record(contact, sender, now_s)
+        if is_gossip:
+            contact.gossiped_s, contact.was_requester = now_s, True
         contact.acknowledged_id = own
         contact.answered_s = now_s
         contact.is_failing = False
 
-    def record_request(self, sender: Sender, now_s: float) -> None:
+    def record_request(self, sender: Sender, now_s: float, is_gossip: bool) -> None:
         """Record a request.
 
         :param sender: sender of the request.
         :param now_s: current time, in seconds.
+        :param is_gossip: whether the messages were gossip.
         """
-        self._record(self._contact(sender.address), sender, now_s)
+        contact = self._contact(sender.address)
+        self._record(contact, sender, now_s)
+        if is_gossip:
+            contact.gossiped_s, contact.was_requester = now_s, False
 
     def record_no_answer(self, address: str, now_s: float) -> None:
         """Record that an address did not answer.
@@ -117,7 +131,7 @@
         return now_s - self._contact(address).answered_s <= RECENT_ANSWER_S
 
     def is_due(self, address: str, now_s: float, is_urgent: bool) -> bool:
-        """Return whether to send a request to an address in this round.
+        """Return whether to send gossip to an address in this round.
 
         :param address: ``host:port``.
         :param now_s: current time, in seconds.
@@ -130,9 +144,10 @@
             return True
         if now_s - contact.answered_s >= PROBE_INTERVAL_S:
             return True
-        was_requester = contact.answered_s == contact.exchanged_s
-        interval_s = REQUESTER_INTERVAL_S if was_requester else RESPONDER_INTERVAL_S
-        return now_s - contact.exchanged_s >= interval_s
+        interval_s = RESPONDER_INTERVAL_S
+        if contact.was_requester:
+            interval_s = REQUESTER_INTERVAL_S
+        return now_s - contact.gossiped_s >= interval_s
 
     def cross_domain_ages(
         self, domain: DomainId, now_s: float
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
@@ -272,7 +272,9 @@
             raise PeerUnreachable(f"{address}: {error}") from None
         self._events.receive_timestamp(reply.stamp)
         now_s = time.monotonic()
-        self._contacts.record_answer(address, sender, self._own_id, now_s)
+        self._contacts.record_answer(
+            address, sender, self._own_id, now_s, kind == GOSSIP_KIND
+        )
         if self._members.record_message(sender, now_s, address):
             self.gossip_now()
         return msgspec.structs.replace(reply, sender=sender)
@@ -293,7 +295,7 @@
         sender = self._senders.resolve(request.sender)
         self._events.receive_timestamp(request.stamp)
         now_s = time.monotonic()
-        self._contacts.record_request(sender, now_s)
+        self._contacts.record_request(sender, now_s, request.kind == GOSSIP_KIND)
         if self._members.record_message(sender, now_s):
             self.gossip_now()
         return sender
--- a/packages/cassiaspread-daemon/tests/test_mesh.py
+++ b/packages/cassiaspread-daemon/tests/test_mesh.py
@@ -14,6 +14,8 @@
 SKEW_S = 7.0
 # A few rounds of gossip, one second each.
 MEETING_BOUND_S = 10.0
+OBSERVED_S = 8.0
+QUESTION_INTERVAL_S = 0.2
 
 
 def build_mesh(
@@ -90,3 +92,35 @@
 
 def vms_of(mesh):
     return {member.vm for member in mesh.active_members()}
+
+
+def test_other_messages_do_not_put_off_gossip():
+    async def main() -> int:
+        n_received = 0
+
+        def consume(body: int, sender: Sender) -> None:
+            nonlocal n_received
+            n_received += 1
+
+        async def answer(body: Empty, sender: Sender) -> Empty:
+            return Empty()
+
+        far, _ = build_mesh("far", 1.0)
+        near, _ = build_mesh("near", 1.0, seeds=(far.sender.address,))
+        far.add_topic("news", lambda: None, int, consume)
+        near.add_topic("news", lambda: 1, int, lambda body, sender: None)
+        far.register("question", Empty, answer)
+        loop = asyncio.get_running_loop()
+        async with far, near:
+            async with asyncio.timeout(MEETING_BOUND_S):
+                while n_received < 1:
+                    await asyncio.sleep(0.01)
+            n_received = 0
+            end_s = loop.time() + OBSERVED_S
+            while loop.time() < end_s:
+                address = far.sender.address
+                await near.ask(address, "question", Empty(), Empty, 5.0)
+                await asyncio.sleep(QUESTION_INTERVAL_S)
+            return n_received
+
+    assert asyncio.run(main()) > OBSERVED_S / 2
--- a/packages/cassiaspread-daemon/tests/test_mesh_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_mesh_parts.py
@@ -78,15 +78,21 @@
         ([("answer", 0.0), ("miss", 0.2)], 0.3, True),
         ([("miss", 0.0)], 1.0, False),
         ([("miss", 0.0)], 2.0, True),
+        ([("answer", 0.0), ("other answer", 0.8)], 1.0, True),
+        ([("answer", 0.0), ("other request", 0.8)], 1.0, True),
+        ([("answer", 0.0), ("request", 0.5), ("other answer", 1.2)], 1.5, False),
+        ([("answer", 0.0), ("request", 0.5), ("other answer", 1.2)], 2.0, True),
+        ([("answer", 0.0), ("request", 0.5), ("other request", 1.2)], 2.0, True),
     ],
 )
 def test_contact_is_due(calls, now_s, is_due):
     contacts = Contacts()
     for call, at_s in calls:
-        if call == "answer":
-            contacts.record_answer("b:1", B, short_id(A), at_s)
-        elif call == "request":
-            contacts.record_request(B, at_s)
+        is_gossip = not call.startswith("other")
+        if call.endswith("answer"):
+            contacts.record_answer("b:1", B, short_id(A), at_s, is_gossip)
+        elif call.endswith("request"):
+            contacts.record_request(B, at_s, is_gossip)
         else:
             contacts.record_no_answer("b:1", at_s)
     assert contacts.is_due("b:1", now_s, is_urgent=False) is is_due
@@ -95,9 +101,9 @@
 def test_short_identifier_is_used_only_after_an_answer():
     contacts, table = Contacts(), SenderTable()
     assert not contacts.accepts_short_id("b:1", short_id(A))
-    contacts.record_answer("b:1", B, short_id(A), 0.0)
+    contacts.record_answer("b:1", B, short_id(A), 0.0, is_gossip=True)
     assert contacts.accepts_short_id("b:1", short_id(A))
-    contacts.record_request(Sender("other", "celje", "ic", "b:1"), 1.0)
+    contacts.record_request(Sender("other", "celje", "ic", "b:1"), 1.0, is_gossip=True)
     assert not contacts.accepts_short_id("b:1", short_id(A))
     with pytest.raises(UnknownSender):
         table.resolve(short_id(A))
