Daemon that has just something urgent to tell stops

asyncio.wait_for of Python 3.11 returns the result if the task is cancelled after the event was set: the gossip loop went on, and the exit of the mesh waited for it without end. asyncio.timeout does not do so.

test_daemon_with_something_urgent_to_tell_stops failed before for 0, 1 and 2 steps of the loop between the event and the exit, and passes for 0 to 4.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
@@ -331,8 +331,11 @@
                 self._supervisor.start_once(
                     f"gossip-{address}", self._gossip_task(address)
                 )
+            # Unlike asyncio.timeout, wait_for ignores a cancellation once the event is
+            # set (Python 3.11).
             with suppress(TimeoutError):
-                await asyncio.wait_for(self._urgent.wait(), GOSSIP_INTERVAL_S)
+                async with asyncio.timeout(GOSSIP_INTERVAL_S):
+                    await self._urgent.wait()
                 await asyncio.sleep(URGENT_DELAY_S)
 
     def _tick(self) -> None:
--- a/packages/cassiaspread-daemon/tests/test_mesh.py
+++ b/packages/cassiaspread-daemon/tests/test_mesh.py
@@ -14,6 +14,7 @@
 SKEW_S = 7.0
 # A few rounds of gossip, one second each.
 MEETING_BOUND_S = 10.0
+STOP_BOUND_S = 5.0
 OBSERVED_S = 8.0
 QUESTION_INTERVAL_S = 0.2
 
@@ -52,6 +53,21 @@
     assert asyncio.run(main()) == ["asking", "answered", "was answered"]
 
 
+@pytest.mark.parametrize("n_steps", range(5))
+def test_daemon_with_something_urgent_to_tell_stops(n_steps):
+    async def main() -> bool:
+        mesh, _ = build_mesh("d1", 1.0)
+        async with asyncio.timeout(STOP_BOUND_S) as bound:
+            async with mesh:
+                await asyncio.sleep(0.1)
+                mesh.gossip_now()
+                for _ in range(n_steps):
+                    await asyncio.sleep(0.0)
+        return bound.expired()
+
+    assert not asyncio.run(main())
+
+
 @pytest.mark.parametrize("kind", ["unknown", "failing"])
 def test_request_that_can_not_be_handled_is_reported_at_once(kind):
     async def main() -> None:
