Messages between daemons end with their tasks and timeouts

pynng ignores a cancellation if its operation ends at the same time. A reply task that was cancelled as its reply had just been sent went on to wait for requests, and the exit of the mesh waited for it without end. A request whose timeout ended as it had just been sent waited for its answer without a timeout; no more gossip went to this peer from here.

The request without a timeout is played only by the test.

The operations now raise the cancellation that pynng left out.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_transport.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_transport.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from types import TracebackType
-from typing import Self
+from typing import Self, TypeVar
 
 import pynng
 
@@ -19,6 +19,17 @@
 N_REPLY_CONTEXTS = 64
 IDLE_SOCKET_S = 60.0
 
+Result = TypeVar("Result")
+
+
+async def _complete(operation: Awaitable[Result]) -> Result:
+    """Await an operation of pynng, which ignores a cancellation at its very end."""
+    result = await operation
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
+    return result
+
 
 class PeerUnreachable(CassiaspreadError):
     """A peer did not answer; the request may have reached it."""
@@ -105,8 +116,8 @@
         try:
             with requester.socket.new_context() as context:
                 async with asyncio.timeout(timeout_s):
-                    await context.asend(request)
-                    reply = await context.arecv()
+                    await _complete(context.asend(request))
+                    reply = await _complete(context.arecv())
         except (TimeoutError, pynng.NNGException) as error:
             self._drop(address, requester)
             reason = str(error) or "no reply in time"
@@ -138,7 +149,7 @@
     async def _reply(self) -> None:
         with self._replier.new_context() as context:
             while True:
-                request = await context.arecv()
+                request = await _complete(context.arecv())
                 reply = await self._answer(request)
-                await context.asend(reply)
+                await _complete(context.asend(reply))
                 self._traffic.add(len(reply), len(request))
