Urgent gossip that is asked for too early is put off, not dropped; leaving engines need no second

A notice that an engine leaves began no round if one had begun within the last second, also for a target that turns requests away: of six engines that left one after another only the first was told at once.

UrgentGossip holds the request until the interval has passed: 1 s for targets that turn requests away, as before, 0.3 s for leaving engines. Bound of the cost: for both reasons together a daemon begins one urgent round each 0.3 s at most, whatever the number of notices; a round is a message to every daemon of its domain and, from delegates, to those of the others. Only daemons that hear it from the engine itself tell, once an engine.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -54,6 +54,7 @@
 from cassiaspread_daemon.gateway._stalls import StallDetector
 from cassiaspread_daemon.gateway._stream import StreamForwarder
 from cassiaspread_daemon.gateway._suspect_sharing import SuspectSharing
+from cassiaspread_daemon.gateway._urgent_gossip import UrgentGossip
 from cassiaspread_daemon.mesh import Mesh, Sender
 
 # The store waits this long for a new configuration before it returns an empty page; in
@@ -83,8 +84,10 @@
 # failure domains take minutes at the most.
 COUNTED_DAEMONS_S = 300.0
 # Daemons gossip every second; they do so at once for a target that turns requests away
-# or leaves, but not more often than this, in seconds.
-MIN_URGENT_INTERVAL_S = 1.0
+# or leaves, but not more often than this, in seconds. A target leaves once; requests
+# may be turned away all the time.
+MIN_AVOIDED_INTERVAL_S = 1.0
+MIN_LEAVING_INTERVAL_S = 0.3
 # Minimum for the number of daemons, since a daemon may not have discovered the others
 # yet.
 MIN_COUNTED_DAEMONS = 8
@@ -127,7 +130,6 @@
         )
         self._ledger = LoadLedger()
         self._daemon_peak = PeakCount(COUNTED_DAEMONS_S)
-        self._urgent_s = float("-inf")
         self._dispatcher = Dispatcher(
             settings.domain,
             self._routing_state,
@@ -144,6 +146,7 @@
         self._quarantine.verdict_callbacks.append(self._recheck_quarantine)
         self._exit_stack = ExitStack()
         self._mesh = self._build_mesh()
+        self._urgent_gossip = UrgentGossip(self._gossip_now)
         self._fleet = FleetView(self._mesh, now())
         links = LinkPermits(self._mesh, self._fleet, self._dispatcher, log)
         self._capacity_queue = CapacityQueue(self._dispatcher, links, log)
@@ -154,7 +157,7 @@
             self._closures,
             self._dispatcher,
             self._mesh,
-            self._gossip_soon,
+            lambda: self._urgent_gossip.request(MIN_LEAVING_INTERVAL_S, now()),
             log,
             self._metrics,
         )
@@ -338,12 +341,12 @@
             self._capacity_queue.recheck_capacity,
         )
         self._dispatcher.count_domain_daemons = sharing.count_domain_daemons
-        self._dispatcher.on_avoided = self._gossip_soon
+        self._dispatcher.on_avoided = lambda: self._urgent_gossip.request(
+            MIN_AVOIDED_INTERVAL_S, now()
+        )
 
-    def _gossip_soon(self) -> None:
-        is_due = now() - self._urgent_s >= MIN_URGENT_INTERVAL_S
-        if self._mesh is not None and is_due:
-            self._urgent_s = now()
+    def _gossip_now(self) -> None:
+        if self._mesh is not None:
             self._mesh.gossip_now()
 
     def _seed_addresses(self) -> dict[str, DomainId | None]:
