Streams of test_lost_answers.py start once both gateways have their route

test_stream_that_may_not_resume_outlasts_a_silent_head failed once, and tests of streams in progress beside a removed route (once) and a leaving daemon (twice), in two runs of the file at a load of 15 to 26 on 8 cores, one of them stopped after twelve tests. Cause, from the logs of three of the four (the fourth was not looked at for it): the fixture waited until one gateway had the configuration; the other one read it 0.1 to 0.9 s later and had answered 404 meanwhile, so that two of four streams never ran. The fixture waits for both; no check changes.

--- a/tests/users_platform/test_lost_answers.py
+++ b/tests/users_platform/test_lost_answers.py
@@ -43,7 +43,8 @@
 def slow_deployment(deployment):
     """Streams take two seconds, on resumable routes and on others."""
     deployment.publish_configuration(4, routes=routes())
-    wait_for(lambda: stream(deployment, "/once/x", n_events=1).status == 200)
+    for gateway in GATEWAYS:
+        wait_for(lambda g=gateway: stream(deployment, "/once/x", 1, g).status == 200)
     for name in ENGINES:
         deployment.control(name, event_s=EVENT_S)
     return deployment
