A configuration that a daemon without the store missed is sent to it again

A large configuration went through the tree of daemons once for each version. A daemon that missed its message, or all of a domain whose first daemon missed it, had it only from the store after that; cut off from the store, but not from its peers, it kept the configuration before until the next one came, and refuses requests once that one is too old.

The reply to an update says which position its receiver has. With the next update of the same version, two of those that lack it are offered the document again, and pass it on.

The new test, with a domain that can't read the store and the first offer to each daemon lost, failed before (not in force within 5 s) and passes.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_document_spread.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_document_spread.py
@@ -103,11 +103,20 @@
 
         :param heads: one daemon of each other domain that is to have it.
         """
-        for head in heads:
-            self._start_sending(head, head.incarnation)
+        self.send_to(heads)
         own = self._mesh.sender.incarnation
         self._send_to_children(own, own)
 
+    def send_to(self, peers: Iterable[Member]) -> None:
+        """Send the newest document to daemons, which pass it on in their domains.
+
+        :param peers: the daemons.
+        """
+        own = self._mesh.sender.incarnation
+        for peer in peers:
+            is_own_domain = peer.domain == self._domain
+            self._start_sending(peer, own if is_own_domain else peer.incarnation)
+
     def _send_to_children(self, parent: Incarnation, root: Incarnation) -> None:
         domain = [m for m in self._members() if m.domain == self._domain]
         for child in find_children(self._kind, domain, root, parent):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -62,6 +62,9 @@
 MAX_UPDATE_BYTES = 2 * 1024
 # Larger configurations are read from the store by each daemon.
 MAX_DOCUMENT_BYTES = 256 * 1024
+# Daemons that are offered such a configuration again with each update, because they
+# did not have it when they acknowledged the one before.
+MAX_OFFERED_AGAIN = 2
 # A daemon that heard of a configuration and did not get it reads the store after this
 # time, in seconds.
 DOCUMENT_TIMEOUT_S = 0.9
@@ -271,6 +274,24 @@
             firsts.setdefault(member.domain, member)
         return [m for domain, m in firsts.items() if domain != self._domain]
 
+    def behind(self, kind: str, end: int, is_forwarded: bool) -> list[Member]:
+        """Return the daemons that acknowledged an update and lacked its content.
+
+        :param kind: name of the feed.
+        :param end: position up to which the others have the feed.
+        :param is_forwarded: whether the update came from another domain.
+        """
+        members = self._fleet.members(now())
+        own = [m for m in members if m.domain == self._domain]
+        found = []
+        for member in own + self.heads(kind, is_forwarded):
+            clock = self._peer_clocks.get((kind, member.address))
+            if clock is not None:
+                position = clock.acknowledgement.position
+                if position is None or position < end:
+                    found.append(member)
+        return found
+
     def _receivers(self, mesh: Mesh, kind: str, is_forwarded: bool) -> list[str]:
         peers = [peer.sender for peer in mesh.peers()]
         addresses = [p.address for p in peers if p.domain == self._domain]
@@ -462,6 +483,8 @@
         self._compressed: tuple[RouteTable | None, bytes] = (None, b"")
         # Position of the document that was passed on last.
         self._spread_end: int | None = None
+        # Position of the last update to other daemons.
+        self._published_end: int | None = None
         # Since when a document that is passed on is awaited.
         self._awaited_since_s: float | None = None
         self._spread = feed_sharing.spread(
@@ -502,6 +525,12 @@
         if self._spread is not None and is_spread and self._spread_end != end:
             self._spread_end = end
             self._spread.publish(self._feed_sharing.heads(self._name, is_forwarded))
+        elif self._spread is not None and is_spread and self._published_end == end:
+            # They may be unable to read the store.
+            behind = self._feed_sharing.behind(self._name, end, is_forwarded)
+            n = min(len(behind), MAX_OFFERED_AGAIN)
+            self._spread.send_to(self._random_state.sample(behind, n))
+        self._published_end = end
 
     def _newest_document(self) -> tuple[int, bytes] | None:
         document = self._compress()
--- a/packages/cassiaspread-daemon/tests/test_configuration_follower.py
+++ b/packages/cassiaspread-daemon/tests/test_configuration_follower.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from cassiaspread_core.base import DomainId, Incarnation
+from cassiaspread_core.base import DomainId, Incarnation, LogUnavailable
 from cassiaspread_core.routing import ClientLimits, RouteTable
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.gateway import DecisionLog
@@ -46,6 +46,7 @@
         self.documents = [document(1, 10)]
         self.changed = asyncio.Event()
         self.n_reads = Counter()
+        self.cut_off = ()
 
     def publish(self, data):
         self.documents.append(data)
@@ -67,6 +68,8 @@
         return FeedPage((self.decode(data),), len(self.store.documents))
 
     async def changes(self, position, wait_s):
+        if self.reader in self.store.cut_off:
+            raise LogUnavailable("cut off")
         if position == len(self.store.documents) and wait_s:
             try:
                 await asyncio.wait_for(self.store.changed.wait(), wait_s)
@@ -80,17 +83,21 @@
 
 
 class LossyMesh(FakeMesh):
-    """Loses all messages of some kinds."""
+    """Loses all messages of some kinds, and the first one of others to each daemon."""
 
     lost_kinds = ()
+    first_lost_kinds = ()
 
     async def ask(self, address, kind, body, reply_type, timeout_s):
+        if kind in self.first_lost_kinds and (address, kind) not in self.network.lost:
+            self.network.lost.add((address, kind))
+            raise PeerUnreachable(address)
         if kind in self.lost_kinds:
             raise PeerUnreachable(address)
         return await super().ask(address, kind, body, reply_type, timeout_s)
 
 
-def run_fleet(tmp_path, use, lost_kinds=()):
+def run_fleet(tmp_path, use, lost_kinds=(), first_lost_kinds=()):
     async def main():
         descriptor = os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT)
         log = DecisionLog("d", descriptor)
@@ -100,10 +107,12 @@
             for n in range(N_DAEMONS)
         ]
         network, store, states = FakeNetwork(), Store(), []
+        network.lost = set()
         async with Supervisor("fleet") as supervisor:
             for sender in senders:
                 mesh = LossyMesh(network, sender, senders)
                 mesh.lost_kinds = lost_kinds
+                mesh.first_lost_kinds = first_lost_kinds
                 state = RoutingState(log, 60.0, 60.0)
                 # The daemons share one supervisor, whose tasks have unique names.
                 sharing = FeedSharing(
@@ -181,3 +190,12 @@
         assert len(store.n_reads) == len(states)
 
     run_fleet(tmp_path, use)
+
+
+def test_daemons_cut_off_from_the_store_get_a_document_after_a_lost_message(tmp_path):
+    async def use(store, states):
+        store.cut_off = {f"vm-b-{n}" for n in range(N_DAEMONS)}
+        store.publish(document(2, 20 * MAX_UPDATE_BYTES))
+        await wait_in_force(states, 2)
+
+    run_fleet(tmp_path, use, first_lost_kinds=("offer-configuration",))
