An update that can't be sent in time ends its attempt

Since large messages go in pieces, the timeout of an update held for each piece only, and waiting for the pieces of other messages had none. An update of the list of targets over 8 KB goes to each daemon of the domain; where the link or unreachable peers hold it up for longer than the time to the next one, the messages piled up, each with its content, ahead of a configuration, although their receivers had read the store by then.

A whole update has one second now. The new test, with messages that never end, failed before (15 of them were still waiting two seconds later) and passes.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -41,6 +41,10 @@
 from cassiaspread_daemon.mesh import Mesh, PeerUnreachable, Sender
 
 SEND_TIMEOUT_S = 0.5
+# Maximum time for a whole update, in seconds. A large one is sent in pieces, each with
+# the timeout above, and waits for those of other messages. Receivers read the store
+# after a similar time.
+UPDATE_TIMEOUT_S = 1.0
 # A daemon without updates reads the store after this time, in seconds, if it passes
 # updates on to its domain, and after the longer time otherwise. The shortest bound for
 # a new configuration in the users' deployments is two seconds.
@@ -311,21 +315,22 @@
             for _ in range(1 + is_first):
                 update = self._build_update(kind, address, build, confirmed_s)
                 try:
-                    reply = await mesh.ask(
-                        address,
-                        f"feed-{kind}",
-                        update,
-                        _Acknowledgement,
-                        SEND_TIMEOUT_S,
-                    )
-                except PeerUnreachable as error:
+                    async with asyncio.timeout(UPDATE_TIMEOUT_S):
+                        reply = await mesh.ask(
+                            address,
+                            f"feed-{kind}",
+                            update,
+                            _Acknowledgement,
+                            SEND_TIMEOUT_S,
+                        )
+                except (PeerUnreachable, TimeoutError) as error:
                     self._peer_clocks.pop((kind, address), None)
                     self._log.record(
                         "peer.not_told",
                         peer=address,
                         feed=kind,
                         n_bytes=len(update.content),
-                        reason=str(error),
+                        reason=str(error) or "not sent in time",
                     )
                     return
                 self._peer_clocks[kind, address] = _PeerClock(
--- a/packages/cassiaspread-daemon/tests/test_feed_sharing.py
+++ b/packages/cassiaspread-daemon/tests/test_feed_sharing.py
@@ -126,6 +126,31 @@
     run_fleet(tmp_path, use)
 
 
+def test_updates_that_wait_for_a_full_link_do_not_pile_up(tmp_path, monkeypatch):
+    async def use(receivers, network):
+        n_waiting = 0
+
+        async def wait(*args):
+            nonlocal n_waiting
+            n_waiting += 1
+            try:
+                await asyncio.Event().wait()
+            finally:
+                n_waiting -= 1
+
+        # A message in pieces waits for those before it as long as it takes.
+        monkeypatch.setattr(FakeMesh, "ask", wait)
+        reader = receivers[roles(receivers).index(ReaderRole.FLEET)]
+        for update in range(3):
+            reader.sharing.publish("feed", lambda _, u=update: u, 1.0)
+            await asyncio.sleep(0.01)
+        assert n_waiting
+        await asyncio.sleep(2.0)
+        assert not n_waiting
+
+    run_fleet(tmp_path, use)
+
+
 def test_first_update_confirms_nothing(tmp_path, clock):
     async def use(receivers, network):
         reader = receivers[roles(receivers).index(ReaderRole.FLEET)]
