An older configuration does not put off the read of the one that is awaited

The document of an older one, or an update of a daemon that has the older one, began this time anew, and that of missing updates as well: with configurations that follow each other, or two daemons that read at once, the newest one could be in force more than two seconds late where its message was lost. Seen by reading the code.

Each awaited position has its own time now, which only that position or a newer one ends.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -490,8 +490,8 @@
         self._spread_end: int | None = None
         # Position of the last update to other daemons.
         self._published_end: int | None = None
-        # Since when a document that is passed on is awaited.
-        self._awaited_since_s: float | None = None
+        # Since when documents that are passed on are awaited, by their positions.
+        self._awaited_since_s: dict[int, float] = {}
         self._spread = feed_sharing.spread(
             self._name, self._newest_document, self._receive_document
         )
@@ -557,11 +557,9 @@
         if is_newer and update.document:
             self._apply_document(update.end, update.document)
         if self._position == update.end:
-            self._awaited_since_s = None
             self._confirm_current(current_s)
         elif is_newer and update.is_coming:
-            if self._awaited_since_s is None:
-                self._awaited_since_s = now()
+            self._awaited_since_s.setdefault(update.end, now())
         elif is_newer:
             self._is_behind = True
 
@@ -587,16 +585,26 @@
         self._position = end
         return True
 
+    async def _wait_until_due(self) -> None:
+        await super()._wait_until_due()
+        self._awaited_since_s.clear()
+
     def _is_due(self) -> bool:
-        since_s = self._awaited_since_s
-        if since_s is not None:
-            timeout_s = DOCUMENT_TIMEOUT_S * self._timeout_factor
-            return now() - since_s > timeout_s or super()._is_due()
-        return super()._is_due()
+        position = self._position or 0
+        awaited = [s for end, s in self._awaited_since_s.items() if end > position]
+        timeout_s = DOCUMENT_TIMEOUT_S * self._timeout_factor
+        is_late = bool(awaited) and now() - min(awaited) > timeout_s
+        return is_late or super()._is_due()
 
     def _restart_timeout(self) -> None:
         super()._restart_timeout()
-        self._awaited_since_s = None
+        # What confirms an older document, or contains it, is not what is awaited.
+        position = self._position or 0
+        self._awaited_since_s = {
+            end: since_s
+            for end, since_s in self._awaited_since_s.items()
+            if end > position
+        }
 
     def _decode(self, document: bytes) -> RouteTable | None:
         try:
--- a/packages/cassiaspread-daemon/tests/test_configuration_follower.py
+++ b/packages/cassiaspread-daemon/tests/test_configuration_follower.py
@@ -4,6 +4,7 @@
 import os
 import random
 import time
+import zlib
 from collections import Counter
 
 import pytest
@@ -12,13 +13,17 @@
 from cassiaspread_core.routing import ClientLimits, RouteTable
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.gateway import DecisionLog
+from cassiaspread_daemon.gateway import _feed_sharing as feed_sharing
+from cassiaspread_daemon.gateway._document_spread import Document
 from cassiaspread_daemon.gateway._feed_sharing import (
     DOCUMENT_TIMEOUT_S,
     MAX_DOCUMENT_BYTES,
     MAX_UPDATE_BYTES,
     TIMEOUT_SPREAD,
     ConfigurationFollower,
+    ConfigurationUpdate,
     FeedSharing,
+    ReaderRole,
 )
 from cassiaspread_daemon.gateway._fleet_view import FleetView
 from cassiaspread_daemon.gateway._protocols import FeedPage
@@ -199,3 +204,51 @@
         await wait_in_force(states, 2)
 
     run_fleet(tmp_path, use, first_lost_kinds=("offer-configuration",))
+
+
+def test_older_document_does_not_put_off_reading_the_one_that_is_awaited(
+    tmp_path, monkeypatch
+):
+    async def main():
+        log = DecisionLog("d", os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT))
+        times = {"now_s": 100.0}
+        monkeypatch.setattr(feed_sharing, "now", lambda: times["now_s"])
+        senders = [
+            Sender(f"vm-{n}", DomainId("a"), Incarnation(f"a{n}"), f"a:{n}")
+            for n in range(N_DAEMONS)
+        ]
+        network, store = FakeNetwork(), Store()
+        async with Supervisor("fleet") as supervisor:
+            meshes = [FakeMesh(network, sender, senders) for sender in senders]
+            followers = [
+                ConfigurationFollower(
+                    FeedSharing(
+                        mesh.sender.domain,
+                        mesh,
+                        FleetView(mesh, 0.0),
+                        supervisor.add_child(mesh.sender.vm),
+                        log,
+                    ),
+                    FakeFeed(store, mesh.sender.vm),
+                    RoutingState(log, 60.0, 60.0),
+                    log,
+                    WAIT_S,
+                    random.Random(0),
+                )
+                for mesh in meshes
+            ]
+            follower = next(f for f in followers if f._role is ReaderRole.NONE)
+            mesh = meshes[followers.index(follower)]
+            follower._position = 1
+            follower._restart_timeout()
+            follower._receive(ConfigurationUpdate(2, is_coming=True), None)
+            follower._receive(ConfigurationUpdate(3, is_coming=True), None)
+            times["now_s"] += DOCUMENT_TIMEOUT_S / 2
+            older = Document(2, senders[0].incarnation, zlib.compress(document(2, 9)))
+            follower._receive_document(older, mesh.sender)
+            times["now_s"] += DOCUMENT_TIMEOUT_S / 4
+            assert not follower._is_due()
+            times["now_s"] += DOCUMENT_TIMEOUT_S / 2
+            assert follower._is_due()
+
+    asyncio.run(main())
