Peers that do not reply hold up no large message to others

A message in pieces waited for one of two lanes, which a peer that is gone kept for half a second for each message: at worst as long as half the time-out for each peer that is not known to be gone yet. That is the case after a loss of several VMs, beside updates of the list of targets over 8 KB.

The first piece is 256 bytes long and takes no lane. The new test, with messages to four peers that are gone and a timeout of 30 s, failed before (TimeoutError after 5 s) and passes.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
@@ -10,7 +10,7 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
-from contextlib import suppress
+from contextlib import nullcontext, suppress
 from types import TracebackType
 from typing import Any, Self, TypeVar
 
@@ -260,7 +260,7 @@
             return await self._exchange_whole(address, kind, content, timeout_s)
         message = msgspec.msgpack.encode(LargeMessage(kind, content))
         for piece in split_message(next(self._message_numbers), message):
-            async with self._lanes:
+            async with self._lanes if piece.begin else nullcontext():
                 reply = await self._exchange_whole(
                     address, PIECE_KIND, piece, timeout_s
                 )
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_pieces.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_pieces.py
@@ -11,8 +11,11 @@
 from cassiaspread_core.base import CassiaspreadError, Incarnation
 
 PIECE_BYTES = 8 * 1024
-# Pieces of one daemon on the way at the same time. With one, a peer that does not reply
-# would hold up the messages to all others.
+# The first piece is small and does not wait for those of other messages, so that a peer
+# that does not reply to it holds up no message to others.
+FIRST_PIECE_BYTES = 256
+# Other pieces of one daemon on the way at the same time. With one, a peer that stops
+# replying would hold up the messages to all others.
 N_LANES = 2
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 # Messages of one sender that are received at the same time.
@@ -60,9 +63,11 @@
     :param number: number of the message.
     :param data: the message.
     """
+    begins = [0, *range(FIRST_PIECE_BYTES, len(data), PIECE_BYTES)]
+    ends = [*begins[1:], len(data)]
     return [
-        Piece(number, begin, len(data), data[begin : begin + PIECE_BYTES])
-        for begin in range(0, len(data), PIECE_BYTES)
+        Piece(number, begin, len(data), data[begin:end])
+        for begin, end in zip(begins, ends, strict=True)
     ]
 
 
--- a/packages/cassiaspread-daemon/tests/test_large_messages.py
+++ b/packages/cassiaspread-daemon/tests/test_large_messages.py
@@ -17,6 +17,7 @@
     PieceRejected,
     split_message,
 )
+from tests.fleet import free_port
 
 from .test_mesh import build_mesh
 
@@ -142,6 +143,25 @@
     run_meshes(use)
 
 
+def test_large_message_does_not_wait_for_peers_that_do_not_reply():
+    async def use(sender, received):
+        message = Large(bytes(N_BYTES))
+        gone = [
+            asyncio.create_task(
+                sender.ask(f"127.0.0.1:{free_port()}", "large", message, Empty, 30.0)
+            )
+            for _ in range(2 * N_LANES)
+        ]
+        await asyncio.sleep(0.01)
+        async with asyncio.timeout(5.0):
+            await sender.ask(next(iter(received)), "large", message, Empty, 5.0)
+        for task in gone:
+            task.cancel()
+        await asyncio.wait(gone)
+
+    run_meshes(use)
+
+
 def test_large_message_reaches_a_daemon_of_a_release_without_pieces():
     async def main():
         sender, _ = build_mesh("sender", 1.0)
