--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -41,6 +41,10 @@
 from cassiaspread_daemon.mesh import Mesh, PeerUnreachable, Sender
 
 SEND_TIMEOUT_S = 0.5
+# Maximum time for a whole update, in seconds. A large one is sent in pieces, each with
+# the timeout above, and waits for those of other messages. Receivers read the store
+# after a similar time.
+UPDATE_TIMEOUT_S = 1.0
 # A daemon without updates reads the store after this time, in seconds, if it passes
 # updates on to its domain, and after the longer time otherwise. The shortest bound for
 # a new configuration in the users' deployments is two seconds.
@@ -62,6 +66,9 @@
 MAX_UPDATE_BYTES = 2 * 1024
 # Larger configurations are read from the store by each daemon.
 MAX_DOCUMENT_BYTES = 256 * 1024
+# Daemons that are offered such a configuration again with each update, because they
+# did not have it when they acknowledged the one before.
+MAX_OFFERED_AGAIN = 2
 # A daemon that heard of a configuration and did not get it reads the store after this
 # time, in seconds.
 DOCUMENT_TIMEOUT_S = 0.9
@@ -271,6 +278,24 @@
             firsts.setdefault(member.domain, member)
         return [m for domain, m in firsts.items() if domain != self._domain]
 
+    def behind(self, kind: str, end: int, is_forwarded: bool) -> list[Member]:
+        """Return the daemons that acknowledged an update and lacked its content.
+
+        :param kind: name of the feed.
+        :param end: position up to which the others have the feed.
+        :param is_forwarded: whether the update came from another domain.
+        """
+        members = self._fleet.members(now())
+        own = [m for m in members if m.domain == self._domain]
+        found = []
+        for member in own + self.heads(kind, is_forwarded):
+            clock = self._peer_clocks.get((kind, member.address))
+            if clock is not None:
+                position = clock.acknowledgement.position
+                if position is None or position < end:
+                    found.append(member)
+        return found
+
     def _receivers(self, mesh: Mesh, kind: str, is_forwarded: bool) -> list[str]:
         peers = [peer.sender for peer in mesh.peers()]
         addresses = [p.address for p in peers if p.domain == self._domain]
@@ -290,21 +315,22 @@
             for _ in range(1 + is_first):
                 update = self._build_update(kind, address, build, confirmed_s)
                 try:
-                    reply = await mesh.ask(
-                        address,
-                        f"feed-{kind}",
-                        update,
-                        _Acknowledgement,
-                        SEND_TIMEOUT_S,
-                    )
-                except PeerUnreachable as error:
+                    async with asyncio.timeout(UPDATE_TIMEOUT_S):
+                        reply = await mesh.ask(
+                            address,
+                            f"feed-{kind}",
+                            update,
+                            _Acknowledgement,
+                            SEND_TIMEOUT_S,
+                        )
+                except (PeerUnreachable, TimeoutError) as error:
                     self._peer_clocks.pop((kind, address), None)
                     self._log.record(
                         "peer.not_told",
                         peer=address,
                         feed=kind,
                         n_bytes=len(update.content),
-                        reason=str(error),
+                        reason=str(error) or "not sent in time",
                     )
                     return
                 self._peer_clocks[kind, address] = _PeerClock(
@@ -462,8 +488,10 @@
         self._compressed: tuple[RouteTable | None, bytes] = (None, b"")
         # Position of the document that was passed on last.
         self._spread_end: int | None = None
-        # Since when a document that is passed on is awaited.
-        self._awaited_since_s: float | None = None
+        # Position of the last update to other daemons.
+        self._published_end: int | None = None
+        # Since when documents that are passed on are awaited, by their positions.
+        self._awaited_since_s: dict[int, float] = {}
         self._spread = feed_sharing.spread(
             self._name, self._newest_document, self._receive_document
         )
@@ -502,6 +530,12 @@
         if self._spread is not None and is_spread and self._spread_end != end:
             self._spread_end = end
             self._spread.publish(self._feed_sharing.heads(self._name, is_forwarded))
+        elif self._spread is not None and is_spread and self._published_end == end:
+            # They may be unable to read the store.
+            behind = self._feed_sharing.behind(self._name, end, is_forwarded)
+            n = min(len(behind), MAX_OFFERED_AGAIN)
+            self._spread.send_to(self._random_state.sample(behind, n))
+        self._published_end = end
 
     def _newest_document(self) -> tuple[int, bytes] | None:
         document = self._compress()
@@ -523,11 +557,9 @@
         if is_newer and update.document:
             self._apply_document(update.end, update.document)
         if self._position == update.end:
-            self._awaited_since_s = None
             self._confirm_current(current_s)
         elif is_newer and update.is_coming:
-            if self._awaited_since_s is None:
-                self._awaited_since_s = now()
+            self._awaited_since_s.setdefault(update.end, now())
         elif is_newer:
             self._is_behind = True
 
@@ -553,16 +585,26 @@
         self._position = end
         return True
 
+    async def _wait_until_due(self) -> None:
+        await super()._wait_until_due()
+        self._awaited_since_s.clear()
+
     def _is_due(self) -> bool:
-        since_s = self._awaited_since_s
-        if since_s is not None:
-            timeout_s = DOCUMENT_TIMEOUT_S * self._timeout_factor
-            return now() - since_s > timeout_s or super()._is_due()
-        return super()._is_due()
+        position = self._position or 0
+        awaited = [s for end, s in self._awaited_since_s.items() if end > position]
+        timeout_s = DOCUMENT_TIMEOUT_S * self._timeout_factor
+        is_late = bool(awaited) and now() - min(awaited) > timeout_s
+        return is_late or super()._is_due()
 
     def _restart_timeout(self) -> None:
         super()._restart_timeout()
-        self._awaited_since_s = None
+        # What confirms an older document, or contains it, is not what is awaited.
+        position = self._position or 0
+        self._awaited_since_s = {
+            end: since_s
+            for end, since_s in self._awaited_since_s.items()
+            if end > position
+        }
 
     def _decode(self, document: bytes) -> RouteTable | None:
         try:
--- a/packages/cassiaspread-daemon/tests/test_configuration_follower.py
+++ b/packages/cassiaspread-daemon/tests/test_configuration_follower.py
@@ -4,21 +4,26 @@
 import os
 import random
 import time
+import zlib
 from collections import Counter
 
 import pytest
 
-from cassiaspread_core.base import DomainId, Incarnation
+from cassiaspread_core.base import DomainId, Incarnation, LogUnavailable
 from cassiaspread_core.routing import ClientLimits, RouteTable
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.gateway import DecisionLog
+from cassiaspread_daemon.gateway import _feed_sharing as feed_sharing
+from cassiaspread_daemon.gateway._document_spread import Document
 from cassiaspread_daemon.gateway._feed_sharing import (
     DOCUMENT_TIMEOUT_S,
     MAX_DOCUMENT_BYTES,
     MAX_UPDATE_BYTES,
     TIMEOUT_SPREAD,
     ConfigurationFollower,
+    ConfigurationUpdate,
     FeedSharing,
+    ReaderRole,
 )
 from cassiaspread_daemon.gateway._fleet_view import FleetView
 from cassiaspread_daemon.gateway._protocols import FeedPage
@@ -46,6 +51,7 @@
         self.documents = [document(1, 10)]
         self.changed = asyncio.Event()
         self.n_reads = Counter()
+        self.cut_off = ()
 
     def publish(self, data):
         self.documents.append(data)
@@ -67,6 +73,8 @@
         return FeedPage((self.decode(data),), len(self.store.documents))
 
     async def changes(self, position, wait_s):
+        if self.reader in self.store.cut_off:
+            raise LogUnavailable("cut off")
         if position == len(self.store.documents) and wait_s:
             try:
                 await asyncio.wait_for(self.store.changed.wait(), wait_s)
@@ -80,17 +88,21 @@
 
 
 class LossyMesh(FakeMesh):
-    """Loses all messages of some kinds."""
+    """Loses all messages of some kinds, and the first one of others to each daemon."""
 
     lost_kinds = ()
+    first_lost_kinds = ()
 
     async def ask(self, address, kind, body, reply_type, timeout_s):
+        if kind in self.first_lost_kinds and (address, kind) not in self.network.lost:
+            self.network.lost.add((address, kind))
+            raise PeerUnreachable(address)
         if kind in self.lost_kinds:
             raise PeerUnreachable(address)
         return await super().ask(address, kind, body, reply_type, timeout_s)
 
 
-def run_fleet(tmp_path, use, lost_kinds=()):
+def run_fleet(tmp_path, use, lost_kinds=(), first_lost_kinds=()):
     async def main():
         descriptor = os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT)
         log = DecisionLog("d", descriptor)
@@ -100,10 +112,12 @@
             for n in range(N_DAEMONS)
         ]
         network, store, states = FakeNetwork(), Store(), []
+        network.lost = set()
         async with Supervisor("fleet") as supervisor:
             for sender in senders:
                 mesh = LossyMesh(network, sender, senders)
                 mesh.lost_kinds = lost_kinds
+                mesh.first_lost_kinds = first_lost_kinds
                 state = RoutingState(log, 60.0, 60.0)
                 # The daemons share one supervisor, whose tasks have unique names.
                 sharing = FeedSharing(
@@ -181,3 +195,60 @@
         assert len(store.n_reads) == len(states)
 
     run_fleet(tmp_path, use)
+
+
+def test_daemons_cut_off_from_the_store_get_a_document_after_a_lost_message(tmp_path):
+    async def use(store, states):
+        store.cut_off = {f"vm-b-{n}" for n in range(N_DAEMONS)}
+        store.publish(document(2, 20 * MAX_UPDATE_BYTES))
+        await wait_in_force(states, 2)
+
+    run_fleet(tmp_path, use, first_lost_kinds=("offer-configuration",))
+
+
+def test_older_document_does_not_put_off_reading_the_one_that_is_awaited(
+    tmp_path, monkeypatch
+):
+    async def main():
+        log = DecisionLog("d", os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT))
+        times = {"now_s": 100.0}
+        monkeypatch.setattr(feed_sharing, "now", lambda: times["now_s"])
+        senders = [
+            Sender(f"vm-{n}", DomainId("a"), Incarnation(f"a{n}"), f"a:{n}")
+            for n in range(N_DAEMONS)
+        ]
+        network, store = FakeNetwork(), Store()
+        async with Supervisor("fleet") as supervisor:
+            meshes = [FakeMesh(network, sender, senders) for sender in senders]
+            followers = [
+                ConfigurationFollower(
+                    FeedSharing(
+                        mesh.sender.domain,
+                        mesh,
+                        FleetView(mesh, 0.0),
+                        supervisor.add_child(mesh.sender.vm),
+                        log,
+                    ),
+                    FakeFeed(store, mesh.sender.vm),
+                    RoutingState(log, 60.0, 60.0),
+                    log,
+                    WAIT_S,
+                    random.Random(0),
+                )
+                for mesh in meshes
+            ]
+            follower = next(f for f in followers if f._role is ReaderRole.NONE)
+            mesh = meshes[followers.index(follower)]
+            follower._position = 1
+            follower._restart_timeout()
+            follower._receive(ConfigurationUpdate(2, is_coming=True), None)
+            follower._receive(ConfigurationUpdate(3, is_coming=True), None)
+            times["now_s"] += DOCUMENT_TIMEOUT_S / 2
+            older = Document(2, senders[0].incarnation, zlib.compress(document(2, 9)))
+            follower._receive_document(older, mesh.sender)
+            times["now_s"] += DOCUMENT_TIMEOUT_S / 4
+            assert not follower._is_due()
+            times["now_s"] += DOCUMENT_TIMEOUT_S / 2
+            assert follower._is_due()
+
+    asyncio.run(main())
