Test of causal order expects the membership events too

The test is wrong. An answer of an unknown daemon begins an urgent round of gossip 0.1 s later, and Members.tick in this round records member.alive. The test collects the events after both meshes have stopped, which mostly takes less than 0.1 s.

The new check is stricter: the three events in exactly this order, each once, as before, and the membership events of both daemons are awaited and must be exactly these, after the contacts that they report: member.alive after "was answered"; member.suspect and then member.alive after "answered".

--- a/packages/cassiaspread-daemon/tests/test_mesh.py
+++ b/packages/cassiaspread-daemon/tests/test_mesh.py
@@ -32,7 +32,7 @@
 
 
 def test_events_are_in_causal_order_with_clocks_seconds_apart():
-    async def main() -> list[str]:
+    async def main() -> list[tuple[str, str]]:
         ahead, ahead_events = build_mesh("ahead", 100.0 + SKEW_S)
         behind, behind_events = build_mesh("behind", 100.0)
 
@@ -47,10 +47,25 @@
             ahead_events.record("asking")
             await ahead.ask(behind.sender.address, "question", Empty(), Empty, 5.0)
             ahead_events.record("was answered")
+            async with asyncio.timeout(MEETING_BOUND_S):
+                for events in (ahead_events, behind_events):
+                    while events.events()[-1].kind != "member.alive":
+                        await asyncio.sleep(0.01)
         events = merge_events(ahead_events.events() + behind_events.events())
-        return [event.kind for event in events]
-
-    assert asyncio.run(main()) == ["asking", "answered", "was answered"]
+        return [(event.process, event.kind) for event in events]
+
+    events = asyncio.run(main())
+    kinds = [kind for _, kind in events if not kind.startswith("member.")]
+    assert kinds == ["asking", "answered", "was answered"]
+    # A daemon that has only asked is suspect until it has answered.
+    by_process = {
+        name: [kind for process, kind in events if process == name]
+        for name in ("ahead", "behind")
+    }
+    assert by_process == {
+        "ahead": ["asking", "was answered", "member.alive"],
+        "behind": ["answered", "member.suspect", "member.alive"],
+    }
 
 
 @pytest.mark.parametrize("n_steps", range(5))
