Soak: an engine that is killed after its notice is started again

Whether the process had ended was looked at just after the signal, when it had not yet, so that it was never started again. No check changes.

--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -451,6 +451,8 @@
         if fault.kind == "notice-leaving" and not is_begin:
             # The process may have ended before.
             self.deployment.kill(fault.on)
+            # One that has not ended yet is not started again.
+            self.deployment.processes[fault.on].wait()
             threading.Thread(target=self.restart_if_ended, args=(fault.on,)).start()
             return
         values = NOTICES[fault.kind] if is_begin else {"full": False}
