Tests of explanations start once the gateway knows the layers of all engines

Cause: the fixture waited for the first answer, which needs the layers of one engine only; a stream that is sent before the others are loaded finds no capacity and never runs. The fixture waits for the layers of all; no check changes.

--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -282,6 +282,12 @@
     def decisions(self, name, event):
         return [row for row in self.log_lines(name) if row["event"] == event]
 
+    def layered_engines(self, gateway):
+        """Return the engines of which a gateway knows that they hold all layers."""
+        events = ("engine.seen", "engine.changed")
+        rows = [row for event in events for row in self.decisions(gateway, event)]
+        return {row["target"] for row in rows if row["layers"] == [0, N_LAYERS]}
+
     def kill(self, name, number=signal.SIGKILL):
         self.processes[name].send_signal(number)
 
--- a/tests/users_platform/test_engine_notices.py
+++ b/tests/users_platform/test_engine_notices.py
@@ -7,7 +7,6 @@
 
 from tests.users_platform.deployment import (
     MODEL_SERVICE,
-    N_LAYERS,
     PLAIN_SERVICE,
     wait_for,
 )
@@ -36,17 +35,10 @@
         )
         wait_for(lambda name=name: call(bare_deployment, name).status == 200)
         # A test may stop the store, from which gateways learn the layers of engines.
-        wait_for(lambda name=name: len(layered_engines(bare_deployment, name)) == 2)
+        wait_for(lambda name=name: len(bare_deployment.layered_engines(name)) == 2)
     return bare_deployment
 
 
-def layered_engines(deployment, gateway):
-    """Return the engines of which a gateway knows that they hold all layers."""
-    events = ("engine.seen", "engine.changed")
-    rows = [row for event in events for row in deployment.decisions(gateway, event)]
-    return {row["target"] for row in rows if row["layers"] == [0, N_LAYERS]}
-
-
 def call(deployment, gateway):
     return deployment.request(gateway, "/stock/1", "GET", b"")
 
--- a/tests/users_platform/test_explanations.py
+++ b/tests/users_platform/test_explanations.py
@@ -35,6 +35,7 @@
     once = route("once", "/once/", "streaming", MODEL_SERVICE, max_attempts=1)
     deployment.publish_configuration(4, routes=[*configuration(0)["routes"], once])
     wait_for(lambda: stream(deployment, "/once/x", "first", 100, 1).status == 200)
+    wait_for(lambda: deployment.layered_engines(GATEWAY) == set(ENGINES))
     for name in ENGINES:
         deployment.control(name, event_s=EVENT_S)
     return deployment
