Plays of flapping engines know the whole chain of a stream that never ran

The log lines of the three requests say the same: their chain is model-a, model-flap; model-flap had been killed, the head waited for it and reported it, and after three seconds it counted as gone. The test knew the chain only from the engines' own record of a run, which a head that waits for a stage has not written yet, and judged the head alone. It takes the chain from stream.assigned as well. A stream is excused, as before, only if an engine of its own chain was down meanwhile.

--- a/tests/users_platform/test_flapping_engines.py
+++ b/tests/users_platform/test_flapping_engines.py
@@ -263,10 +263,14 @@
         runs, sent, pauses = {}, {}, []
         for row in self.deployment.history("run"):
             runs.setdefault(row["headers"]["Attempt-Id"], []).append(row)
-        # An engine that ends may not have written down what it was sent.
+        # An engine that ends, or waits for another one of its chain that does, may not
+        # have written down what it was sent.
         for row in self.deployment.decisions(GATEWAY, "attempt.broken"):
             target = row.get("target") or row["head"]
             sent.setdefault(row["request"], []).append(target)
+        for row in self.deployment.decisions(GATEWAY, "stream.assigned"):
+            engines = [target for target, _, _ in row["chain"]]
+            sent.setdefault(row["request"], []).extend(engines)
         for row in self.deployment.decisions(GATEWAY, "loop.delayed"):
             pause_s = (row["delay_ms"] - row["busy_ms"]) / 1000
             pauses.append((row["time_s"], pause_s))
