Streams leave a head that answers reports but sends no events

Cause: each report of the head counted as an answer, so that the silence began anew with every check and no second start ever began; and nothing counted as a failure of the head, which got more streams since it had no load.

Now a stream without events may start on a second chain after two checks in a row that its engines answered, and the head counts as having failed once. Routes, retry budget and the limit of runs hold as before; streams that may not resume stay. Log line stream.no_events.

Failed before, through real processes (no headers, headers only, three events and then nothing), 3 of 3; pass now.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
@@ -38,6 +38,9 @@
 STALL_PAUSE_RATIO = 1.2
 # The same for the first event, as a fraction of its objective.
 STALL_OBJECTIVE_RATIO = 0.8
+# Number of checks in a row that find all engines of a stream without events responding,
+# after which it may start on a second chain.
+N_CHECKS_WITHOUT_EVENTS = 2
 # A search that finds room at once takes no longer than this, in seconds.
 SEARCH_AT_ONCE_S = 0.01
 # A stream has one event for one or more tokens, and a few that hold none.
@@ -231,6 +234,8 @@
     ) -> None:
         """Wait for a silent engine, or leave it.
 
+        Engines that respond, but send no events, count as silent after a while.
+
         :param arriving: done soon after something has arrived.
         :param has_arrived: returns at once whether something has.
         :param interval_s: time between two checks, and since the engine last sent
@@ -243,38 +248,62 @@
             return arriving.done() or has_arrived()
 
         is_recorded = False
-        responded_s = now() - interval_s
+        watch = _Watch(now() - interval_s)
         with ChainSearch(tools.capacity_queue, tools.dispatcher) as search:
             while not has_ended():
-                silent = await self._find_silent(arriving, self._assignment)
-                await self._check_second(has_ended, responded_s)
-                if silent is None:
-                    responded_s = now()
+                silence = await self._find_silence(arriving, has_ended, watch)
+                await self._check_second(has_ended, watch.responded_s)
+                if silence is None:
                     search.stop()
                     await _wait_first({arriving, *self._second_futures}, interval_s)
                     continue
-                silence = _Silence(silent, responded_s, has_ended)
                 if self._may_move():
                     avoid = {*stream.avoided, *self._silent_targets}
-                    avoid |= {self._assignment.head.target, silent.engine.target}
+                    avoid |= {self._assignment.head.target, silence.of.engine.target}
                     search.start(stream.job, avoid)
                     await _wait_first({arriving, *search.tasks}, SEARCH_AT_ONCE_S)
                     await self._start_second(search, silence, arriving)
                 if not is_recorded:
                     is_recorded = True
                     self._record_silence(silence, "waits")
-                await self._check_gone(silence)
+                if not silence.of.is_responding:
+                    await self._check_gone(silence)
                 await _wait_first(
                     {arriving, *search.tasks, *self._second_futures}, interval_s
                 )
                 await self._start_second(search, silence, arriving)
-                await self._check_second(has_ended, responded_s)
+                await self._check_second(has_ended, watch.responded_s)
 
     @property
     def _second_futures(self) -> set[asyncio.Future[Any]]:
         second = self._stream.second
         return set() if second is None else second.futures
 
+    async def _find_silence(
+        self,
+        arriving: asyncio.Future[Any],
+        has_ended: Callable[[], bool],
+        watch: "_Watch",
+    ) -> "_Silence | None":
+        """Check the engines, and return the silence that the stream may leave."""
+        silent = await self._find_silent(arriving, self._assignment)
+        if silent is not None:
+            watch.n_responses = 0
+            return _Silence(silent, watch.responded_s, has_ended)
+        if has_ended() or any(future.done() for future in self._second_futures):
+            return None
+        watch.responded_s = now()
+        watch.n_responses += 1
+        if watch.n_responses < N_CHECKS_WITHOUT_EVENTS:
+            return None
+        if watch.without_events is None:
+            watch.without_events = self._tools.stalls.record_no_events(
+                self._stream.job.parameters.request_id,
+                self._assignment,
+                watch.responded_s - watch.begin_s,
+            )
+        return _Silence(watch.without_events, watch.begin_s, has_ended)
+
     async def _find_silent(
         self, arriving: asyncio.Future[Any], assignment: Assignment
     ) -> SilentEngine | None:
@@ -397,6 +426,21 @@
         inbound.end()
 
 
+class _Watch:
+    """Checks of the engines of a stream that waits for an event.
+
+    :param begin_s: when something last arrived, on the monotonic clock in seconds.
+    """
+
+    def __init__(self, begin_s: float) -> None:
+        self.begin_s = begin_s
+        # When all engines last responded.
+        self.responded_s = begin_s
+        # Checks in a row in which they did.
+        self.n_responses = 0
+        self.without_events: SilentEngine | None = None
+
+
 class _Silence(NamedTuple):
     """A silence of an engine under a stream.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stalls.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stalls.py
@@ -26,11 +26,13 @@
     :param reason: how its silence was noticed.
     :param is_restarted: its report came from another process than the one that runs
         the stream.
+    :param is_responding: it answers reports, but the stream has no event.
     """
 
     engine: Engine
     reason: str
     is_restarted: bool = False
+    is_responding: bool = False
 
 
 class StreamStalled(ExchangeBroken):
@@ -102,6 +104,28 @@
                 )
         return None
 
+    def record_no_events(
+        self, request_id: RequestId, assignment: Assignment, duration_s: float
+    ) -> SilentEngine:
+        """Record a stream without events although its engines respond.
+
+        :param request_id: the request.
+        :param assignment: assignment of the request.
+        :param duration_s: time without an event, in seconds.
+        :returns: the head, which the stream waits for.
+        """
+        head = assignment.head
+        is_suspect = self._health.record_failure(head.target, now())
+        reason = "the head responds, but sends no events"
+        self._log.record(
+            "stream.no_events",
+            request=request_id,
+            head=head.target,
+            silent_ms=round(duration_s * 1000),
+            is_suspect=is_suspect,
+        )
+        return SilentEngine(head, reason, is_responding=True)
+
     async def is_gone(self, silent: SilentEngine, duration_s: float) -> bool:
         """Return whether a silent engine can no longer answer.
 
--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -9,6 +9,7 @@
 ``drop_response`` (run and close the connection), ``fail`` (500), ``omit_signature``,
 ``state``, ``begin_s`` (time between the start of a run and its answer), ``event_s``
 (pause between events), ``answer_bytes`` (length of an answer that is no stream),
+``mute_after`` (number of events after which a stream gets nothing more),
 ``unframed`` (answers have neither a length nor chunks and end with the connection),
 ``close_after`` (number of events after which a stream is broken off; other answers
 after their first half), ``lie`` (how reports lie: ``errors``, ``hang``, ``reset``, or
@@ -80,7 +81,7 @@
         self.fencing_token = 0
         self.stalled = {}
         self.full = self.drop_response = self.fail = self.omit_signature = False
-        self.close_after = None
+        self.close_after = self.mute_after = None
         self.break_text, self.break_how = BREAK_TEXT, "close"
         self.unframed = False
         self.flood = None
@@ -381,6 +382,9 @@
             if engine.close_after is not None and n_sent >= engine.close_after:
                 await self.break_off(engine.break_text.format(id=event_id))
                 return
+            if engine.mute_after is not None and n_sent >= engine.mute_after:
+                await self.flush()
+                await asyncio.sleep(3600)
             if await self.wait_for_stages() is not None:
                 self.request.connection.stream.close()
                 return
--- a/tests/users_platform/test_lost_answers.py
+++ b/tests/users_platform/test_lost_answers.py
@@ -34,6 +34,11 @@
 N_EVENTS = 20
 EVENT_S = 0.1
 N_STREAMS = 4
+# Streams at once of which an engine gets some, their events, and the bound of the time
+# that they lose to an engine that sends nothing: a caller leaves after two seconds.
+N_MUTE_STREAMS = 8
+N_MUTE_EVENTS = 5
+MUTE_BOUND_S = 2.0
 # A stream whose engine is really gone ends at the latest after this long: the store
 # drops the entry after three missed renewals.
 GONE_BOUND_S = 6.0
@@ -209,6 +214,38 @@
     assert ended["reason"] == "the first one went on"
 
 
+@pytest.mark.parametrize(
+    "how", [{"begin_s": 3600.0}, {"mute_after": 0}, {"mute_after": 3}]
+)
+def test_resumable_streams_leave_an_engine_that_reports_but_sends_nothing(
+    slow_deployment, how
+):
+    deployment, mute = slow_deployment, ENGINES[0]
+    deployment.control(mute, **how)
+    with ThreadPoolExecutor(N_MUTE_STREAMS) as pool:
+        answers = [
+            pool.submit(stream, deployment, "/draft/x", N_MUTE_EVENTS)
+            for _ in range(N_MUTE_STREAMS)
+        ]
+        begin_s = time.monotonic()
+        assert_all_complete(answers, N_MUTE_EVENTS)
+    assert time.monotonic() - begin_s < N_MUTE_EVENTS * EVENT_S + MUTE_BOUND_S
+    assert mute in {row["engine"] for row in deployment.history("run")}
+    # Others are preferred from now on.
+    n_before = len(deployment.history("run"))
+    assert stream(deployment, "/draft/x", 1).status == 200
+    assert mute not in {row["engine"] for row in deployment.history("run")[n_before:]}
+
+
+def test_stream_that_may_not_resume_outlasts_an_engine_without_events(slow_deployment):
+    for name in ENGINES:
+        slow_deployment.control(name, begin_s=2 * SILENCE_S)
+    answers = [stream(slow_deployment, "/once/x", 1) for _ in range(2)]
+    assert [answer.status for answer in answers] == [200, 200]
+    runs = [row["headers"]["Attempt-Id"] for row in slow_deployment.history("run")]
+    assert len(runs) == len(set(runs))
+
+
 def decisions_of(deployment, event):
     return [row for name in GATEWAYS for row in deployment.decisions(name, event)]
 
