A refusal at the deadline arrives before the caller's deadline

Cause: the gateway counts the timeout from the arrival of the request, so that its refusal leaves when the caller has given up already.

Failed before, through real processes (3 of 3 kinds: none of nine refusals in time), passes now.

--- a/tests/users_platform/test_lost_answers.py
+++ b/tests/users_platform/test_lost_answers.py
@@ -42,6 +42,8 @@
 # A stream whose engine is really gone ends at the latest after this long: the store
 # drops the entry after three missed renewals.
 GONE_BOUND_S = 6.0
+# Requests that end at their deadline, at once.
+N_AT_DEADLINE = 9
 # The balancer sends a leaving daemon no requests later than this.
 LATE_S = 3.3
 # Time from SIGTERM to the last requests before the end of a daemon, how many there are,
@@ -323,6 +325,25 @@
         assert answer.result().status == 200
 
 
+@pytest.mark.parametrize("path", ["/stock/1", "/book/1", "/draft/1"])
+def test_refusal_at_the_deadline_arrives_before_it(deployment, path):
+    for name in (*ENGINES, "celje-plain", "velenje-plain"):
+        deployment.control(name, begin_s=3600.0)
+
+    def send(n):
+        begin_s = time.monotonic()
+        answer = deployment.request(
+            GATEWAYS[n % 2], path, Deadline_Ms="3000", Model="m", Token_Count="100,4"
+        )
+        return answer.status, time.monotonic() - begin_s
+
+    with ThreadPoolExecutor(N_AT_DEADLINE) as pool:
+        ends = list(pool.map(send, range(N_AT_DEADLINE)))
+    assert {status for status, _ in ends} == {504}
+    # The machine may be late for some of them.
+    assert sum(elapsed_s < 3.0 for _, elapsed_s in ends) > N_AT_DEADLINE / 2
+
+
 def test_stream_of_an_engine_that_is_gone_does_not_wait_for_its_deadline(
     slow_deployment,
 ):
