SIGHUP while a process starts or ends does not end it

One that got SIGHUP at the end of its drain ended with status -1, with all requests answered. cassiaspreadd ended at any SIGHUP.

Cause: SIGHUP got its handler when the gateway began to serve, after all imports, 314 to 462 ms after the start of the process (ten starts, load 11). The event loop restores the default action when it closes, before the interpreter has ended. cassiaspreadd had no handler.

Change: ReloadSignal. The entry points set its handler before they import anything else, 17 to 117 ms after the start in ten starts of the gateway, 14 to 23 ms in ten of cassiaspreadd (loads 10 to 11). It is the same handler until the end of serving, so there is no gap: a SIGHUP is kept until the event loop can act on it, then acted on once. After that SIGHUP is ignored, which lasts to the end of the interpreter. The package of the platform imports nothing any more; what its entry point did is in its module gateway. The console script's target keeps its name. cassiaspreadd logs SIGHUP, as it reloads nothing.

What remains: until the interpreter runs the entry point's first line SIGHUP has the default action, unless the parent starts the process with it ignored. Documented; a test has a parent that does so and sends SIGHUP from the moment the process exists. The other tests of the start have SIGHUP blocked until the first import beyond the entry point, since the start of the interpreter is not the product's.

--- a/benchmarks/bench_deployment.py
+++ b/benchmarks/bench_deployment.py
@@ -50,7 +50,7 @@
             "PYTHONPATH": str(Path.cwd()),
         }
         subprocess.run(
-            (sys.executable, "-c", "import cassiaspread_platform.__main__"),
+            (sys.executable, "-c", "import cassiaspread_platform.gateway"),
             env={**os.environ, **self._environment},
             check=True,
         )
--- a/benchmarks/measured_gateway.py
+++ b/benchmarks/measured_gateway.py
@@ -17,8 +17,8 @@
 
 import msgspec
 
-from cassiaspread_platform import PlatformSettings, read_settings
-from cassiaspread_platform.__main__ import serve
+from cassiaspread_daemon.reload_signal import ReloadSignal
+from cassiaspread_platform.gateway import PlatformSettings, read_settings, serve
 
 WRITE_INTERVAL_S = 1.0
 # The longest matching prefix of a task's name decides.
@@ -80,7 +80,9 @@
     return OTHER_TASKS
 
 
-async def _serve(path: Path, settings: PlatformSettings) -> None:
+async def _serve(
+    path: Path, settings: PlatformSettings, reload_signal: ReloadSignal
+) -> None:
     started_s = time.process_time()
     seconds: dict[str, float] = defaultdict(float)
 
@@ -105,18 +107,20 @@
 
     asyncio.get_running_loop().set_task_factory(make_task)
     task = asyncio.create_task(write_measurement())
-    await serve(settings)
+    await serve(settings, reload_signal)
     task.cancel()
 
 
 def main() -> None:
     """Serve until the process receives a signal to stop."""
+    reload_signal = ReloadSignal()
+    reload_signal.hold()
     path = Path(sys.argv.pop(1))
     parser = argparse.ArgumentParser()
     parser.add_argument("--metrics-port", type=int)
     arguments = parser.parse_args()
     settings = read_settings(os.environ, arguments.metrics_port)
-    asyncio.run(_serve(path, settings))
+    asyncio.run(_serve(path, settings, reload_signal))
 
 
 if __name__ == "__main__":
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_main.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_main.py
@@ -1,74 +1,13 @@
 """Entry point of ``cassiaspreadd``."""
 
-import asyncio
-import os
-import random
-import signal
-import sys
-
-from absl import logging
-from tornado.httpserver import HTTPServer
-
-from cassiaspread_core.base import FindingsError
-from cassiaspread_daemon._listener import Listener
-from cassiaspread_daemon._logs import configure_logs
-from cassiaspread_daemon._node import MILLISECONDS_PER_SECOND, Node
-from cassiaspread_daemon._settings import (
-    EXIT_BAD_SETTINGS,
-    Settings,
-    read_settings,
-)
-from cassiaspread_daemon.handlers import build_application
-
-# Requests above these sizes close the connection; those that only exceed the configured
-# limits get a 4xx response.
-MAX_READ_HEADER_BYTES = 1_048_576
-MAX_READ_BODY_BYTES = 1_073_741_824
-
-
-async def serve(settings: Settings) -> None:
-    """Run a daemon until SIGTERM or SIGINT, then shut it down gracefully.
-
-    :param settings: validated settings.
-    """
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    async with Node(settings, random.Random()) as node:
-        server = HTTPServer(
-            build_application(node),
-            max_header_size=MAX_READ_HEADER_BYTES,
-            max_body_size=MAX_READ_BODY_BYTES,
-        )
-        with Listener(server, settings.listen.host, settings.listen.port) as listener:
-            logging.info("listening on %s", settings.listen)
-            await stop.wait()
-            await shut_down(node, listener)
-        await server.close_all_connections()
-
-
-async def shut_down(node: Node, listener: Listener) -> None:
-    """Leave the mesh, drain the requests in progress and settle pending work.
-
-    :param node: the daemon.
-    :param listener: its listening sockets.
-    """
-    node.leave()
-    listener.announce_close()
-    await asyncio.sleep(node.settings.balancer_lag_ms / MILLISECONDS_PER_SECOND)
-    listener.stop()
-    await node.drain()
-    await node.settle()
-    logging.info("shutdown complete")
+from cassiaspread_daemon.reload_signal import ReloadSignal
 
 
 def main() -> None:
     """Read the settings and run the daemon; exit with status 2 if one is invalid."""
-    try:
-        settings = read_settings(sys.argv[1:], os.environ)
-    except FindingsError as error:
-        print(error, file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
-    configure_logs(settings.log_format, settings.vm)
-    asyncio.run(serve(settings))
+    reload_signal = ReloadSignal()
+    reload_signal.hold()
+    # These imports take long: SIGHUP must not end the process meanwhile.
+    from cassiaspread_daemon._serve import run
+
+    run(reload_signal)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -56,6 +56,7 @@
 from cassiaspread_daemon.gateway._suspect_sharing import SuspectSharing
 from cassiaspread_daemon.gateway._urgent_gossip import UrgentGossip
 from cassiaspread_daemon.mesh import Mesh, Sender
+from cassiaspread_daemon.reload_signal import ReloadSignal
 
 # The store waits this long for a new configuration before it returns an empty page; in
 # normal operation the keys in force are never older than this.
@@ -413,13 +414,15 @@
             reasons.append("configuration too old")
         return reasons
 
-    async def serve(self) -> None:
-        """Serve until SIGTERM, then until the requests in progress have ended."""
+    async def serve(self, reload_signal: ReloadSignal) -> None:
+        """Serve until SIGTERM, then until the requests in progress have ended.
+
+        :param reload_signal: SIGHUP of this process.
+        """
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, stop.set)
         loop.add_signal_handler(signal.SIGINT, stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._handle_reload)
         server = HTTPServer(self._frontend)
         # The frontend has timeouts of its own.
         server.conn_params.header_timeout = None
@@ -429,6 +432,9 @@
         self._supervisor.start("timeouts", self._frontend.run_timeouts)
         readiness = HTTPServer(Frontend(self._answer_readiness))
         with (
+            reload_signal.passed_to(
+                lambda: loop.call_soon_threadsafe(self._handle_reload)
+            ),
             Listener(server, *self._settings.listen) as listener,
             Listener(readiness, *self._settings.readiness),
         ):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -20,6 +20,7 @@
 START_TIMEOUT_S = 20.0
 POLL_S = 0.02
 ROOT = Path(__file__).resolve().parent.parent
+CONSOLE_SCRIPT = Path(sys.executable).parent / "cassiaspreadd"
 
 
 class PortAllocator:
@@ -260,7 +261,13 @@
         self._vms = kept + added
         request("PUT", self.vm_list.address, "/vms", self._vms)
 
-    def start_daemon(self, name: str, domain: str, **flags: object) -> Process:
+    def start_daemon(
+        self,
+        name: str,
+        domain: str,
+        launcher: tuple[object, ...] = (CONSOLE_SCRIPT,),
+        **flags: object,
+    ) -> Process:
         port, peer_port = free_port(), free_port()
         flags = {
             "vm": name,
@@ -272,7 +279,7 @@
             "poll_interval_ms": 100,
             "balancer_lag_ms": 100,
         } | flags
-        argv = [str(Path(sys.executable).parent / "cassiaspreadd")]
+        argv = [*map(str, launcher)]
         argv += [f"--{flag.replace('_', '-')}={value}" for flag, value in flags.items()]
         self.list_vm(name, "daemon", name, str(flags["peer_listen"]), domain)
         return self.start(name, f"127.0.0.1:{port}", argv)
