A sound answer of tiny chunks is not given up since its reader was slow

Cause: an answer that was kept was dropped if, a second after its request, it had more than 256 chunks and 500 for each second, of less than 64 bytes on average. The second was that of the reader: the 1,500 chunks, which are all sent at once, are read in pauses of a millisecond that the gateway makes itself. A pause of the process alone does the same: the new test holds the event loop for one second.

Change: an answer is dropped only if it has more than 2,000 chunks too. Nothing that was complete before is dropped now. The number is reached within 3.5 s at the rate at which each answer is read in any case, so that answers without end are still given up before a deadline of 5 s. What remains: an answer of more than 2,000 tiny chunks that come at once is still given up if it takes longer than a second to read, also on a slow machine. A higher number would leave many answers without end to their deadlines.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -41,9 +41,12 @@
 BYTE_PACER = AnswerPacer(64e6, unpaced=64 * 1024, unpaced_rate=256e3)
 # The same for chunks, of which even empty ones cost some 25 microseconds.
 CHUNK_PACER = AnswerPacer(4e3, unpaced=256, unpaced_rate=500.0)
-# An answer that is kept until it is complete is dropped if its chunks are still paced
-# after this time, in seconds, and are smaller on average: at that rate it reaches no
-# bound on bytes before its deadline.
+# An answer that is kept until it is complete is dropped if it has more chunks than
+# this, they are still paced after this time, in seconds, and are smaller on average:
+# at that rate it reaches no bound on bytes before its deadline. The time alone proves
+# nothing: a process without processor time reads sound answers slowly too. The number
+# is reached in 3.5 s even if many answers leave each other only the unpaced rate.
+MAX_TINY_CHUNKS = 2000
 MAX_TINY_CHUNKS_S = 1.0
 MIN_CHUNK_BYTES = 64
 # Shorter pauses are left out, in seconds.
@@ -124,7 +127,8 @@
         """
         age_s = now_s - self._begin_s
         return (
-            age_s > MAX_TINY_CHUNKS_S
+            self._n_chunks > MAX_TINY_CHUNKS
+            and age_s > MAX_TINY_CHUNKS_S
             and n_bytes < self._n_chunks * MIN_CHUNK_BYTES
             and CHUNK_PACER.is_paced(self._n_chunks, age_s)
         )
@@ -206,7 +210,10 @@
         consumed = None if self.is_stray else self._consume(chunk)
         now_s = time.monotonic()
         if self._on_data is None and self._stream.has_tiny_chunks(self._n_bytes, now_s):
-            self._held.drop(f"chunks of less than {MIN_CHUNK_BYTES} bytes on average")
+            self._held.drop(
+                f"more than {MAX_TINY_CHUNKS} chunks of less than {MIN_CHUNK_BYTES} "
+                "bytes on average"
+            )
         age_s = now_s - self._started_s
         delay_s = BYTE_PACER.delay_s(self._n_bytes, len(chunk), age_s, now_s)
         if delay_s < MIN_PAUSE_S:
--- a/packages/cassiaspread-daemon/tests/test_broken_off_control_answers.py
+++ b/packages/cassiaspread-daemon/tests/test_broken_off_control_answers.py
@@ -1,6 +1,7 @@
 """Answers on the control path whose connection closes before their end."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -10,6 +11,7 @@
 from cassiaspread_daemon._events import MAX_EVENT_BYTES
 from cassiaspread_daemon._exchange import (
     MAX_ANSWER_BYTES,
+    MAX_TINY_CHUNKS,
     MIN_CHUNK_BYTES,
     AnswerTooLarge,
     ExchangeBroken,
@@ -27,6 +29,8 @@
 
 HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+# All together are paced; each is read at little more than the rate that is not limited.
+N_AT_ONCE = 16
 TOKEN = b'data: {"attempt":1,"position":0,"text":"a"}\n\n'
 
 
@@ -134,6 +138,15 @@
         run_against(chunks(100_000, MIN_CHUNK_BYTES - 1), fetch_body, CHUNKED_HEAD)
 
 
+def test_many_answers_of_tiny_chunks_without_end_are_dropped_before_their_deadline():
+    async def fetch_many(address):
+        fetches = [fetch_body(address) for _ in range(N_AT_ONCE)]
+        return await asyncio.gather(*fetches, return_exceptions=True)
+
+    results = run_against(chunks(20_000, 2), fetch_many, CHUNKED_HEAD)
+    assert [type(result) for result in results] == [AnswerTooLarge] * N_AT_ONCE
+
+
 @pytest.mark.parametrize(
     ("n_chunks", "n_bytes"), [(1500, 1), (6000, 2 * MIN_CHUNK_BYTES), (600, 2**13)]
 )
@@ -141,3 +154,18 @@
     body = chunks(n_chunks, n_bytes) + b"0\r\n\r\n"
     response = run_against(body, fetch_body, CHUNKED_HEAD)
     assert len(response.body) == n_chunks * n_bytes
+
+
+@pytest.mark.parametrize("n_chunks", [1500, MAX_TINY_CHUNKS - 1])
+@pytest.mark.parametrize("paused_after_s", [0.05, 0.1, 0.2])
+def test_answer_of_many_chunks_is_complete_after_a_pause_of_the_process(
+    paused_after_s, n_chunks
+):
+    async def fetch_paused(address):
+        # No task runs meanwhile, as in a process that gets no processor time.
+        asyncio.get_running_loop().call_later(paused_after_s, time.sleep, 1.0)
+        return await fetch_body(address)
+
+    body = chunks(n_chunks, 1) + b"0\r\n\r\n"
+    response = run_against(body, fetch_paused, CHUNKED_HEAD)
+    assert len(response.body) == n_chunks
