Failed appends of claims are in the time line; a booking that a silent log delays

Two ways lead to this answer and this time line. The log does not respond: with its stand-in stopped (SIGSTOP) from the call until 2.1 or 2.3 s after it, or the fault proxy until 2.2 s, the committer was avoided after 0.5 s and the claim given up after 2.0 s, 503 not-run (until 3 s: unknown; until 1.5 s: the booking ran). Or the daemon itself is held up: stopped from 0.2 to 2.3 s after the call, with appends delayed by 0.4 s, it recorded both events when it went on. Stopping one or both other daemons did not lead to it (80 bookings). Beside 8 busy processes (two runs of 600 bookings, load 21 and 25 at their ends) a claim was never given up, but in the second run appends and reads of all three daemons ended with 'no response within 1 s' until the log answered 1.4 s after the call, and once the thread of d1 waited 0.78 s for a processor. Which of the two it was its time line did not say: errors of appends were swallowed.

In both cases the answer is what at-most-once.md states for a claim that is not read back within claim_timeout_ms, and true: nothing was sent and the key is free.

Failed appends are now recorded as claims.append_failed with partition, duration and error.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_committer.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_committer.py
@@ -139,11 +139,23 @@
         self._events.record("claims.committer_avoided", committer=peer.sender.vm)
 
     async def _append_directly(self, partition: int, batch: Batch) -> None:
-        value = encode_batch(batch.records)
+        value, begin_s = encode_batch(batch.records), time.monotonic()
         try:
             await self._log.append(f"claims-{partition}", value, APPEND_TIMEOUT_S)
         except msgspec.MsgspecError as error:
+            self._record_failure(partition, begin_s, str(error))
             raise AppendAmbiguous(f"invalid answer from the log: {error}") from None
+        except (AppendNotSent, AppendAmbiguous) as error:
+            self._record_failure(partition, begin_s, str(error))
+            raise
+
+    def _record_failure(self, partition: int, begin_s: float, error: str) -> None:
+        self._events.record(
+            "claims.append_failed",
+            partition=partition,
+            duration_ms=round(1000 * (time.monotonic() - begin_s)),
+            error=error,
+        )
 
     async def _accept(self, request: CommitRequest, sender: Sender) -> Empty:
         self._journals[request.partition].add(decode_batch(request.batch).records)
