Queued requests end at their own deadline

Callers saw: a queued completion was refused at the next update of the shares, up to 0.25 s after the time until which it could start, and not at all once its model had left the policy: the update then returned before it refused late requests, and the wait had no timeout.

A queued request now waits until its deadline less its expected duration and is refused then, with the outcome not-run as before; the time follows the forecast. The update of the shares refuses late requests also without a policy for the model.

--- a/packages/cassiaspread-core/src/cassiaspread_core/admission/_gate.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/_gate.py
@@ -154,7 +154,24 @@
         :returns: the refusals.
         """
         late = [t for t in self._queue if self._is_late(t, now_s)]
-        return [self._refuse_queued(ticket, now_s) for ticket in late]
+        return [self.refuse_queued(ticket) for ticket in late]
+
+    def latest_start_s(self, ticket: AdmissionTicket) -> float:
+        """Return until when a request can start and still meet its deadline.
+
+        It changes with the forecast. On the clock of ``now_s``, in seconds.
+
+        :param ticket: the request.
+        """
+        return ticket.deadline_s - self._duration_s(ticket)
+
+    def refuse_queued(self, ticket: AdmissionTicket) -> AdmissionResult:
+        """Remove a waiting request and refuse it.
+
+        :param ticket: the request.
+        """
+        self.abandon(ticket)
+        return self._refuse(ticket, self._predict_wait_s(ticket.organisation))
 
     def _can_run_now(self, organisation: OrganisationId) -> bool:
         """Return whether a request may run immediately.
@@ -198,12 +215,8 @@
         self._n_running += 1
         self._running[ticket.organisation] += 1
 
-    def _refuse_queued(self, ticket: AdmissionTicket, now_s: float) -> AdmissionResult:
-        self.abandon(ticket)
-        return self._refuse(ticket, self._predict_wait_s(ticket.organisation))
-
     def _is_late(self, ticket: AdmissionTicket, now_s: float) -> bool:
-        return now_s + self._duration_s(ticket) > ticket.deadline_s
+        return now_s > self.latest_start_s(ticket)
 
     def _duration_s(self, ticket: AdmissionTicket) -> float:
         return ticket.cost * self.forecast.s_per_token
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_admission.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_admission.py
@@ -202,9 +202,9 @@
         future = asyncio.get_running_loop().create_future()
         self._waiting[ticket.number] = future
         try:
-            return await future
+            return await self._wait_until_decided(gate, ticket, future)
         except asyncio.CancelledError:
-            if future.done() and not future.cancelled():
+            if future.done():
                 # It was admitted in the iteration of the event loop that cancelled it.
                 if future.result().decision is Decision.ADMITTED:
                     self._deliver(gate.finish(ticket, time.monotonic()))
@@ -214,6 +214,20 @@
         finally:
             del self._waiting[ticket.number]
 
+    async def _wait_until_decided(
+        self,
+        gate: AdmissionGate,
+        ticket: AdmissionTicket,
+        future: asyncio.Future[AdmissionResult],
+    ) -> AdmissionResult:
+        while not future.done():
+            left_s = gate.latest_start_s(ticket) - time.monotonic()
+            if left_s <= 0:
+                return gate.refuse_queued(ticket)
+            # The forecast, and with it the latest start, may change during the wait.
+            await asyncio.wait({future}, timeout=left_s)
+        return future.result()
+
     def _release(self, model: ModelId, slot: Slot, admitted_s: float) -> None:
         gate, now_s = self._gate(model), time.monotonic()
         if slot.is_complete:
@@ -262,14 +276,17 @@
         """Recompute the share of a model and deliver the resulting decisions."""
         gate, now_s = self._gates[model], time.monotonic()
         policy = self._policy().models.get(model)
-        if policy is None:
-            return
-        capacity, is_own_domain = self._compute_capacity(model, policy.n_layers, now_s)
+        if policy is not None:
+            self._set_share(model, policy.n_layers, now_s)
+        self._deliver(gate.expire(now_s))
+
+    def _set_share(self, model: ModelId, n_layers: int, now_s: float) -> None:
+        gate = self._gates[model]
+        capacity, is_own_domain = self._compute_capacity(model, n_layers, now_s)
         if capacity:
             peers = self._peer_demands(model, is_own_domain, now_s)
             share = divide_capacity(capacity, gate.demand(), peers, self._weight_of)
             self._deliver(gate.set_share(share, now_s))
-        self._deliver(gate.expire(now_s))
 
     def _compute_capacity(
         self, model: ModelId, n_layers: int, now_s: float
