Calls with tickets of another daemon end at their own deadline

Callers saw: if the daemon of the ticket was silent, the refusal came late: 0.71 s after a timeout of 0.3 s and 0.51 s after one of 1.5 s with a frozen daemon, 1.01 and 0.51 s with a lost one and a silent log (the least late of three calls at once). Cause: each ask, and the read of the log after it, took up to a second whatever was left, and the search for the daemon slept past its end.

All three are bounded by what is left. The ask itself goes on for its second, so that a short deadline does not close a connection that other requests use; one that gets no reply leaves the event tickets.no_reply. The outcome stays unknown, and what the daemon of the ticket runs is recorded as before.

The four cases failed before and pass now; all of tests/test_at_most_once.py passes (load 7 to 14 on 8 cores).

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_forward.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_forward.py
@@ -9,6 +9,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 
@@ -108,6 +109,7 @@
         self._tickets = tickets
         self._events = events
         self._runs: dict[str, asyncio.Task[TicketReply]] = {}
+        self._asks: set[asyncio.Task[TicketReply]] = set()
         mesh.register(RUN_TICKET_KIND, TicketRequest, self._handle_request)
 
     @property
@@ -126,14 +128,14 @@
         assert incarnation is not None
         peer = await self._find_holder(context, journal, incarnation)
         if peer is None:
-            return await self._answer_from_log(context.call, journal, incarnation)
+            return await self._answer_from_log(context, journal, incarnation)
         self._events.record(
             "tickets.forwarded", context.call.key.key, to=peer.sender.vm
         )
         try:
             reply = await self._ask_until_ended(peer, context)
         except PeerUnreachable:
-            return await self._answer_from_log(context.call, journal, incarnation)
+            return await self._answer_from_log(context, journal, incarnation)
         if reply.refusal is not None:
             raise Refusal(**msgspec.structs.asdict(reply.refusal))
         if reply.answer is None:
@@ -162,9 +164,28 @@
             left_ms=int(remaining_s * MILLISECONDS_PER_SECOND),
             expires_s=time.time() + remaining_s,
         )
-        return await self._mesh.ask(
-            peer.sender.address, RUN_TICKET_KIND, request, TicketReply, ASK_TIMEOUT_S
+        ask = asyncio.ensure_future(
+            self._mesh.ask(
+                peer.sender.address,
+                RUN_TICKET_KIND,
+                request,
+                TicketReply,
+                ASK_TIMEOUT_S,
+            )
         )
+        # It continues after the deadline: a connection is replaced only if it was
+        # silent for the whole timeout, since other requests use it too.
+        self._asks.add(ask)
+        ask.add_done_callback(partial(self._end_ask, peer, context.call))
+        await asyncio.wait({ask}, timeout=remaining_s)
+        return ask.result() if ask.done() else TicketReply()
+
+    def _end_ask(self, peer: Peer, call: Call, ask: asyncio.Task[TicketReply]) -> None:
+        self._asks.discard(ask)
+        if not ask.cancelled() and (error := ask.exception()) is not None:
+            self._events.record(
+                "tickets.no_reply", call.key.key, to=peer.sender.vm, error=str(error)
+            )
 
     async def _find_holder(
         self, context: CallContext, journal: PartitionJournal, incarnation: Incarnation
@@ -175,14 +196,15 @@
             state = journal.reader.fold.find(context.call.key)
             if state is not None and (state.result is not None or state.void):
                 return None
-            await asyncio.sleep(HOLDER_POLL_S)
+            await asyncio.sleep(min(HOLDER_POLL_S, until_s - time.monotonic()))
             peer = self._mesh.find_peer(incarnation)
         return peer
 
     async def _answer_from_log(
-        self, call: Call, journal: PartitionJournal, incarnation: Incarnation
+        self, context: CallContext, journal: PartitionJournal, incarnation: Incarnation
     ) -> CallAnswer:
-        await journal.reader.catch_up(CATCH_UP_TIMEOUT_S)
+        call, remaining_s = context.call, context.deadline_s - time.monotonic()
+        await journal.reader.catch_up(min(CATCH_UP_TIMEOUT_S, remaining_s))
         state = journal.reader.fold.find(call.key)
         if state is not None and state.result is not None:
             check_fingerprint(call, state.fingerprint)
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -7,8 +7,15 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-
-from cassiaspread_core.claims import N_PARTITIONS, ScopedKey, compute_partition
+import uuid6
+
+from cassiaspread_core.base import Incarnation
+from cassiaspread_core.claims import (
+    N_PARTITIONS,
+    ScopedKey,
+    compute_partition,
+    create_ticket_key,
+)
 from tests.booking_history import CALLER, PATH, book, find_violations, new_key
 from tests.fleet import Fleet, bearer, read_report, request, wait_for
 
@@ -17,6 +24,10 @@
 UNREACHABLE = "127.0.0.1:9"
 # How often a booking is repeated because the log did not respond in time.
 MAX_REPEATS = 3
+# Calls that end at their deadline, at once, and how late the refusal that is the least
+# late may arrive, for its way to the caller.
+N_AT_DEADLINE = 3
+ANSWER_WAY_S = 0.1
 
 
 class BookingFleet:
@@ -336,6 +347,35 @@
     assert find_violations(answers, runs) == []
 
 
+@pytest.mark.parametrize("timeout_s", [0.3, 1.5])
+@pytest.mark.parametrize("holder", ["frozen", "lost"])
+def test_ticket_whose_daemon_is_silent_is_refused_in_time(bookings, holder, timeout_s):
+    d1, d2, _ = bookings.daemons
+    if holder == "frozen":
+        tickets = [bookings.ticket(d2) for _ in range(N_AT_DEADLINE)]
+        d2.signal(signal.SIGSTOP)
+    else:
+        incarnation = Incarnation(new_key())
+        tickets = [
+            create_ticket_key(incarnation, uuid6.uuid7()) for _ in range(N_AT_DEADLINE)
+        ]
+        bookings.routes["d1"].set("silence")
+    try:
+        refused = book_at_once(d1, tickets, timeout_s)
+    finally:
+        d2.signal(signal.SIGCONT)
+        bookings.clear_faults()
+    assert {a.outcome for a in refused} == {"unknown"}
+    assert min(lateness_s(a, timeout_s) for a in refused) < ANSWER_WAY_S
+    wait_for(lambda: bookings.runs_tickets_of_all(d1))
+    again = []
+    if holder == "frozen":
+        again = [book(d1, ticket) for ticket in tickets]
+        assert [a.status for a in again] == [200] * N_AT_DEADLINE
+    runs = [run for run in bookings.runs() if run["key"] in tickets]
+    assert find_violations([*refused, *again], runs) == []
+
+
 @pytest.mark.parametrize("end", ["stop", "kill"])
 def test_tickets_of_a_daemon_that_has_ended(bookings, end):
     d1 = bookings.daemons[0]
@@ -356,6 +396,16 @@
     assert bookings.runs_of(unused) == []
 
 
+def book_at_once(daemon, keys, timeout_s):
+    with ThreadPoolExecutor(len(keys)) as pool:
+        return list(pool.map(lambda key: book(daemon, key, timeout_s), keys))
+
+
+def lateness_s(answer, timeout_s) -> float:
+    """Return how long after the caller's deadline an answer arrived, in seconds."""
+    return answer.answered_s - answer.invoked_s - timeout_s
+
+
 def start_booking(daemon, key, timeout_s):
     """Send a booking on a new connection; return it without reading the answer."""
     host, port = daemon.address.split(":")
