--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_job.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_job.py
@@ -33,7 +33,9 @@
     :param route: route that matches it.
     :param service: service that runs it.
     :param demand: tokens that it needs of a chain of engines.
-    :param deadline_s: deadline on the monotonic clock, in seconds.
+    :param deadline_s: time on the monotonic clock at which it ends, unless its answer
+        has begun, in seconds.
+    :param answer_end_s: time at which an answer that has begun ends, in seconds.
     :param organisation: organisation that sent it, if requests carry keys.
     :param priority: rank, 0 first.
     :param fingerprint: common to all requests of one organisation with the same method,
@@ -46,6 +48,7 @@
     service: Service
     demand: RequestDemand
     deadline_s: float
+    answer_end_s: float
     organisation: OrganisationId | None
     priority: int
     fingerprint: Fingerprint
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_quarantine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_quarantine.py
@@ -188,7 +188,7 @@
         """Record the targets that ended under a request.
 
         Returns when the targets were probed, or shortly afterwards while the probes
-        still run.
+        still run; at once if the deadline of the request has passed.
 
         :param job: the request.
         :param engines: targets that may have ended.
@@ -210,7 +210,8 @@
 
         self._supervisor.start_once(f"probe-{job.parameters.request_id}-{now()}", probe)
         with suppress(TimeoutError):
-            async with asyncio.timeout(PROBE_WAIT_S):
+            remaining_s = max(0.0, job.remaining_s(now()))
+            async with asyncio.timeout(min(PROBE_WAIT_S, remaining_s)):
                 await is_probed.wait()
 
     def record_answer(self, job: Job, now_s: float) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
@@ -38,9 +38,11 @@
 STALL_PAUSE_RATIO = 1.2
 # The same for the first event, as a fraction of its objective.
 STALL_OBJECTIVE_RATIO = 0.8
-# Number of checks in a row that find all engines of a stream without events responding,
-# after which it may start on a second chain.
+# A stream without events, whose engines responded to this number of checks in a row and
+# for this long, in seconds, may start on a second chain. Under load, a sound engine may
+# pause for almost as long.
 N_CHECKS_WITHOUT_EVENTS = 2
+MIN_TIME_WITHOUT_EVENTS_S = 1.0
 # A search that finds room at once takes no longer than this, in seconds.
 SEARCH_AT_ONCE_S = 0.01
 # A stream has one event for one or more tokens, and a few that hold none.
@@ -74,6 +76,15 @@
         if result is not AttemptResult.NOT_RUN:
             self.n_runs += 1
 
+    def remaining_s(self, now_s: float) -> float:
+        """Return the time left in seconds; it is longer for an answer that has begun.
+
+        :param now_s: current time, in seconds.
+        """
+        if self.is_started:
+            return self.job.answer_end_s - now_s
+        return self.job.remaining_s(now_s)
+
     def take_second(self) -> SecondStart | None:
         """Return the second start, if any, to go on with it."""
         second, self.second = self.second, None
@@ -123,6 +134,7 @@
     :param exchange: connection to the head of the chain.
     :param buffer: bytes received on it.
     :param turn: permission to write to the caller.
+    :param timeout: ends the attempt; it is extended once the answer has begun.
     :param may_move: returns whether the stream may be sent to another chain.
     :param begin_second: sends the stream to a second chain, because of an engine.
     """
@@ -135,6 +147,7 @@
         exchange: Exchange,
         buffer: ReceiveBuffer,
         turn: Turn,
+        timeout: asyncio.Timeout,
         may_move: Callable[[], bool],
         begin_second: Callable[[Assignment, SilentEngine], None],
     ) -> None:
@@ -144,9 +157,14 @@
         self._exchange = exchange
         self._buffer = buffer
         self._turn = turn
+        self._timeout = timeout
         self._may_move = may_move
         self._begin_second = begin_second
         self._events = stream.events.fork()
+        self._n_events_before = self._events.n_events
+        # When something last arrived, and when the second start began.
+        self._arrived_s = self._second_begin_s = now()
+        self._is_failure_recorded = False
         # Engines of other chains that were found to be silent.
         self._silent_targets: set[TargetId] = set()
 
@@ -185,7 +203,6 @@
         """
         stream, buffer = self._stream, self._buffer
         job, inbound = stream.job, stream.job.inbound
-        n_events_before = self._events.n_events
         finishing = asyncio.ensure_future(self._exchange.finish())
         finishing.add_done_callback(lambda _: buffer.wake())
         stall_s = job.route.max_event_gap_s * STALL_PAUSE_RATIO
@@ -194,7 +211,10 @@
         try:
             while True:
                 is_ended = finishing.done()
-                complete = self._events.feed(buffer.take())
+                data = buffer.take()
+                if data:
+                    self._arrived_s = now()
+                complete = self._events.feed(data)
                 self._check_event_count()
                 if complete:
                     await self._take_turn()
@@ -204,7 +224,7 @@
                     stall_s = job.route.max_event_gap_s * STALL_PAUSE_RATIO
                 if is_ended:
                     finishing.result()
-                    await self._finish(self._events.n_events - n_events_before)
+                    await self._finish()
                     return
                 if stream.second is not None or not await buffer.wait(stall_s):
                     arriving = asyncio.ensure_future(buffer.arrival())
@@ -238,8 +258,7 @@
 
         :param arriving: done soon after something has arrived.
         :param has_arrived: returns at once whether something has.
-        :param interval_s: time between two checks, and since the engine last sent
-            anything, in seconds.
+        :param interval_s: time between two checks, in seconds.
         :raises StreamStalled: the engine is gone, or the second start has an event.
         """
         tools, stream = self._tools, self._stream
@@ -248,7 +267,7 @@
             return arriving.done() or has_arrived()
 
         is_recorded = False
-        watch = _Watch(now() - interval_s)
+        watch = _Watch(self._arrived_s)
         with ChainSearch(tools.capacity_queue, tools.dispatcher) as search:
             while not has_ended():
                 silence = await self._find_silence(arriving, has_ended, watch)
@@ -257,7 +276,7 @@
                     search.stop()
                     await _wait_first({arriving, *self._second_futures}, interval_s)
                     continue
-                if self._may_move():
+                if self._may_start_second():
                     avoid = {*stream.avoided, *self._silent_targets}
                     avoid |= {self._assignment.head.target, silence.of.engine.target}
                     search.start(stream.job, avoid)
@@ -274,6 +293,16 @@
                 await self._start_second(search, silence, arriving)
                 await self._check_second(has_ended, watch.responded_s)
 
+    @property
+    def _n_events(self) -> int:
+        """Events of this attempt."""
+        return self._events.n_events - self._n_events_before
+
+    @property
+    def _has_second_event(self) -> bool:
+        second = self._stream.second
+        return second is not None and second.has_event
+
     @property
     def _second_futures(self) -> set[asyncio.Future[Any]]:
         second = self._stream.second
@@ -292,16 +321,25 @@
             return _Silence(silent, watch.responded_s, has_ended)
         if has_ended() or any(future.done() for future in self._second_futures):
             return None
+        if not self._tools.stalls.may_ask(self._assignment, now()):
+            return None
         watch.responded_s = now()
         watch.n_responses += 1
-        if watch.n_responses < N_CHECKS_WITHOUT_EVENTS:
+        duration_s = watch.responded_s - watch.begin_s
+        if (
+            watch.n_responses < N_CHECKS_WITHOUT_EVENTS
+            or duration_s < MIN_TIME_WITHOUT_EVENTS_S
+        ):
             return None
         if watch.without_events is None:
             watch.without_events = self._tools.stalls.record_no_events(
                 self._stream.job.parameters.request_id,
                 self._assignment,
-                watch.responded_s - watch.begin_s,
+                duration_s,
+                self._n_events,
+                is_failure=not (self._n_events or self._is_failure_recorded),
             )
+            self._is_failure_recorded = True
         return _Silence(watch.without_events, watch.begin_s, has_ended)
 
     async def _find_silent(
@@ -328,14 +366,28 @@
             silent = await self._find_silent(arriving, found)
             if silent is not None:
                 self._silent_targets.add(silent.engine.target)
-            elif not silence.has_ended():
+            elif not silence.has_ended() and not self._has_second_event:
                 is_taken = await self._stream.take_retry()
         finally:
             if not is_taken:
                 self._tools.dispatcher.release(found, is_end=False)
         if is_taken:
+            await self._stop_overdue_second()
             self._record_silence(silence, "begins")
             self._begin_second(found, silence.of)
+            self._second_begin_s = now()
+            self._silent_targets.add(found.head.target)
+
+    async def _stop_overdue_second(self) -> None:
+        second = self._stream.second
+        if second is not None:
+            result = await self._stream.stop_second()
+            self._record_second_ended(second, result, "it had no event in time")
+
+    def _may_start_second(self) -> bool:
+        """Return whether to look for another chain: again, if the second is silent."""
+        is_overdue = now() - self._second_begin_s >= MIN_TIME_WITHOUT_EVENTS_S
+        return (self._stream.second is None or is_overdue) and self._may_move()
 
     async def _check_second(
         self, has_ended: Callable[[], bool], since_s: float
@@ -348,6 +400,8 @@
             result = await self._stream.stop_second()
             self._record_second_ended(second, result, "it ended before its first event")
         elif second.has_event and not has_ended():
+            if second.silent.is_responding and self._n_events:
+                self._tools.stalls.record_overtaken(second.silent.engine)
             self._record_silence(_Silence(second.silent, since_s, has_ended), "moves")
             raise StreamStalled(second.silent.engine, second.silent.reason)
 
@@ -400,9 +454,11 @@
         stream.is_started = True
         headers = tools.codec.answer_headers(self._exchange.headers)
         stream.job.inbound.start(200, headers)
+        remaining_s = stream.remaining_s(now())
+        self._timeout.reschedule(asyncio.get_running_loop().time() + remaining_s)
         tools.metrics.record_first_event(now() - stream.job.inbound.arrived_s)
 
-    async def _finish(self, n_events: int) -> None:
+    async def _finish(self) -> None:
         inbound, events = self._stream.job.inbound, self._events
         delimiter = self._exchange.delimiter
         self._tools.log.record(
@@ -410,14 +466,14 @@
             request=self._stream.job.parameters.request_id,
             head=self._assignment.head.target,
             delimiter=delimiter.value,
-            n_events=n_events,
+            n_events=self._n_events,
             n_open_bytes=events.n_open_bytes,
         )
         if events.is_inside_event:
             raise ExchangeBroken(
                 f"the stream ended inside an event, after {events.n_open_bytes} bytes"
             )
-        if not n_events and delimiter is Delimiter.CLOSE:
+        if not self._n_events and delimiter is Delimiter.CLOSE:
             raise ExchangeBroken("the stream ended before its first event")
         await self._take_turn()
         self._start_answer()
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -42,8 +42,9 @@
 # Timeout of a request whose caller specifies none, in seconds.
 DEFAULT_TIMEOUT_S = 60.0
 # A refusal leaves this long before the caller's deadline, so that it arrives in time: a
-# fraction of the caller's timeout, and the longest such time in seconds.
+# fraction of the caller's timeout, and the bounds of that time in seconds.
 REFUSAL_LEAD_RATIO = 0.02
+MIN_REFUSAL_LEAD_S = 0.005
 MAX_REFUSAL_LEAD_S = 0.05
 INTERNAL_ERROR = "internal-error"
 # Another daemon can take a request that this one, which leaves, does not accept.
@@ -180,6 +181,7 @@
             demand=self._estimate_demand(service, parameters),
             deadline_s=inbound.arrived_s
             + min(timeout_s - refusal_lead_s(timeout_s), route.timeout_s),
+            answer_end_s=inbound.arrived_s + min(timeout_s, route.timeout_s),
             organisation=organisation_id,
             priority=min(LOWEST_PRIORITY, priority),
             fingerprint=_fingerprint_of(inbound, organisation_id),
@@ -274,14 +276,15 @@
 
 
 def refusal_lead_s(timeout_s: float) -> float:
-    """Return how long before a caller's deadline its request ends, in seconds.
+    """Return how long before a caller's deadline its request is refused, in seconds.
 
     :param timeout_s: the caller's timeout, in seconds.
 
-    >>> refusal_lead_s(0.5), refusal_lead_s(20.0)
-    (0.01, 0.05)
+    >>> refusal_lead_s(0.1), refusal_lead_s(0.5), refusal_lead_s(20.0)
+    (0.005, 0.01, 0.05)
     """
-    return min(MAX_REFUSAL_LEAD_S, REFUSAL_LEAD_RATIO * timeout_s)
+    lead_s = max(MIN_REFUSAL_LEAD_S, REFUSAL_LEAD_RATIO * timeout_s)
+    return min(MAX_REFUSAL_LEAD_S, lead_s)
 
 
 def _fingerprint_of(
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stalls.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stalls.py
@@ -73,6 +73,14 @@
         self._probe = LossProbe()
         self._reports = SharedCalls(self._fetch_report, REPORT_LIFETIME_S)
 
+    def may_ask(self, assignment: Assignment, now_s: float) -> bool:
+        """Return whether the head of a chain may be asked for a report.
+
+        :param assignment: the chain.
+        :param now_s: current time, in seconds.
+        """
+        return not self._closures.is_closed(assignment.head, now_s)
+
     async def find(
         self, request_id: RequestId, assignment: Assignment
     ) -> SilentEngine | None:
@@ -83,7 +91,7 @@
         :returns: ``None`` if all engines of the chain respond.
         """
         head = assignment.head
-        if self._closures.is_closed(head, now()):
+        if not self.may_ask(assignment, now()):
             # It wants no requests, also no such ones.
             return None
         try:
@@ -105,27 +113,42 @@
         return None
 
     def record_no_events(
-        self, request_id: RequestId, assignment: Assignment, duration_s: float
+        self,
+        request_id: RequestId,
+        assignment: Assignment,
+        duration_s: float,
+        n_events: int,
+        is_failure: bool,
     ) -> SilentEngine:
         """Record a stream without events although its engines respond.
 
         :param request_id: the request.
         :param assignment: assignment of the request.
         :param duration_s: time without an event, in seconds.
+        :param n_events: number of events that its head has sent before.
+        :param is_failure: whether it counts as a failure of the head.
         :returns: the head, which the stream waits for.
         """
         head = assignment.head
-        is_suspect = self._health.record_failure(head.target, now())
+        is_suspect = is_failure and self._health.record_failure(head.target, now())
         reason = "the head responds, but sends no events"
         self._log.record(
             "stream.no_events",
             request=request_id,
             head=head.target,
             silent_ms=round(duration_s * 1000),
+            n_events=n_events,
             is_suspect=is_suspect,
         )
         return SilentEngine(head, reason, is_responding=True)
 
+    def record_overtaken(self, head: Engine) -> None:
+        """Record that a stream went on on a second chain before its head did.
+
+        :param head: a head that has sent events and responds.
+        """
+        self._health.record_failure(head.target, now())
+
     async def is_gone(self, silent: SilentEngine, duration_s: float) -> bool:
         """Return whether a silent engine can no longer answer.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -15,6 +15,7 @@
     ConnectFailed,
     Exchange,
     ExchangeBroken,
+    Response,
 )
 from cassiaspread_daemon.gateway._capacity_queue import CapacityQueue
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
@@ -55,6 +56,8 @@
 # Longest wait for capacity on a chain, as a multiple of the objective.
 MAX_WAIT_OBJECTIVES = 2.0
 RETRY_AFTER_S = 0.3
+# Longest time for the rest of an answer that the caller does not get, in seconds.
+MAX_FAILED_ANSWER_S = 0.25
 
 
 class StreamForwarder:
@@ -133,6 +136,8 @@
         assignment = await self._assign(stream)
         stream.n_tried += 1
         try:
+            if stream.remaining_s(now()) <= 0:
+                raise self._refusal(stream)
             self._check_quarantine(stream)
         except Refusal:
             self._dispatcher.release(assignment)
@@ -163,18 +168,18 @@
         return route.is_resumable and stream.n_runs < route.max_attempts
 
     def _may_move(self, stream: StreamState) -> bool:
-        """Return whether another attempt may follow the one in progress."""
+        """Return whether another attempt may follow those in progress."""
         route = stream.job.route
+        n_running = 1 if stream.second is None else 2
         return (
             route.is_resumable
-            and stream.second is None
-            and stream.n_runs + 1 < route.max_attempts
+            and stream.n_runs + n_running < route.max_attempts
             and stream.n_tried < MAX_CHAINS_TRIED
             and not self._quarantine.is_refused(stream.job)
         )
 
     def _refusal(self, stream: StreamState) -> Refusal:
-        if stream.job.remaining_s(now()) <= 0:
+        if stream.remaining_s(now()) <= 0:
             return timeout_refusal(is_sent=stream.n_runs > 0)
         if stream.n_runs:
             return target_failed_refusal(
@@ -195,7 +200,7 @@
         if stream.is_started:
             # A caller that finds the pause too long disconnects; until then the stream
             # may resume.
-            max_wait_s = job.remaining_s(now())
+            max_wait_s = stream.remaining_s(now())
         try:
             assignment = await self._capacity_queue.assign(
                 job, stream.avoided, max_wait_s
@@ -260,7 +265,7 @@
     ) -> AttemptResult:
         job, head = stream.job, assignment.head
         parameters = ForwardParameters(
-            timeout_s=job.remaining_s(now()),
+            timeout_s=stream.remaining_s(now()),
             target=head.target,
             organisation=job.organisation,
             priority=job.priority,
@@ -274,7 +279,7 @@
         is_new = not job.route.may_repeat
         async with (
             self._pool.exchange(head.address, connect_timeout_s, is_new) as exchange,
-            asyncio.timeout(job.remaining_s(now())),
+            asyncio.timeout(stream.remaining_s(now())) as timeout,
         ):
             with ANSWER_MEMORY.hold(
                 lambda reason: exchange.fail(AnswerTooLarge(reason))
@@ -286,6 +291,7 @@
                     exchange,
                     ReceiveBuffer(held),
                     turn,
+                    timeout,
                     # A second start waits for its engine as long as the first does.
                     lambda: turn.is_granted and self._may_move(stream),
                     lambda found, silent: self._begin_second(stream, found, silent),
@@ -310,8 +316,7 @@
         turn: Turn,
     ) -> AttemptResult:
         job = stream.job
-        # The events of an answer without a signature are of no use.
-        response = None if answer.status == 200 else await exchange.finish()
+        response = await self._read_failed_answer(stream, exchange, answer)
         stream.failure_reason = f"the head answered {answer.status}"
         at_fault = self._find_at_fault(assignment, answer)
         if answer.is_not_run:
@@ -341,6 +346,32 @@
             return AttemptResult.COMPLETE
         return AttemptResult.FAILED
 
+    async def _read_failed_answer(
+        self, stream: StreamState, exchange: Exchange, answer: AnswerParameters
+    ) -> Response | None:
+        """Read what may be the caller's answer, and otherwise no longer than a moment.
+
+        The connection of an answer that was read can be used again.
+        """
+        if answer.status == 200:
+            # The events of an answer without a signature are of no use.
+            return None
+        is_for_caller = answer.is_signed and not answer.is_not_run
+        if is_for_caller and not self._is_repeatable(stream):
+            return await exchange.finish()
+        try:
+            async with asyncio.timeout(MAX_FAILED_ANSWER_S):
+                return await exchange.finish()
+        except (TimeoutError, ExchangeBroken) as error:
+            self._log.record(
+                "attempt.not_read",
+                request=stream.job.parameters.request_id,
+                status=answer.status,
+                is_not_run=answer.is_not_run,
+                reason=str(error) or "no end in time",
+            )
+            return None
+
     def _is_repeatable(self, stream: StreamState) -> bool:
         return stream.n_runs + 1 < stream.job.route.max_attempts and (
             stream.job.route.is_resumable
--- a/tests/gateway_jobs.py
+++ b/tests/gateway_jobs.py
@@ -33,6 +33,7 @@
         service=SERVICE,
         demand=RequestDemand(tokens, 0, "d"),
         deadline_s=now() + 20.0,
+        answer_end_s=now() + 20.0,
         organisation=organisation,
         priority=1,
         fingerprint=Fingerprint(fingerprint),
