--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -245,6 +245,7 @@
         self.set_header("Not-Executed", "1")
         self.set_header("Instance-Id", self.engine.id)
         if self.engine.mute_body:
+            self._auto_finish = False
             self.flush()
         else:
             self.finish()
--- a/tests/users_platform/test_lost_answers.py
+++ b/tests/users_platform/test_lost_answers.py
@@ -258,15 +258,15 @@
     assert len(runs) == len(set(runs))
 
 
-def test_stream_whose_second_engine_sends_nothing_starts_on_a_third(deployment):
+def test_stream_whose_second_engine_sends_nothing_starts_on_others(deployment):
     changed = [
-        {**r, "max_attempts": 3} if r["name"] == "draft" else r for r in routes()
+        {**r, "max_attempts": 4} if r["name"] == "draft" else r for r in routes()
     ]
     deployment.publish_configuration(4, routes=changed)
     for gateway in GATEWAYS:
         wait_for(lambda g=gateway: stream(deployment, "/once/x", 1, g).status == 200)
         wait_for(lambda g=gateway: deployment.layered_engines(g) == set(ENGINES))
-    for name in ENGINES[:2]:
+    for name in ENGINES[:3]:
         deployment.control(name, mute_after=0)
     with ThreadPoolExecutor(N_STREAMS) as pool:
         answers = [pool.submit(stream, deployment, "/draft/x", 1) for _ in range(4)]
