A head that is not asked for a report does not count as silent since its last one

Found on reading again: a head that wants no requests is not asked for reports, and the time without a response went on for it, so that its silence could reach the three seconds of a proof too early once it was asked again. It begins anew with each check, as it did before. No test shows it.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
@@ -319,11 +319,12 @@
         if silent is not None:
             watch.n_responses = 0
             return _Silence(silent, watch.responded_s, has_ended)
+        # A head that was not asked may be well.
+        watch.responded_s = now()
         if has_ended() or any(future.done() for future in self._second_futures):
             return None
         if not self._tools.stalls.may_ask(self._assignment, now()):
             return None
-        watch.responded_s = now()
         watch.n_responses += 1
         duration_s = watch.responded_s - watch.begin_s
         if (
