A leaving daemon compares a late stream's whole time with the end of its drain

Since an answer that has begun may take up to 50 ms longer than the time at which its refusal would leave, but a leaving daemon compared that earlier time with the end of its drain: a stream accepted in between could be cut there. It compares the end of the answer. The test failed before, passes now.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -191,7 +191,7 @@
         if self._end_s is None:
             return
         is_stream = job.route.kind is RequestKind.STREAM
-        if (job.deadline_s if is_stream else now_s) >= self._end_s:
+        if (job.answer_end_s if is_stream else now_s) >= self._end_s:
             raise _leaving_refusal()
 
     def _find_organisation(
--- a/packages/cassiaspread-daemon/tests/test_leaving_gateway.py
+++ b/packages/cassiaspread-daemon/tests/test_leaving_gateway.py
@@ -4,13 +4,18 @@
 import socket
 from types import SimpleNamespace
 
+import msgspec
+import pytest
 from tornado.httpserver import HTTPServer
 
+from cassiaspread_core.base import Refusal
 from cassiaspread_daemon._listener import Listener
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.gateway import _gateway
 from cassiaspread_daemon.gateway._frontend import Frontend
 from cassiaspread_daemon.gateway._gateway import Gateway
+from cassiaspread_daemon.gateway._router import Router
+from tests.gateway_jobs import make_job
 
 
 class LateCaller(Listener):
@@ -59,3 +64,15 @@
         assert b"Connection: close" in answer
 
     asyncio.run(run())
+
+
+def test_late_stream_whose_answer_may_outlast_the_drain_is_refused():
+    # Its answer may go on after the time at which its refusal would leave.
+    job, router = make_job(), Router.__new__(Router)
+    job = msgspec.structs.replace(job, answer_end_s=job.deadline_s + 0.05)
+    router.refuse_late(job.deadline_s + 0.1)
+    router._check_end(job, job.deadline_s - 20.0)
+    router.refuse_late(job.deadline_s + 0.02)
+    with pytest.raises(Refusal) as refused:
+        router._check_end(job, job.deadline_s - 20.0)
+    assert refused.value.code == "leaving"
