Log answers that do not name the request that waits for them

answer.unproven shows status, signature, refusal and how many requests the connection had carried, and whether the gateway took the answer; attempt.ended says whether the connection was kept. No decision changes. The test of a late answer gives its relay a head, which the line names.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -58,6 +58,8 @@
 BODILESS_STATUSES = (204, 304)
 
 DataCallback = Callable[[bytes], Awaitable[None] | None]
+# Decides from the status and headers whether a response belongs to the request.
+AnswerFilter = Callable[[int, HTTPHeaders], bool]
 
 
 class ConnectFailed(CassiaspreadError):
@@ -110,12 +112,19 @@
 
     _n_chunks = 0
     _begin_s = 0.0
+    _n_requests = 0
+
+    @property
+    def n_requests(self) -> int:
+        """Number of requests that were sent over this connection."""
+        return self._n_requests
 
     def begin_response(self, now_s: float) -> None:
-        """Start to count the chunks of another response.
+        """Count another request, and start to count the chunks of its response.
 
         :param now_s: current time, in seconds.
         """
+        self._n_requests += 1
         self._n_chunks = 0
         self._begin_s = now_s
 
@@ -161,7 +170,7 @@
         self,
         stream: ResponseStream,
         on_data: DataCallback | None,
-        is_expected: Callable[[HTTPHeaders], bool] | None,
+        is_expected: AnswerFilter | None,
         fail: Callable[[ExchangeBroken], None],
     ) -> None:
         self.status = 0
@@ -196,7 +205,9 @@
         assert isinstance(start_line, ResponseStartLine)
         if 100 <= start_line.code < 200:
             return
-        self.is_stray = self._is_expected is not None and not self._is_expected(headers)
+        self.is_stray = self._is_expected is not None and not self._is_expected(
+            start_line.code, headers
+        )
         if self.is_stray:
             self.n_strays += 1
             return
@@ -328,6 +339,11 @@
         """``host:port`` of the other end."""
         return self._address
 
+    @property
+    def n_requests(self) -> int:
+        """Number of requests that were sent over the connection, with this one."""
+        return self._stream.n_requests
+
     @property
     def headers(self) -> HTTPHeaders:
         """Headers of the response, empty before it starts."""
@@ -447,7 +463,7 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         on_data: DataCallback | None = None,
-        is_expected: Callable[[HTTPHeaders], bool] | None = None,
+        is_expected: AnswerFilter | None = None,
     ) -> int:
         """Send the request and wait for the status of the response.
 
@@ -457,8 +473,8 @@
         :param headers: additional headers.
         :param on_data: called with each chunk of the body of a 200 response, and may
             raise :exc:`ExchangeBroken`; otherwise the body is kept for :meth:`finish`.
-        :param is_expected: returns from the headers whether a response belongs to
-            this request; others belong to earlier requests and are dropped.
+        :param is_expected: returns from the status and headers whether a response
+            belongs to this request; others belong to earlier requests and are dropped.
         :returns: the status code.
         :raises ExchangeBroken: the connection ended before the status was received.
         """
--- /dev/null
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_answer_filter.py
@@ -0,0 +1,45 @@
+"""Which of the responses on a connection belongs to a request."""
+
+from tornado.httputil import HTTPHeaders
+
+from cassiaspread_core.base import RequestId, TargetId
+from cassiaspread_daemon._exchange import AnswerFilter, Exchange
+from cassiaspread_daemon.gateway._decision_log import DecisionLog
+from cassiaspread_daemon.gateway._protocols import HeaderCodec
+
+
+def answer_filter(
+    codec: HeaderCodec,
+    log: DecisionLog,
+    request_id: RequestId,
+    target: TargetId,
+    exchange: Exchange,
+) -> AnswerFilter:
+    """Return a function that decides whether a response belongs to a request.
+
+    :param codec: decodes headers of responses.
+    :param log: receives a line for each response that does not name the request.
+    :param request_id: the request.
+    :param target: target that the request is sent to.
+    :param exchange: connection to it.
+    """
+
+    def is_expected(status: int, headers: HTTPHeaders) -> bool:
+        named = codec.answered_request(headers)
+        is_taken = codec.is_answer_to(headers, request_id)
+        if named != request_id:
+            answer = codec.read_answer(status, headers)
+            log.record(
+                "answer.unproven",
+                request=request_id,
+                target=target,
+                status=status,
+                named=named,
+                is_signed=answer.is_signed,
+                is_not_run=answer.is_not_run,
+                n_requests=exchange.n_requests,
+                is_taken=is_taken,
+            )
+        return is_taken
+
+    return is_expected
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -7,6 +7,7 @@
 from cassiaspread_core.base import Refusal, TargetId
 from cassiaspread_core.targets import TargetHealth
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken, Response
+from cassiaspread_daemon.gateway._answer_filter import answer_filter
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._dispatch import Assignment, Dispatcher
 from cassiaspread_daemon.gateway._engine_notices import EngineNotices
@@ -274,8 +275,12 @@
                     job.inbound.target,
                     job.inbound.body,
                     headers,
-                    is_expected=lambda h: self._codec.is_answer_to(
-                        h, job.parameters.request_id
+                    is_expected=answer_filter(
+                        self._codec,
+                        self._log,
+                        job.parameters.request_id,
+                        head.target,
+                        exchange,
                     ),
                 )
                 response = await exchange.finish()
@@ -287,6 +292,7 @@
             target=head.target,
             status=status,
             delimiter=exchange.delimiter.value,
+            is_kept=exchange.n_requests > 1,
             n_bytes=len(response.body),
         )
         answer = self._codec.read_answer(status, response.headers)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
@@ -118,6 +118,12 @@
         :param headers: the headers.
         """
 
+    def answered_request(self, headers: HTTPHeaders) -> RequestId | None:
+        """Return the request that a response names, if any.
+
+        :param headers: the response's headers.
+        """
+
     def is_answer_to(self, headers: HTTPHeaders, request_id: RequestId) -> bool:
         """Return whether a response belongs to a request.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
@@ -14,6 +14,7 @@
     Exchange,
     ExchangeBroken,
 )
+from cassiaspread_daemon.gateway._answer_filter import answer_filter
 from cassiaspread_daemon.gateway._capacity_queue import CapacityQueue
 from cassiaspread_daemon.gateway._chain_search import ChainSearch
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
@@ -182,7 +183,13 @@
                 job.inbound.body,
                 headers,
                 on_data=self._buffer.put,
-                is_expected=lambda h: codec.is_answer_to(h, job.parameters.request_id),
+                is_expected=answer_filter(
+                    codec,
+                    self._tools.log,
+                    job.parameters.request_id,
+                    self._assignment.head.target,
+                    self._exchange,
+                ),
             )
         )
         stall_s = job.route.objective_s * STALL_OBJECTIVE_RATIO
@@ -468,6 +475,7 @@
             request=self._stream.job.parameters.request_id,
             head=self._assignment.head.target,
             delimiter=delimiter.value,
+            is_kept=self._exchange.n_requests > 1,
             n_events=self._n_events,
             n_open_bytes=events.n_open_bytes,
         )
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -338,7 +338,9 @@
         own = b"HTTP/1.1 200 OK\r\nId: new\r\nContent-Length: 3\r\n\r\nnew"
         address, _ = await serve_bytes(stray + own)
         with await Exchange.open(address, 1.0) as exchange:
-            await exchange.send("GET", "/", is_expected=lambda h: h.get("Id") == "new")
+            await exchange.send(
+                "GET", "/", is_expected=lambda _, h: h.get("Id") == "new"
+            )
             assert (await exchange.finish()).body == b"new"
 
     asyncio.run(run())
--- a/packages/cassiaspread-daemon/tests/test_relay.py
+++ b/packages/cassiaspread-daemon/tests/test_relay.py
@@ -65,7 +65,7 @@
                 relay = Relay(
                     tools,
                     stream,
-                    None,
+                    SimpleNamespace(head=SimpleNamespace(target="head")),
                     exchange,
                     buffer,
                     turn,
@@ -121,7 +121,10 @@
         stream = StreamState(job, lambda: True)
         buffer = ReceiveBuffer(SimpleNamespace(add=lambda n: None, is_open=True))
         exchange = SimpleNamespace(
-            finish=ends.wait, headers={}, delimiter=Delimiter.CHUNKS
+            finish=ends.wait,
+            headers={},
+            delimiter=Delimiter.CHUNKS,
+            n_requests=1,
         )
         nothing = SimpleNamespace(
             record=lambda *_, **__: None,
