--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -16,6 +16,8 @@
 after their first half), ``lie`` (how reports lie: ``errors``, ``hang``, ``reset``, or
 ``bad`` for bytes that are no report), ``renews`` (whether the entry is renewed),
 ``listens`` (false: no new connections, those that are open stay),
+``second`` (fields of a second answer that follows each answer on its connection after
+``second_after_s``, see ``format_second_answer``; a stream gets it too),
 ``break_text`` (sent before that), ``break_how`` (``close``,
 ``reset``, or ``end`` for a last chunk) and ``flood``, which sends bytes without end: in
 the ``head`` of an answer, a ``line`` or ``events`` of a stream, one ``chunk``, many
@@ -66,6 +68,7 @@
 }
 
 
+SECOND_BODY = b'{"by": "second"}'
 # Marks the reports that one engine requests of another.
 STAGE_HEADER = "Stage-Check"
 
@@ -96,6 +99,8 @@
         self.renewals = 0
         self.lie = None
         self.renews = True
+        self.second = None
+        self.second_after_s = 0.0
         self.server = None
 
     @property
@@ -237,6 +242,20 @@
 
     get = post = put = delete = run
 
+    def on_finish(self):
+        engine = self.engine
+        if engine.second is None:
+            return
+        request_id = self.request.headers.get("Attempt-Id", "")
+        answer = format_second_answer(request_id, **engine.second)
+        stream = self.request.connection.stream
+
+        def write():
+            if not stream.closed():
+                stream.write(answer)
+
+        asyncio.get_running_loop().call_later(engine.second_after_s, write)
+
     def refuse(self, status):
         self.engine.append_history(kind="refusal", status=status)
         self.set_status(status)
@@ -418,6 +437,39 @@
         stream.close()
 
 
+def format_second_answer(
+    request_id,
+    status=200,
+    is_signed=False,
+    names=None,
+    is_refusal=False,
+    delimiter="length",
+):
+    """Return the bytes of an answer that nobody asked for.
+
+    ``names`` is the identifier that it carries, ``earlier`` for that of the request
+    that was answered before. ``delimiter`` is ``length``, ``chunks``, ``none`` (no length),
+    ``short`` (fewer bytes than its length says) or ``headless`` (a body alone).
+    """
+    body = SECOND_BODY
+    lines = [f"HTTP/1.1 {status} Second"]
+    if is_signed:
+        lines.append("Response-Seal: seal-second")
+    if is_refusal:
+        lines.append("Not-Executed: 1")
+    if names is not None:
+        lines.append(f"Attempt-Id: {request_id if names == 'earlier' else names}")
+    if delimiter == "chunks":
+        lines.append("Transfer-Encoding: chunked")
+        body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    elif delimiter in ("length", "short"):
+        n_missing = 9 if delimiter == "short" else 0
+        lines.append(f"Content-Length: {len(body) + n_missing}")
+    if delimiter == "headless":
+        return body
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
 def reset(stream):
     stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     stream.close()
--- /dev/null
+++ b/tests/users_platform/test_second_answers.py
@@ -0,0 +1,117 @@
+"""Engines that answer twice, the second time late, on a connection in use again."""
+
+import json
+import time
+
+import pytest
+
+from tests.users_platform.deployment import MODEL_SERVICE, PLAIN_SERVICE, wait_for
+
+GATEWAY = "gateway"
+PLAIN_ENGINE = "plain"
+HEAD = "head"
+# Time that the engine takes for each request, in seconds: longer than any delay below.
+RUN_S = 0.12
+N_REQUESTS = 4
+N_EVENTS = 5
+SECOND_ANSWERS = {
+    "signed, earlier id": {"is_signed": True, "names": "earlier"},
+    "signed, no id": {"is_signed": True},
+    "signed, chunked": {
+        "is_signed": True,
+        "names": "earlier",
+        "delimiter": "chunks",
+    },
+    "signed, other id": {"is_signed": True, "names": "other"},
+    "200": {},
+    "404": {"status": 404},
+    "500": {"status": 500},
+    "204": {"status": 204, "delimiter": "none"},
+    "503 not run": {"status": 503, "is_refusal": True},
+    "429 not run": {"status": 429, "is_refusal": True},
+    "421": {"status": 421},
+    "503 not run, earlier id": {
+        "status": 503,
+        "is_refusal": True,
+        "names": "earlier",
+    },
+    "no length": {"is_signed": True, "names": "earlier", "delimiter": "none"},
+    "short": {"is_signed": True, "names": "earlier", "delimiter": "short"},
+    "no id, short": {"status": 404, "delimiter": "short"},
+    "headless": {"delimiter": "headless"},
+}
+DELAYS_S = (0.0, 0.03)
+
+
+@pytest.fixture(scope="module")
+def stuttering_deployment(bare_module_deployment):
+    """One gateway, one plain engine and one engine that serves streams alone."""
+    deployment = bare_module_deployment
+    deployment.publish_configuration(3)
+    deployment.add_engine(PLAIN_ENGINE, PLAIN_SERVICE, "celje")
+    deployment.add_engine(HEAD, MODEL_SERVICE, "celje", "large")
+    deployment.add_gateway(GATEWAY, "celje")
+    wait_for(lambda: deployment.is_ready(GATEWAY))
+    wait_for(lambda: deployment.request(GATEWAY, "/stock/1").status == 200)
+    wait_for(lambda: deployment.request_stream(GATEWAY, 1).status == 200)
+    deployment.control(PLAIN_ENGINE, begin_s=RUN_S)
+    # A second answer in the middle of a stream could not be told from the stream.
+    deployment.control(HEAD, begin_s=RUN_S, event_s=0.0)
+    return deployment
+
+
+@pytest.fixture
+def second_answers(stuttering_deployment, request):
+    """Engines send second answers in the test, and no more after it."""
+    deployment = stuttering_deployment
+
+    def begin(kind, delay_s):
+        for name in (PLAIN_ENGINE, HEAD):
+            second = SECOND_ANSWERS[kind]
+            deployment.control(name, second=second, second_after_s=delay_s)
+        return deployment
+
+    yield begin
+    for name in (PLAIN_ENGINE, HEAD):
+        deployment.control(name, second=None)
+    # No answer of this test may follow later.
+    time.sleep(max(DELAYS_S))
+
+
+@pytest.mark.parametrize("delay_s", DELAYS_S)
+@pytest.mark.parametrize("kind", SECOND_ANSWERS)
+def test_plain_answer_is_not_that_of_another_request(second_answers, kind, delay_s):
+    deployment = second_answers(kind, delay_s)
+    for n in range(N_REQUESTS):
+        path = f"/stock/{kind.replace(' ', '-')}/{n}"
+        answer = deployment.request(
+            GATEWAY, path, "GET", Attempt_Id=f"plain-{n}", Deadline_Ms="2000"
+        )
+        assert answer.status == 200, (n, answer.body)
+        assert json.loads(answer.body) == {"by": PLAIN_ENGINE, "path": path}
+        assert answer.headers.get_all("Attempt-Id") == [f"plain-{n}"]
+
+
+@pytest.mark.parametrize("delay_s", DELAYS_S)
+@pytest.mark.parametrize("kind", SECOND_ANSWERS)
+def test_stream_is_not_that_of_another_request(second_answers, kind, delay_s):
+    deployment = second_answers(kind, delay_s)
+    for n in range(N_REQUESTS):
+        answer = deployment.request_stream(
+            GATEWAY, N_EVENTS, Attempt_Id=f"stream-{n}", Deadline_Ms="4000"
+        )
+        assert answer.status == 200, (n, answer.body)
+        assert answer.is_complete
+        assert answer.event_ids == list(range(1, N_EVENTS + 1))
+        assert b"second" not in answer.body
+        assert answer.headers.get_all("Attempt-Id") == [f"stream-{n}"]
+
+
+@pytest.mark.parametrize("kind", ["404", "503 not run", "421"])
+def test_refusal_is_not_taken_from_the_answer_to_another_request(second_answers, kind):
+    deployment = second_answers(kind, 0.03)
+    n_before = len(deployment.history("run"))
+    answers = [deployment.request(GATEWAY, "/book/x") for _ in range(N_REQUESTS)]
+    runs = deployment.history("run")[n_before:]
+    assert [answer.status for answer in answers] == [200] * N_REQUESTS
+    assert len(runs) == N_REQUESTS
