An answer counts only if it names its request; no byte too many on a kept connection

What callers saw: the answer of another request, "not run" for requests that an engine had run, 502 for requests that their engine answered, or 504 at the deadline, each after an engine had written a second answer on a kept connection.

Cause: the position on a connection told whose an answer is. An unsigned one that names no request counted as the expected one, refusals included; connections were used again although bytes lay on them or had come unasked; a second try could share its connection with the first; status reports shared connections with requests and orders took any answer. Class: correlation by position.

Change: a response belongs to the request whose identifier it carries, and to no other; without one it counts for nothing. A connection is closed once it brought a byte that no request asked for: behind an answer, while idle, in the kernel, or before the answer. A stray response without an end, or one that is late, spoils the connection, not the engine: the request is repeated over a new one where it may be.

The test of is_answer_to is replaced: a refusal without identifier, taken before, is nobody's; only a request that has no identifier itself may be answered without one.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_caller_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_caller_stream.py
@@ -11,6 +11,8 @@
 
 from tornado.iostream import IOStream
 
+from cassiaspread_daemon._peek import peek
+
 # Number of bytes in the answer of the ioctl that reads a socket's send queue.
 N_BYTES = struct.Struct("i")
 # Bytes read at most from a connection that is being closed.
@@ -51,10 +53,7 @@
     @property
     def has_unread(self) -> bool:
         """Whether bytes wait in the kernel that were not received yet."""
-        try:
-            return bool(self.socket.recv(1, socket.MSG_PEEK))
-        except OSError:
-            return False
+        return bool(peek(self.socket))
 
     @property
     def n_unacknowledged(self) -> int:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -23,6 +23,7 @@
 
 from cassiaspread_core.admission import AnswerMemory, AnswerPacer, HeldAnswer
 from cassiaspread_core.base import CassiaspreadError
+from cassiaspread_daemon._peek import peek
 
 # Bound on a response that is passed on while it arrives.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
@@ -51,9 +52,11 @@
 MIN_CHUNK_BYTES = 64
 # Shorter pauses are left out, in seconds.
 MIN_PAUSE_S = 0.001
-# A stray response answers an earlier request. A target that sends this many is not
-# waited for any longer.
+# A stray response does not answer the request that waits on the connection. After this
+# many, or after one that is not complete in this time, in seconds, the response to the
+# request is not waited for any longer: a sound target sends none.
 MAX_STRAY_RESPONSES = 3
+STRAY_TIMEOUT_S = 0.25
 # Their responses have no body, so that they end with their headers.
 BODILESS_STATUSES = (204, 304)
 
@@ -78,6 +81,13 @@
     """The connection ended or stayed silent after the request may have been sent."""
 
 
+class ConnectionSpoiled(ExchangeBroken):
+    """What a kept connection carried hides the response to the request.
+
+    The request may have run; it is the connection that is of no use, not the target.
+    """
+
+
 class AnswerTooLarge(ExchangeBroken):
     """The response exceeds a bound and was not read to its end."""
 
@@ -113,17 +123,60 @@
     _n_chunks = 0
     _begin_s = 0.0
     _n_requests = 0
+    _is_idle = False
+    _is_ended_by_target = False
+    #: Called with the number of bytes if some arrive that no request asked for.
+    unasked_callback: Callable[[int], None] | None = None
 
     @property
     def n_requests(self) -> int:
         """Number of requests that were sent over this connection."""
         return self._n_requests
 
+    @property
+    def is_ended_by_target(self) -> bool:
+        """Whether the target has closed or reset the connection."""
+        return self._is_ended_by_target
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether nothing has arrived that was not read, not even the end."""
+        return not self.closed() and not self.n_unread and peek(self.socket) is None
+
+    @property
+    def n_unread(self) -> int:
+        """Number of bytes that were received and belong to no response so far."""
+        return self._read_buffer_size
+
+    def begin_idle(self) -> None:
+        """From now on no request waits: the connection ends if any byte arrives."""
+        self._is_idle = True
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read into a buffer; called by tornado.
+
+        :param buf: the buffer.
+        """
+        try:
+            n_bytes = super().read_from_fd(buf)
+        except OSError:
+            self._is_ended_by_target = True
+            raise
+        if n_bytes == 0:
+            self._is_ended_by_target = True
+        elif n_bytes and self._is_idle:
+            if self.unasked_callback is not None:
+                self.unasked_callback(n_bytes)
+            # As at its end, so that tornado closes the connection.
+            return 0
+        return n_bytes
+
     def begin_response(self, now_s: float) -> None:
         """Count another request, and start to count the chunks of its response.
 
         :param now_s: current time, in seconds.
         """
+        self._is_idle = False
         self._n_requests += 1
         self._n_chunks = 0
         self._begin_s = now_s
@@ -188,6 +241,7 @@
         self._blocks: list[bytearray] = []
         self._n_bytes = 0
         self._started_s = time.monotonic()
+        self._stray_timeout: asyncio.TimerHandle | None = None
 
     @property
     def body(self) -> bytes:
@@ -209,7 +263,7 @@
             start_line.code, headers
         )
         if self.is_stray:
-            self.n_strays += 1
+            self._begin_stray(start_line.code, headers)
             return
         self.status = start_line.code
         self.headers = headers
@@ -247,12 +301,37 @@
             self._blocks.append(bytearray(chunk))
         return None
 
+    def _begin_stray(self, status: int, headers: HTTPHeaders) -> None:
+        self.n_strays += 1
+        if find_delimiter(status, headers) is Delimiter.CLOSE:
+            self._fail(self._strays_error())
+            return
+        self._stray_timeout = asyncio.get_running_loop().call_later(
+            STRAY_TIMEOUT_S, lambda: self._fail(self._strays_error())
+        )
+
+    def _end_stray(self) -> None:
+        if self._stray_timeout is not None:
+            self._stray_timeout.cancel()
+            self._stray_timeout = None
+
+    def _strays_error(self) -> ExchangeBroken:
+        return self._spoiled_error(
+            f"{self.n_strays} responses that do not name the request"
+        )
+
+    def _spoiled_error(self, reason: str) -> ExchangeBroken:
+        # On a new connection, all that comes is the target's own answer.
+        is_kept = self._stream.n_requests > 1
+        return ConnectionSpoiled(reason) if is_kept else ExchangeBroken(reason)
+
     def drop(self, reason: str) -> None:
         """End an answer that exceeds a bound."""
         self._blocks.clear()
         self._fail(AnswerTooLarge(reason))
 
     def finish(self) -> None:
+        self._end_stray()
         self.is_ended = True
         if self.is_framed and not self.is_stray:
             self.set_result(None)
@@ -267,11 +346,7 @@
     @property
     def delimiter(self) -> Delimiter:
         """What marks the end of the body."""
-        if "Transfer-Encoding" in self.headers:
-            return Delimiter.CHUNKS
-        if "Content-Length" in self.headers or self.status in BODILESS_STATUSES:
-            return Delimiter.LENGTH
-        return Delimiter.CLOSE
+        return find_delimiter(self.status, self.headers)
 
     @property
     def is_framed(self) -> bool:
@@ -284,13 +359,20 @@
             self.set_result(None)
 
     def on_connection_close(self) -> None:
-        self.set_result(ExchangeBroken("connection closed before the response ended"))
+        if self._stream.is_ended_by_target or self.started.done():
+            error = ExchangeBroken("connection closed before the response ended")
+        elif self.n_strays:
+            error = self._strays_error()
+        else:
+            error = self._spoiled_error("bytes that are no response")
+        self.set_result(error)
 
     def set_result(self, error: ExchangeBroken | None) -> None:
         """Set the result unless there is one.
 
         :param error: the failure; ``None`` for a complete response.
         """
+        self._end_stray()
         for future in (self.started, self.finished):
             if future.done():
                 continue
@@ -301,6 +383,19 @@
                 future.exception()
 
 
+def find_delimiter(status: int, headers: HTTPHeaders) -> Delimiter:
+    """Return what marks the end of a response's body.
+
+    :param status: HTTP status code.
+    :param headers: headers of the response.
+    """
+    if "Transfer-Encoding" in headers:
+        return Delimiter.CHUNKS
+    if "Content-Length" in headers or status in BODILESS_STATUSES:
+        return Delimiter.LENGTH
+    return Delimiter.CLOSE
+
+
 class Exchange:
     """Owns the connection of one request; a context manager.
 
@@ -349,6 +444,12 @@
         """Headers of the response, empty before it starts."""
         return self._reader.headers if self._reader is not None else HTTPHeaders()
 
+    @property
+    def n_unread(self) -> int:
+        """Number of bytes that followed the end of the response."""
+        is_complete = self._reader is not None and self._reader.is_complete
+        return self._stream.n_unread if is_complete else 0
+
     @property
     def is_answered(self) -> bool:
         """Whether the headers of the response have arrived, or will not."""
@@ -362,16 +463,20 @@
 
     @property
     def is_reusable(self) -> bool:
-        """Whether the connection may serve another request."""
+        """Whether the connection may serve another request.
+
+        One that brought a byte that no request asked for may bring more of them.
+        """
         reader = self._reader
         return (
             self._keeps_connection
             and reader is not None
             and reader.is_complete
             and reader.is_framed
-            and reader.headers.get("Connection", "").lower() != "close"
+            and not reader.n_strays
+            and not _is_closing(reader.headers)
             and not self._stream.writing()
-            and not self._stream.closed()
+            and self._stream.is_silent
         )
 
     def release(self) -> ResponseStream | None:
@@ -523,6 +628,11 @@
             reader.on_connection_close()
 
 
+def _is_closing(headers: HTTPHeaders) -> bool:
+    options = headers.get("Connection", "").lower().split(",")
+    return "close" in map(str.strip, options)
+
+
 async def _consume_and_pause(consumed: Awaitable[None] | None, pause_s: float) -> None:
     if consumed is not None:
         await consumed
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/exchange.py
@@ -1,6 +1,7 @@
 """HTTP requests over connections owned by the calling code, for adapters."""
 
 from cassiaspread_daemon._exchange import (
+    AnswerFilter,
     ConnectFailed,
     Exchange,
     ExchangeBroken,
@@ -8,4 +9,11 @@
     fetch,
 )
 
-__all__ = ["ConnectFailed", "Exchange", "ExchangeBroken", "Response", "fetch"]
+__all__ = [
+    "AnswerFilter",
+    "ConnectFailed",
+    "Exchange",
+    "ExchangeBroken",
+    "Response",
+    "fetch",
+]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_answer_filter.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_answer_filter.py
@@ -17,6 +17,9 @@
 ) -> AnswerFilter:
     """Return a function that decides whether a response belongs to a request.
 
+    A response proves it with the identifier. One that carries none, or another one,
+    counts for nothing, whatever it says: not as an answer, and not as a refusal.
+
     :param codec: decodes headers of responses.
     :param log: receives a line for each response that does not name the request.
     :param request_id: the request.
@@ -26,8 +29,10 @@
 
     def is_expected(status: int, headers: HTTPHeaders) -> bool:
         named = codec.answered_request(headers)
-        is_taken = codec.is_answer_to(headers, request_id)
-        if named != request_id:
+        # A caller's request without an identifier is sent over a new connection, which
+        # proves whose answer comes first.
+        is_own = named == (request_id or None)
+        if not is_own:
             answer = codec.read_answer(status, headers)
             log.record(
                 "answer.unproven",
@@ -38,8 +43,7 @@
                 is_signed=answer.is_signed,
                 is_not_run=answer.is_not_run,
                 n_requests=exchange.n_requests,
-                is_taken=is_taken,
             )
-        return is_taken
+        return is_own
 
     return is_expected
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -124,6 +124,7 @@
         self._health = TargetHealth()
         self._closures = TargetClosures()
         self._pool = pool
+        pool.on_unasked = self._record_unasked
         self._quarantine = Quarantine(
             lambda engine: self._dispatcher.is_domain_unreachable(engine, now()),
             self._supervisor.add_child("probes"),
@@ -522,6 +523,9 @@
             lambda job: self._quarantine.check(job, False, unix_time_s())
         )
 
+    def _record_unasked(self, address: str, n_bytes: int) -> None:
+        self._log.record("connection.unasked", address=address, n_bytes=n_bytes)
+
     def _handle_renewal(self, target: TargetId) -> None:
         engine = self._routing_state.engines.get(target)
         if engine is not None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -6,7 +6,12 @@
 
 from cassiaspread_core.base import Refusal, TargetId
 from cassiaspread_core.targets import TargetHealth
-from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken, Response
+from cassiaspread_daemon._exchange import (
+    ConnectFailed,
+    ConnectionSpoiled,
+    ExchangeBroken,
+    Response,
+)
 from cassiaspread_daemon.gateway._answer_filter import answer_filter
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._dispatch import Assignment, Dispatcher
@@ -69,7 +74,11 @@
     def __init__(self, job: Job, take_retry: TakeRetry) -> None:
         self.job = job
         self.take_retry = take_retry
-        self.tried: list[TargetId] = []
+        self.n_tried = 0
+        # Targets that the request was sent to, and those of them that are not asked
+        # again.
+        self.sent_to: set[TargetId] = set()
+        self.avoided: set[TargetId] = set()
         # Attempts that ended and may have run; those in progress may run too.
         self.n_runs = 0
         self.pending: dict[asyncio.Task[Answer], _Attempt] = {}
@@ -86,7 +95,7 @@
         n_runs = self.n_runs + len(self.pending)
         route = self.job.route
         return (
-            len(self.tried) < MAX_TARGETS_TRIED
+            self.n_tried < MAX_TARGETS_TRIED
             and n_runs < route.max_attempts
             and (route.may_repeat or not n_runs)
         )
@@ -166,11 +175,11 @@
         elif self._quarantine.is_refused(job):
             return False
         assignment = self._dispatcher.assign(
-            job.service, job.demand, now(), avoid=call.tried
+            job.service, job.demand, now(), avoid=call.avoided
         )
         if assignment is None:
             return False
-        is_allowed = not call.tried
+        is_allowed = not call.n_tried
         try:
             is_allowed = is_allowed or await call.take_retry()
         finally:
@@ -178,9 +187,14 @@
                 self._dispatcher.release(assignment, is_end=False)
         if not is_allowed:
             return False
-        call.tried.append(assignment.head.target)
+        head = assignment.head.target
+        # Over the same connection, a second answer to the first attempt would fit.
+        is_repeated = head in call.sent_to
+        call.n_tried += 1
+        call.sent_to.add(head)
+        call.avoided.add(head)
         run = self._quarantine.begin_run(job)
-        task = asyncio.create_task(self._send(job, assignment))
+        task = asyncio.create_task(self._send(job, assignment, is_repeated))
         task.add_done_callback(lambda _: self._dispatcher.release(assignment))
         # The result of an attempt that is no longer waited for is of no use.
         task.add_done_callback(lambda t: t.cancelled() or t.exception())
@@ -197,6 +211,12 @@
         except ConnectFailed as failure:
             self._record_unreachable(job, assignment, str(failure), is_sent=False)
             return None
+        except ConnectionSpoiled as failure:
+            self._record_broken(job, assignment, str(failure), is_sent=True)
+            call.error = failure
+            call.n_runs += 1
+            call.avoided.discard(assignment.head.target)
+            return None
         except ExchangeBroken as failure:
             self._record_unreachable(job, assignment, str(failure), is_sent=True)
             call.error = failure
@@ -249,7 +269,9 @@
         shortest_s = call.job.route.objective_s * MIN_ATTEMPT_OBJECTIVES
         return min(remaining_s, max(shortest_s, remaining_s * ATTEMPT_TIME_RATIO))
 
-    async def _send(self, job: Job, assignment: Assignment) -> Answer:
+    async def _send(
+        self, job: Job, assignment: Assignment, is_repeated: bool
+    ) -> Answer:
         head = assignment.head
         parameters = ForwardParameters(
             timeout_s=job.remaining_s(now()),
@@ -262,7 +284,9 @@
         connect_timeout_s = min(CONNECT_TIMEOUT_S, parameters.timeout_s)
         # A target may close a pooled connection just as the request is sent, which is
         # indistinguishable from a request that ran.
-        is_new = not job.route.may_repeat
+        is_new = (
+            is_repeated or not job.route.may_repeat or not job.parameters.request_id
+        )
         try:
             async with (
                 self._pool.exchange(
@@ -318,6 +342,11 @@
         self, job: Job, assignment: Assignment, reason: str, is_sent: bool
     ) -> None:
         self._dispatcher.record_unreachable(assignment.head, now())
+        self._record_broken(job, assignment, reason, is_sent)
+
+    def _record_broken(
+        self, job: Job, assignment: Assignment, reason: str, is_sent: bool
+    ) -> None:
         self._log.record(
             "attempt.broken",
             request=job.parameters.request_id,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_pool.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_pool.py
@@ -1,8 +1,9 @@
 """Pool of keep-alive connections to targets and to the platform."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from enum import Enum
 
 from cassiaspread_daemon._exchange import Exchange, ResponseStream
 
@@ -14,32 +15,51 @@
 MAX_IDLE_PER_ADDRESS = 32
 
 
+class Lane(Enum):
+    """Kind of calls that share connections.
+
+    A second answer to a call of one lane is never read as the answer to one of another.
+    REQUESTS: requests of callers.
+    CONTROL: status reports and orders.
+    """
+
+    REQUESTS = "requests"
+    CONTROL = "control"
+
+
 class ConnectionPool:
     """Owns idle connections; a context manager."""
 
     def __init__(self) -> None:
-        self._idle: dict[str, list[tuple[float, ResponseStream]]] = {}
+        self._idle: dict[tuple[str, Lane], list[tuple[float, ResponseStream]]] = {}
         self.n_opened = 0
+        # Called with the address and the number of bytes that no request asked for.
+        self.on_unasked: Callable[[str, int], None] = lambda address, n_bytes: None
 
     def __enter__(self) -> "ConnectionPool":
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        for address in list(self._idle):
+        for address, _ in list(self._idle):
             self.drop(address)
 
     @asynccontextmanager
     async def exchange(
-        self, address: str, connect_timeout_s: float, is_new: bool = False
+        self,
+        address: str,
+        connect_timeout_s: float,
+        is_new: bool = False,
+        lane: Lane = Lane.REQUESTS,
     ) -> AsyncIterator[Exchange]:
         """Provide a connection for one request and keep it if it stays usable.
 
         :param address: ``host:port``.
         :param connect_timeout_s: longest wait for a new connection, in seconds.
         :param is_new: whether a new connection is required.
+        :param lane: kind of the call.
         :raises ConnectFailed: no connection could be opened.
         """
-        stream = None if is_new else self._take_idle(address)
+        stream = None if is_new else self._take_idle(address, lane)
         if stream is None:
             self.n_opened += 1
             exchange = await Exchange.open(
@@ -50,48 +70,56 @@
         try:
             yield exchange
         finally:
-            self._return_connection(exchange)
+            self._return_connection(exchange, lane)
 
     def drop(self, address: str) -> None:
         """Close the idle connections to an address.
 
         :param address: ``host:port``.
         """
-        for _, stream in self._idle.pop(address, ()):
-            stream.set_close_callback(None)
-            stream.close()
+        for lane in Lane:
+            for _, stream in self._idle.pop((address, lane), ()):
+                stream.set_close_callback(None)
+                stream.close()
 
-    def _take_idle(self, address: str) -> ResponseStream | None:
+    def _take_idle(self, address: str, lane: Lane) -> ResponseStream | None:
         now_s = asyncio.get_running_loop().time()
-        idle = self._idle.get(address, [])
+        idle = self._idle.get((address, lane), [])
         while idle:
             expires_s, stream = idle.pop()
             stream.set_close_callback(None)
-            if expires_s > now_s and not stream.closed():
+            if expires_s > now_s and stream.is_silent:
                 return stream
             stream.close()
         return None
 
-    def _return_connection(self, exchange: Exchange) -> None:
+    def _return_connection(self, exchange: Exchange, lane: Lane) -> None:
         headers = exchange.headers
+        n_unread = exchange.n_unread
+        if n_unread:
+            self.on_unasked(exchange.address, n_unread)
         stream = exchange.release()
         if stream is None:
             return
         now_s = asyncio.get_running_loop().time()
         expires_s = now_s + _idle_time_s(headers.get("Keep-Alive", ""))
-        idle = self._idle.setdefault(exchange.address, [])
+        idle = self._idle.setdefault((exchange.address, lane), [])
         if expires_s <= now_s or len(idle) >= MAX_IDLE_PER_ADDRESS:
             stream.close()
             return
         entry = (expires_s, stream)
         idle.append(entry)
+        stream.unasked_callback = lambda n: self.on_unasked(exchange.address, n)
+        stream.begin_idle()
         # Setting the callback also makes the stream detect that the peer closes it.
-        stream.set_close_callback(lambda: self._discard(exchange.address, entry))
+        stream.set_close_callback(lambda: _discard(idle, entry))
+
 
-    def _discard(self, address: str, entry: tuple[float, ResponseStream]) -> None:
-        idle = self._idle.get(address, [])
-        if entry in idle:
-            idle.remove(entry)
+def _discard(
+    idle: list[tuple[float, ResponseStream]], entry: tuple[float, ResponseStream]
+) -> None:
+    if entry in idle:
+        idle.remove(entry)
 
 
 def _idle_time_s(keep_alive: str) -> float:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
@@ -124,13 +124,6 @@
         :param headers: the response's headers.
         """
 
-    def is_answer_to(self, headers: HTTPHeaders, request_id: RequestId) -> bool:
-        """Return whether a response belongs to a request.
-
-        :param headers: the response's headers.
-        :param request_id: the request.
-        """
-
     def answer_headers(self, headers: HTTPHeaders) -> HTTPHeaders:
         """Build the headers that go to the caller with a target's answer.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
@@ -64,6 +64,8 @@
         self.is_started = False
         self.n_tried = 0
         self.n_runs = 0
+        # Heads that the stream was sent to.
+        self.sent_to: set[TargetId] = set()
         self.avoided: set[TargetId] = set()
         self.failure_reason = ""
         # Attempt on another chain, beside one whose engine is silent.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -13,6 +13,7 @@
     ANSWER_MEMORY,
     AnswerTooLarge,
     ConnectFailed,
+    ConnectionSpoiled,
     Exchange,
     ExchangeBroken,
     Response,
@@ -229,6 +230,7 @@
         self, stream: StreamState, assignment: Assignment, turn: Turn
     ) -> AttemptResult:
         run = self._quarantine.begin_run(stream.job)
+        stream.avoided.add(assignment.head.target)
         try:
             return await self._relay(stream, assignment, turn)
         except ConnectFailed as error:
@@ -236,6 +238,10 @@
             self._dispatcher.record_rejection(assignment.head.target, now())
             self._record_broken(stream, assignment, str(error), is_sent=False)
             return AttemptResult.NOT_RUN
+        except ConnectionSpoiled as error:
+            self._record_broken(stream, assignment, str(error), is_sent=True)
+            stream.avoided.discard(assignment.head.target)
+            return AttemptResult.BROKEN
         except ExchangeBroken as error:
             self._record_head_failure(assignment, error)
             self._record_broken(stream, assignment, str(error), is_sent=True)
@@ -248,7 +254,6 @@
             self._record_broken(stream, assignment, "deadline", is_sent=True)
             raise timeout_refusal(is_sent=True) from None
         finally:
-            stream.avoided.add(assignment.head.target)
             self._dispatcher.release(assignment)
 
     def _record_head_failure(
@@ -276,7 +281,13 @@
         connect_timeout_s = min(CONNECT_TIMEOUT_S, max(0.0, parameters.timeout_s))
         # A target may close a pooled connection just as the request is sent, which is
         # indistinguishable from a request that ran.
-        is_new = not job.route.may_repeat
+        # Over the same connection, a second answer to an earlier attempt would fit.
+        is_new = (
+            head.target in stream.sent_to
+            or not job.route.may_repeat
+            or not job.parameters.request_id
+        )
+        stream.sent_to.add(head.target)
         async with (
             self._pool.exchange(head.address, connect_timeout_s, is_new) as exchange,
             asyncio.timeout(stream.remaining_s(now())) as timeout,
--- /dev/null
+++ b/packages/cassiaspread-daemon/tests/test_kept_connections.py
@@ -0,0 +1,214 @@
+"""Bytes on kept connections that no request asked for."""
+
+import asyncio
+import os
+import time
+
+import pytest
+from tornado.httputil import HTTPHeaders
+
+from cassiaspread_daemon._exchange import (
+    MAX_STRAY_RESPONSES,
+    STRAY_TIMEOUT_S,
+    ConnectionSpoiled,
+    ExchangeBroken,
+)
+from cassiaspread_daemon.gateway import ConnectionPool, Lane
+
+ANSWER = b"HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok"
+STRAY = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+
+
+class Server:
+    """Answers each request on a connection with the next bytes of a list.
+
+    The last ones are repeated. ``None`` leaves a request without an answer.
+    """
+
+    def __init__(self, *answers):
+        self._answers = list(answers)
+        self.n_connections = 0
+        self.writers = []
+
+    async def handle(self, reader, writer):
+        self.n_connections += 1
+        self.writers.append(writer)
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                n_left = len(self._answers)
+                answer = self._answers.pop(0) if n_left > 1 else self._answers[0]
+                if answer is not None:
+                    writer.write(answer)
+        except (EOFError, OSError):
+            # The gateway has closed the connection.
+            pass
+        finally:
+            writer.close()
+
+
+def run(server, main):
+    async def serve():
+        listener = await asyncio.start_server(server.handle, "127.0.0.1", 0)
+        async with listener:
+            host, port = listener.sockets[0].getsockname()
+            with ConnectionPool() as pool:
+                return await main(pool, f"{host}:{port}")
+
+    return asyncio.run(serve())
+
+
+def is_own(status: int, headers: HTTPHeaders) -> bool:
+    return headers.get("Id") == "own"
+
+
+async def ask(pool, address, **options):
+    async with pool.exchange(address, 1.0, **options) as exchange:
+        await exchange.send("GET", "/", is_expected=is_own)
+        return (await exchange.finish()).body
+
+
+def test_bytes_behind_an_answer_end_its_connection():
+    server = Server(ANSWER + STRAY, ANSWER)
+
+    async def main(pool, address):
+        unasked = []
+        pool.on_unasked = lambda *row: unasked.append(row)
+        assert await ask(pool, address) == b"ok"
+        assert await ask(pool, address) == b"ok"
+        assert server.n_connections == 2
+        assert unasked == [(address, len(STRAY))]
+
+    run(server, main)
+
+
+def test_bytes_on_an_idle_connection_end_it():
+    server = Server(ANSWER)
+
+    async def main(pool, address):
+        unasked = []
+        pool.on_unasked = lambda *row: unasked.append(row)
+        assert await ask(pool, address) == b"ok"
+        server.writers[0].write(b"x")
+        await asyncio.sleep(0.05)
+        assert unasked == [(address, 1)]
+        assert server.writers[0].transport.is_closing()
+        assert await ask(pool, address) == b"ok"
+        assert server.n_connections == 2
+
+    run(server, main)
+
+
+def test_connection_with_bytes_in_the_kernel_is_not_used():
+    server = Server(ANSWER)
+
+    async def main(pool, address):
+        assert await ask(pool, address) == b"ok"
+        socket = server.writers[0].transport.get_extra_info("socket")
+        os.write(socket.fileno(), STRAY)
+        # The event loop does not run between the arrival and the next request.
+        time.sleep(0.05)
+        assert await ask(pool, address) == b"ok"
+        assert server.n_connections == 2
+
+    run(server, main)
+
+
+def test_closed_connection_is_not_used():
+    server = Server(ANSWER)
+
+    async def main(pool, address):
+        assert await ask(pool, address) == b"ok"
+        server.writers[0].transport.get_extra_info("socket").shutdown(1)
+        time.sleep(0.05)
+        assert await ask(pool, address) == b"ok"
+        assert server.n_connections == 2
+
+    run(server, main)
+
+
+def test_connection_is_not_kept_after_a_stray_response():
+    server = Server(ANSWER, STRAY + ANSWER, ANSWER)
+
+    async def main(pool, address):
+        for _ in range(3):
+            assert await ask(pool, address) == b"ok"
+        assert server.n_connections == 2
+
+    run(server, main)
+
+
+@pytest.mark.parametrize("option", [b"close", b"Keep-Alive, Close", b"close , x"])
+def test_connection_that_the_target_closes_is_not_kept(option):
+    head = b"HTTP/1.1 200 OK\r\nId: own\r\nConnection: " + option
+    server = Server(head + b"\r\nContent-Length: 2\r\n\r\nok", ANSWER)
+
+    async def main(pool, address):
+        assert await ask(pool, address) == b"ok"
+        assert await ask(pool, address) == b"ok"
+        assert server.n_connections == 2
+
+    run(server, main)
+
+
+@pytest.mark.parametrize(
+    "stray",
+    [
+        b"HTTP/1.1 404 Not Found\r\n\r\nno length",
+        b"HTTP/1.1 404 Not Found\r\nContent-Length: 99\r\n\r\nshort",
+        b"HTTP/1.1 404 Not Found\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n",
+        b"no head\r\n\r\n",
+        STRAY * MAX_STRAY_RESPONSES,
+    ],
+)
+def test_bytes_that_hide_the_answer_spoil_a_kept_connection_only(stray):
+    server = Server(ANSWER, stray, ANSWER)
+
+    async def main(pool, address):
+        assert await ask(pool, address) == b"ok"
+        start_s = time.monotonic()
+        with pytest.raises(ConnectionSpoiled):
+            await asyncio.wait_for(ask(pool, address), STRAY_TIMEOUT_S + 1.0)
+        assert time.monotonic() - start_s < STRAY_TIMEOUT_S + 0.5
+        assert await ask(pool, address) == b"ok"
+
+    run(server, main)
+
+    server = Server(stray)
+
+    async def main_on_new_connection(pool, address):
+        # The target itself is at fault: nothing was asked on the connection before.
+        with pytest.raises(ExchangeBroken) as raised:
+            await asyncio.wait_for(ask(pool, address), STRAY_TIMEOUT_S + 1.0)
+        assert not isinstance(raised.value, ConnectionSpoiled)
+
+    run(server, main_on_new_connection)
+
+
+def test_target_that_closes_a_kept_connection_is_not_spared():
+    server = Server(ANSWER, None)
+
+    async def main(pool, address):
+        assert await ask(pool, address) == b"ok"
+        asking = asyncio.create_task(ask(pool, address))
+        await asyncio.sleep(0.05)
+        server.writers[0].close()
+        with pytest.raises(ExchangeBroken) as raised:
+            await asking
+        assert not isinstance(raised.value, ConnectionSpoiled)
+
+    run(server, main)
+
+
+def test_lanes_share_no_connection():
+    server = Server(ANSWER)
+
+    async def main(pool, address):
+        for lane in (*Lane, *Lane):
+            assert await ask(pool, address, lane=lane) == b"ok"
+        assert server.n_connections == len(Lane)
+        pool.drop(address)
+        await asyncio.sleep(0.05)
+        assert all(writer.transport.is_closing() for writer in server.writers)
+
+    run(server, main)
--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -448,8 +448,8 @@
     """Return the bytes of an answer that nobody asked for.
 
     ``names`` is the identifier that it carries, ``earlier`` for that of the request
-    that was answered before. ``delimiter`` is ``length``, ``chunks``, ``none`` (no length),
-    ``short`` (fewer bytes than its length says) or ``headless`` (a body alone).
+    that was answered before. ``delimiter`` is ``length``, ``chunks``, ``none`` (no
+    length), ``short`` (fewer bytes than its length says) or ``headless`` (no head).
     """
     body = SECOND_BODY
     lines = [f"HTTP/1.1 {status} Second"]
--- a/tests/users_platform/test_headers.py
+++ b/tests/users_platform/test_headers.py
@@ -1,9 +1,12 @@
 """Headers of engines' responses."""
 
+from types import SimpleNamespace
+
 import pytest
 from tornado.httputil import HTTPHeaders
 
-from cassiaspread_core.base import RequestId
+from cassiaspread_core.base import RequestId, TargetId
+from cassiaspread_daemon.gateway._answer_filter import answer_filter
 from cassiaspread_platform._headers import PlatformHeaderCodec
 
 SIGNATURE = {"Response-Seal": "3e1b.07.5a2.600.0.c9f2a4d1"}
@@ -17,21 +20,31 @@
 
 
 @pytest.mark.parametrize(
-    ("headers", "is_own"),
+    ("headers", "request_id", "is_own"),
     [
-        (SIGNATURE | {"Attempt-Id": "own"}, True),
-        (SIGNATURE | {"Attempt-Id": "other"}, False),
+        (SIGNATURE | {"Attempt-Id": "own"}, "own", True),
+        ({"Attempt-Id": "own"}, "own", True),
+        (SIGNATURE | {"Attempt-Id": "other"}, "own", False),
+        ({"Not-Executed": "1", "Attempt-Id": "other"}, "own", False),
         # Second response to an earlier request, on a persistent connection.
-        (SIGNATURE, False),
-        # Refusal by an engine that did not read the request.
-        ({"Not-Executed": "1"}, True),
+        (SIGNATURE, "own", False),
+        ({}, "own", False),
+        ({"Not-Executed": "1"}, "own", False),
+        ({"Attempt-Id": ""}, "own", False),
+        ({"Attempt-Id": "own, own"}, "own", False),
+        # The caller gave none, so that there is none to return.
+        ({"Not-Executed": "1"}, "", True),
+        ({"Attempt-Id": ""}, "", True),
+        ({"Attempt-Id": "other"}, "", False),
     ],
 )
-def test_signed_answers_belong_to_the_request_that_they_name(headers, is_own):
-    assert (
-        PlatformHeaderCodec().is_answer_to(HTTPHeaders(headers), RequestId("own"))
-        is is_own
+def test_answers_belong_to_the_request_that_they_name(headers, request_id, is_own):
+    log = SimpleNamespace(record=lambda *_, **__: None)
+    exchange = SimpleNamespace(n_requests=2)
+    is_expected = answer_filter(
+        PlatformHeaderCodec(), log, RequestId(request_id), TargetId("t"), exchange
     )
+    assert is_expected(503, HTTPHeaders(headers)) is is_own
 
 
 @pytest.mark.parametrize(
