A resumed stream goes on with the event after its last one, or is broken off

What callers saw: a stream whose engine broke off went on with whatever the next engine sent under a signed 200 - the head and text of a failure, an event without id, events they had, or later ones - and ended as complete. Events without ids were sent again from the beginning. A signed answer without an event, also from the second start beside an engine that was only silent, ended the stream as complete.

Cause: the identifiers of events were read to know where to resume, but those of the next engine were not held against them. Class: what comes in the expected place is taken for what was asked.

Change: EventBuffer takes events of a continuation only with exactly one identifier that is one higher than the last; nothing of the bytes that came with another one is sent on. The attempt counts as failed: the stream goes elsewhere within its limits or is broken off. The same holds for the answer to a caller who resumes on a resumable route. A stream is resumed only if its events are numbered one by one and the last one had a number. A first engine's answer passes unchanged.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from cassiaspread_core.base import TargetId
-from cassiaspread_daemon._events import EventBuffer
+from cassiaspread_daemon._events import EventBuffer, MisplacedEvents
 from cassiaspread_daemon._exchange import (
     AnswerTooLarge,
     Delimiter,
@@ -60,7 +60,10 @@
     def __init__(self, job: Job, take_retry: TakeRetry) -> None:
         self.job = job
         self.take_retry = take_retry
-        self.events = EventBuffer(job.parameters.last_event_id)
+        # A route that is not resumable need not take the caller's last event.
+        self.events = EventBuffer(
+            job.parameters.last_event_id, is_continuation=job.route.is_resumable
+        )
         self.is_started = False
         self.n_tried = 0
         self.n_runs = 0
@@ -165,6 +168,8 @@
         self._begin_second = begin_second
         self._events = stream.events.fork()
         self._n_events_before = self._events.n_events
+        self._is_resumed = self._events.has_begun
+        self._next_id_before = self._events.next_id
         # When the wait for the engine began, and when the second start did.
         self._waiting_since_s = self._second_begin_s = now()
         self._is_failure_recorded = False
@@ -208,6 +213,7 @@
     async def relay_events(self) -> None:
         """Relay the events of a successful answer until its end.
 
+        :raises MisplacedEvents: the answer does not go on where the stream stopped.
         :raises ExchangeBroken: the attempt ended before the stream did.
         """
         stream, buffer = self._stream, self._buffer
@@ -220,14 +226,17 @@
         try:
             while True:
                 is_ended = finishing.done()
-                complete = self._events.feed(buffer.take())
+                received = buffer.take()
+                n_done = self._events.n_open_bytes + len(received)
+                complete = self._events.feed(received)
+                n_done -= self._events.n_open_bytes
                 self._check_event_count()
                 if complete:
                     await self._take_turn()
                     self._start_answer()
                     await inbound.write(complete)
-                    buffer.release(len(complete))
                     stall_s = job.route.max_event_gap_s * STALL_PAUSE_RATIO
+                buffer.release(n_done)
                 if is_ended:
                     finishing.result()
                     await self._finish()
@@ -487,6 +496,10 @@
             )
         if not self._n_events and delimiter is Delimiter.CLOSE:
             raise ExchangeBroken("the stream ended before its first event")
+        next_id = self._next_id_before
+        if self._is_resumed and next_id is not None and next_id == events.next_id:
+            # The engine before did not end the stream, so it was probably not over.
+            raise MisplacedEvents(next_id, None)
         await self._take_turn()
         self._start_answer()
         if events.remainder:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -9,6 +9,7 @@
 from cassiaspread_core.base import Refusal, TargetId
 from cassiaspread_core.placement import Engine
 from cassiaspread_core.targets import TargetHealth
+from cassiaspread_daemon._events import MisplacedEvents
 from cassiaspread_daemon._exchange import (
     ANSWER_MEMORY,
     AnswerTooLarge,
@@ -166,7 +167,11 @@
 
     def _may_resume(self, stream: StreamState) -> bool:
         route = stream.job.route
-        return route.is_resumable and stream.n_runs < route.max_attempts
+        return (
+            route.is_resumable
+            and stream.events.may_resume
+            and stream.n_runs < route.max_attempts
+        )
 
     def _may_move(self, stream: StreamState) -> bool:
         """Return whether another attempt may follow those in progress."""
@@ -174,6 +179,7 @@
         n_running = 1 if stream.second is None else 2
         return (
             route.is_resumable
+            and stream.events.may_resume
             and stream.n_runs + n_running < route.max_attempts
             and stream.n_tried < MAX_CHAINS_TRIED
             and not self._quarantine.is_refused(stream.job)
@@ -242,6 +248,9 @@
             self._record_broken(stream, assignment, str(error), is_sent=True)
             stream.avoided.discard(assignment.head.target)
             return AttemptResult.BROKEN
+        except MisplacedEvents as error:
+            self._record_misplaced(stream, assignment, error)
+            return AttemptResult.FAILED
         except ExchangeBroken as error:
             self._record_head_failure(assignment, error)
             self._record_broken(stream, assignment, str(error), is_sent=True)
@@ -256,6 +265,23 @@
         finally:
             self._dispatcher.release(assignment)
 
+    def _record_misplaced(
+        self, stream: StreamState, assignment: Assignment, error: MisplacedEvents
+    ) -> None:
+        head = assignment.head.target
+        if error.found is not None:
+            self._health.record_failure(head, now())
+        stream.failure_reason = str(error)
+        self._log.record(
+            "attempt.misplaced",
+            request=stream.job.parameters.request_id,
+            fingerprint=stream.job.fingerprint,
+            head=head,
+            expected=error.expected,
+            found=error.found,
+            n_events=stream.events.n_events,
+        )
+
     def _record_head_failure(
         self, assignment: Assignment, error: ExchangeBroken
     ) -> None:
--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -17,8 +17,11 @@
 ``bad`` for bytes that are no report), ``renews`` (whether the entry is renewed),
 ``listens`` (false: no new connections, those that are open stay),
 ``second`` (fields of a second answer that follows each answer on its connection after
-``second_after_s``, see ``format_second_answer``; a stream gets it too),
-``break_text`` (sent before that), ``break_how`` (``close``,
+``second_after_s``, see ``format_answer``; a stream gets it too),
+``continuation`` (fields of the answer to a request with ``Last-Event-Id``, see
+``format_answer``; such a request is not closed, muted or delayed),
+``break_text`` (sent before that), ``break_after_s`` (pause between both),
+``break_how`` (``close``,
 ``reset``, or ``end`` for a last chunk) and ``flood``, which sends bytes without end: in
 the ``head`` of an answer, a ``line`` or ``events`` of a stream, one ``chunk``, many
 ``chunks``, many interim responses (``interim``), or a body that ends with the
@@ -68,7 +71,7 @@
 }
 
 
-SECOND_BODY = b'{"by": "second"}'
+SECOND_BODY = '{"by": "second"}'
 # Marks the reports that one engine requests of another.
 STAGE_HEADER = "Stage-Check"
 
@@ -88,6 +91,7 @@
         self.close_after = self.mute_after = None
         self.mute_body = False
         self.break_text, self.break_how = BREAK_TEXT, "close"
+        self.break_after_s = 0.0
         self.unframed = False
         self.flood = None
         self.retry_after = None
@@ -101,6 +105,7 @@
         self.renews = True
         self.second = None
         self.second_after_s = 0.0
+        self.continuation = None
         self.server = None
 
     @property
@@ -247,7 +252,7 @@
         if engine.second is None:
             return
         request_id = self.request.headers.get("Attempt-Id", "")
-        answer = format_second_answer(request_id, **engine.second)
+        answer = format_answer(request_id, **engine.second)
         stream = self.request.connection.stream
 
         def write():
@@ -331,6 +336,8 @@
             self.set_header("Response-Seal", f"seal-{engine.id}")
         if engine.flood is not None:
             await self.send_without_end()
+        elif engine.continuation is not None and "Last-Event-Id" in headers:
+            await self.send_raw(engine.continuation)
         elif engine.fail:
             self.set_status(500)
             if engine.mute_body:
@@ -371,6 +378,13 @@
         else:
             self.finish()
 
+    async def send_raw(self, fields):
+        stream = self.request.connection.stream
+        request_id = self.request.headers.get("Attempt-Id", "")
+        with contextlib.suppress(StreamClosedError):
+            await stream.write(format_answer(request_id, **fields))
+        stream.close()
+
     async def send_without_end(self):
         stream = self.request.connection.stream
         head, unit = FLOODS[self.engine.flood]
@@ -429,6 +443,7 @@
     async def break_off(self, text):
         engine, stream = self.engine, self.request.connection.stream
         await self.send(text)
+        await asyncio.sleep(engine.break_after_s)
         if engine.break_how == "end":
             self.end()
             return
@@ -437,22 +452,24 @@
         stream.close()
 
 
-def format_second_answer(
+def format_answer(
     request_id,
     status=200,
     is_signed=False,
     names=None,
     is_refusal=False,
     delimiter="length",
+    body=SECOND_BODY,
+    headers=(),
 ):
-    """Return the bytes of an answer that nobody asked for.
+    """Return the bytes of an answer, such as one that nobody asked for.
 
-    ``names`` is the identifier that it carries, ``earlier`` for that of the request
-    that was answered before. ``delimiter`` is ``length``, ``chunks``, ``none`` (no
-    length), ``short`` (fewer bytes than its length says) or ``headless`` (no head).
+    ``names`` is the identifier that it carries, ``earlier`` for that of the request.
+    ``delimiter`` is ``length``, ``chunks``, ``none`` (no length), ``short`` (fewer
+    bytes than its length says) or ``headless`` (no head).
     """
-    body = SECOND_BODY
-    lines = [f"HTTP/1.1 {status} Second"]
+    body = body.encode()
+    lines = [f"HTTP/1.1 {status} Second", *headers]
     if is_signed:
         lines.append("Response-Seal: seal-second")
     if is_refusal:
@@ -461,7 +478,8 @@
         lines.append(f"Attempt-Id: {request_id if names == 'earlier' else names}")
     if delimiter == "chunks":
         lines.append("Transfer-Encoding: chunked")
-        body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        chunk = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
+        body = chunk + b"0\r\n\r\n"
     elif delimiter in ("length", "short"):
         n_missing = 9 if delimiter == "short" else 0
         lines.append(f"Content-Length: {len(body) + n_missing}")
