Repeat a request elsewhere after bytes that were no answer to it

What callers saw: 502 although another target was sound, where a target wrote something else instead of its answer on a kept connection.

Cause: such bytes spoil the connection and not the target, so the target was selected again, being the nearest; but the bytes may also be its own answer, spoiled, and then the second try ends like the first.

Change: the target is deferred: another healthy one is selected before it, but no suspect one. With one target alone, nothing changes.

The request of the new test ran twice at the spoiling engine and got 502 before; the test of the dispatcher had no argument to call.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
@@ -91,6 +91,7 @@
         demand: RequestDemand,
         now_s: float,
         avoid: Iterable[TargetId] = (),
+        defer: Iterable[TargetId] = (),
     ) -> Assignment | None:
         """Select a target or chain for a request and add the request to its load.
 
@@ -98,9 +99,10 @@
         :param demand: tokens that the request needs of a chain.
         :param now_s: current time, in seconds.
         :param avoid: targets to exclude.
+        :param defer: targets to select only if no other one is healthy.
         :returns: ``None`` when no target has capacity.
         """
-        avoided = set(avoid)
+        avoided, deferred = set(avoid), set(defer)
         engines = [
             e
             for e in self._routing_state.engines_of(service.name)
@@ -115,9 +117,15 @@
                 or not self._reachability.is_unreachable(e.domain, now_s)
             )
         ]
+        preferred = [e for e in healthy if e.target not in deferred]
         # A suspect target may be well; one that turns requests away is of no use.
         possible = [e for e in engines if not self._health.is_avoided(e.target, now_s)]
-        for candidates in (healthy, possible):
+        n_before = -1
+        for candidates in (preferred, healthy, possible):
+            # Each list contains the one before.
+            if len(candidates) == n_before:
+                continue
+            n_before = len(candidates)
             assignment = self._choose(service, demand, candidates, now_s)
             if assignment is not None:
                 for target, load in assignment.loads:
@@ -125,8 +133,6 @@
                 if assignment.chain:
                     self._unreported.record_start(now_s)
                 return assignment
-            if len(healthy) == len(possible):
-                break
         return None
 
     def close_link(self, link: LinkId, until_s: float) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -75,10 +75,11 @@
         self.job = job
         self.take_retry = take_retry
         self.n_tried = 0
-        # Targets that the request was sent to, and those of them that are not asked
-        # again.
+        # Targets that the request was sent to; those of them that are not asked again,
+        # and those that are asked again only where no other one is healthy.
         self.sent_to: set[TargetId] = set()
         self.avoided: set[TargetId] = set()
+        self.deferred: set[TargetId] = set()
         # Attempts that ended and may have run; those in progress may run too.
         self.n_runs = 0
         self.pending: dict[asyncio.Task[Answer], _Attempt] = {}
@@ -175,7 +176,7 @@
         elif self._quarantine.is_refused(job):
             return False
         assignment = self._dispatcher.assign(
-            job.service, job.demand, now(), avoid=call.avoided
+            job.service, job.demand, now(), call.avoided, call.deferred
         )
         if assignment is None:
             return False
@@ -215,6 +216,8 @@
             self._record_broken(job, assignment, str(failure), is_sent=True)
             call.error = failure
             call.n_runs += 1
+            # The bytes may also be the target's own answer to this request.
+            call.deferred.add(assignment.head.target)
             call.avoided.discard(assignment.head.target)
             return None
         except ExchangeBroken as failure:
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -75,6 +75,49 @@
     return dispatcher, CapacityQueue(dispatcher, links, log)
 
 
+def make_plain_dispatcher(log):
+    """Return a dispatcher with a target in its own domain and one in another."""
+    routing_state = RoutingState(log, 5.0, 5.0)
+    for target, domain in (("near", "d"), ("far", "other")):
+        engine = Engine(
+            target=target,
+            service="stock",
+            address=f"{target}:1",
+            domain=domain,
+            accelerator="",
+            layers=LayerRange(0, 0),
+            n_slots=8,
+        )
+        routing_state.apply_change(EngineChange(target, engine))
+    health = TargetHealth()
+    return health, Dispatcher(
+        "d", routing_state, LoadLedger(), health, TargetClosures(), random.Random(1)
+    )
+
+
+def test_deferred_target_is_selected_only_where_no_other_one_is_healthy(log):
+    health, dispatcher = make_plain_dispatcher(log)
+    service = Service("stock")
+
+    def select(**options):
+        assignment = dispatcher.assign(service, make_job().demand, 1.0, **options)
+        if assignment is not None:
+            dispatcher.release(assignment)
+            return assignment.head.target
+        return None
+
+    assert select() == "near"
+    assert select(defer=["near"]) == "far"
+    assert select(avoid=["far"], defer=["near"]) == "near"
+    assert select(defer=["near", "far"]) == "near"
+    # A silent one is no better than one that only spoiled a connection.
+    health.record_unreachable("far", 1.0)
+    assert select(defer=["near"]) == "near"
+    health.record_unreachable("near", 1.0)
+    assert select(defer=["near"]) is not None
+    assert select(avoid=["near", "far"], defer=["near"]) is None
+
+
 def test_requests_wait_in_fair_order_while_caches_are_full(log):
     async def run():
         dispatcher, queue = make_queue(log)
--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -11,6 +11,7 @@
 (pause between events), ``answer_bytes`` (length of an answer that is no stream),
 ``mute_after`` (number of events after which a stream gets nothing more), ``mute_body``
 (failures and refusals, too, get headers only),
+``spoils`` (answers that are no stream are bytes without a head),
 ``unframed`` (answers have neither a length nor chunks and end with the connection),
 ``close_after`` (number of events after which a stream is broken off; other answers
 after their first half), ``lie`` (how reports lie: ``errors``, ``hang``, ``reset``, or
@@ -88,7 +89,7 @@
         self.close_after = self.mute_after = None
         self.mute_body = False
         self.break_text, self.break_how = BREAK_TEXT, "close"
-        self.unframed = False
+        self.unframed = self.spoils = False
         self.flood = None
         self.retry_after = None
         self.leaving = False
@@ -331,6 +332,9 @@
             self.set_header("Response-Seal", f"seal-{engine.id}")
         if engine.flood is not None:
             await self.send_without_end()
+        elif engine.spoils:
+            self._auto_finish = False
+            await self.request.connection.stream.write(SECOND_BODY + b"\r\n\r\n")
         elif engine.fail:
             self.set_status(500)
             if engine.mute_body:
--- a/tests/users_platform/test_second_answers.py
+++ b/tests/users_platform/test_second_answers.py
@@ -107,6 +107,36 @@
         assert answer.headers.get_all("Attempt-Id") == [f"stream-{n}"]
 
 
+@pytest.fixture
+def second_engine(stuttering_deployment):
+    """Another plain engine, asked only where the first one is no choice."""
+    deployment = stuttering_deployment
+    deployment.add_engine("far", PLAIN_SERVICE, "velenje")
+    wait_for(
+        lambda: any(
+            row["target"] == "far"
+            for row in deployment.decisions(GATEWAY, "engine.seen")
+        )
+    )
+    yield deployment
+    deployment.kill("far")
+    deployment.control(PLAIN_ENGINE, spoils=False)
+
+
+def test_request_is_not_repeated_at_the_engine_that_spoiled_its_answer(second_engine):
+    deployment = second_engine
+    path = "/stock/spoiled"
+    first = deployment.request(GATEWAY, path, "GET")
+    assert json.loads(first.body)["by"] == PLAIN_ENGINE
+    deployment.control(PLAIN_ENGINE, spoils=True)
+    answer = deployment.request(GATEWAY, path, "GET", Attempt_Id="spoiled")
+    runs = deployment.history("run")
+    ran_at = [r["engine"] for r in runs if r["headers"]["Attempt-Id"] == "spoiled"]
+    assert ran_at == [PLAIN_ENGINE, "far"]
+    assert answer.status == 200
+    assert json.loads(answer.body)["by"] == "far"
+
+
 @pytest.mark.parametrize("kind", ["404", "503 not run", "421"])
 def test_refusal_is_not_taken_from_the_answer_to_another_request(second_answers, kind):
     deployment = second_answers(kind, 0.03)
