A reset noticed while writing is an end by the target

What callers saw: nothing wrong so far. A target that reset a kept connection while the request was written counted as one whose connection only was spoiled: it was not recorded as unreachable, nor its request with the quarantine, and the log said "bytes that are no response" although none had come.

Cause: only reading noted that the target had ended the connection; tornado closes a connection in the same way where a write fails.

Change: the error that tornado keeps with the stream tells, for reads and writes.

The new test got ConnectionSpoiled before, "bytes that are no response".

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -136,7 +136,8 @@
     @property
     def is_ended_by_target(self) -> bool:
         """Whether the target has closed or reset the connection."""
-        return self._is_ended_by_target
+        # A reset is noticed while reading or while writing.
+        return self._is_ended_by_target or isinstance(self.error, OSError)
 
     @property
     def is_silent(self) -> bool:
@@ -157,11 +158,7 @@
 
         :param buf: the buffer.
         """
-        try:
-            n_bytes = super().read_from_fd(buf)
-        except OSError:
-            self._is_ended_by_target = True
-            raise
+        n_bytes = super().read_from_fd(buf)
         if n_bytes == 0:
             self._is_ended_by_target = True
         elif n_bytes and self._is_idle:
--- a/packages/cassiaspread-daemon/tests/test_kept_connections.py
+++ b/packages/cassiaspread-daemon/tests/test_kept_connections.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import os
+import socket
+import struct
 import time
 
 import pytest
@@ -11,6 +13,7 @@
     MAX_STRAY_RESPONSES,
     STRAY_TIMEOUT_S,
     ConnectionSpoiled,
+    Exchange,
     ExchangeBroken,
 )
 from cassiaspread_daemon.gateway import ConnectionPool, Lane
@@ -104,8 +107,8 @@
 
     async def main(pool, address):
         assert await ask(pool, address) == b"ok"
-        socket = server.writers[0].transport.get_extra_info("socket")
-        os.write(socket.fileno(), STRAY)
+        connection = server.writers[0].transport.get_extra_info("socket")
+        os.write(connection.fileno(), STRAY)
         # The event loop does not run between the arrival and the next request.
         time.sleep(0.05)
         assert await ask(pool, address) == b"ok"
@@ -200,6 +203,30 @@
     run(server, main)
 
 
+def test_reset_that_is_noticed_while_writing_is_an_end_by_the_target():
+    server = Server(ANSWER)
+
+    async def main(pool, address):
+        exchange = await Exchange.open(address, 1.0, keeps_connection=True)
+        await exchange.send("GET", "/", is_expected=is_own)
+        await exchange.finish()
+        stream = exchange.release()
+        transport = server.writers[0].transport
+        # Closing a socket with this option set resets its connection.
+        linger = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        transport.get_extra_info("socket").setsockopt(*linger)
+        transport.abort()
+        await asyncio.sleep(0.05)
+        with (
+            Exchange(stream, address, keeps_connection=True) as exchange,
+            pytest.raises(ExchangeBroken, match="connection closed") as raised,
+        ):
+            await exchange.send("GET", "/", is_expected=is_own)
+        assert not isinstance(raised.value, ConnectionSpoiled)
+
+    run(server, main)
+
+
 def test_lanes_share_no_connection():
     server = Server(ANSWER)
 
