Do not wait behind a nameless answer on a new connection

What callers saw: 504 at their deadline where a target had answered at once, but without the request's identifier, on a new connection; requests that must not be repeated always use one.

Cause: a complete response that names no request is skipped as that to an earlier request, and the own one is waited for. On a new connection there is no earlier request: the own response follows at once or not at all.

Change: there, the own response has to begin within the time that a stray one has to be complete. On a kept connection nothing changes: the request may run for long behind the answer to an earlier one, which a test now guards.

Before, the new tests got no error within 1.25 s, and 504 at the deadline of 3 s where they now get 502.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -54,7 +54,8 @@
 MIN_PAUSE_S = 0.001
 # A stray response does not answer the request that waits on the connection. After this
 # many, or after one that is not complete in this time, in seconds, the response to the
-# request is not waited for any longer: a sound target sends none.
+# request is not waited for any longer: a sound target sends none. On a new connection,
+# the response to the request has to begin in this time too.
 MAX_STRAY_RESPONSES = 3
 STRAY_TIMEOUT_S = 0.25
 # Their responses have no body, so that they end with their headers.
@@ -262,6 +263,7 @@
         if self.is_stray:
             self._begin_stray(start_line.code, headers)
             return
+        self._end_stray()
         self.status = start_line.code
         self.headers = headers
         if not self.started.done():
@@ -303,9 +305,10 @@
         if find_delimiter(status, headers) is Delimiter.CLOSE:
             self._fail(self._strays_error())
             return
-        self._stray_timeout = asyncio.get_running_loop().call_later(
-            STRAY_TIMEOUT_S, lambda: self._fail(self._strays_error())
-        )
+        if self._stray_timeout is None:
+            self._stray_timeout = asyncio.get_running_loop().call_later(
+                STRAY_TIMEOUT_S, lambda: self._fail(self._strays_error())
+            )
 
     def _end_stray(self) -> None:
         if self._stray_timeout is not None:
@@ -317,10 +320,13 @@
             f"{self.n_strays} responses that do not name the request"
         )
 
-    def _spoiled_error(self, reason: str) -> ExchangeBroken:
+    @property
+    def _is_kept(self) -> bool:
         # On a new connection, all that comes is the target's own answer.
-        is_kept = self._stream.n_requests > 1
-        return ConnectionSpoiled(reason) if is_kept else ExchangeBroken(reason)
+        return self._stream.n_requests > 1
+
+    def _spoiled_error(self, reason: str) -> ExchangeBroken:
+        return ConnectionSpoiled(reason) if self._is_kept else ExchangeBroken(reason)
 
     def drop(self, reason: str) -> None:
         """End an answer that exceeds a bound."""
@@ -328,7 +334,9 @@
         self._fail(AnswerTooLarge(reason))
 
     def finish(self) -> None:
-        self._end_stray()
+        if self._is_kept:
+            # The request may run for long behind the answer to an earlier one.
+            self._end_stray()
         self.is_ended = True
         if self.is_framed and not self.is_stray:
             self.set_result(None)
--- a/packages/cassiaspread-daemon/tests/test_kept_connections.py
+++ b/packages/cassiaspread-daemon/tests/test_kept_connections.py
@@ -188,6 +188,47 @@
     run(server, main_on_new_connection)
 
 
+def test_answer_without_name_on_a_new_connection_ends_the_attempt():
+    server = Server(STRAY)
+
+    async def main(pool, address):
+        with pytest.raises(ExchangeBroken, match="do not name") as raised:
+            await asyncio.wait_for(ask(pool, address), STRAY_TIMEOUT_S + 1.0)
+        assert not isinstance(raised.value, ConnectionSpoiled)
+
+    run(server, main)
+
+
+@pytest.mark.parametrize("n_asked", [0, 1])
+def test_own_answer_may_take_its_time_once_it_has_begun(n_asked):
+    head, body = ANSWER.split(b"\r\n\r\n")
+    server = Server(*[ANSWER] * n_asked, STRAY + head + b"\r\n\r\n")
+
+    async def main(pool, address):
+        for _ in range(n_asked):
+            assert await ask(pool, address) == b"ok"
+        asking = asyncio.create_task(ask(pool, address))
+        await asyncio.sleep(STRAY_TIMEOUT_S + 0.1)
+        server.writers[0].write(body)
+        assert await asking == b"ok"
+
+    run(server, main)
+
+
+def test_own_answer_is_waited_for_behind_a_second_answer():
+    server = Server(ANSWER, STRAY)
+
+    async def main(pool, address):
+        assert await ask(pool, address) == b"ok"
+        asking = asyncio.create_task(ask(pool, address))
+        # The request runs meanwhile.
+        await asyncio.sleep(STRAY_TIMEOUT_S + 0.1)
+        server.writers[0].write(ANSWER)
+        assert await asking == b"ok"
+
+    run(server, main)
+
+
 def test_target_that_closes_a_kept_connection_is_not_spared():
     server = Server(ANSWER, None)
 
