--- a/packages/cassiaspread-daemon/tests/test_kept_connections.py
+++ b/packages/cassiaspread-daemon/tests/test_kept_connections.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import os
+import socket
+import struct
 import time
 
 import pytest
@@ -11,6 +13,7 @@
     MAX_STRAY_RESPONSES,
     STRAY_TIMEOUT_S,
     ConnectionSpoiled,
+    Exchange,
     ExchangeBroken,
 )
 from cassiaspread_daemon.gateway import ConnectionPool, Lane
@@ -104,8 +107,8 @@
 
     async def main(pool, address):
         assert await ask(pool, address) == b"ok"
-        socket = server.writers[0].transport.get_extra_info("socket")
-        os.write(socket.fileno(), STRAY)
+        connection = server.writers[0].transport.get_extra_info("socket")
+        os.write(connection.fileno(), STRAY)
         # The event loop does not run between the arrival and the next request.
         time.sleep(0.05)
         assert await ask(pool, address) == b"ok"
@@ -185,6 +188,47 @@
     run(server, main_on_new_connection)
 
 
+def test_answer_without_name_on_a_new_connection_ends_the_attempt():
+    server = Server(STRAY)
+
+    async def main(pool, address):
+        with pytest.raises(ExchangeBroken, match="do not name") as raised:
+            await asyncio.wait_for(ask(pool, address), STRAY_TIMEOUT_S + 1.0)
+        assert not isinstance(raised.value, ConnectionSpoiled)
+
+    run(server, main)
+
+
+@pytest.mark.parametrize("n_asked", [0, 1])
+def test_own_answer_may_take_its_time_once_it_has_begun(n_asked):
+    head, body = ANSWER.split(b"\r\n\r\n")
+    server = Server(*[ANSWER] * n_asked, STRAY + head + b"\r\n\r\n")
+
+    async def main(pool, address):
+        for _ in range(n_asked):
+            assert await ask(pool, address) == b"ok"
+        asking = asyncio.create_task(ask(pool, address))
+        await asyncio.sleep(STRAY_TIMEOUT_S + 0.1)
+        server.writers[0].write(body)
+        assert await asking == b"ok"
+
+    run(server, main)
+
+
+def test_own_answer_is_waited_for_behind_a_second_answer():
+    server = Server(ANSWER, STRAY)
+
+    async def main(pool, address):
+        assert await ask(pool, address) == b"ok"
+        asking = asyncio.create_task(ask(pool, address))
+        # The request runs meanwhile.
+        await asyncio.sleep(STRAY_TIMEOUT_S + 0.1)
+        server.writers[0].write(ANSWER)
+        assert await asking == b"ok"
+
+    run(server, main)
+
+
 def test_target_that_closes_a_kept_connection_is_not_spared():
     server = Server(ANSWER, None)
 
@@ -200,6 +244,30 @@
     run(server, main)
 
 
+def test_reset_that_is_noticed_while_writing_is_an_end_by_the_target():
+    server = Server(ANSWER)
+
+    async def main(pool, address):
+        exchange = await Exchange.open(address, 1.0, keeps_connection=True)
+        await exchange.send("GET", "/", is_expected=is_own)
+        await exchange.finish()
+        stream = exchange.release()
+        transport = server.writers[0].transport
+        # Closing a socket with this option set resets its connection.
+        linger = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        transport.get_extra_info("socket").setsockopt(*linger)
+        transport.abort()
+        await asyncio.sleep(0.05)
+        with (
+            Exchange(stream, address, keeps_connection=True) as exchange,
+            pytest.raises(ExchangeBroken, match="connection closed") as raised,
+        ):
+            await exchange.send("GET", "/", is_expected=is_own)
+        assert not isinstance(raised.value, ConnectionSpoiled)
+
+    run(server, main)
+
+
 def test_lanes_share_no_connection():
     server = Server(ANSWER)
 
--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -11,7 +11,9 @@
 (pause between events), ``answer_bytes`` (length of an answer that is no stream),
 ``mute_after`` (number of events after which a stream gets nothing more), ``mute_body``
 (failures and refusals, too, get headers only),
-``unframed`` (answers have neither a length nor chunks and end with the connection),
+``omit_id`` (answers do not name their request), ``spoils`` (answers that are no stream
+are bytes without a head), ``unframed`` (answers have neither a length nor chunks and
+end with the connection),
 ``close_after`` (number of events after which a stream is broken off; other answers
 after their first half), ``lie`` (how reports lie: ``errors``, ``hang``, ``reset``, or
 ``bad`` for bytes that are no report), ``renews`` (whether the entry is renewed),
@@ -90,11 +92,12 @@
         self.fencing_token = 0
         self.stalled = {}
         self.full = self.drop_response = self.fail = self.omit_signature = False
+        self.omit_id = False
         self.close_after = self.mute_after = None
         self.mute_body = False
         self.break_text, self.break_how = BREAK_TEXT, "close"
         self.break_after_s = 0.0
-        self.unframed = False
+        self.unframed = self.spoils = False
         self.flood = None
         self.retry_after = None
         self.leaving = False
@@ -238,7 +241,8 @@
 class ServiceHandler(EngineHandler):
     async def run(self, path):
         engine = self.engine
-        self.set_header("Attempt-Id", self.request.headers.get("Attempt-Id", ""))
+        if not engine.omit_id:
+            self.set_header("Attempt-Id", self.request.headers.get("Attempt-Id", ""))
         if self.request.headers.get("Expect-Instance", engine.id) != engine.id:
             self.refuse(421)
         elif engine.full:
@@ -344,6 +348,9 @@
             await self.send_without_end()
         elif engine.continuation is not None and "Last-Event-Id" in headers:
             await self.send_raw(engine.continuation)
+        elif engine.spoils:
+            self._auto_finish = False
+            await self.request.connection.stream.write(SECOND_BODY + b"\r\n\r\n")
         elif engine.fail:
             self.set_status(500)
             if engine.mute_body:
