Add one decoder for what others wrote, and addresses that are never resolved

decode_json and decode_with raise MalformedDocument for every failure of a decoder, RecursionError included, with a short message in printable ASCII. parse_address accepts a literal IP and a port in range, parse_count digits up to a maximum.

check_address uses it: before, a port of a superscript two raised no error of its own but one of int(), and one of 5,000 digits the limit of int().

--- a/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
@@ -1,5 +1,19 @@
 """Identifiers, log records, states and errors shared by all modules."""
 
+from cassiaspread_core.base._decode import (
+    MAX_EXACT_INTEGER,
+    MAX_PORT,
+    Address,
+    Count,
+    MalformedDocument,
+    Name,
+    PositiveCount,
+    decode_json,
+    decode_with,
+    parse_address,
+    parse_count,
+    shorten,
+)
 from cassiaspread_core.base._errors import (
     CassiaspreadError,
     Finding,
@@ -31,9 +45,13 @@
 from cassiaspread_core.base._states import Outcome, TargetKind, VmState
 
 __all__ = [
+    "MAX_EXACT_INTEGER",
+    "MAX_PORT",
+    "Address",
     "AppendAmbiguous",
     "AppendNotSent",
     "CassiaspreadError",
+    "Count",
     "DomainId",
     "EventRate",
     "Finding",
@@ -43,10 +61,13 @@
     "LogPage",
     "LogRecord",
     "LogUnavailable",
+    "MalformedDocument",
     "ModelId",
+    "Name",
     "Offset",
     "OrganisationId",
     "Outcome",
+    "PositiveCount",
     "Refusal",
     "RequestId",
     "Restored",
@@ -56,4 +77,9 @@
     "Truncated",
     "VmId",
     "VmState",
+    "decode_json",
+    "decode_with",
+    "parse_address",
+    "parse_count",
+    "shorten",
 ]
--- /dev/null
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/_decode.py
@@ -0,0 +1,150 @@
+"""Checked decoding of documents and texts that others wrote."""
+
+import ipaddress
+from typing import Annotated, NamedTuple, TypeVar
+
+import msgspec
+
+from cassiaspread_core.base._errors import CassiaspreadError
+
+MAX_PORT = 65_535
+# Largest integer that all JSON implementations represent exactly (RFC 8259).
+MAX_EXACT_INTEGER = 2**53 - 1
+# Enough for a path within a document and a value; a line of the log stays readable.
+MAX_REASON_CHARACTERS = 200
+# An IPv6 address in brackets and a port have at most 47 characters.
+MAX_ADDRESS_CHARACTERS = 60
+
+T = TypeVar("T")
+DocumentDecoder = msgspec.json.Decoder[T] | msgspec.msgpack.Decoder[T]
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_INTEGER)]
+PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_EXACT_INTEGER)]
+Name = Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class MalformedDocument(CassiaspreadError, ValueError):
+    """A document, or a part of one, that cannot be used.
+
+    The message is printable ASCII of limited length, whatever the document holds.
+
+    :param reason: description of the error.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(shorten(reason))
+
+
+class Address(NamedTuple):
+    """A TCP address.
+
+    :param host: IP address.
+    :param port: TCP port.
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def shorten(text: str, n_characters: int = MAX_REASON_CHARACTERS) -> str:
+    r"""Return a text that a log line can hold, whatever another process wrote.
+
+    :param text: the text.
+    :param n_characters: length after which the text is cut off.
+
+    >>> shorten("a\n" + "b" * 1000, 5)
+    'a\\nbb...'
+    """
+    # A character becomes at most ten, so that the cut-off rest is not converted.
+    printable = "".join(
+        c if " " <= c <= "~" else ascii(c)[1:-1] for c in text[: n_characters + 1]
+    )
+    if len(text) <= n_characters and len(printable) <= n_characters:
+        return printable
+    return printable[:n_characters] + "..."
+
+
+def decode_json(data: bytes, type_: type[T]) -> T:
+    """Decode a JSON document into a type.
+
+    :param data: the document.
+    :param type_: the type, with the bounds of its numbers.
+    :raises MalformedDocument: the document does not have this type, or is nested too
+        deeply.
+
+    >>> decode_json(b"[1, 2]", list[int])
+    [1, 2]
+    """
+    return decode_with(msgspec.json.Decoder(type_), data)
+
+
+def decode_with(decoder: DocumentDecoder[T], data: bytes) -> T:
+    """Decode a document with a decoder of JSON or msgpack.
+
+    :param decoder: the decoder of a type.
+    :param data: the document.
+    :raises MalformedDocument: the document does not have this type, or is nested too
+        deeply.
+    """
+    try:
+        return decoder.decode(data)
+    except RecursionError:
+        raise MalformedDocument(
+            f"nested too deeply, in a document of {len(data)} bytes"
+        ) from None
+    except (ValueError, OverflowError, TypeError) as error:
+        raise MalformedDocument(str(error)) from None
+
+
+def parse_address(text: str, min_port: int = 1) -> Address:
+    """Parse ``IP:PORT``; names are not accepted, so that none is ever resolved.
+
+    :param text: the text; an IPv6 address is in brackets.
+    :param min_port: smallest port; 0 lets a listener choose one.
+    :raises MalformedDocument: the text is no such address.
+
+    >>> parse_address("127.0.0.1:80")
+    Address(host='127.0.0.1', port=80)
+    >>> parse_address("[::1]:80")
+    Address(host='[::1]', port=80)
+    """
+    host, _, port = text.rpartition(":")
+    number = parse_count(port, MAX_PORT)
+    if number is None or number < min_port or not _is_ip_address(host):
+        raise MalformedDocument(
+            f"expected IP:PORT with a port from {min_port} to {MAX_PORT}, "
+            f'got "{shorten(text, MAX_ADDRESS_CHARACTERS)}"'
+        )
+    return Address(host, number)
+
+
+def parse_count(text: str, maximum: int = MAX_EXACT_INTEGER) -> int | None:
+    """Parse decimal digits.
+
+    :param text: the text; digits of other scripts are no number.
+    :param maximum: largest number that is accepted.
+    :returns: the number, or ``None`` if the text holds none up to the maximum.
+
+    >>> parse_count("007"), parse_count("-1"), parse_count("70000", 65535)
+    (7, None, None)
+    """
+    # A number of unlimited length takes long to convert, or fails.
+    if not text.isascii() or not text.isdigit() or len(text) > len(str(maximum)):
+        return None
+    number = int(text)
+    return number if number <= maximum else None
+
+
+def _is_ip_address(host: str) -> bool:
+    is_bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        if is_bracketed:
+            ipaddress.IPv6Address(host[1:-1])
+        else:
+            ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return "%" not in host
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_settings.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_settings.py
@@ -6,25 +6,18 @@
 
 import msgspec
 
-from cassiaspread_core.base import DomainId, Finding, FindingsError, VmId
+from cassiaspread_core.base import (
+    Address,
+    DomainId,
+    Finding,
+    FindingsError,
+    VmId,
+    parse_address,
+    parse_count,
+)
 
 ENVIRONMENT_PREFIX = "CASSIASPREAD_"
 EXIT_BAD_SETTINGS = 2
-MAX_PORT = 65_535
-
-
-class Address(NamedTuple):
-    """A TCP address.
-
-    :param host: IP address.
-    :param port: TCP port.
-    """
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
 
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
@@ -49,7 +42,7 @@
 
 
 def check_address(text: str) -> Address:
-    """Parse ``HOST:PORT``.
+    """Parse ``HOST:PORT``, with an IP address as the host.
 
     :param text: the setting's value.
     :raises ValueError: the text is not an address.
@@ -57,10 +50,7 @@
     >>> check_address("127.0.0.1:80")
     Address(host='127.0.0.1', port=80)
     """
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdigit() or int(port) > MAX_PORT:
-        raise ValueError(f"expected HOST:PORT, got {text!r}")
-    return Address(host, int(port))
+    return parse_address(text, min_port=0)
 
 
 def check_optional_address(text: str) -> Address | None:
@@ -87,9 +77,10 @@
     :param text: the setting's value.
     :raises ValueError: the text is no such number.
     """
-    if not text.isdigit():
+    number = parse_count(text)
+    if number is None:
         raise ValueError(f"expected a whole number of 0 or more, got {text!r}")
-    return int(text)
+    return number
 
 
 def check_positive(text: str) -> int:
