Entries of engines are checked whole where they are decoded

What callers saw while one odd entry lay among those of the engines: 500 for requests (ports that are none, a NUL in the host) or for every stream (layers to 2^63), 503 once the engines known before had gone (deep nesting: the list was no longer followed), and a placement task that failed at each pass (more layers than the model has).

Cause: the entry's types were checked, its values not, and errors other than msgspec's ended the follower or the request. Class: unchecked values of others.

Bounds of layers and slots are part of the core's types, so they hold for messages of other daemons too. An engine that claims layers beyond its model is listed as engine.unfit and gets nothing. The store stand-in wrote a wrong key length for keys that are not ASCII.

--- a/packages/cassiaspread-core/src/cassiaspread_core/base/_decode.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/_decode.py
@@ -14,13 +14,15 @@
 MAX_REASON_CHARACTERS = 200
 # An IPv6 address in brackets and a port have at most 47 characters.
 MAX_ADDRESS_CHARACTERS = 60
+# Names are kept and logged for each target; the platforms' have some ten characters.
+MAX_NAME_CHARACTERS = 1024
 
 T = TypeVar("T")
 DocumentDecoder = msgspec.json.Decoder[T] | msgspec.msgpack.Decoder[T]
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_INTEGER)]
 PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_EXACT_INTEGER)]
-Name = Annotated[str, msgspec.Meta(min_length=1)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARACTERS)]
 
 
 class MalformedDocument(CassiaspreadError, ValueError):
@@ -138,6 +140,18 @@
     return number if number <= maximum else None
 
 
+def is_header_value(text: str) -> bool:
+    r"""Return whether a text can be sent as the value of a header and arrives as it is.
+
+    :param text: the text.
+
+    >>> is_header_value("celje shops"), is_header_value("a\r\nb"), is_header_value(" a")
+    (True, False, False)
+    """
+    is_sent = all(" " <= c <= "~" or "\xa0" <= c <= "\xff" for c in text)
+    return bool(text) and is_sent and text == text.strip()
+
+
 def _is_ip_address(host: str) -> bool:
     is_bracketed = host.startswith("[") and host.endswith("]")
     try:
--- a/packages/cassiaspread-core/src/cassiaspread_core/placement/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/placement/__init__.py
@@ -9,24 +9,32 @@
     plan_layout,
 )
 from cassiaspread_core.placement._model import (
+    MAX_LAYERS,
+    MAX_SLOTS,
     NO_LAYERS,
     Accelerator,
     Engine,
+    LayerNumber,
     LayerRange,
     ModelSpec,
+    SlotCount,
     cache_capacity,
 )
 from cassiaspread_core.placement._rebalance import plan_moves
 
 __all__ = [
     "HOLDER_TIMEOUT_S",
+    "MAX_LAYERS",
+    "MAX_SLOTS",
     "NO_LAYERS",
     "Accelerator",
     "Coverage",
     "Engine",
+    "LayerNumber",
     "LayerRange",
     "ModelSpec",
     "Move",
+    "SlotCount",
     "cache_capacity",
     "choose_cache_sequences",
     "is_candidate",
--- a/packages/cassiaspread-core/src/cassiaspread_core/placement/_model.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/placement/_model.py
@@ -1,10 +1,19 @@
 """Sizes and speeds of pipelined models, and the engines that hold their layers."""
 
 from collections.abc import Mapping
+from typing import Annotated
 
 import msgspec
 
-from cassiaspread_core.base import DomainId, ServiceId, TargetId
+from cassiaspread_core.base import Count, DomainId, ServiceId, TargetId
+
+# Bounds on what is decoded, far above any model and engine: work and memory grow with
+# the number of layers.
+MAX_LAYERS = 65_536
+MAX_SLOTS = 65_536
+
+LayerNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_LAYERS)]
+SlotCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 
 
 class Accelerator(msgspec.Struct, frozen=True):
@@ -75,8 +84,8 @@
     :param end: one past the last layer.
     """
 
-    begin: int
-    end: int
+    begin: LayerNumber
+    end: LayerNumber
 
     def __len__(self) -> int:
         return max(0, self.end - self.begin)
@@ -105,11 +114,11 @@
     address: str
     domain: DomainId
     is_leaving: bool = False
-    incarnation: int = 0
+    incarnation: Count = 0
     accelerator: str = ""
     layers: LayerRange = NO_LAYERS
     is_loading: bool = False
-    n_slots: int = 1
+    n_slots: SlotCount = 1
 
 
 def cache_capacity(engine: Engine, model: ModelSpec) -> float:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
@@ -60,6 +60,8 @@
         before = None if self.table is None else self.table.version
         started_s = time.monotonic()
         self.table = table
+        for engine in self.engines.values():
+            self._record_unfit(engine)
         self._notify(self.table_callbacks, table)
         self._log.record(
             "configuration.in_force",
@@ -92,6 +94,8 @@
         else:
             self.engines[change.target] = after
         self._log_change(change.target, before, after)
+        if after is not None:
+            self._record_unfit(after)
         self._notify(self.engine_callbacks, before, after)
         if after is not None:
             self.record_renewed(change.target)
@@ -134,14 +138,35 @@
     def engines_of(self, service: ServiceId) -> list[Engine]:
         """List the targets of a service that accept requests.
 
+        One that claims layers which the model does not have is of no use.
+
         :param service: name of the service.
         """
+        n_layers = self._n_layers(service)
         return [
             engine
             for engine in self.engines.values()
-            if engine.service == service and not engine.is_leaving
+            if engine.service == service
+            and not engine.is_leaving
+            and engine.layers.end <= n_layers
         ]
 
+    def _n_layers(self, service: ServiceId) -> float:
+        found = None if self.table is None else self.table.services.get(service)
+        if found is None or found.model is None:
+            return float("inf")
+        return found.model.n_layers
+
+    def _record_unfit(self, engine: Engine) -> None:
+        n_layers = self._n_layers(engine.service)
+        if engine.layers.end > n_layers:
+            self._log.record(
+                "engine.unfit",
+                target=engine.target,
+                layers=[engine.layers.begin, engine.layers.end],
+                n_layers=n_layers,
+            )
+
     def _notify(
         self, callbacks: Sequence[Callable[..., None]], *changed: object
     ) -> None:
--- a/tests/users_platform/standins/store.py
+++ b/tests/users_platform/standins/store.py
@@ -34,7 +34,8 @@
         self.generations = [(float("-inf"), 0)]
 
     def put(self, topic, key, value):
-        record = bytes([len(key)]) + key.encode() + value
+        encoded_key = key.encode()
+        record = bytes([len(encoded_key)]) + encoded_key + value
         self.append(topic, [record])
 
     def append(self, topic, records):
