Close the connections that stand-in servers of tests leave open

Four tests left a StreamWriter to the garbage collector after their loop had ended: its __del__ then fails with 'Event loop is closed' wherever a collection happens to run. Inside ast.parse that ends pytest on CPython 3.11.6 with an internal error ('AST constructor recursion depth mismatch').

The servers close their writers in finally. No assertion changed. Three servers that lost their writer only on an error path are changed as well.

--- a/packages/cassiaspread-daemon/tests/test_broken_off_control_answers.py
+++ b/packages/cassiaspread-daemon/tests/test_broken_off_control_answers.py
@@ -38,9 +38,11 @@
     """Run a call to a server that sends a head and a body and closes."""
 
     async def answer(reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(head + body)
-        writer.close()
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(head + body)
+        finally:
+            writer.close()
 
     async def main():
         server = await asyncio.start_server(answer, "127.0.0.1", 0)
--- a/packages/cassiaspread-daemon/tests/test_claims_sender.py
+++ b/packages/cassiaspread-daemon/tests/test_claims_sender.py
@@ -50,11 +50,13 @@
         ]
 
     async def _accept(self, reader, writer) -> None:
-        self.received += await reader.read(65_536)
-        await asyncio.sleep(self._delay_s)
-        if self._answer is not None:
-            writer.write(self._answer)
-        writer.close()
+        try:
+            self.received += await reader.read(65_536)
+            await asyncio.sleep(self._delay_s)
+            if self._answer is not None:
+                writer.write(self._answer)
+        finally:
+            writer.close()
 
     async def run(self, deadline_s: float, is_caller_waiting) -> tuple:
         server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -262,15 +262,17 @@
     ended = asyncio.Event()
 
     async def handle(reader, writer):
-        while await reader.readuntil(b"\r\n\r\n"):
-            writer.write(answer)
-            await writer.drain()
-            if not keep:
-                writer.close()
-                return
-            if not await reader.read(1):
-                ended.set()
-                return
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(answer)
+                await writer.drain()
+                if not keep:
+                    return
+                if not await reader.read(1):
+                    ended.set()
+                    return
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(handle, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
@@ -570,8 +572,14 @@
 
 def test_connection_that_opens_while_the_loop_is_held_up_is_used():
     # The kernel opens it in time; the event loop finds out later.
+    async def hold(reader, writer):
+        try:
+            await reader.read()
+        finally:
+            writer.close()
+
     async def run():
-        server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        server = await asyncio.start_server(hold, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         opening = asyncio.ensure_future(Exchange.open(f"127.0.0.1:{port}", 0.1))
         await asyncio.sleep(0)
--- a/packages/cassiaspread-daemon/tests/test_gateway_quarantine.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_quarantine.py
@@ -122,8 +122,14 @@
 
 def test_target_that_accepts_connections_is_not_lost(quarantine):
     # A connection that breaks does not mean that the target ended.
+    async def hold(reader, writer):
+        try:
+            await reader.read()
+        finally:
+            writer.close()
+
     async def run():
-        server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        server = await asyncio.start_server(hold, "127.0.0.1", 0)
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         async with server:
             engine = make_engine("e", address)
--- a/packages/cassiaspread-daemon/tests/test_mesh.py
+++ b/packages/cassiaspread-daemon/tests/test_mesh.py
@@ -72,12 +72,14 @@
         }
 
     async def _pass_on(self, reader, writer, is_slow: bool) -> None:
-        while data := await reader.read(65536):
-            if is_slow:
-                self.sending.set()
-                await asyncio.sleep(self.delay_s)
-            writer.write(data)
-        writer.close()
+        try:
+            while data := await reader.read(65536):
+                if is_slow:
+                    self.sending.set()
+                    await asyncio.sleep(self.delay_s)
+                writer.write(data)
+        finally:
+            writer.close()
 
 
 def test_events_are_in_causal_order_with_clocks_seconds_apart():
