Reports and orders have a connection of their own

What callers saw: nothing directly. A copy of an engine's earlier report, or of its answer to an order, was taken for the next report: streams would leave engines that no longer stall, or count the head as silent.

Cause: nothing in an answer names the report or the order that it answers, and their connections were kept. `born` and `sequence` tell an older process or an older number of orders, but not which of two reports is the later one. Class: correlation by position.

Change: the pool gives such a call a new connection that no other call uses, before or after; the lane of control calls is gone with its reason. Its test is replaced by one of single connections, which is as strict: they are neither taken from the pool nor returned to it.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/__init__.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/__init__.py
@@ -2,7 +2,7 @@
 
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._gateway import Gateway
-from cassiaspread_daemon.gateway._pool import ConnectionPool, Lane
+from cassiaspread_daemon.gateway._pool import ConnectionPool
 from cassiaspread_daemon.gateway._protocols import (
     NO_NOTICE,
     AnswerParameters,
@@ -32,7 +32,6 @@
     "ForwardParameters",
     "Gateway",
     "GatewaySettings",
-    "Lane",
     "OrderOutcome",
     "RequestParameters",
     "Stall",
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_pool.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_pool.py
@@ -1,9 +1,8 @@
-"""Pool of keep-alive connections to targets and to the platform."""
+"""Connections to targets and to the platform, and a pool of those that are kept."""
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from enum import Enum
 
 from cassiaspread_daemon._exchange import Exchange, ResponseStream
 
@@ -15,23 +14,11 @@
 MAX_IDLE_PER_ADDRESS = 32
 
 
-class Lane(Enum):
-    """Kind of calls that share connections.
-
-    A second answer to a call of one lane is never read as the answer to one of another.
-    REQUESTS: requests of callers.
-    CONTROL: status reports and orders.
-    """
-
-    REQUESTS = "requests"
-    CONTROL = "control"
-
-
 class ConnectionPool:
     """Owns idle connections; a context manager."""
 
     def __init__(self) -> None:
-        self._idle: dict[tuple[str, Lane], list[tuple[float, ResponseStream]]] = {}
+        self._idle: dict[str, list[tuple[float, ResponseStream]]] = {}
         self.n_opened = 0
         # Called with the address and the number of bytes that no request asked for.
         self.on_unasked: Callable[[str, int], None] = lambda address, n_bytes: None
@@ -40,7 +27,7 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        for address, _ in list(self._idle):
+        for address in list(self._idle):
             self.drop(address)
 
     @asynccontextmanager
@@ -49,17 +36,18 @@
         address: str,
         connect_timeout_s: float,
         is_new: bool = False,
-        lane: Lane = Lane.REQUESTS,
     ) -> AsyncIterator[Exchange]:
         """Provide a connection for one request and keep it if it stays usable.
 
+        An earlier request may be answered on it a second time: the response has to name
+        the request.
+
         :param address: ``host:port``.
         :param connect_timeout_s: longest wait for a new connection, in seconds.
         :param is_new: whether a new connection is required.
-        :param lane: kind of the call.
         :raises ConnectFailed: no connection could be opened.
         """
-        stream = None if is_new else self._take_idle(address, lane)
+        stream = None if is_new else self._take_idle(address)
         if stream is None:
             self.n_opened += 1
             exchange = await Exchange.open(
@@ -70,21 +58,39 @@
         try:
             yield exchange
         finally:
-            self._return_connection(exchange, lane)
+            self._return_connection(exchange)
+
+    @asynccontextmanager
+    async def single_exchange(
+        self, address: str, connect_timeout_s: float
+    ) -> AsyncIterator[Exchange]:
+        """Provide a new connection for one call and close it afterwards.
+
+        The first response on it is that of the call, although it need not name it.
+
+        :param address: ``host:port``.
+        :param connect_timeout_s: longest wait for the connection, in seconds.
+        :raises ConnectFailed: no connection could be opened.
+        """
+        self.n_opened += 1
+        with await Exchange.open(address, connect_timeout_s) as exchange:
+            try:
+                yield exchange
+            finally:
+                self._report_unread(exchange)
 
     def drop(self, address: str) -> None:
         """Close the idle connections to an address.
 
         :param address: ``host:port``.
         """
-        for lane in Lane:
-            for _, stream in self._idle.pop((address, lane), ()):
-                stream.set_close_callback(None)
-                stream.close()
+        for _, stream in self._idle.pop(address, ()):
+            stream.set_close_callback(None)
+            stream.close()
 
-    def _take_idle(self, address: str, lane: Lane) -> ResponseStream | None:
+    def _take_idle(self, address: str) -> ResponseStream | None:
         now_s = asyncio.get_running_loop().time()
-        idle = self._idle.get((address, lane), [])
+        idle = self._idle.get(address, [])
         while idle:
             expires_s, stream = idle.pop()
             stream.set_close_callback(None)
@@ -93,17 +99,20 @@
             stream.close()
         return None
 
-    def _return_connection(self, exchange: Exchange, lane: Lane) -> None:
-        headers = exchange.headers
+    def _report_unread(self, exchange: Exchange) -> None:
         n_unread = exchange.n_unread
         if n_unread:
             self.on_unasked(exchange.address, n_unread)
+
+    def _return_connection(self, exchange: Exchange) -> None:
+        headers = exchange.headers
+        self._report_unread(exchange)
         stream = exchange.release()
         if stream is None:
             return
         now_s = asyncio.get_running_loop().time()
         expires_s = now_s + _idle_time_s(headers.get("Keep-Alive", ""))
-        idle = self._idle.setdefault((exchange.address, lane), [])
+        idle = self._idle.setdefault(exchange.address, [])
         if expires_s <= now_s or len(idle) >= MAX_IDLE_PER_ADDRESS:
             stream.close()
             return
--- a/packages/cassiaspread-daemon/tests/test_kept_connections.py
+++ b/packages/cassiaspread-daemon/tests/test_kept_connections.py
@@ -13,7 +13,7 @@
     ConnectionSpoiled,
     ExchangeBroken,
 )
-from cassiaspread_daemon.gateway import ConnectionPool, Lane
+from cassiaspread_daemon.gateway import ConnectionPool
 
 ANSWER = b"HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok"
 STRAY = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
@@ -200,15 +200,36 @@
     run(server, main)
 
 
-def test_lanes_share_no_connection():
+def test_call_that_its_answer_does_not_name_has_a_connection_of_its_own():
+    server = Server(ANSWER, STRAY + STRAY, ANSWER)
+
+    async def main(pool, address):
+        unasked = []
+        pool.on_unasked = lambda *row: unasked.append(row)
+        assert await ask(pool, address) == b"ok"
+        for n in range(2, 5):
+            async with pool.single_exchange(address, 1.0) as exchange:
+                await exchange.send("GET", "/")
+                body = (await exchange.finish()).body
+            assert body == (b"other" if n == 2 else b"ok")
+            assert server.n_connections == n
+            await asyncio.sleep(0.05)
+            assert server.writers[-1].transport.is_closing()
+        assert unasked == [(address, len(STRAY))]
+        # The connection that is kept is still the first one.
+        assert await ask(pool, address) == b"ok"
+        assert server.n_connections == 4
+
+    run(server, main)
+
+
+def test_dropped_connections_are_closed():
     server = Server(ANSWER)
 
     async def main(pool, address):
-        for lane in (*Lane, *Lane):
-            assert await ask(pool, address, lane=lane) == b"ok"
-        assert server.n_connections == len(Lane)
+        assert await ask(pool, address) == b"ok"
         pool.drop(address)
         await asyncio.sleep(0.05)
-        assert all(writer.transport.is_closing() for writer in server.writers)
+        assert server.writers[0].transport.is_closing()
 
     run(server, main)
--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -18,6 +18,8 @@
 ``listens`` (false: no new connections, those that are open stay),
 ``second`` (fields of a second answer that follows each answer on its connection after
 ``second_after_s``, see ``format_second_answer``; a stream gets it too),
+``repeats_control`` (a copy of each report and of each answer to an order follows it in
+the same way), ``control_s`` (time until reports and orders are answered),
 ``break_text`` (sent before that), ``break_how`` (``close``,
 ``reset``, or ``end`` for a last chunk) and ``flood``, which sends bytes without end: in
 the ``head`` of an answer, a ``line`` or ``events`` of a stream, one ``chunk``, many
@@ -101,6 +103,8 @@
         self.renews = True
         self.second = None
         self.second_after_s = 0.0
+        self.repeats_control = False
+        self.control_s = 0.0
         self.server = None
 
     @property
@@ -152,6 +156,25 @@
         if engine.leaving:
             self.set_header("Server-Leaving", "1")
 
+    def write_later(self, answer):
+        """Write an answer that nobody asked for, if the connection is still open."""
+        stream = self.request.connection.stream
+
+        def write():
+            if not stream.closed():
+                stream.write(answer)
+
+        asyncio.get_running_loop().call_later(self.engine.second_after_s, write)
+
+    async def answer_control(self, body=b""):
+        """Answer a report or an order, twice if the engine does so."""
+        status = self.get_status()
+        await asyncio.sleep(self.engine.control_s)
+        self.finish(body)
+        if self.engine.repeats_control:
+            head = f"HTTP/1.1 {status} Copy\r\nContent-Length: {len(body)}\r\n\r\n"
+            self.write_later(head.encode() + body)
+
 
 class ControlHandler(EngineHandler):
     def post(self):
@@ -169,7 +192,7 @@
         if engine.retry_after is not None and STAGE_HEADER not in self.request.headers:
             engine.append_history(kind="report")
         stalled = [{"id": i, "address": a} for i, a in engine.stalled.items()]
-        self.finish(
+        report = json.dumps(
             {
                 "phase": "unified",
                 "models": [],
@@ -185,6 +208,7 @@
                 "born": engine.start_ms,
             }
         )
+        await self.answer_control(report.encode())
 
     async def lie(self, how):
         if how == "reset":
@@ -203,7 +227,7 @@
         status = self.check_order(order)
         engine.append_history(kind="order", status=status, **order)
         self.set_status(status)
-        self.finish()
+        await self.answer_control()
         if status == 202:
             engine.n_orders += 1
             engine.busy = True
@@ -247,14 +271,7 @@
         if engine.second is None:
             return
         request_id = self.request.headers.get("Attempt-Id", "")
-        answer = format_second_answer(request_id, **engine.second)
-        stream = self.request.connection.stream
-
-        def write():
-            if not stream.closed():
-                stream.write(answer)
-
-        asyncio.get_running_loop().call_later(engine.second_after_s, write)
+        self.write_later(format_second_answer(request_id, **engine.second))
 
     def refuse(self, status):
         self.engine.append_history(kind="refusal", status=status)
--- a/tests/users_platform/standins/store.py
+++ b/tests/users_platform/standins/store.py
@@ -1,7 +1,9 @@
 """Stand-in for the platform's store: keyed topics, long polling, groups, faults.
 
-``POST /control`` sets ``refuse`` (503 to all calls), ``silent`` (no response) and
-``first_offset`` (offset before which records are removed). ``truncate`` removes all
+``POST /control`` sets ``refuse`` (503 to all calls), ``silent`` (no response),
+``answer_s`` (time until each call is answered), ``copy_after_s`` (each answer comes a
+second time on its connection after so many seconds) and ``first_offset`` (offset before
+which records are removed). ``truncate`` removes all
 records but the newest of each key; ``restore`` returns to the state of so many seconds
 ago and raises the era; ``rebalance`` starts a new generation of the group.
 ``POST /put?topic=&key=`` appends a record on behalf of the operator or an engine.
@@ -23,6 +25,8 @@
         self.changed = asyncio.Event()
         self.refuse = False
         self.silent = False
+        self.answer_s = 0.0
+        self.copy_after_s = None
         self.first_offset = 0
         self.first_offsets = {}
         self.generation = 0
@@ -82,10 +86,29 @@
             self.set_header("Store-Era", str(self.store.era))
         if self.store.silent:
             await asyncio.sleep(3600)
+        await asyncio.sleep(self.store.answer_s)
         if self.store.refuse:
             self.set_status(503)
             self.finish()
 
+    def finish(self, chunk=b""):
+        body = json.dumps(chunk).encode() if isinstance(chunk, dict) else chunk
+        if self.store.copy_after_s is not None:
+            self.write_copy(body)
+        return super().finish(body)
+
+    def write_copy(self, body):
+        stream = self.request.connection.stream
+        era = f"Store-Era: {self.store.era}\r\n" if self.store.era else ""
+        head = f"HTTP/1.1 {self.get_status()} Copy\r\n{era}"
+        answer = f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+        def write():
+            if not stream.closed():
+                stream.write(answer)
+
+        asyncio.get_running_loop().call_later(self.store.copy_after_s, write)
+
 
 class ReadHandler(StoreHandler):
     async def get(self):
