Each call to the store has a connection of its own

Cause: nothing in an answer of the store names the call, so that the position on a kept connection told whose it is. Class: correlation by position.

Change: a new connection for each call. A page of records beyond the end of its partition, or before its first record, is an outage; the page of the test of eras, of an empty partition read at 7, was such a one.

--- a/tests/users_platform/test_store_client.py
+++ b/tests/users_platform/test_store_client.py
@@ -8,7 +8,12 @@
 
 from cassiaspread_core.base import LogUnavailable, Restored, Truncated
 from cassiaspread_daemon.exchange import Response
-from cassiaspread_platform._store import Store, pack_position
+from cassiaspread_platform._store import (
+    PAGE_HEADER,
+    RECORD_LENGTH,
+    Store,
+    pack_position,
+)
 
 
 class FakePool:
@@ -19,7 +24,7 @@
         self.response = Response(status, HTTPHeaders(names), body)
 
     @asynccontextmanager
-    async def exchange(self, address, connect_timeout_s):
+    async def single_exchange(self, address, connect_timeout_s):
         yield self
 
     async def send(self, method, target, data, headers):
@@ -49,7 +54,8 @@
 
 
 def test_position_of_an_earlier_era_is_not_read_on():
-    store = Store("a:1", FakePool(200, bytes(16), Store_Era="3"))
+    page = PAGE_HEADER.pack(7, 0)
+    store = Store("a:1", FakePool(200, page, Store_Era="3"))
     with pytest.raises(Restored, match="era 3, 2 before"):
         asyncio.run(store.read_keyed("keyed.op", pack_position(2, 7), 0.0))
     _, end = asyncio.run(store.read_keyed("keyed.op", pack_position(3, 7), 0.0))
@@ -67,3 +73,22 @@
     store = Store("a:1", FakePool(200, page))
     with pytest.raises(LogUnavailable):
         asyncio.run(store.read_keyed("keyed.op", 7, 0.0))
+
+
+@pytest.mark.parametrize(
+    ("end", "first"), [(9, 8), (8, 0), (7, 0), (0, 0)], ids=lambda offset: str(offset)
+)
+def test_page_of_another_part_of_the_partition_is_an_outage(end, first):
+    record = b"\x01kvalue"
+    page = PAGE_HEADER.pack(end, first) + 2 * (RECORD_LENGTH.pack(len(record)) + record)
+    store = Store("a:1", FakePool(200, page))
+    with pytest.raises(LogUnavailable, match="records 7 to 9"):
+        asyncio.run(store.read_keyed("keyed.op", 7, 0.0))
+
+
+def test_page_up_to_the_end_of_the_partition_is_read():
+    record = b"\x01kvalue"
+    page = PAGE_HEADER.pack(8, 7) + RECORD_LENGTH.pack(len(record)) + record
+    store = Store("a:1", FakePool(200, page))
+    _, end = asyncio.run(store.read_keyed("keyed.op", 7, 0.0))
+    assert end == 8
