A connection carries each request identifier once

What callers saw: a caller that sent the same Attempt-Id twice got the answer to its earlier request, a refusal for a request that its engine ran, or 502, if the engine answered the earlier one a second time.

Cause: the identifier tells two requests apart only if they have different ones, which the gateway left to its callers. Class: a proof that rests on what others wrote.

Change: a request is not sent over a connection that has carried its identifier before. A connection keeps a hash of each, and is closed after 128 requests, which bounds their number.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -22,7 +22,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from cassiaspread_core.admission import AnswerMemory, AnswerPacer, HeldAnswer
-from cassiaspread_core.base import CassiaspreadError
+from cassiaspread_core.base import CassiaspreadError, RequestId
 from cassiaspread_daemon._peek import peek
 
 # Bound on a response that is passed on while it arrives.
@@ -128,6 +128,11 @@
     #: Called with the number of bytes if some arrive that no request asked for.
     unasked_callback: Callable[[int], None] | None = None
 
+    def __init__(self, connection: socket.socket, read_chunk_size: int) -> None:
+        super().__init__(connection, read_chunk_size=read_chunk_size)
+        # Hashes of the identifiers of the requests that it carried.
+        self._request_hashes: set[int] = set()
+
     @property
     def n_requests(self) -> int:
         """Number of requests that were sent over this connection."""
@@ -148,6 +153,20 @@
         """Number of bytes that were received and belong to no response so far."""
         return self._read_buffer_size
 
+    def has_carried(self, request_id: RequestId) -> bool:
+        """Return whether a request with this identifier may have been sent over it.
+
+        :param request_id: the identifier.
+        """
+        return hash(request_id) in self._request_hashes
+
+    def record_carried(self, request_id: RequestId) -> None:
+        """Record the identifier of a request that was sent over it.
+
+        :param request_id: the identifier.
+        """
+        self._request_hashes.add(hash(request_id))
+
     def begin_idle(self) -> None:
         """From now on no request waits: the connection ends if any byte arrives."""
         self._is_idle = True
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -188,7 +188,7 @@
         if not is_allowed:
             return False
         head = assignment.head.target
-        # Over the same connection, a second answer to the first attempt would fit.
+        # The others that are kept may be spoiled too.
         is_repeated = head in call.sent_to
         call.n_tried += 1
         call.sent_to.add(head)
@@ -290,7 +290,10 @@
         try:
             async with (
                 self._pool.exchange(
-                    head.address, connect_timeout_s, is_new
+                    head.address,
+                    connect_timeout_s,
+                    job.parameters.request_id,
+                    is_new,
                 ) as exchange,
                 asyncio.timeout(job.remaining_s(now())),
             ):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_pool.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_pool.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
+from cassiaspread_core.base import RequestId
 from cassiaspread_daemon._exchange import Exchange, ResponseStream
 
 # A target closes a connection that has been idle for the time that it announces, and a
@@ -12,6 +13,8 @@
 # Idle time of a connection whose target announces none.
 DEFAULT_IDLE_S = 4.0
 MAX_IDLE_PER_ADDRESS = 32
+# Bounds the memory for the identifiers of the requests that a connection has carried.
+MAX_REQUESTS_PER_CONNECTION = 128
 
 
 class ConnectionPool:
@@ -35,19 +38,21 @@
         self,
         address: str,
         connect_timeout_s: float,
+        request_id: RequestId,
         is_new: bool = False,
     ) -> AsyncIterator[Exchange]:
         """Provide a connection for one request and keep it if it stays usable.
 
         An earlier request may be answered on it a second time: the response has to name
-        the request.
+        the request, whose identifier no earlier one on the connection had.
 
         :param address: ``host:port``.
         :param connect_timeout_s: longest wait for a new connection, in seconds.
+        :param request_id: the request.
         :param is_new: whether a new connection is required.
         :raises ConnectFailed: no connection could be opened.
         """
-        stream = None if is_new else self._take_idle(address)
+        stream = None if is_new else self._take_idle(address, request_id)
         if stream is None:
             self.n_opened += 1
             exchange = await Exchange.open(
@@ -58,7 +63,7 @@
         try:
             yield exchange
         finally:
-            self._return_connection(exchange)
+            self._return_connection(exchange, request_id)
 
     @asynccontextmanager
     async def single_exchange(
@@ -88,11 +93,14 @@
             stream.set_close_callback(None)
             stream.close()
 
-    def _take_idle(self, address: str) -> ResponseStream | None:
+    def _take_idle(self, address: str, request_id: RequestId) -> ResponseStream | None:
         now_s = asyncio.get_running_loop().time()
         idle = self._idle.get(address, [])
-        while idle:
-            expires_s, stream = idle.pop()
+        for entry in reversed(idle.copy()):
+            expires_s, stream = entry
+            if stream.has_carried(request_id):
+                continue
+            idle.remove(entry)
             stream.set_close_callback(None)
             if expires_s > now_s and stream.is_silent:
                 return stream
@@ -104,7 +112,7 @@
         if n_unread:
             self.on_unasked(exchange.address, n_unread)
 
-    def _return_connection(self, exchange: Exchange) -> None:
+    def _return_connection(self, exchange: Exchange, request_id: RequestId) -> None:
         headers = exchange.headers
         self._report_unread(exchange)
         stream = exchange.release()
@@ -113,7 +121,12 @@
         now_s = asyncio.get_running_loop().time()
         expires_s = now_s + _idle_time_s(headers.get("Keep-Alive", ""))
         idle = self._idle.setdefault(exchange.address, [])
-        if expires_s <= now_s or len(idle) >= MAX_IDLE_PER_ADDRESS:
+        stream.record_carried(request_id)
+        if (
+            expires_s <= now_s
+            or len(idle) >= MAX_IDLE_PER_ADDRESS
+            or exchange.n_requests >= MAX_REQUESTS_PER_CONNECTION
+        ):
             stream.close()
             return
         entry = (expires_s, stream)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -281,7 +281,7 @@
         connect_timeout_s = min(CONNECT_TIMEOUT_S, max(0.0, parameters.timeout_s))
         # A target may close a pooled connection just as the request is sent, which is
         # indistinguishable from a request that ran.
-        # Over the same connection, a second answer to an earlier attempt would fit.
+        # After an attempt on one of them, the others that are kept may be spoiled too.
         is_new = (
             head.target in stream.sent_to
             or not job.route.may_repeat
@@ -289,7 +289,9 @@
         )
         stream.sent_to.add(head.target)
         async with (
-            self._pool.exchange(head.address, connect_timeout_s, is_new) as exchange,
+            self._pool.exchange(
+                head.address, connect_timeout_s, job.parameters.request_id, is_new
+            ) as exchange,
             asyncio.timeout(stream.remaining_s(now())) as timeout,
         ):
             with ANSWER_MEMORY.hold(
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -11,7 +11,7 @@
 import msgspec
 import pytest
 
-from cassiaspread_core.base import LogUnavailable, Refusal, Truncated
+from cassiaspread_core.base import LogUnavailable, Refusal, RequestId, Truncated
 from cassiaspread_core.chains import LoadLedger, StageLoad
 from cassiaspread_core.placement import Engine, LayerRange
 from cassiaspread_core.routing import Service, StateAge
@@ -287,7 +287,7 @@
         with ConnectionPool() as pool:
 
             async def ask():
-                async with pool.exchange(address, 1.0) as exchange:
+                async with pool.exchange(address, 1.0, RequestId("a")) as exchange:
                     await exchange.send("GET", "/")
                     await exchange.finish()
 
@@ -306,12 +306,12 @@
         answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
         address, _ = await serve_bytes(answer)
         with ConnectionPool() as pool:
-            for _ in range(3):
-                async with pool.exchange(address, 1.0) as exchange:
+            for n in range(3):
+                async with pool.exchange(address, 1.0, RequestId(f"{n}")) as exchange:
                     assert await exchange.send("GET", "/") == 200
                     assert (await exchange.finish()).body == b"ok"
             assert pool.n_opened == 1
-            async with pool.exchange(address, 1.0, is_new=True):
+            async with pool.exchange(address, 1.0, RequestId("new"), is_new=True):
                 pass
             assert pool.n_opened == 2
 
--- a/packages/cassiaspread-daemon/tests/test_kept_connections.py
+++ b/packages/cassiaspread-daemon/tests/test_kept_connections.py
@@ -6,7 +6,9 @@
 
 import pytest
 from tornado.httputil import HTTPHeaders
+from uuid6 import uuid7
 
+from cassiaspread_core.base import RequestId
 from cassiaspread_daemon._exchange import (
     MAX_STRAY_RESPONSES,
     STRAY_TIMEOUT_S,
@@ -14,6 +16,7 @@
     ExchangeBroken,
 )
 from cassiaspread_daemon.gateway import ConnectionPool
+from cassiaspread_daemon.gateway._pool import MAX_REQUESTS_PER_CONNECTION
 
 ANSWER = b"HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok"
 STRAY = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
@@ -62,8 +65,9 @@
     return headers.get("Id") == "own"
 
 
-async def ask(pool, address, **options):
-    async with pool.exchange(address, 1.0, **options) as exchange:
+async def ask(pool, address, request_id=None):
+    request_id = RequestId(request_id or str(uuid7()))
+    async with pool.exchange(address, 1.0, request_id) as exchange:
         await exchange.send("GET", "/", is_expected=is_own)
         return (await exchange.finish()).body
 
@@ -200,6 +204,35 @@
     run(server, main)
 
 
+def test_connection_carries_an_identifier_once():
+    server = Server(ANSWER)
+
+    async def main(pool, address):
+        for request_id, n_connections in (
+            ("a", 1),
+            ("b", 1),
+            ("a", 2),
+            ("c", 2),
+            ("a", 3),
+            ("b", 3),
+        ):
+            assert await ask(pool, address, request_id) == b"ok"
+            assert server.n_connections == n_connections
+
+    run(server, main)
+
+
+def test_connection_carries_a_bounded_number_of_requests():
+    server = Server(ANSWER)
+
+    async def main(pool, address):
+        for n in range(2 * MAX_REQUESTS_PER_CONNECTION):
+            assert await ask(pool, address) == b"ok"
+            assert server.n_connections == 1 + n // MAX_REQUESTS_PER_CONNECTION
+
+    run(server, main)
+
+
 def test_call_that_its_answer_does_not_name_has_a_connection_of_its_own():
     server = Server(ANSWER, STRAY + STRAY, ANSWER)
 
--- a/tests/users_platform/test_second_answers.py
+++ b/tests/users_platform/test_second_answers.py
@@ -115,3 +115,28 @@
     runs = deployment.history("run")[n_before:]
     assert [answer.status for answer in answers] == [200] * N_REQUESTS
     assert len(runs) == N_REQUESTS
+
+
+@pytest.mark.parametrize("delay_s", DELAYS_S)
+@pytest.mark.parametrize("kind", ["signed, earlier id", "503 not run, earlier id"])
+def test_answer_is_not_that_of_an_earlier_request_with_the_same_id(
+    second_answers, kind, delay_s
+):
+    deployment = second_answers(kind, delay_s)
+    for n in range(N_REQUESTS):
+        path = f"/stock/same-id/{n}"
+        answer = deployment.request(GATEWAY, path, "GET", Attempt_Id="same")
+        assert answer.status == 200, (n, answer.body)
+        assert json.loads(answer.body) == {"by": PLAIN_ENGINE, "path": path}
+
+
+@pytest.mark.parametrize("delay_s", DELAYS_S)
+@pytest.mark.parametrize("kind", ["signed, earlier id", "503 not run, earlier id"])
+def test_stream_is_not_that_of_an_earlier_request_with_the_same_id(
+    second_answers, kind, delay_s
+):
+    deployment = second_answers(kind, delay_s)
+    for n in range(1, 1 + N_REQUESTS):
+        answer = deployment.request_stream(GATEWAY, n, Attempt_Id="same-stream")
+        assert answer.status == 200, (n, answer.body)
+        assert answer.event_ids == list(range(1, n + 1))
