Test that second answers reach no other call on the product's own path

The stand-ins keep the connection for a second answer, at once and 30 ms later, although the daemon asks them to close it.

--- a/tests/standins/_server.py
+++ b/tests/standins/_server.py
@@ -1,4 +1,8 @@
-"""Flags, history file and HTTP server that the stand-ins share."""
+"""Flags, history file and HTTP server that the stand-ins share.
+
+``POST /control`` sets ``second``, bytes that follow each answer on its connection, at
+once and again after ``SECOND_AFTER_S``.
+"""
 
 import argparse
 import asyncio
@@ -8,6 +12,8 @@
 
 from tornado.web import Application, RequestHandler
 
+SECOND_AFTER_S = 0.03
+
 
 class History:
     """JSON lines file, flushed after each line so that a killed process loses none."""
@@ -24,6 +30,24 @@
     def initialize(self, standin) -> None:
         self.standin = standin
 
+    def prepare(self) -> None:
+        if getattr(self.standin, "second", None):
+            # The connection stays open for it, although the other end wants none.
+            self.request.connection._disconnect_on_finish = False
+
+    def on_finish(self) -> None:
+        second = getattr(self.standin, "second", None)
+        if not second:
+            return
+        stream = self.request.connection.stream
+
+        def write() -> None:
+            if not stream.closed():
+                stream.write(second.encode())
+
+        write()
+        asyncio.get_running_loop().call_later(SECOND_AFTER_S, write)
+
     def body(self) -> dict:
         return json.loads(self.request.body)
 
