A response whose status has no three digits is none

What callers saw: an engine's answer "HTTP/1.1 042 ..." as "HTTP/1.1 42 ...", which is no answer in the protocol. Found by reading.

Cause: tornado takes any three digits for a status, and writes the number. Class: what others write is not checked at the edge.

Change: such a response counts as bytes that are none. Statuses of 600 and more are passed on unchanged as before.

The 3 cases of test_status_that_is_none_of_http_is_no_response failed before.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -57,6 +57,9 @@
 # request is not waited for any longer: a sound target sends none.
 MAX_STRAY_RESPONSES = 3
 STRAY_TIMEOUT_S = 0.25
+# Of an interim and of a final response; tornado takes any three digits.
+MIN_STATUS = 100
+MIN_FINAL_STATUS = 200
 # Their responses have no body, so that they end with their headers.
 BODILESS_STATUSES = (204, 304)
 
@@ -276,7 +279,11 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         assert isinstance(start_line, ResponseStartLine)
-        if 100 <= start_line.code < 200:
+        if start_line.code < MIN_STATUS:
+            # It could not be passed on: a status has three digits.
+            self._fail(self._spoiled_error(f"response with status {start_line.code}"))
+            return
+        if start_line.code < MIN_FINAL_STATUS:
             return
         self.is_stray = self._is_expected is not None and not self._is_expected(
             start_line.code, headers
--- a/packages/cassiaspread-daemon/tests/test_kept_connections.py
+++ b/packages/cassiaspread-daemon/tests/test_kept_connections.py
@@ -189,6 +189,17 @@
     run(server, main_on_new_connection)
 
 
+@pytest.mark.parametrize("status", ["000", "042", "099"])
+def test_status_that_is_none_of_http_is_no_response(status):
+    server = Server(ANSWER.replace(b"200", status.encode(), 1))
+
+    async def main(pool, address):
+        with pytest.raises(ExchangeBroken, match=f"status {int(status)}"):
+            await asyncio.wait_for(ask(pool, address), 1.0)
+
+    run(server, main)
+
+
 def test_target_that_closes_a_kept_connection_is_not_spared():
     server = Server(ANSWER, None)
 
