Test that a kept caller gets one answer for each request, and no other byte

A caller on one connection reads until it is quiet for longer than any pause, beside second answers of 16 kinds, plain and streams.

--- a/tests/users_platform/test_second_answers.py
+++ b/tests/users_platform/test_second_answers.py
@@ -1,11 +1,20 @@
 """Engines that answer twice, the second time late, on a connection in use again."""
 
+import contextlib
+import email
 import json
+import socket
 import time
 
 import pytest
 
-from tests.users_platform.deployment import MODEL_SERVICE, PLAIN_SERVICE, wait_for
+from tests.users_platform.deployment import (
+    HOST,
+    KEY,
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    wait_for,
+)
 
 GATEWAY = "gateway"
 PLAIN_ENGINE = "plain"
@@ -107,6 +116,74 @@
         assert answer.headers.get_all("Attempt-Id") == [f"stream-{n}"]
 
 
+class KeptCaller:
+    """A caller that keeps its connection and sees each byte on it."""
+
+    def __init__(self, port):
+        self._socket = socket.create_connection(("127.0.0.1", port), timeout=5.0)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        self._socket.close()
+
+    def request(self, method, path, **headers):
+        fields = {"Host": HOST, "Authorization": f"Bearer {KEY}", **headers}
+        lines = [f"{name.replace('_', '-')}: {v}" for name, v in fields.items()]
+        head = "\r\n".join([f"{method} {path} HTTP/1.1", *lines, "", ""])
+        self._socket.sendall(head.encode())
+
+    def read_until_quiet(self):
+        """Return all bytes, up to a pause that is longer than any within an answer."""
+        data = b""
+        self._socket.settimeout(5.0)
+        with contextlib.suppress(TimeoutError):
+            while received := self._socket.recv(65536):
+                data += received
+                self._socket.settimeout(RUN_S + max(DELAYS_S))
+        return data
+
+
+def count_answers(data):
+    """Return the number of complete answers that follow each other."""
+    n_answers = 0
+    while data:
+        head, _, data = data.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200 OK\r\n"), head
+        fields = email.message_from_bytes(head.partition(b"\r\n")[2])
+        if fields["Transfer-Encoding"] == "chunked":
+            length = -1
+            while length:
+                size, _, data = data.partition(b"\r\n")
+                length = int(size, 16)
+                assert data[length : length + 2] == b"\r\n"
+                data = data[length + 2 :]
+        else:
+            length = int(fields["Content-Length"])
+            assert len(data) >= length
+            data = data[length:]
+        n_answers += 1
+    return n_answers
+
+
+@pytest.mark.parametrize("kind", SECOND_ANSWERS)
+def test_kept_caller_gets_no_byte_beside_its_answers(second_answers, kind):
+    deployment = second_answers(kind, 0.03)
+    with KeptCaller(deployment.ports[GATEWAY]) as caller:
+        for n in range(N_REQUESTS):
+            caller.request("GET", f"/stock/{n}", Attempt_Id=f"kept-{kind}-{n}")
+            assert count_answers(caller.read_until_quiet()) == 1
+            caller.request(
+                "GET",
+                "/draft/x",
+                Attempt_Id=f"kept-stream-{kind}-{n}",
+                Token_Count=f"100,{4 * N_EVENTS}",
+                Model="m",
+            )
+            assert count_answers(caller.read_until_quiet()) == 1
+
+
 @pytest.mark.parametrize("kind", ["404", "503 not run", "421"])
 def test_refusal_is_not_taken_from_the_answer_to_another_request(second_answers, kind):
     deployment = second_answers(kind, 0.03)
