--- a/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
@@ -13,6 +13,7 @@
     is_header_value,
     parse_address,
     parse_count,
+    parse_number,
     shorten,
 )
 from cassiaspread_core.base._errors import (
@@ -83,5 +84,6 @@
     "is_header_value",
     "parse_address",
     "parse_count",
+    "parse_number",
     "shorten",
 ]
--- a/packages/cassiaspread-core/src/cassiaspread_core/base/_decode.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/_decode.py
@@ -1,6 +1,8 @@
 """Checked decoding of documents and texts that others wrote."""
 
 import ipaddress
+import math
+import re
 from typing import Annotated, NamedTuple, TypeVar
 
 import msgspec
@@ -16,6 +18,7 @@
 MAX_ADDRESS_CHARACTERS = 60
 # Names are kept and logged for each target; the platforms' have some ten characters.
 MAX_NAME_CHARACTERS = 1024
+NUMBER = re.compile(r"[0-9]+(\.[0-9]*)?([eE][+-]?[0-9]+)?")
 
 T = TypeVar("T")
 DocumentDecoder = msgspec.json.Decoder[T] | msgspec.msgpack.Decoder[T]
@@ -140,6 +143,21 @@
     return number if number <= maximum else None
 
 
+def parse_number(text: str) -> float | None:
+    """Parse a decimal number that is not negative.
+
+    :param text: the text; what else ``float`` accepts is no number.
+    :returns: the number, or ``None`` if the text holds no finite one.
+
+    >>> parse_number(" 1.5 "), parse_number("1_0"), parse_number("1e400")
+    (1.5, None, None)
+    """
+    if not NUMBER.fullmatch(text.strip()):
+        return None
+    number = float(text)
+    return number if math.isfinite(number) else None
+
+
 def is_header_value(text: str) -> bool:
     r"""Return whether a text can be sent as the value of a header and arrives as it is.
 
--- a/packages/cassiaspread-core/src/cassiaspread_core/quarantine/_record.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/quarantine/_record.py
@@ -1,16 +1,25 @@
 """Record of one fingerprint: the losses attributed to it and when it was cleared."""
 
 import hashlib
-from typing import NewType
+from typing import Annotated, NewType
 
 import msgspec
 
-from cassiaspread_core.base import ModelId, OrganisationId, ServiceId, TargetId
+from cassiaspread_core.base import (
+    Count,
+    ModelId,
+    OrganisationId,
+    PositiveCount,
+    ServiceId,
+    TargetId,
+)
 
 # Common to all requests of one organisation with the same subject and body.
 Fingerprint = NewType("Fingerprint", str)
 
 DIGEST_BYTES = 16
+# End of the year 9999; later times cannot be written as dates.
+MAX_UNIX_TIME_S = 253_402_300_799.0
 
 # Tokens that an engine may have produced but not yet delivered to the daemon.
 MAX_UNDELIVERED_TOKENS = 4
@@ -54,6 +63,9 @@
     return b"\n".join((method.encode(), path.encode(), body))
 
 
+_UnixTime = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_UNIX_TIME_S)]
+
+
 class Loss(msgspec.Struct, frozen=True):
     """Loss of one incarnation of a target with a request in flight.
 
@@ -68,10 +80,10 @@
 
     target: TargetId
     incarnation: str
-    position: int
-    at_s: float
+    position: Count
+    at_s: _UnixTime
     refuted: bool = False
-    round: int = 1
+    round: PositiveCount = 1
 
     @property
     def key(self) -> tuple[TargetId, str]:
@@ -94,7 +106,7 @@
     organisation: OrganisationId
     subject: str
     losses: tuple[Loss, ...] = ()
-    cleared_s: float = 0.0
+    cleared_s: _UnixTime = 0.0
 
     @property
     def counted(self) -> tuple[Loss, ...]:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_pool.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_pool.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 from enum import Enum
 
+from cassiaspread_core.base import parse_count
 from cassiaspread_daemon._exchange import Exchange, ResponseStream
 
 # A target closes a connection that has been idle for the time that it announces, and a
@@ -12,6 +13,8 @@
 IDLE_MARGIN_S = 1.0
 # Idle time of a connection whose target announces none.
 DEFAULT_IDLE_S = 4.0
+# No connection is kept for longer, whatever its target announces.
+MAX_IDLE_S = 3600
 MAX_IDLE_PER_ADDRESS = 32
 
 
@@ -125,7 +128,7 @@
 def _idle_time_s(keep_alive: str) -> float:
     for part in keep_alive.split(","):
         name, _, value = part.strip().partition("=")
-        # Other digits, such as superscripts, are no numbers.
-        if name == "timeout" and value.isascii() and value.isdigit():
-            return float(value) - IDLE_MARGIN_S
+        timeout_s = parse_count(value) if name == "timeout" else None
+        if timeout_s is not None:
+            return min(timeout_s, MAX_IDLE_S) - IDLE_MARGIN_S
     return DEFAULT_IDLE_S
