Count bytes that are no answer as a failure of their target

What callers saw: more attempts that broke off at targets that spoil answers: nothing kept requests away from them.

Cause: a kept connection that brought such bytes left no trace in the health of its target. A faulty one may write them behind an answer or instead of one; in both cases the target is at fault.

Change: it counts in the failure rate, by which a target becomes suspect after two of them in a row. It is not unreachable, a single target is still asked, and the request is not blamed for it.

The two new tests failed before: not suspect after two spoiled connections.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -213,6 +213,7 @@
             self._record_unreachable(job, assignment, str(failure), is_sent=False)
             return None
         except ConnectionSpoiled as failure:
+            self._health.record_failure(assignment.head.target, now())
             self._record_broken(job, assignment, str(failure), is_sent=True)
             call.error = failure
             call.n_runs += 1
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -239,6 +239,7 @@
             self._record_broken(stream, assignment, str(error), is_sent=False)
             return AttemptResult.NOT_RUN
         except ConnectionSpoiled as error:
+            self._record_head_failure(assignment, error)
             self._record_broken(stream, assignment, str(error), is_sent=True)
             stream.avoided.discard(assignment.head.target)
             return AttemptResult.BROKEN
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -20,6 +20,7 @@
 from cassiaspread_daemon._exchange import (
     AnswerTooLarge,
     ConnectFailed,
+    ConnectionSpoiled,
     Exchange,
     ExchangeBroken,
 )
@@ -34,12 +35,13 @@
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
 from cassiaspread_daemon.gateway._job import now
 from cassiaspread_daemon.gateway._link_permits import LinkPermits
+from cassiaspread_daemon.gateway._plain import PlainForwarder
 from cassiaspread_daemon.gateway._pool import ConnectionPool, _idle_time_s
 from cassiaspread_daemon.gateway._protocols import EngineChange
 from cassiaspread_daemon.gateway._relay import StreamState
 from cassiaspread_daemon.gateway._retry_limits import RetryLimits
 from cassiaspread_daemon.gateway._routing_state import FeedFollower, RoutingState
-from cassiaspread_daemon.gateway._stream import StreamForwarder
+from cassiaspread_daemon.gateway._stream import AttemptResult, StreamForwarder
 from tests.gateway_jobs import MODEL, make_job
 
 
@@ -118,6 +120,67 @@
     assert select(avoid=["near", "far"], defer=["near"]) is None
 
 
+class NoQuarantine:
+    """Quarantine that records nothing."""
+
+    def begin_run(self, job):
+        return None
+
+    def check(self, job, is_run, unix_s):
+        pass
+
+
+async def spoil(*arguments):
+    raise ConnectionSpoiled("bytes that are no response")
+
+
+def test_plain_target_that_spoils_connections_becomes_suspect(log):
+    async def run():
+        health, dispatcher = make_plain_dispatcher(log)
+        forwarder = PlainForwarder(
+            None, None, dispatcher, health, NoQuarantine(), None, log
+        )
+        forwarder._send = spoil
+        service = Service("stock")
+        job = msgspec.structs.replace(make_job(), service=service)
+        for _ in range(2):
+            with pytest.raises(Refusal):
+                await forwarder.forward(job, None)
+        assert health.is_suspect("near", now())
+        assert dispatcher.assign(service, job.demand, now()).head.target == "far"
+
+    asyncio.run(run())
+
+
+def test_head_that_spoils_connections_becomes_suspect(log):
+    async def run():
+        dispatcher, queue = make_queue(log)
+        health = TargetHealth()
+        forwarder = StreamForwarder(
+            None,
+            None,
+            dispatcher,
+            queue,
+            health,
+            NoQuarantine(),
+            None,
+            None,
+            log,
+            FakeMetrics(),
+        )
+        forwarder._relay = spoil
+        stream = StreamState(make_job(), lambda: True)
+        for _ in range(2):
+            assignment = await queue.assign(make_job(), (), 1.0)
+            result = await forwarder._attempt(stream, assignment, None)
+            assert result is AttemptResult.BROKEN
+        assert health.is_suspect("e", now())
+        # It is the only one.
+        assert (await queue.assign(make_job(), (), 1.0)).head.target == "e"
+
+    asyncio.run(run())
+
+
 def test_requests_wait_in_fair_order_while_caches_are_full(log):
     async def run():
         dispatcher, queue = make_queue(log)
