An engine's stream holds no more tokens than were asked for

What callers saw: more tokens than max_tokens, if an engine sent them; nothing bounded the answer that the daemon buffers for a slow caller.

Cause: the sequence checked attempt and position only. Change: it takes no token beyond the largest number; the end is taken there as before.

--- a/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_sequence.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_sequence.py
@@ -23,6 +23,7 @@
 
     :param attempt: attempt whose tokens are accepted.
     :param position: position of the next token to deliver.
+    :param max_tokens: largest number of tokens of the answer, if it is limited.
 
     >>> sequence = TokenSequence(attempt=1)
     >>> sequence.accept(TokenStep(1, 0, "a"))
@@ -31,9 +32,12 @@
     (False, False)
     """
 
-    def __init__(self, attempt: int, position: int = 0) -> None:
+    def __init__(
+        self, attempt: int, position: int = 0, max_tokens: int | None = None
+    ) -> None:
         self._attempt = attempt
         self._position = position
+        self._max_tokens = max_tokens
         self._finish_reason: str | None = None
 
     @property
@@ -65,7 +69,8 @@
         """Accept a step if it is the next one of the stream.
 
         :param step: step delivered by an engine.
-        :returns: ``False`` for a step of another attempt or position.
+        :returns: ``False`` for a step of another attempt or position, and for a token
+            beyond the largest number.
         """
         if step.attempt != self._attempt or step.position != self._position:
             return False
@@ -74,5 +79,7 @@
         if step.finish_reason is not None:
             self._finish_reason = step.finish_reason
             return True
+        if self._max_tokens is not None and self._position >= self._max_tokens:
+            return False
         self._position += 1
         return True
--- a/packages/cassiaspread-core/tests/test_pipeline.py
+++ b/packages/cassiaspread-core/tests/test_pipeline.py
@@ -42,6 +42,13 @@
     assert accepted == list(range(len(accepted)))
 
 
+def test_sequence_takes_no_token_beyond_the_largest_number():
+    sequence = TokenSequence(attempt=1, max_tokens=2)
+    steps = [TokenStep(1, position, "x") for position in range(4)]
+    assert [sequence.accept(step) for step in steps] == [True, True, False, False]
+    assert sequence.accept(TokenStep(1, 2, finish_reason="length"))
+
+
 @settings(derandomize=True)
 @given(st.lists(st.integers(0, 2**16 - 1), min_size=2, max_size=8))
 def test_attempts_grow_and_differ_between_daemons(owners):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_generation.py
@@ -69,7 +69,7 @@
         self._limits = limits
         self._services = services
         self._deliver = deliver
-        self._sequence = TokenSequence(attempt=0)
+        self._sequence = TokenSequence(attempt=0, max_tokens=request.max_tokens)
         self._budget = AttemptBudget(limits.n_attempts)
         self._texts: list[str] = []
         self._highest_attempt = 0
