What is no next event of an engine's stream ends its attempt at once

What callers saw, on the product's own path: no foreign or repeated token, since positions were checked; but a stream that waited until its engine counted as silent or had sent all of its tokens in vain, and 409 "superseded" if an engine named the same attempt. A malformed event left a traceback; a conflict without an attempt left the attempt without any end. Comments and lines that end with carriage returns interrupted sound streams.

Cause: steps that did not follow were skipped, and only a decoder's luck told what is an event.

Change: events are checked whole where they are decoded (MalformedEvent), numbers have bounds, and an error or conflict counts only for its own attempt, or with a higher one where it says so. Anything else in place of the next position ends the attempt as failed, and the stream goes on under a new one.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_engine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_engine.py
@@ -1,6 +1,9 @@
 """Client of the engines."""
 
+import re
 from collections.abc import Callable
+from contextlib import suppress
+from typing import Annotated
 
 import msgspec
 
@@ -12,12 +15,20 @@
     StageState,
     TokenStep,
 )
-from cassiaspread_daemon._events import EventBuffer
-from cassiaspread_daemon._exchange import Exchange, fetch
+from cassiaspread_daemon._events import FIELD_LINE, EventBuffer
+from cassiaspread_daemon._exchange import Exchange, ExchangeBroken, fetch
 
 EVENT_PREFIX = b"data: "
-EVENT_END = b"\n\n"
+EVENT_END = re.compile(rb"\n\r?\n")
 N_PREFIX_BYTES = len(EVENT_PREFIX)
+# The attempt after the largest one still has 64 bits, which JSON libraries agree on.
+MAX_NUMBER = 2**62 - 1
+# Position of an event that names none: no token has it.
+NO_POSITION = -1
+# Bytes of a malformed event that an error shows.
+MAX_SHOWN_BYTES = 100
+
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
 
 class GenerateOrder(msgspec.Struct, frozen=True, kw_only=True):
@@ -76,16 +87,30 @@
 class StreamEvent(TokenStep, frozen=True, gc=False):
     """Event of an engine's token stream: a token, the end or an error.
 
+    :param attempt: attempt that it belongs to; 0 if an error names none.
+    :param position: zero-based index in the answer.
     :param error: code of the failure, if any.
     :param engine: engine at fault.
     """
 
+    attempt: Number = 0
+    position: Number = NO_POSITION
     error: str | None = None
     engine: TargetId | None = None
 
 
 class _Conflict(msgspec.Struct, frozen=True):
-    attempt: int = 0
+    attempt: Number
+
+
+class MalformedEvent(ExchangeBroken):
+    """What an engine sends is no event of a token stream.
+
+    :param event: its bytes.
+    """
+
+    def __init__(self, event: bytes) -> None:
+        super().__init__(f"malformed event: {event[:MAX_SHOWN_BYTES]!r}")
 
 
 class EngineStatusError(CassiaspreadError):
@@ -104,12 +129,13 @@
 class StaleAttemptError(EngineStatusError):
     """An engine has already received a higher attempt of the request.
 
-    :param body: body of the response, which contains that attempt.
+    :param body: body of the response.
+    :param highest_attempt: that attempt.
     """
 
-    def __init__(self, body: bytes) -> None:
+    def __init__(self, body: bytes, highest_attempt: int) -> None:
         super().__init__(409, body)
-        self.highest_attempt = msgspec.json.decode(body, type=_Conflict).attempt
+        self.highest_attempt = highest_attempt
 
 
 class EngineClient:
@@ -189,9 +215,7 @@
             )
             if status != 200:
                 response = await exchange.finish()
-                if status == 409:
-                    raise StaleAttemptError(response.body)
-                raise EngineStatusError(status, response.body)
+                raise _read_refusal(status, response.body, order.attempt)
         except BaseException:
             exchange.close()
             raise
@@ -221,7 +245,25 @@
         decode = self._decoder.decode
 
         def on_data(chunk: bytes) -> None:
-            *events, _ = buffer.feed(chunk).split(EVENT_END)
-            on_events([decode(event[N_PREFIX_BYTES:]) for event in events])
+            events = []
+            for event in EVENT_END.split(buffer.feed(chunk)):
+                if event.startswith(EVENT_PREFIX):
+                    try:
+                        events.append(decode(event[N_PREFIX_BYTES:]))
+                    except msgspec.MsgspecError:
+                        raise MalformedEvent(event) from None
+                elif FIELD_LINE.search(event):
+                    raise MalformedEvent(event)
+            on_events(events)
 
         return on_data
+
+
+def _read_refusal(status: int, body: bytes, attempt: int) -> EngineStatusError:
+    """Return the error of a response; a conflict proves itself by its attempt."""
+    if status == 409:
+        with suppress(msgspec.MsgspecError):
+            highest_attempt = msgspec.json.decode(body, type=_Conflict).attempt
+            if highest_attempt >= attempt:
+                return StaleAttemptError(body, highest_attempt)
+    return EngineStatusError(status, body)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_attempt.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_attempt.py
@@ -15,6 +15,7 @@
     EngineClient,
     EngineStatusError,
     GenerateOrder,
+    MalformedEvent,
     ResumeOrder,
     StaleAttemptError,
     StreamEvent,
@@ -24,6 +25,8 @@
 MILLISECONDS_PER_SECOND = 1000
 STALE_ATTEMPT = "stale-attempt"
 SUPERSEDED = "superseded"
+# Attempt of an error that names none.
+NO_ATTEMPT = 0
 
 # Error sent by a stage that could not connect to the next one.
 UNREACHABLE = "unreachable"
@@ -150,6 +153,8 @@
         except ConnectFailed as error:
             self._may_have_run = False
             self._set_closed(str(error), was_reached=False)
+        except MalformedEvent as error:
+            self._set_misplaced(str(error))
         except ExchangeBroken as error:
             self._set_closed(str(error))
         except StaleAttemptError as error:
@@ -163,17 +168,36 @@
             self._set_end(EndKind.FAILED, str(error), engine=head)
 
     def _handle_events(self, events: list[StreamEvent]) -> None:
+        if self._end.done():
+            return
         accept = self._sequence.accept
-        steps: list[TokenStep] = [
-            event for event in events if event.error is None and accept(event)
-        ]
+        steps: list[TokenStep] = []
+        refused: StreamEvent | None = None
+        for event in events:
+            if event.error is not None or not accept(event):
+                refused = event
+                break
+            steps.append(event)
         if steps:
             self._monitor.record_tokens(len(steps), time.monotonic())
             self._deliver(steps)
         if self._sequence.finish_reason is not None:
             self._set_end(EndKind.FINISHED)
-        elif events and events[-1].error is not None:
-            self._handle_error(events[-1])
+        elif refused is not None and not self._is_own_error(refused):
+            self._set_misplaced(_describe(refused))
+        elif refused is not None:
+            self._handle_error(refused)
+
+    def _is_own_error(self, event: StreamEvent) -> bool:
+        """Return whether an event is an error of this attempt."""
+        if event.error is None:
+            return False
+        attempt = self._sequence.attempt
+        if event.error == SUPERSEDED:
+            return event.attempt > attempt
+        if event.error == STALE_ATTEMPT:
+            return event.attempt >= attempt
+        return event.attempt in (attempt, NO_ATTEMPT)
 
     def _handle_error(self, event: StreamEvent) -> None:
         kinds = {STALE_ATTEMPT: EndKind.STALE, SUPERSEDED: EndKind.SUPERSEDED}
@@ -182,6 +206,13 @@
         was_reached = event.error != UNREACHABLE
         self._set_end(kind, reason, event.engine, event.attempt, was_reached)
 
+    def _set_misplaced(self, what: str) -> None:
+        """End the attempt because of what its head sent at its next position."""
+        head = self._chain.plan[0].engine
+        expected = f"position {self._sequence.position} of {self._sequence.attempt}"
+        reason = f"{head}: {what}, where {expected} follows"
+        self._set_end(EndKind.FAILED, reason, head)
+
     def _set_closed(self, reason: str, *, was_reached: bool = True) -> None:
         head = self._chain.plan[0].engine
         self._set_end(EndKind.CLOSED, reason, head, was_reached=was_reached)
@@ -203,3 +234,8 @@
                 was_reached=was_reached,
             )
             self._end.set_result(end)
+
+
+def _describe(event: StreamEvent) -> str:
+    what = f"position {event.position}" if event.error is None else event.error
+    return f"{what} of {event.attempt}"
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -13,7 +13,10 @@
 history, ``NAME-notes``, records restored caches, cancelled requests and the tokens
 that the head sent, with the attempt that computed them. ``POST /control`` sets fields
 of the engine such as ``step_ms``, ``state`` and ``crash_on`` (a text in the prompt
-that ends the process, as a crash of the engine would).
+that ends the process, as a crash of the engine would). ``spoil`` (``position``,
+``text``, ``is_added``) makes the head send a text once before the event of a position,
+or in its place; ``{attempt}``, ``{last_position}`` and so on stand for its numbers.
+``conflict`` is the body of an answer 409 to the next order.
 """
 
 import asyncio
@@ -110,6 +113,22 @@
     def __init__(self, arguments) -> None:
         super().__init__(arguments)
         self.runs: dict[str, HeadRun] = {}
+        self.spoil: dict | None = None
+        self.conflict: str | None = None
+
+    def spoil_event(self, event: dict, text: str) -> str:
+        spoil = self.spoil
+        if spoil is None or event.get("position") != spoil["position"]:
+            return text
+        self.spoil = None
+        numbers = {"attempt": event["attempt"], "position": event["position"]}
+        numbers |= {f"next_{name}": n + 1 for name, n in numbers.items()}
+        numbers |= {"last_attempt": event["attempt"] - 1}
+        numbers |= {"last_position": event["position"] - 1}
+        spoiled = spoil["text"]
+        for name, number in numbers.items():
+            spoiled = spoiled.replace(f"{{{name}}}", str(number))
+        return spoiled + text * spoil["is_added"]
 
     def start_run(self, order: dict) -> HeadRun:
         previous = self.runs.pop(order["request"], None)
@@ -142,6 +161,11 @@
     async def post(self) -> None:
         order = self.body()
         request, attempt = order["request"], order["attempt"]
+        conflict, self.standin.conflict = self.standin.conflict, None
+        if conflict is not None:
+            self.set_status(409)
+            self.finish(conflict)
+            return
         highest_seen = self.standin.highest_attempt(request)
         run = self.standin.runs.get(request)
         if attempt <= highest_seen:
@@ -163,7 +187,8 @@
         try:
             await self.flush()
             async for event in run.events(attempt, position):
-                self.write(b"data: " + json.dumps(event).encode() + b"\n\n")
+                text = "data: " + json.dumps(event) + "\n\n"
+                self.write(self.standin.spoil_event(event, text))
                 await self.flush()
         except StreamClosedError:
             return
