Messages of other daemons are bounded, and no item stops a feed for good

What could happen, shown by tests: an update whose stated time is NaN, infinite or in the future kept a configuration in force without a time limit; negative numbers and addresses that are none reached the loads and the list of targets; an item that could not be applied was read again for ever, and the items after it never; a small document was decompressed without a limit.

Cause: messages were decoded into types without bounds. Class: unchecked values of others.

Change: counts, positions, fencing tokens and times in the gateway's messages have bounds; a time after now counts as now; an engine without a literal address names no engine; a document of over 64 MiB is malformed. A malformed update is one line update.unreadable and is acknowledged with the position as it was; an item that fails is one line feed.item_failed, and the feed goes on.

--- a/packages/cassiaspread-core/src/cassiaspread_core/base/_decode.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/_decode.py
@@ -20,9 +20,16 @@
 MAX_NAME_CHARACTERS = 1024
 NUMBER = re.compile(r"[0-9]+(\.[0-9]*)?([eE][+-]?[0-9]+)?")
 
+# More than 30,000 years.
+MAX_SECONDS = 1e12
+
 T = TypeVar("T")
 DocumentDecoder = msgspec.json.Decoder[T] | msgspec.msgpack.Decoder[T]
 
+# Positions and fencing tokens, which other processes decode as signed 64-bit integers.
+SequenceNumber = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+# A time or a difference of two, in seconds; excludes NaN and infinity.
+Seconds = Annotated[float, msgspec.Meta(ge=-MAX_SECONDS, le=MAX_SECONDS)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_INTEGER)]
 PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_EXACT_INTEGER)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARACTERS)]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_document_spread.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_document_spread.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from cassiaspread_core.base import DomainId, Incarnation
+from cassiaspread_core.base import DomainId, Incarnation, SequenceNumber
 from cassiaspread_core.membership import Member, find_children
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
@@ -33,7 +33,7 @@
     :param data: the document.
     """
 
-    end: int
+    end: SequenceNumber
     root: Incarnation
     data: bytes
 
@@ -44,7 +44,7 @@
     :param end: position after the document.
     """
 
-    end: int
+    end: SequenceNumber
 
 
 class _Reply(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_duty.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_duty.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from cassiaspread_core.base import LogUnavailable, TargetId
+from cassiaspread_core.base import Count, LogUnavailable, SequenceNumber, TargetId
 from cassiaspread_core.membership import Member
 from cassiaspread_core.placement import (
     Engine,
@@ -58,8 +58,8 @@
     :param fencing_token: highest fencing token of a holder that is known.
     """
 
-    age_s: int
-    fencing_token: int = 0
+    age_s: Count
+    fencing_token: SequenceNumber = 0
 
 
 class _PendingOrder(msgspec.Struct):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_engine_notices.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_engine_notices.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from cassiaspread_core.base import TargetId
+from cassiaspread_core.base import Count, TargetId
 from cassiaspread_core.placement import Engine
 from cassiaspread_core.targets import TargetClosures
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
@@ -30,7 +30,7 @@
     """
 
     target: TargetId
-    incarnation: int
+    incarnation: Count
 
 
 class EngineNotices:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -19,7 +19,17 @@
 
 import msgspec
 
-from cassiaspread_core.base import DomainId, Incarnation, LogUnavailable, TargetId
+from cassiaspread_core.base import (
+    DomainId,
+    Incarnation,
+    LogUnavailable,
+    MalformedDocument,
+    Seconds,
+    SequenceNumber,
+    TargetId,
+    decode_with,
+    parse_address,
+)
 from cassiaspread_core.membership import Member, rank_members
 from cassiaspread_core.routing import RouteTable, StateAge
 from cassiaspread_daemon._supervisor import Supervisor
@@ -66,6 +76,8 @@
 MAX_UPDATE_BYTES = 2 * 1024
 # Larger configurations are read from the store by each daemon.
 MAX_DOCUMENT_BYTES = 256 * 1024
+# Bound on what such a document may be once decompressed.
+MAX_DECOMPRESSED_BYTES = 64 * 1024 * 1024
 # Daemons that are offered such a configuration again with each update, because they
 # did not have it when they acknowledged the one before.
 MAX_OFFERED_AGAIN = 2
@@ -102,8 +114,8 @@
     """
 
     content: msgspec.Raw
-    peer_clock_s: float | None = None
-    confirmed_after_s: float = 0.0
+    peer_clock_s: Seconds | None = None
+    confirmed_after_s: Seconds = 0.0
     peer: Incarnation = Incarnation("")
 
 
@@ -116,8 +128,8 @@
     """
 
     receiver: Incarnation
-    clock_s: float
-    position: int | None
+    clock_s: Seconds
+    position: SequenceNumber | None
 
 
 class _PeerClock(msgspec.Struct, frozen=True):
@@ -175,10 +187,21 @@
         own = self._mesh.sender.incarnation
 
         async def handle(update: _Update, sender: Sender) -> _Acknowledgement:
-            content = decoder.decode(update.content)
+            try:
+                content = decode_with(decoder, update.content)
+            except MalformedDocument as error:
+                self._log.record(
+                    "update.unreadable",
+                    feed=kind,
+                    peer=sender.address,
+                    reason=str(error),
+                )
+                return _Acknowledgement(own, suspended_clock_s(), read_position())
             current_s = None
             if update.peer_clock_s is not None and update.peer == own:
-                current_s = update.peer_clock_s + update.confirmed_after_s
+                stated_s = update.peer_clock_s + update.confirmed_after_s
+                # Nothing is known to be current at a later time than now.
+                current_s = min(stated_s, suspended_clock_s())
             receive(content, current_s)
             if sender.domain != self._domain:
                 forward(content)
@@ -445,7 +468,7 @@
         receiver that lacks it reads the store.
     """
 
-    end: int
+    end: SequenceNumber
     document: bytes = b""
     is_coming: bool = False
 
@@ -608,7 +631,7 @@
 
     def _decode(self, document: bytes) -> RouteTable | None:
         try:
-            return self._configurations.decode(zlib.decompress(document))
+            return self._configurations.decode(_decompress(document))
         except (zlib.error, ValueError) as error:
             # The store has it as well.
             self._log.record("configuration.unreadable", reason=str(error))
@@ -619,6 +642,17 @@
             self._publish(is_forwarded=True)
 
 
+def _decompress(document: bytes) -> bytes:
+    """Decompress a document of another daemon, up to a maximum size."""
+    decompressor = zlib.decompressobj()
+    data = decompressor.decompress(document, MAX_DECOMPRESSED_BYTES)
+    if not decompressor.eof:
+        raise MalformedDocument(
+            f"cut off, or over {MAX_DECOMPRESSED_BYTES} bytes when decompressed"
+        )
+    return data
+
+
 class EngineUpdate(msgspec.Struct, frozen=True, array_like=True):
     """Changes to the list of targets between two positions of its feed.
 
@@ -629,8 +663,8 @@
     :param not_renewed: otherwise those that did not.
     """
 
-    start: int
-    end: int
+    start: SequenceNumber
+    end: SequenceNumber
     changes: tuple[EngineChange, ...]
     renewed: tuple[TargetId, ...] = ()
     not_renewed: tuple[TargetId, ...] | None = None
@@ -746,7 +780,7 @@
         # Each change has the newest entry, so that a part of them may be known already.
         if position is not None and update.start <= position <= update.end:
             for change in update.changes:
-                self._apply_change(change)
+                self._apply_change(self._checked(change))
             for target in update.find_renewed(self._routing_state.engines):
                 self._routing_state.record_renewed(target)
             self._changed_targets.clear()
@@ -756,6 +790,18 @@
             # confirmation this daemon reads the feed itself.
             self._confirm_current(current_s)
 
+    def _checked(self, change: EngineChange) -> EngineChange:
+        """Return a change of another daemon, without an engine if it has no address."""
+        try:
+            if change.engine is not None:
+                parse_address(change.engine.address)
+        except MalformedDocument as error:
+            self._log.record(
+                "engine.unreadable", target=change.target, reason=str(error)
+            )
+            return EngineChange(change.target, None)
+        return change
+
     def _forward(self, update: EngineUpdate) -> None:
         if self._position == update.end:
             self._publish(update, is_forwarded=True)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_loads.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_loads.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from cassiaspread_core.base import DomainId, TargetId
+from cassiaspread_core.base import Count, DomainId, TargetId
 from cassiaspread_core.chains import LoadLedger, StageLoad
 from cassiaspread_core.targets import TargetHealth
 from cassiaspread_daemon.gateway._job import now
@@ -22,7 +22,7 @@
 
 # Load of one engine: number of sequences, cache in tokens times layers, and number of
 # requests of which it is the head.
-Row = tuple[int, int, int]
+Row = tuple[Count, Count, Count]
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
@@ -37,8 +37,8 @@
 
     own: dict[TargetId, Row]
     domain: dict[TargetId, Row]
-    unreachable_ms: dict[TargetId, int] = {}
-    avoided_ms: dict[TargetId, int] = {}
+    unreachable_ms: dict[TargetId, Count] = {}
+    avoided_ms: dict[TargetId, Count] = {}
 
 
 class LoadSharing:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_retry_limits.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_retry_limits.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from cassiaspread_core.admission import RetryWindow
-from cassiaspread_core.base import RequestId, ServiceId
+from cassiaspread_core.base import Count, RequestId, ServiceId
 from cassiaspread_core.membership import Member
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._fleet_view import FleetView
@@ -41,7 +41,7 @@
     """
 
     service: ServiceId
-    n_retries: int
+    n_retries: Count
 
 
 class Loan(msgspec.Struct, frozen=True, array_like=True):
@@ -50,7 +50,7 @@
     :param n_retries: their number.
     """
 
-    n_retries: int
+    n_retries: Count
 
 
 class _Budget:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
@@ -281,7 +281,7 @@
             wait_s = self._next_wait_s()
             page = await self._feed.changes(start, wait_s)
             for item in page.items:
-                self._apply(item)
+                self._apply_item(item)
             # The store returns an empty page only after the full wait.
             waited_s = 0.0 if page.items else wait_s
             self._age.confirm(min(requested_s + waited_s, suspended_clock_s()))
@@ -289,6 +289,15 @@
         self._position = max(page.position, self._position or 0)
         self._on_page(start, page)
 
+    def _apply_item(self, item: Item) -> None:
+        try:
+            self._apply(item)
+        except Exception as error:
+            # The same item would be read again, and the items after it never.
+            self._log.record(
+                "feed.item_failed", feed=self._name, **describe_error(error)
+            )
+
     def _record_unavailable(self, reason: str) -> None:
         if not self._is_unavailable:
             self._log.record("store.lost", feed=self._name, reason=reason)
