--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from cassiaspread_core.base import MalformedDocument, decode_json
 from cassiaspread_core.policy import EntryKind, EntryRecord, hash_token
 from cassiaspread_core.timeline import Event, merge_events
 
@@ -188,7 +189,7 @@
         path = f"/operators/events?request={request_id}" if request_id else ""
         events: list[Event] = []
         for process in self.processes.values():
-            with suppress(OSError, msgspec.MsgspecError):
+            with suppress(OSError, MalformedDocument):
                 response = request(
                     "GET",
                     process.address,
@@ -196,7 +197,7 @@
                     headers=bearer("operator-token"),
                     timeout_s=1.0,
                 )
-                events += msgspec.json.decode(response[2], type=list[Event])
+                events += decode_json(response[2], list[Event])
         return merge_events(events)
 
     def render_timeline(self, n_events: int = 200) -> str:
