A page of the log is checked whole: offsets in range, in order, within its end

What operators and daemons saw: a traceback for a nested page; a follower that starts over for each record that it does not get past. A 410 for an offset that the log still has was asked again at once, without a pause.

Cause: errors of the decoder other than MsgspecError ended the reader; nothing was said of the offsets in a page. Change: decode_page and check_order at the edge; such a 410 is an outage. Offsets have a range wherever they are decoded.

--- a/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
@@ -40,6 +40,8 @@
     LogUnavailable,
     Restored,
     Truncated,
+    check_order,
+    decode_page,
 )
 from cassiaspread_core.base._rate import EventRate
 from cassiaspread_core.base._states import Outcome, TargetKind, VmState
@@ -77,7 +79,9 @@
     "Truncated",
     "VmId",
     "VmState",
+    "check_order",
     "decode_json",
+    "decode_page",
     "decode_with",
     "parse_address",
     "parse_count",
--- a/packages/cassiaspread-core/src/cassiaspread_core/base/_ids.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/_ids.py
@@ -2,6 +2,8 @@
 
 from typing import NewType
 
+from cassiaspread_core.base._decode import Count
+
 VmId = NewType("VmId", str)
 DomainId = NewType("DomainId", str)
 TargetId = NewType("TargetId", str)
@@ -15,4 +17,4 @@
 Incarnation = NewType("Incarnation", str)
 
 # Position of a record in a stream of the platform's append-only log.
-Offset = NewType("Offset", int)
+Offset = NewType("Offset", Count)
--- a/packages/cassiaspread-core/src/cassiaspread_core/base/_log.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/_log.py
@@ -1,7 +1,10 @@
 """Records of the platform's append-only log, and the errors of its operations."""
 
+from itertools import pairwise
+
 import msgspec
 
+from cassiaspread_core.base._decode import MalformedDocument, decode_json
 from cassiaspread_core.base._errors import CassiaspreadError
 from cassiaspread_core.base._ids import Offset
 
@@ -32,6 +35,35 @@
     records: tuple[LogRecord, ...]
 
 
+def decode_page(data: bytes, start: Offset) -> LogPage:
+    """Decode the answer to a read of a stream.
+
+    :param data: the answer.
+    :param start: offset of the first record that was requested.
+    :raises MalformedDocument: the answer is no page, or its records do not follow each
+        other from ``start`` to its end.
+    """
+    page = decode_json(data, LogPage)
+    check_order(page.records, start)
+    if page.records and page.records[-1].offset >= page.end:
+        raise MalformedDocument(
+            f"record {page.records[-1].offset} is past the end of its page, {page.end}"
+        )
+    return page
+
+
+def check_order(records: tuple[LogRecord, ...], start: Offset) -> None:
+    """Check that records follow each other.
+
+    :param records: the records.
+    :param start: offset before which none of them may lie.
+    :raises MalformedDocument: they do not.
+    """
+    offsets = [start - 1, *(record.offset for record in records)]
+    if any(after <= before for before, after in pairwise(offsets)):
+        raise MalformedDocument(f"records from offset {start} on are out of order")
+
+
 class LogUnavailable(CassiaspreadError):
     """The log could not be read."""
 
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_record.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_record.py
@@ -5,7 +5,12 @@
 
 import msgspec
 
-from cassiaspread_core.base import CassiaspreadError, Offset
+from cassiaspread_core.base import (
+    CassiaspreadError,
+    MalformedDocument,
+    Offset,
+    decode_with,
+)
 
 MAX_NAME_LENGTH = 128
 
@@ -102,7 +107,7 @@
     checkpoint: str
     index: NonNegativeInt
     n_parts: PositiveInt
-    covered: Annotated[Offset, msgspec.Meta(ge=0)]
+    covered: Offset
     rules: PositiveInt
     entries: tuple[Entry, ...]
 
@@ -129,8 +134,6 @@
     cassiaspread_core.policy._record.InvalidRecord: Expected `object`, got `array`
     """
     try:
-        return _DECODER.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return decode_with(_DECODER, value)
+    except MalformedDocument as error:
         raise InvalidRecord(str(error)) from None
-    except RecursionError:
-        raise InvalidRecord("nested too deeply") from None
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_log.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_log.py
@@ -9,12 +9,16 @@
     AppendNotSent,
     LogPage,
     LogUnavailable,
+    MalformedDocument,
     Offset,
     Truncated,
+    decode_json,
+    decode_page,
 )
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken, fetch
 
 CONNECT_TIMEOUT_S = 1.0
+TRUNCATED_STATUS = 410
 
 
 class _Appended(msgspec.Struct):
@@ -59,9 +63,9 @@
         if response.status != 200:
             raise AppendAmbiguous(f"the log answered {response.status}")
         try:
-            return msgspec.json.decode(response.body, type=_Appended).offset
-        except msgspec.MsgspecError as error:
-            raise AppendAmbiguous(f"the answer of the log broke off: {error}") from None
+            return decode_json(response.body, _Appended).offset
+        except MalformedDocument as error:
+            raise AppendAmbiguous(f"malformed answer of the log: {error}") from None
 
     async def read(
         self,
@@ -94,12 +98,16 @@
                 connect_timeout_s=CONNECT_TIMEOUT_S,
                 timeout_s=wait_s + timeout_s,
             )
-            if response.status == 410:
-                raise Truncated(
-                    msgspec.json.decode(response.body, type=LogPage).earliest
-                )
-            if response.status != 200:
+            if response.status not in (200, TRUNCATED_STATUS):
                 raise LogUnavailable(f"the log answered {response.status}")
-            return msgspec.json.decode(response.body, type=LogPage)
-        except (ConnectFailed, ExchangeBroken, msgspec.MsgspecError) as error:
-            raise LogUnavailable(str(error)) from None
+            page = decode_page(response.body, start)
+        except (ConnectFailed, ExchangeBroken, MalformedDocument) as error:
+            raise LogUnavailable(f"{stream}: {error}") from None
+        if response.status == TRUNCATED_STATUS:
+            if page.earliest <= start:
+                raise LogUnavailable(
+                    f"{stream}: offset {start} is refused as removed, but the earliest "
+                    f"is {page.earliest}"
+                )
+            raise Truncated(page.earliest)
+        return page
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_policy_peers.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_policy_peers.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import random
+from typing import Annotated
 
 import msgspec
 from absl import logging
 
-from cassiaspread_core.base import Offset
+from cassiaspread_core.base import MalformedDocument, Offset, check_order
 from cassiaspread_core.policy import (
     CheckpointAssembler,
     CheckpointPart,
@@ -27,6 +28,9 @@
 # The log normally delivers a new record sooner; peers are asked only after this time.
 LOG_GRACE_S = 0.5
 
+# 20 November 2286, the last ten digits.
+MAX_TIME_S = 9_999_999_999.0
+
 
 class PolicyProgress(msgspec.Struct, frozen=True, kw_only=True):
     """Progress of a daemon in the policy stream.
@@ -41,7 +45,7 @@
     next_offset: Offset
     is_current: bool
     digest: str
-    checkpoint_s: float | None
+    checkpoint_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_TIME_S)] | None
 
 
 class RecordsRequest(msgspec.Struct, frozen=True):
@@ -131,7 +135,7 @@
         try:
             if not await self._fetch_records(address):
                 await self._fetch_snapshot(address)
-        except (PeerUnreachable, msgspec.MsgspecError) as error:
+        except (PeerUnreachable, MalformedDocument) as error:
             self._peer_offsets.pop(address, None)
             logging.warning("could not get the configuration from a peer: %s", error)
 
@@ -146,6 +150,7 @@
         )
         if not reply.records:
             return False
+        check_order(reply.records, start)
         self._follower.apply_records(start, reply.records, "peer")
         return True
 
