Reports, events and refusals of an engine are checked where they are decoded

Cause: fields had types without ranges, StaleAttemptError decoded a body without a check, and addresses were taken apart where they were used. Change: ranges in the types, check_report, refuse_order; Exchange.open takes IP addresses with a valid port only, and anything else was not sent.

--- a/packages/cassiaspread-core/src/cassiaspread_core/pipeline/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/pipeline/__init__.py
@@ -6,6 +6,7 @@
     Plan,
     Stage,
     check_plan,
+    check_report,
     choose_plan,
 )
 from cassiaspread_core.pipeline._restore import (
@@ -49,6 +50,7 @@
     "Verdict",
     "adjust_verdict",
     "check_plan",
+    "check_report",
     "choose_plan",
     "choose_restore",
     "diagnose_interruption",
--- a/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_plan.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_plan.py
@@ -1,10 +1,25 @@
 """Plans: chains of engines that cover each layer of a model exactly once, in order."""
 
 from collections.abc import Callable, Iterable
+from typing import Annotated
 
 import msgspec
 
-from cassiaspread_core.base import DomainId, ModelId, TargetId, VmState
+from cassiaspread_core.base import (
+    Count,
+    DomainId,
+    MalformedDocument,
+    ModelId,
+    PositiveCount,
+    TargetId,
+    VmState,
+    parse_address,
+)
+
+# One day; no engine takes longer for a step.
+MAX_STEP_MS = 86_400_000.0
+
+StepTime = Annotated[float, msgspec.Meta(ge=0, le=MAX_STEP_MS)]
 
 
 class EngineReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -31,17 +46,36 @@
     link: str
     domain: DomainId
     model: ModelId
-    begin: int
-    end: int
+    begin: Count
+    end: Count
     accelerator: str = ""
-    step_ms: float = 0.0
-    n_slots: int = 1
-    n_running: int = 0
-    n_queued: int = 0
+    step_ms: StepTime = 0.0
+    n_slots: PositiveCount = 1
+    n_running: Count = 0
+    n_queued: Count = 0
     state: VmState = VmState.LIVE
     incarnation: str = ""
 
 
+def check_report(report: EngineReport) -> EngineReport:
+    """Check the fields of a report whose type does not tell whether they are usable.
+
+    :param report: report of an engine, as decoded.
+    :returns: the report.
+    :raises MalformedDocument: an address is no IP address with a port, the target has
+        no name, or the engine holds no layer.
+    """
+    if not report.target:
+        raise MalformedDocument("report of an engine without a name")
+    if report.end <= report.begin:
+        raise MalformedDocument(
+            f"engine {report.target} holds layers [{report.begin}, {report.end})"
+        )
+    parse_address(report.address)
+    parse_address(report.link)
+    return report
+
+
 class Stage(msgspec.Struct, frozen=True):
     """One engine of a plan and the layers that it runs.
 
@@ -55,8 +89,8 @@
     engine: TargetId
     address: str
     link: str
-    begin: int
-    end: int
+    begin: Count
+    end: Count
 
 
 Plan = tuple[Stage, ...]
--- a/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_sequence.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_sequence.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from cassiaspread_core.base import Count
+
 
 class TokenStep(msgspec.Struct, frozen=True, gc=False):
     """One token as delivered by an engine.
@@ -12,8 +14,8 @@
     :param finish_reason: set on the last step only, whose text is empty.
     """
 
-    attempt: int = 0
-    position: int = 0
+    attempt: Count = 0
+    position: Count = 0
     text: str = ""
     finish_reason: str | None = None
 
--- a/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_verdict.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/pipeline/_verdict.py
@@ -3,10 +3,11 @@
 from collections.abc import Mapping
 from enum import Enum
 from itertools import pairwise
+from typing import Annotated
 
 import msgspec
 
-from cassiaspread_core.base import TargetId
+from cassiaspread_core.base import MAX_EXACT_INTEGER, Count, TargetId
 from cassiaspread_core.pipeline._plan import Plan
 
 NO_POSITIONS = -1
@@ -35,10 +36,12 @@
     :param fingerprint: hash of the content of the request, empty if unknown.
     """
 
-    attempt: int = 0
-    n_positions: int = NO_POSITIONS
+    attempt: Count = 0
+    n_positions: Annotated[int, msgspec.Meta(ge=NO_POSITIONS, le=MAX_EXACT_INTEGER)] = (
+        NO_POSITIONS
+    )
     phase: Phase = Phase.ENDED
-    n_tokens: int = 0
+    n_tokens: Count = 0
     plan: Plan = ()
     fingerprint: str = ""
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -22,7 +22,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from cassiaspread_core.admission import AnswerMemory, AnswerPacer, HeldAnswer
-from cassiaspread_core.base import CassiaspreadError
+from cassiaspread_core.base import CassiaspreadError, MalformedDocument, parse_address
 from cassiaspread_daemon._peek import peek
 
 # Bound on a response that is passed on while it arrives.
@@ -501,8 +501,11 @@
         :param keeps_connection: whether it may serve another request later.
         :raises ConnectFailed: no connection was opened.
         """
-        host, _, port = address.rpartition(":")
-        # Hosts are IP addresses: no resolver is needed, which would use a thread.
+        try:
+            # No name is accepted: a resolver would block the loop or use a thread.
+            host, port = parse_address(address)
+        except MalformedDocument as error:
+            raise ConnectFailed(str(error)) from None
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         try:
             new_socket = socket.socket(family)
@@ -511,7 +514,7 @@
             raise ConnectFailed(f"{address}: {error}") from None
         stream = ResponseStream(new_socket, read_chunk_size=MAX_HEAD_BYTES)
         try:
-            connecting = stream.connect((host.strip("[]"), int(port)))
+            connecting = stream.connect((host.strip("[]"), port))
             await asyncio.wait([connecting], timeout=timeout_s)
             # Only the result tells: the event loop may have been held up meanwhile.
             if not connecting.done():
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_engine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_engine.py
@@ -4,19 +4,30 @@
 
 import msgspec
 
-from cassiaspread_core.base import CassiaspreadError, ModelId, RequestId, TargetId
+from cassiaspread_core.base import (
+    CassiaspreadError,
+    Count,
+    MalformedDocument,
+    ModelId,
+    RequestId,
+    TargetId,
+    decode_json,
+    decode_with,
+)
 from cassiaspread_core.pipeline import (
     EngineReport,
     Plan,
     Restore,
     StageState,
     TokenStep,
+    check_report,
 )
 from cassiaspread_daemon._events import EventBuffer
-from cassiaspread_daemon._exchange import Exchange, fetch
+from cassiaspread_daemon._exchange import Exchange, ExchangeBroken, fetch
 
 EVENT_PREFIX = b"data: "
 EVENT_END = b"\n\n"
+CONFLICT_STATUS = 409
 N_PREFIX_BYTES = len(EVENT_PREFIX)
 
 
@@ -85,7 +96,7 @@
 
 
 class _Conflict(msgspec.Struct, frozen=True):
-    attempt: int = 0
+    attempt: Count = 0
 
 
 class EngineStatusError(CassiaspreadError):
@@ -104,12 +115,27 @@
 class StaleAttemptError(EngineStatusError):
     """An engine has already received a higher attempt of the request.
 
-    :param body: body of the response, which contains that attempt.
+    :param body: body of the response.
+    :param highest_attempt: that attempt, 0 if the response does not name it.
     """
 
-    def __init__(self, body: bytes) -> None:
-        super().__init__(409, body)
-        self.highest_attempt = msgspec.json.decode(body, type=_Conflict).attempt
+    def __init__(self, body: bytes, highest_attempt: int) -> None:
+        super().__init__(CONFLICT_STATUS, body)
+        self.highest_attempt = highest_attempt
+
+
+def refuse_order(status: int, body: bytes) -> EngineStatusError:
+    """Return the error for an order that an engine did not accept.
+
+    :param status: HTTP status code of the response.
+    :param body: body of the response.
+    """
+    if status != CONFLICT_STATUS:
+        return EngineStatusError(status, body)
+    try:
+        return StaleAttemptError(body, decode_json(body, _Conflict).attempt)
+    except MalformedDocument:
+        return EngineStatusError(status, body)
 
 
 class EngineClient:
@@ -129,7 +155,7 @@
         :param timeout_s: longest wait in seconds.
         :raises ConnectFailed: no connection was opened.
         :raises ExchangeBroken: no complete response was received.
-        :raises msgspec.MsgspecError: the response is malformed.
+        :raises MalformedDocument: the response is no usable report.
         """
         response = await fetch(
             address,
@@ -138,7 +164,7 @@
             connect_timeout_s=self._connect_timeout_s,
             timeout_s=timeout_s,
         )
-        return msgspec.json.decode(response.body, type=EngineReport)
+        return check_report(decode_json(response.body, EngineReport))
 
     async def request_state(
         self, address: str, request: RequestId, timeout_s: float
@@ -150,7 +176,7 @@
         :param timeout_s: longest wait in seconds.
         :raises ConnectFailed: no connection was opened.
         :raises ExchangeBroken: no complete response was received.
-        :raises msgspec.MsgspecError: the response is malformed.
+        :raises MalformedDocument: the response is malformed.
         """
         response = await fetch(
             address,
@@ -159,7 +185,7 @@
             connect_timeout_s=timeout_s,
             timeout_s=timeout_s,
         )
-        return msgspec.json.decode(response.body, type=StageState)
+        return decode_json(response.body, StageState)
 
     async def open_stream(
         self,
@@ -189,9 +215,7 @@
             )
             if status != 200:
                 response = await exchange.finish()
-                if status == 409:
-                    raise StaleAttemptError(response.body)
-                raise EngineStatusError(status, response.body)
+                raise refuse_order(status, response.body)
         except BaseException:
             exchange.close()
             raise
@@ -218,10 +242,17 @@
         self, on_events: Callable[[list[StreamEvent]], None]
     ) -> Callable[[bytes], None]:
         buffer = EventBuffer()
-        decode = self._decoder.decode
+        decoder = self._decoder
 
         def on_data(chunk: bytes) -> None:
             *events, _ = buffer.feed(chunk).split(EVENT_END)
-            on_events([decode(event[N_PREFIX_BYTES:]) for event in events])
+            decoded: list[StreamEvent] = []
+            try:
+                for event in events:
+                    decoded.append(decode_with(decoder, event[N_PREFIX_BYTES:]))
+            except MalformedDocument as error:
+                raise ExchangeBroken(f"malformed event of an engine: {error}") from None
+            finally:
+                on_events(decoded)
 
         return on_data
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_poller.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_poller.py
@@ -5,8 +5,15 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
-
-from cassiaspread_core.base import DomainId, TargetId, TargetKind, VmId
+from absl import logging
+
+from cassiaspread_core.base import (
+    DomainId,
+    MalformedDocument,
+    TargetId,
+    TargetKind,
+    VmId,
+)
 from cassiaspread_core.membership import Member
 from cassiaspread_core.observations import (
     N_POLLERS,
@@ -24,6 +31,8 @@
 REPORT_TIMEOUT_S = 1.0
 MAX_WAIT_S = 1.0
 MIN_WAIT_S = 0.02
+# An engine is polled every second or so and repeats a malformed report.
+MALFORMED_LOG_INTERVAL_S = 30
 
 # Number of targets whose pollers are chosen before yielding to other tasks.
 N_TARGETS_PER_YIELD = 32
@@ -182,7 +191,17 @@
                         msgspec.structs.replace(failure, incarnation=location.target)
                     ]
             report = await self._engines.report(location.address, REPORT_TIMEOUT_S)
-        except (ConnectFailed, ExchangeBroken, msgspec.MsgspecError):
+        except (ConnectFailed, ExchangeBroken):
+            return [failure]
+        except MalformedDocument as error:
+            logging.log_every_n_seconds(
+                logging.ERROR,
+                "engine %s at %s counts as down, its report is malformed: %s",
+                MALFORMED_LOG_INTERVAL_S,
+                location.target,
+                location.address,
+                error,
+            )
             return [failure]
         incarnation = report.incarnation or report.target
         success = Observation(report.target, self._own.vm, stamp, incarnation, report)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_probe.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_probe.py
@@ -2,8 +2,7 @@
 
 import asyncio
 
-import msgspec
-
+from cassiaspread_core.base import MalformedDocument
 from cassiaspread_daemon._exchange import ConnectFailed, Exchange, ExchangeBroken
 from cassiaspread_daemon.adapters import EngineClient
 
@@ -41,7 +40,7 @@
             if not incarnation:
                 return await self._accepts_connections(address)
             report = await self._engines.report(address, PROBE_TIMEOUT_S)
-        except (ConnectFailed, ExchangeBroken, msgspec.MsgspecError):
+        except (ConnectFailed, ExchangeBroken, MalformedDocument):
             return False
         return report.incarnation == incarnation
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_probe.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/relay/_probe.py
@@ -2,9 +2,7 @@
 
 import asyncio
 
-import msgspec
-
-from cassiaspread_core.base import RequestId
+from cassiaspread_core.base import MalformedDocument, RequestId
 from cassiaspread_core.pipeline import Plan, StageState, States
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken
 from cassiaspread_daemon.adapters import EngineClient
@@ -24,7 +22,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             return await engines.request_state(address, request, timeout_s)
-    except (ConnectFailed, ExchangeBroken, msgspec.MsgspecError, TimeoutError):
+    except (ConnectFailed, ExchangeBroken, MalformedDocument, TimeoutError):
         return None
 
 
--- a/packages/cassiaspread-daemon/tests/test_broken_off_control_answers.py
+++ b/packages/cassiaspread-daemon/tests/test_broken_off_control_answers.py
@@ -53,6 +53,16 @@
     return asyncio.run(main())
 
 
+async def run_attempt(address):
+    stage = Stage(TargetId("h"), address, "", 0, 8)
+    chain = PlannedChain((stage,), {}, 0.01)
+    sequence = TokenSequence(attempt=1)
+    attempt = Attempt(EngineClient(), chain, sequence, Limits(), lambda steps: None)
+    with attempt:
+        attempt.start(ResumeOrder(request="r", attempt=1, start=0))
+        return await attempt.wait()
+
+
 def fetch_body(address):
     return fetch(address, "GET", "/", connect_timeout_s=1.0, timeout_s=5.0)
 
@@ -74,18 +84,62 @@
         run_against(b"[", lambda a: VmListClient(a).read())
 
 
+ROW = (
+    b'{"vm":"v","role":"engine","name":"e","address":"127.0.0.1:80","domain":"d",'
+    b'"state":"live"}'
+)
+NESTED = b"[" * 100_000 + b"]" * 100_000
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[" + ROW + b",",
+        b"[" + ROW + b",,1]",
+        b"[" + ROW + b" " + ROW + b"]",
+        b"{}",
+        b"[" + ROW + b"," + NESTED,
+        b"[" + NESTED + b"," + ROW[:-1] + b"]",
+        NESTED[1:],
+    ],
+    ids=range(7),
+)
+def test_broken_list_of_vms_is_an_outage_and_no_shorter_list(body):
+    with pytest.raises(VmListUnavailable):
+        run_against(body, lambda a: VmListClient(a).read())
+
+
+@pytest.mark.parametrize(
+    "row", [NESTED, b"1", b'{"vm":"[,{"}', ROW[:-1] + b',"x":"]"}']
+)
+def test_odd_entry_of_the_list_of_vms_hides_no_other(row):
+    body = b" [" + ROW + b"," + row + b"," + ROW + b"]\n"
+    listed = run_against(body, lambda a: VmListClient(a).read())
+    assert [vm.name for vm in listed if vm.vm == "v"][:2] == ["e", "e"]
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"x", b'{"attempt":-1}', b'{"x":' + NESTED + b"}"]
+)
+def test_order_refused_with_an_odd_body_ends_its_attempt_at_once(body):
+    head = b"HTTP/1.1 409 Conflict\r\n\r\n"
+    assert run_against(body, run_attempt, head=head).kind is EndKind.FAILED
+
+
+@pytest.mark.parametrize(
+    "event",
+    [b"data: " + NESTED, b'data: {"position":-1}', b"data: \xff", b": ping"],
+    ids=range(4),
+)
+def test_odd_event_of_an_engine_breaks_its_attempt_off_with_a_reason(event):
+    end = run_against(TOKEN + event + b"\n\n", run_attempt)
+    assert end.kind is EndKind.CLOSED
+    assert "malformed event" in end.reason
+
+
 @pytest.mark.parametrize("body", [b"", TOKEN, TOKEN[:-9], TOKEN[:-1], b"data: "])
 def test_stream_of_an_engine_that_closes_before_its_last_event_is_closed(body):
-    async def run(address):
-        stage = Stage(TargetId("h"), address, "", 0, 8)
-        chain = PlannedChain((stage,), {}, 0.01)
-        sequence = TokenSequence(attempt=1)
-        attempt = Attempt(EngineClient(), chain, sequence, Limits(), lambda steps: None)
-        with attempt:
-            attempt.start(ResumeOrder(request="r", attempt=1, start=0))
-            return await attempt.wait()
-
-    assert run_against(body, run).kind is EndKind.CLOSED
+    assert run_against(body, run_attempt).kind is EndKind.CLOSED
 
 
 def test_event_of_an_engine_without_end_closes_the_attempt():
