One odd record of the quarantine or claims stream stops no reader

A record of the quarantine stream nested 100,000 deep ended its reader before it had moved on, so that it was read again at each restart and nothing behind it ever; a round of 2^64 could not be sent on and ended the gossip.

Records are decoded by the checked decoder into types with ranges; a batch of claims that is nested too deeply is skipped and counted like any other malformed one.

--- a/packages/cassiaspread-core/src/cassiaspread_core/claims/_record.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/claims/_record.py
@@ -8,7 +8,9 @@
     CassiaspreadError,
     IdempotencyKey,
     Incarnation,
+    MalformedDocument,
     OrganisationId,
+    decode_with,
 )
 
 Fingerprint = NewType("Fingerprint", str)
@@ -146,8 +148,8 @@
     True
     """
     try:
-        encoded_records = _BATCH_DECODER.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        encoded_records = decode_with(_BATCH_DECODER, value)
+    except MalformedDocument as error:
         raise InvalidBatch(str(error)) from None
     records = tuple(
         record for encoded in encoded_records if (record := _decode_record(encoded))
@@ -157,6 +159,6 @@
 
 def _decode_record(encoded: msgspec.Raw) -> Record | None:
     try:
-        return _RECORD_DECODER.decode(encoded)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return decode_with(_RECORD_DECODER, encoded)
+    except MalformedDocument:
         return None
--- a/packages/cassiaspread-core/src/cassiaspread_core/quarantine/_record.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/quarantine/_record.py
@@ -1,11 +1,18 @@
 """Record of one fingerprint: the losses attributed to it and when it was cleared."""
 
 import hashlib
-from typing import NewType
+from typing import Annotated, NewType
 
 import msgspec
 
-from cassiaspread_core.base import ModelId, OrganisationId, ServiceId, TargetId
+from cassiaspread_core.base import (
+    Count,
+    ModelId,
+    OrganisationId,
+    PositiveCount,
+    ServiceId,
+    TargetId,
+)
 
 # Common to all requests of one organisation with the same subject and body.
 Fingerprint = NewType("Fingerprint", str)
@@ -19,6 +26,11 @@
 N_LOSSES_AT_ONE_POINT = 2
 N_LOSSES_AT_ANY_POINT = 3
 
+# 20 November 2286, the last ten digits.
+MAX_TIME_S = 9_999_999_999.0
+
+EpochSeconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_TIME_S)]
+
 
 def fingerprint_of(
     organisation: OrganisationId, subject: ModelId | ServiceId, body: bytes
@@ -68,10 +80,10 @@
 
     target: TargetId
     incarnation: str
-    position: int
-    at_s: float
+    position: Count
+    at_s: EpochSeconds
     refuted: bool = False
-    round: int = 1
+    round: PositiveCount = 1
 
     @property
     def key(self) -> tuple[TargetId, str]:
@@ -94,7 +106,7 @@
     organisation: OrganisationId
     subject: str
     losses: tuple[Loss, ...] = ()
-    cleared_s: float = 0.0
+    cleared_s: EpochSeconds = 0.0
 
     @property
     def counted(self) -> tuple[Loss, ...]:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_suspects.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_suspects.py
@@ -7,7 +7,7 @@
 import msgspec
 from absl import logging
 
-from cassiaspread_core.base import Offset, TargetId
+from cassiaspread_core.base import MalformedDocument, Offset, TargetId, decode_json
 from cassiaspread_core.policy import Limits
 from cassiaspread_core.quarantine import (
     Fingerprint,
@@ -240,8 +240,8 @@
     def _read_page(self, page: LogPage) -> None:
         for record in page.records:
             try:
-                value = msgspec.json.decode(record.value, type=SuspectRecord)
-            except msgspec.MsgspecError as error:
+                value = decode_json(record.value, SuspectRecord)
+            except MalformedDocument as error:
                 logging.error(
                     "quarantine stream: invalid record at offset %d: %s",
                     record.offset,
