Messages between daemons are decoded by one checked decoder

What was seen: a nested message was 'the handler failed' with a traceback; negative positions and ages were taken, partition -1 was the last one; an odd address of a member raised in each round of gossip; a malformed reply raised an error that no caller of ask expects.

Change: decode_envelope, decode_body, ranges in the types of the bodies; addresses of senders, members and reports are checked; the transport resolves no name.

--- a/packages/cassiaspread-core/src/cassiaspread_core/membership/_member.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/membership/_member.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from cassiaspread_core.base import DomainId, Incarnation, VmId
+from cassiaspread_core.base import Count, DomainId, Incarnation, VmId
 
 
 class MemberState(Enum):
@@ -52,7 +52,7 @@
     member: Member
     is_leaving: bool = False
     is_lost: bool = False
-    stamp_ms: int = 0
+    stamp_ms: Count = 0
 
 
 def merge_records(current: MemberRecord, received: MemberRecord) -> MemberRecord:
--- a/packages/cassiaspread-core/src/cassiaspread_core/observations/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/observations/__init__.py
@@ -11,6 +11,7 @@
 from cassiaspread_core.observations._observation import (
     LoadUpdate,
     Observation,
+    check_observation,
     merge_observations,
     to_load_update,
 )
@@ -31,6 +32,7 @@
     "LoadUpdate",
     "Observation",
     "ObservationTable",
+    "check_observation",
     "choose_pollers",
     "differs_only_in_load",
     "merge_observations",
--- a/packages/cassiaspread-core/src/cassiaspread_core/observations/_observation.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/observations/_observation.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from cassiaspread_core.base import TargetId, VmId
-from cassiaspread_core.pipeline import EngineReport
+from cassiaspread_core.base import Count, TargetId, VmId
+from cassiaspread_core.pipeline import EngineReport, check_report
 from cassiaspread_core.timeline import Timestamp
 
 
@@ -24,7 +24,7 @@
     stamp: Timestamp
     incarnation: str = ""
     report: EngineReport | None = None
-    slot: int = 0
+    slot: Count = 0
 
     @property
     def is_up(self) -> bool:
@@ -41,10 +41,10 @@
     :param n_queued: sequences that were waiting.
     """
 
-    slot: int
+    slot: Count
     stamp: Timestamp
-    n_running: int
-    n_queued: int
+    n_running: Count
+    n_queued: Count
 
     def apply(self, current: Observation) -> Observation | None:
         """Return an observation with the load replaced by that of this update.
@@ -60,6 +60,18 @@
         return msgspec.structs.replace(current, stamp=self.stamp, report=report)
 
 
+def check_observation(observation: Observation) -> Observation:
+    """Check an observation that another daemon sent.
+
+    :param observation: the observation, as decoded.
+    :returns: the observation.
+    :raises MalformedDocument: its report is not usable.
+    """
+    if observation.report is not None:
+        check_report(observation.report)
+    return observation
+
+
 def to_load_update(observation: Observation) -> LoadUpdate | None:
     """Return the load in an observation, ``None`` without an engine report.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_committer.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_committer.py
@@ -8,12 +8,15 @@
 
 import time
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 
-from cassiaspread_core.base import Incarnation
+from cassiaspread_core.base import Incarnation, MalformedDocument
 from cassiaspread_core.claims import (
+    N_PARTITIONS,
     ClaimRecord,
+    InvalidBatch,
     choose_committer,
     decode_batch,
     encode_batch,
@@ -29,6 +32,8 @@
 COMMIT_TIMEOUT_S = 0.5
 COMMITTER_AVOIDANCE_S = 3.0
 
+PartitionNumber = Annotated[int, msgspec.Meta(ge=0, lt=N_PARTITIONS)]
+
 
 class CommitRequest(msgspec.Struct, frozen=True):
     """Request to the committer to append records.
@@ -37,7 +42,7 @@
     :param batch: encoded records.
     """
 
-    partition: int
+    partition: PartitionNumber
     batch: bytes
 
 
@@ -142,9 +147,6 @@
         value, begin_s = encode_batch(batch.records), time.monotonic()
         try:
             await self._log.append(f"claims-{partition}", value, APPEND_TIMEOUT_S)
-        except msgspec.MsgspecError as error:
-            self._record_failure(partition, begin_s, str(error))
-            raise AppendAmbiguous(f"invalid answer from the log: {error}") from None
         except (AppendNotSent, AppendAmbiguous) as error:
             self._record_failure(partition, begin_s, str(error))
             raise
@@ -158,7 +160,13 @@
         )
 
     async def _accept(self, request: CommitRequest, sender: Sender) -> Empty:
-        self._journals[request.partition].add(decode_batch(request.batch).records)
+        try:
+            batch = decode_batch(request.batch)
+        except InvalidBatch as error:
+            raise MalformedDocument(
+                f"no batch for partition {request.partition} from {sender.vm}: {error}"
+            ) from None
+        self._journals[request.partition].add(batch.records)
         return Empty()
 
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_forward.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/claims/_forward.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Callable
 from functools import partial
+from typing import Annotated
 
 import msgspec
 
@@ -43,6 +44,14 @@
 CATCH_UP_TIMEOUT_S = 1.0
 
 
+# One day; no caller waits longer.
+MAX_WAIT_S = 86_400
+
+LeftTime = Annotated[int, msgspec.Meta(le=MAX_WAIT_S * MILLISECONDS_PER_SECOND)]
+RetryTime = Annotated[float, msgspec.Meta(ge=0, le=MAX_WAIT_S)]
+ErrorStatus = Annotated[int, msgspec.Meta(ge=400, le=599)]
+
+
 class TicketRequest(msgspec.Struct, frozen=True):
     """Request to a daemon to run one of its tickets or to return the result.
 
@@ -56,7 +65,7 @@
     run: str
     call: Call
     limits: Limits
-    left_ms: int
+    left_ms: LeftTime
     expires_s: float
 
 
@@ -70,11 +79,11 @@
     :param retry_after_s: seconds after which the caller should retry, if at all.
     """
 
-    status: int
+    status: ErrorStatus
     code: str
     detail: str
     outcome: Outcome
-    retry_after_s: float | None
+    retry_after_s: RetryTime | None
 
 
 class TicketReply(msgspec.Struct, frozen=True):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_observation_gossip.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_observation_gossip.py
@@ -10,6 +10,7 @@
     LeavingMark,
     LoadUpdate,
     Observation,
+    check_observation,
     differs_only_in_load,
     needs_publishing,
     to_load_update,
@@ -81,6 +82,7 @@
         if isinstance(received, LoadUpdate):
             self._targets.observe_load(sender.vm, received)
             return
+        check_observation(received)
         if received.poller == self._own.vm:
             return
         self._targets.observe(received)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_deltas.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_deltas.py
@@ -6,7 +6,7 @@
 import msgspec
 from absl import logging
 
-from cassiaspread_core.base import Incarnation
+from cassiaspread_core.base import Count, Incarnation, MalformedDocument, decode_with
 from cassiaspread_core.membership import ChangeCursor, ChangeLog
 from cassiaspread_daemon.mesh._message import Sender
 
@@ -23,9 +23,9 @@
     :param partial: updates to entries that the receiver has.
     """
 
-    received: int
-    since: int
-    until: int
+    received: Count
+    since: Count
+    until: Count
     full: Entries = {}
     partial: Entries = {}
 
@@ -112,7 +112,8 @@
 
     :param full_type: type of complete entries.
     :param partial_type: type of partial updates.
-    :param consume: receives a complete entry or a partial update, and its sender.
+    :param consume: receives a complete entry or a partial update, and its sender;
+        raises :exc:`MalformedDocument` for one that it can't use.
     """
 
     def __init__(
@@ -173,16 +174,14 @@
         decoder = self._full_decoder if is_full else self._partial_decoder
         for raw in entries:
             try:
-                value = decoder.decode(raw)
-            except msgspec.MsgspecError as error:
+                self._consume(decode_with(decoder, raw), sender)
+            except MalformedDocument as error:
                 logging.error(
                     "skipping malformed entry of topic %s from %s: %s",
                     self._name,
                     sender.vm,
                     error,
                 )
-                continue
-            self._consume(value, sender)
 
 
 def _encode(value: Any) -> msgspec.Raw:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_gossip.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_gossip.py
@@ -6,9 +6,9 @@
 import msgspec
 from absl import logging
 
-from cassiaspread_core.base import DomainId, Incarnation
+from cassiaspread_core.base import Count, DomainId, Incarnation, MalformedDocument
 from cassiaspread_daemon.mesh._deltas import DeltaBody, DeltaHub, DeltaTopic
-from cassiaspread_daemon.mesh._message import Sender
+from cassiaspread_daemon.mesh._message import Sender, decode_body
 
 # Time for which the encoded topics are reused for messages to all peers.
 ENCODED_TOPICS_TTL_S = 0.1
@@ -24,7 +24,7 @@
     """
 
     deltas: DeltaBody
-    domain_ages_ms: dict[DomainId, int] = {}
+    domain_ages_ms: dict[DomainId, Count] = {}
 
 
 class Topic(NamedTuple):
@@ -142,8 +142,8 @@
         if topic is None:
             return
         try:
-            body = msgspec.msgpack.decode(raw, type=topic.body_type | None)
-        except msgspec.MsgspecError as error:
+            body = decode_body(raw, topic.body_type | None)
+        except MalformedDocument as error:
             logging.error(
                 "skipping malformed topic %s from %s: %s", name, sender.vm, error
             )
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_members.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_members.py
@@ -1,6 +1,6 @@
 """Updates the membership view and publishes its records to peers."""
 
-from cassiaspread_core.base import DomainId, Incarnation
+from cassiaspread_core.base import DomainId, Incarnation, parse_address
 from cassiaspread_core.membership import (
     Member,
     MemberRecord,
@@ -111,6 +111,7 @@
         return transitions
 
     def _receive(self, record: MemberRecord, sender: Sender) -> None:
+        parse_address(record.member.address)
         own, domain = self._own.domain, record.member.domain
         if sender.domain != own and domain not in (own, sender.domain):
             # Only its own domain knows whether a daemon is lost: others tell only
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
@@ -17,7 +17,7 @@
 import msgspec
 from absl import logging
 
-from cassiaspread_core.base import DomainId, Incarnation
+from cassiaspread_core.base import DomainId, Incarnation, MalformedDocument, shorten
 from cassiaspread_core.membership import (
     Member,
     MemberState,
@@ -30,7 +30,13 @@
 from cassiaspread_daemon.mesh._deltas import DeltaTopic
 from cassiaspread_daemon.mesh._gossip import Gossip, Topic, Topics
 from cassiaspread_daemon.mesh._members import Members, to_member
-from cassiaspread_daemon.mesh._message import Envelope, Sender, short_id
+from cassiaspread_daemon.mesh._message import (
+    Envelope,
+    Sender,
+    decode_body,
+    decode_envelope,
+    short_id,
+)
 from cassiaspread_daemon.mesh._pieces import (
     N_LANES,
     PIECE_BYTES,
@@ -47,6 +53,8 @@
 GOSSIP_TIMEOUT_S = 0.5
 N_GOSSIP_ATTEMPTS = 2
 URGENT_DELAY_S = 0.1
+# Gossip goes round each second.
+REFUSAL_LOG_INTERVAL_S = 10
 GOSSIP_KIND = "gossip"
 PIECE_KIND = "piece"
 UNKNOWN_SENDER = "unknown sender"
@@ -252,7 +260,10 @@
         reply = await self._exchange(address, kind, body, timeout_s)
         if reply.error is not None:
             raise PeerUnreachable(f"{address}: {reply.error}")
-        return msgspec.msgpack.decode(reply.body, type=reply_type)
+        try:
+            return decode_body(reply.body, reply_type)
+        except MalformedDocument as error:
+            raise PeerUnreachable(f"{address}: malformed reply: {error}") from None
 
     async def _exchange(
         self, address: str, kind: str, body: Any, timeout_s: float
@@ -304,9 +315,9 @@
         reply_data = await self._transport.exchange(address, data, timeout_s)
         self._bytes_by_kind[kind] += len(reply_data)
         try:
-            reply = msgspec.msgpack.decode(reply_data, type=Envelope)
+            reply = decode_envelope(reply_data)
             sender = self._senders.resolve(reply.sender)
-        except (msgspec.MsgspecError, UnknownSender) as error:
+        except (MalformedDocument, UnknownSender) as error:
             raise PeerUnreachable(f"{address}: {error}") from None
         self._events.receive_timestamp(reply.stamp)
         now_s = time.monotonic()
@@ -344,14 +355,22 @@
     async def _handle(self, data: bytes) -> Envelope:
         request = None
         try:
-            request = msgspec.msgpack.decode(data, type=Envelope)
-            body_type, handler = self._handlers[request.kind]
-            body = msgspec.msgpack.decode(request.body, type=body_type)
+            request = decode_envelope(data)
+            body_type, handler = self._find_handler(request.kind)
+            body = decode_body(request.body, body_type)
             sender = self._record_request(request)
             return self._reply(request, await handler(body, sender))
         except UnknownSender:
             return self._reply(request, None, UNKNOWN_SENDER)
-        except (KeyError, msgspec.MsgspecError, PieceRejected) as error:
+        except (MalformedDocument, PieceRejected) as error:
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "refused a message of kind %s with %d bytes: %s",
+                REFUSAL_LOG_INTERVAL_S,
+                shorten(request.kind) if request else "unknown",
+                len(data),
+                error,
+            )
             return self._reply(request, None, f"bad message: {error}")
         except Exception:
             logging.exception(
@@ -363,11 +382,14 @@
         data = self._pieces.add(sender.incarnation, piece)
         if data is None:
             return None
-        message = msgspec.msgpack.decode(data, type=LargeMessage)
-        body_type, handler = self._handlers[message.kind]
-        return await handler(
-            msgspec.msgpack.decode(message.body, type=body_type), sender
-        )
+        message = decode_body(data, LargeMessage)
+        body_type, handler = self._find_handler(message.kind)
+        return await handler(decode_body(message.body, body_type), sender)
+
+    def _find_handler(self, kind: str) -> tuple[Any, Handler]:
+        if kind not in self._handlers:
+            raise MalformedDocument(f"no requests of kind {kind} are answered")
+        return self._handlers[kind]
 
     async def _gossip(self) -> None:
         while True:
@@ -428,7 +450,21 @@
         elif (
             reply.error is None and reply.sender.incarnation != self._sender.incarnation
         ):
-            self._consume(msgspec.msgpack.decode(reply.body, type=Gossip), reply.sender)
+            self._consume_reply(address, reply)
+
+    def _consume_reply(self, address: str, reply: Envelope) -> None:
+        try:
+            gossip = decode_body(reply.body, Gossip)
+        except MalformedDocument as error:
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "%s answered gossip with a malformed body: %s",
+                REFUSAL_LOG_INTERVAL_S,
+                address,
+                error,
+            )
+            return
+        self._consume(gossip, reply.sender)
 
     async def _exchange_gossip(self, address: str) -> Envelope | None:
         """Exchange gossip, retrying once if the address answered recently.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_message.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_message.py
@@ -1,11 +1,17 @@
 """Envelope of every message between daemons."""
 
-from typing import NewType
+from typing import Any, NewType
 
 import msgspec
 import xxhash
 
-from cassiaspread_core.base import DomainId, Incarnation, VmId
+from cassiaspread_core.base import (
+    DomainId,
+    Incarnation,
+    VmId,
+    decode_with,
+    parse_address,
+)
 
 # Replaces the full sender in messages to a receiver that has it.
 ShortId = NewType("ShortId", int)
@@ -52,6 +58,32 @@
     """Body without content."""
 
 
+_ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
+
+
+def decode_envelope(data: bytes) -> Envelope:
+    """Decode and check a message of another daemon.
+
+    :param data: the message.
+    :raises MalformedDocument: the message is malformed, or its sender has no usable
+        address.
+    """
+    envelope = decode_with(_ENVELOPE_DECODER, data)
+    if isinstance(envelope.sender, Sender):
+        parse_address(envelope.sender.address)
+    return envelope
+
+
+def decode_body(data: bytes, body_type: Any) -> Any:
+    """Decode the body of a message.
+
+    :param data: the encoded body.
+    :param body_type: its type, with the bounds of its numbers.
+    :raises MalformedDocument: the body does not have this type.
+    """
+    return decode_with(msgspec.msgpack.Decoder(body_type), data)
+
+
 def short_id(sender: Sender | None) -> ShortId:
     """Return the short identifier of a sender, or 0 for ``None``.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_pieces.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_pieces.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from cassiaspread_core.base import CassiaspreadError, Incarnation
+from cassiaspread_core.base import CassiaspreadError, Count, Incarnation
 
 PIECE_BYTES = 8 * 1024
 # The first piece is small and does not wait for those of other messages, so that a peer
@@ -46,9 +46,9 @@
     :param data: the bytes.
     """
 
-    message: int
-    begin: int
-    n_bytes: int
+    message: Count
+    begin: Count
+    n_bytes: Count
     data: bytes
 
     @property
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_transport.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_transport.py
@@ -12,7 +12,7 @@
 
 import pynng
 
-from cassiaspread_core.base import CassiaspreadError
+from cassiaspread_core.base import CassiaspreadError, MalformedDocument, parse_address
 from cassiaspread_daemon._supervisor import Supervisor
 
 # Handlers may block on other systems; enough contexts must stay free for gossip.
@@ -103,6 +103,10 @@
         :param timeout_s: maximum wait, in seconds.
         :raises PeerUnreachable: no reply arrived in time.
         """
+        try:
+            parse_address(address)
+        except MalformedDocument as error:
+            raise PeerUnreachable(str(error)) from None
         requester = self._requester(address)
         try:
             with requester.socket.new_context() as context:
