A stamp that no clock issues does not move the clock

A stamp of 4,000 digits in one message became the clock of the daemon and, by its messages, of all others. int() also took signs, underscores and digits of other scripts. Stamps have at most 13 digits of milliseconds, and received counters a maximum.

--- a/packages/cassiaspread-core/src/cassiaspread_core/timeline/_clock.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/timeline/_clock.py
@@ -2,7 +2,14 @@
 
 from typing import NamedTuple
 
+from cassiaspread_core.base import Count, parse_count, shorten
+
 MILLISECONDS_PER_SECOND = 1000
+# 20 November 2286, the last 13 digits.
+MAX_WALL_MS = 9_999_999_999_999
+# Far more events than a process has while its clock stands still; above it, the counter
+# of a receiver has room up to the largest number that a message may contain.
+MAX_RECEIVED_COUNTER = 2**32
 
 
 class Timestamp(NamedTuple):
@@ -12,8 +19,8 @@
     :param counter: orders events with equal ``wall_ms``.
     """
 
-    wall_ms: int
-    counter: int
+    wall_ms: Count
+    counter: Count
 
     def __str__(self) -> str:
         return f"{self.wall_ms}.{self.counter}"
@@ -28,8 +35,12 @@
         >>> Timestamp.parse("17.2")
         Timestamp(wall_ms=17, counter=2)
         """
-        wall_ms, counter = text.split(".")
-        return cls(int(wall_ms), int(counter))
+        wall_text, _, counter_text = text.partition(".")
+        wall_ms = parse_count(wall_text, MAX_WALL_MS)
+        counter = parse_count(counter_text)
+        if wall_ms is None or counter is None:
+            raise ValueError(f"expected <wall_ms>.<counter>, got {shorten(text)!r}")
+        return cls(wall_ms, counter)
 
 
 class HybridClock:
@@ -66,9 +77,12 @@
     def receive(self, remote: Timestamp, now_s: float) -> Timestamp:
         """Issue the timestamp for the receipt of a message.
 
+        A timestamp that no clock issues is ignored: the clock could not go on after it.
+
         :param remote: timestamp in the message.
         :param now_s: current time, in seconds since the epoch.
         """
-        if remote > self._last:
+        is_issued = remote.counter <= MAX_RECEIVED_COUNTER
+        if is_issued and remote > self._last:
             self._last = remote
         return self.tick(now_s)
