--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completion_body.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completion_body.py
@@ -4,7 +4,11 @@
 
 import msgspec
 
-from cassiaspread_core.base import Refusal
+from cassiaspread_core.base import (
+    PositiveCount,
+    Refusal,
+    parse_count,
+)
 
 DEFAULT_MAX_TOKENS = 16
 
@@ -14,7 +18,7 @@
 
     model: str
     prompt: str
-    max_tokens: Annotated[int, msgspec.Meta(ge=1)] = DEFAULT_MAX_TOKENS
+    max_tokens: PositiveCount = DEFAULT_MAX_TOKENS
     stream: bool = False
 
     def to_prompt(self) -> str:
@@ -34,7 +38,7 @@
 
     model: str
     messages: Annotated[list[ChatMessage], msgspec.Meta(min_length=1)]
-    max_tokens: Annotated[int, msgspec.Meta(ge=1)] = DEFAULT_MAX_TOKENS
+    max_tokens: PositiveCount = DEFAULT_MAX_TOKENS
     stream: bool = False
 
     def to_prompt(self) -> str:
@@ -56,6 +60,8 @@
         return msgspec.json.decode(body, type=body_type)
     except msgspec.ValidationError as error:
         raise Refusal(400, "bad-body", f"{error}.") from None
+    except RecursionError:
+        raise Refusal(400, "bad-json", "The body is nested too deeply.") from None
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise Refusal(400, "bad-json", f"The body is no JSON: {error}.") from None
 
@@ -72,6 +78,7 @@
     """
     if text is None:
         return 0
-    if not text.isascii() or not text.isdigit():
+    position = parse_count(text)
+    if position is None:
         raise Refusal(400, "bad-event-id", "Last-Event-ID takes a position.")
-    return int(text) + 1
+    return position + 1
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_fleet.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_fleet.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from cassiaspread_core.base import Refusal, TargetId
+from cassiaspread_core.base import MalformedDocument, Refusal, TargetId, decode_json
 from cassiaspread_core.operations import (
     DrainReport,
     MemberReport,
@@ -27,8 +27,8 @@
     def post(self) -> None:
         """Mark the current incarnation of the target as leaving."""
         try:
-            body = msgspec.json.decode(self.request.body, type=DrainBody)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            body = decode_json(self.request.body, DrainBody)
+        except MalformedDocument as error:
             raise Refusal(400, "bad-body", f"{error}.") from None
         try:
             mark = self.node.targets.drain(body.target)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_quarantine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_quarantine.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from cassiaspread_core.base import Refusal
+from cassiaspread_core.base import MalformedDocument, Refusal, decode_json
 from cassiaspread_core.operations import QuarantineReport
 from cassiaspread_core.quarantine import Fingerprint
 from cassiaspread_daemon.handlers._base import OperatorHandler
@@ -39,8 +39,8 @@
     async def post(self) -> None:
         """Release the fingerprint at all daemons and answer with its record."""
         try:
-            body = msgspec.json.decode(self.request.body, type=ReleaseBody)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            body = decode_json(self.request.body, ReleaseBody)
+        except MalformedDocument as error:
             raise Refusal(400, "bad-body", f"{error}.") from None
         fingerprint = Fingerprint(body.fingerprint)
         record = await self.node.quarantine.release(fingerprint)
