The command line names what is odd in answers and policy files

Operators got a traceback for a nested answer, for a file with a number of 5,000 digits or with deep nesting, and for an address with an open bracket.

--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_daemons.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_daemons.py
@@ -9,6 +9,7 @@
 
 from cassiaspread_cli._context import CommandError, Context, ExitStatus
 from cassiaspread_cli._output import warn
+from cassiaspread_core.base import MalformedDocument, decode_json
 
 CONNECT_TIMEOUT_S = 2.0
 REQUEST_TIMEOUT_S = 5.0
@@ -137,20 +138,18 @@
             connect_timeout=CONNECT_TIMEOUT_S,
             request_timeout=min(REQUEST_TIMEOUT_S, context.timeout_s),
         )
-        return DaemonResponse(
-            daemon, msgspec.json.decode(response.body, type=value_type)
-        )
+        return DaemonResponse(daemon, decode_json(response.body, value_type))
     except HTTPError as error:
         if error.code in (401, 403):
             return DaemonResponse(daemon, None, "the token is no operator's there")
         is_refusal = error.code in REFUSAL_STATUSES
         return DaemonResponse(daemon, None, _get_error_detail(error), is_refusal)
-    except (OSError, ValueError, msgspec.MsgspecError) as error:
+    except (OSError, ValueError) as error:
         return DaemonResponse(daemon, None, str(error))
 
 
 def _get_error_detail(error: HTTPError) -> str:
     if error.response is not None and error.response.body:
-        with suppress(msgspec.MsgspecError):
-            return msgspec.json.decode(error.response.body, type=_Problem).detail
+        with suppress(MalformedDocument):
+            return decode_json(error.response.body, _Problem).detail
     return error.message or str(error.code)
--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_log.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_log.py
@@ -14,6 +14,7 @@
     LogUnavailable,
     Offset,
     Truncated,
+    decode_page,
 )
 from cassiaspread_core.policy import (
     CheckpointAssembler,
@@ -156,10 +157,16 @@
             response = await self._fetch("GET", path, None, wait_s)
             if response.code not in (200, 410):
                 raise LogUnavailable(f"the log answered {response.code}")
-            page = msgspec.json.decode(response.body, type=LogPage)
-        except (HTTPError, OSError, msgspec.MsgspecError) as error:
+            page = decode_page(response.body, start)
+        except (HTTPError, OSError, ValueError) as error:
+            # ValueError: the page is malformed, or the address is no part of a URL.
             raise LogUnavailable(f"{self._context.log}: {error}") from None
         if response.code == 410:
+            if page.earliest <= start:
+                raise LogUnavailable(
+                    f"{self._context.log}: offset {start} is refused as removed, but "
+                    f"the earliest is {page.earliest}"
+                )
             raise Truncated(page.earliest)
         return page
 
--- a/packages/cassiaspread-cli/tests/test_main.py
+++ b/packages/cassiaspread-cli/tests/test_main.py
@@ -2,6 +2,9 @@
 
 import io
 import json
+import threading
+from contextlib import contextmanager
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 import pytest
 
@@ -53,6 +56,7 @@
     (["policy", "check", "missing.toml"], 2, "missing.toml can't be read"),
     (["policy", "show", *OPTIONS], 1, "no daemon answered"),
     (["policy", "history", *OPTIONS], 1, "Check --log"),
+    (["policy", "history", *OPTIONS, "--log", "[::1"], 1, "Check --log"),
     (["policy", "apply", "FILE", *OPTIONS], 1, "Nothing was published"),
     (["targets", *OPTIONS], 1, "Connection refused"),
     (["timeline", *OPTIONS], 1, "Check --daemons"),
@@ -90,3 +94,81 @@
     assert (actual, printed[:8]) == (status, output)
     assert "abc" not in errors
     assert "two" not in printed + errors
+
+
+@contextmanager
+def serve(body, status=200):
+    """Answer each request on a port of its own with one body."""
+
+    class Handler(BaseHTTPRequestHandler):
+        def do_GET(self):
+            self.send_response(status)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+        def log_message(self, *args):
+            pass
+
+    with ThreadingHTTPServer(("127.0.0.1", 0), Handler) as server:
+        threading.Thread(target=server.serve_forever).start()
+        yield f"127.0.0.1:{server.server_port}"
+        server.shutdown()
+
+
+NESTED = b"[" * 100_000 + b"]" * 100_000
+RECORD = b'{"offset":%d,"time_s":1.0,"value":"YQ=="}'
+ODD_ANSWERS = [
+    b'{"earliest":0,"end":0,"records":[],"extra":' + NESTED + b"}",
+    b'{"earliest":0,"end":1' + b"0" * 30 + b',"records":[]}',
+    b'{"earliest":-1,"end":0,"records":[]}',
+    b'{"earliest":0,"end":9,"records":[' + RECORD % 2 + b"," + RECORD % 1 + b"]}",
+    b'{"earliest":0,"end":1,"records":[' + RECORD % 5 + b"]}",
+    b"\xff",
+]
+
+
+@pytest.mark.parametrize("body", ODD_ANSWERS, ids=range(len(ODD_ANSWERS)))
+def test_odd_answer_of_the_log_is_an_error_and_no_traceback(run, body):
+    with serve(body) as address:
+        argv = ["policy", "history", *OPTIONS, "--log", address]
+        status, out, err = run(*argv)
+    assert (status, out) == (1, "")
+    assert "Check --log" in err
+
+
+def test_refused_offset_that_the_log_still_has_is_an_error_and_no_endless_loop(run):
+    with serve(b'{"earliest":0,"end":0,"records":[]}', 410) as address:
+        status, _, err = run("policy", "history", *OPTIONS, "--log", address)
+    assert status == 1
+    assert "offset 0 is refused" in err
+
+
+@pytest.mark.parametrize("status", [200, 400, 500])
+def test_odd_answer_of_a_daemon_is_an_error_and_no_traceback(run, status):
+    nested = b'{"detail":"d","extra":' + NESTED + b"}"
+    with serve(nested, status) as address:
+        argv = ["targets", *OPTIONS, "--daemons", address]
+        code, out, err = run(*argv)
+    assert (code, out) == (1, "")
+    assert "no daemon answered" in err
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "x = " + "[" * 100_000 + "]" * 100_000,
+        "[limits]\nmax_tokens = 1" + "0" * 5000,
+        "[limits]\nmax_tokens = 1" + "0" * 40,
+        "[limits]\nslot_ratio = inf",
+        "[models.m]\nn_layers = 9007199254740992",
+    ],
+    ids=range(5),
+)
+def test_odd_number_or_nesting_in_a_policy_file_is_a_finding(run, tmp_path, text):
+    file = tmp_path / "policy.toml"
+    file.write_text(text)
+    status, _, err = run("policy", "check", str(file))
+    assert status == 2
+    assert str(file) in err
+    assert len(err) < 2000
--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_file.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_file.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from cassiaspread_core.base import Finding, FindingsError
+from cassiaspread_core.base import MAX_EXACT_INTEGER, Finding, FindingsError, shorten
 from cassiaspread_core.policy._entries import EntryKey
 from cassiaspread_core.policy._model import Limits, LimitsException
 from cassiaspread_core.policy._record import MAX_NAME_LENGTH, EntryKind
@@ -51,8 +51,11 @@
     """
     try:
         document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        raise FindingsError([Finding(file, str(error))]) from None
+    except RecursionError:
+        raise FindingsError([Finding(file, "nested too deeply")]) from None
+    except ValueError as error:
+        # Also of a number with more digits than int() accepts.
+        raise FindingsError([Finding(file, shorten(str(error)))]) from None
     reader = _PolicyFileReader(file, in_force)
     reader.read(document)
     if reader.findings:
@@ -155,6 +158,12 @@
     def _read_field(
         self, field_type: Any, path: str, key: str, value: Any, fields: dict
     ) -> None:
+        if not _is_exact(value):
+            self._add_finding(
+                path,
+                f"expected numbers of at most {MAX_EXACT_INTEGER}, plus or minus",
+            )
+            return
         try:
             fields[key] = msgspec.convert(value, field_type)
         except msgspec.ValidationError as error:
@@ -216,3 +225,14 @@
                     self._add_finding(
                         f"{path}.{field}", f"no {field} {name!r} is known"
                     )
+
+
+def _is_exact(value: Any) -> bool:
+    """Return whether each reader of the stream reads the numbers as they are."""
+    if isinstance(value, dict):
+        return all(map(_is_exact, value.values()))
+    if isinstance(value, list):
+        return all(map(_is_exact, value))
+    if isinstance(value, int | float):
+        return abs(value) <= MAX_EXACT_INTEGER
+    return True
