--- a/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
@@ -8,10 +8,14 @@
     MalformedDocument,
     Name,
     PositiveCount,
+    Seconds,
+    SequenceNumber,
     decode_json,
     decode_with,
+    is_header_value,
     parse_address,
     parse_count,
+    parse_number,
     shorten,
 )
 from cassiaspread_core.base._errors import (
@@ -73,6 +77,8 @@
     "Refusal",
     "RequestId",
     "Restored",
+    "Seconds",
+    "SequenceNumber",
     "ServiceId",
     "TargetId",
     "TargetKind",
@@ -83,7 +89,9 @@
     "decode_json",
     "decode_page",
     "decode_with",
+    "is_header_value",
     "parse_address",
     "parse_count",
+    "parse_number",
     "shorten",
 ]
--- a/packages/cassiaspread-core/src/cassiaspread_core/base/_decode.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/_decode.py
@@ -1,6 +1,8 @@
 """Checked decoding of documents and texts that others wrote."""
 
 import ipaddress
+import math
+import re
 from typing import Annotated, NamedTuple, TypeVar
 
 import msgspec
@@ -14,13 +16,23 @@
 MAX_REASON_CHARACTERS = 200
 # An IPv6 address in brackets and a port have at most 47 characters.
 MAX_ADDRESS_CHARACTERS = 60
+# Names are kept and logged for each target; the platforms' have some ten characters.
+MAX_NAME_CHARACTERS = 1024
+NUMBER = re.compile(r"[0-9]+(\.[0-9]*)?([eE][+-]?[0-9]+)?")
+
+# More than 30,000 years.
+MAX_SECONDS = 1e12
 
 T = TypeVar("T")
 DocumentDecoder = msgspec.json.Decoder[T] | msgspec.msgpack.Decoder[T]
 
+# Positions and fencing tokens, which other processes decode as signed 64-bit integers.
+SequenceNumber = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+# A time or a difference of two, in seconds; excludes NaN and infinity.
+Seconds = Annotated[float, msgspec.Meta(ge=-MAX_SECONDS, le=MAX_SECONDS)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_INTEGER)]
 PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_EXACT_INTEGER)]
-Name = Annotated[str, msgspec.Meta(min_length=1)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARACTERS)]
 
 
 class MalformedDocument(CassiaspreadError, ValueError):
@@ -138,6 +150,33 @@
     return number if number <= maximum else None
 
 
+def parse_number(text: str) -> float | None:
+    """Parse a decimal number that is not negative.
+
+    :param text: the text; what else ``float`` accepts is no number.
+    :returns: the number, or ``None`` if the text holds no finite one.
+
+    >>> parse_number(" 1.5 "), parse_number("1_0"), parse_number("1e400")
+    (1.5, None, None)
+    """
+    if not NUMBER.fullmatch(text.strip()):
+        return None
+    number = float(text)
+    return number if math.isfinite(number) else None
+
+
+def is_header_value(text: str) -> bool:
+    r"""Return whether a text can be sent as the value of a header and arrives as it is.
+
+    :param text: the text.
+
+    >>> is_header_value("celje shops"), is_header_value("a\r\nb"), is_header_value(" a")
+    (True, False, False)
+    """
+    is_sent = all(" " <= c <= "~" or "\xa0" <= c <= "\xff" for c in text)
+    return bool(text) and is_sent and text == text.strip()
+
+
 def _is_ip_address(host: str) -> bool:
     is_bracketed = host.startswith("[") and host.endswith("]")
     try:
--- a/packages/cassiaspread-core/src/cassiaspread_core/quarantine/_record.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/quarantine/_record.py
@@ -18,6 +18,8 @@
 Fingerprint = NewType("Fingerprint", str)
 
 DIGEST_BYTES = 16
+# End of the year 9999; later times cannot be written as dates.
+MAX_UNIX_TIME_S = 253_402_300_799.0
 
 # Tokens that an engine may have produced but not yet delivered to the daemon.
 MAX_UNDELIVERED_TOKENS = 4
@@ -26,11 +28,6 @@
 N_LOSSES_AT_ONE_POINT = 2
 N_LOSSES_AT_ANY_POINT = 3
 
-# 20 November 2286, the last ten digits.
-MAX_TIME_S = 9_999_999_999.0
-
-EpochSeconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_TIME_S)]
-
 
 def fingerprint_of(
     organisation: OrganisationId, subject: ModelId | ServiceId, body: bytes
@@ -66,6 +63,9 @@
     return b"\n".join((method.encode(), path.encode(), body))
 
 
+_UnixTime = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_UNIX_TIME_S)]
+
+
 class Loss(msgspec.Struct, frozen=True):
     """Loss of one incarnation of a target with a request in flight.
 
@@ -81,7 +81,7 @@
     target: TargetId
     incarnation: str
     position: Count
-    at_s: EpochSeconds
+    at_s: _UnixTime
     refuted: bool = False
     round: PositiveCount = 1
 
@@ -106,7 +106,7 @@
     organisation: OrganisationId
     subject: str
     losses: tuple[Loss, ...] = ()
-    cleared_s: EpochSeconds = 0.0
+    cleared_s: _UnixTime = 0.0
 
     @property
     def counted(self) -> tuple[Loss, ...]:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
@@ -60,6 +60,8 @@
         before = None if self.table is None else self.table.version
         started_s = time.monotonic()
         self.table = table
+        for engine in self.engines.values():
+            self._record_unfit(engine)
         self._notify(self.table_callbacks, table)
         self._log.record(
             "configuration.in_force",
@@ -92,6 +94,8 @@
         else:
             self.engines[change.target] = after
         self._log_change(change.target, before, after)
+        if after is not None:
+            self._record_unfit(after)
         self._notify(self.engine_callbacks, before, after)
         if after is not None:
             self.record_renewed(change.target)
@@ -134,14 +138,35 @@
     def engines_of(self, service: ServiceId) -> list[Engine]:
         """List the targets of a service that accept requests.
 
+        One that claims layers which the model does not have is of no use.
+
         :param service: name of the service.
         """
+        n_layers = self._n_layers(service)
         return [
             engine
             for engine in self.engines.values()
-            if engine.service == service and not engine.is_leaving
+            if engine.service == service
+            and not engine.is_leaving
+            and engine.layers.end <= n_layers
         ]
 
+    def _n_layers(self, service: ServiceId) -> float:
+        found = None if self.table is None else self.table.services.get(service)
+        if found is None or found.model is None:
+            return float("inf")
+        return found.model.n_layers
+
+    def _record_unfit(self, engine: Engine) -> None:
+        n_layers = self._n_layers(engine.service)
+        if engine.layers.end > n_layers:
+            self._log.record(
+                "engine.unfit",
+                target=engine.target,
+                layers=[engine.layers.begin, engine.layers.end],
+                n_layers=n_layers,
+            )
+
     def _notify(
         self, callbacks: Sequence[Callable[..., None]], *changed: object
     ) -> None:
@@ -256,7 +281,7 @@
             wait_s = self._next_wait_s()
             page = await self._feed.changes(start, wait_s)
             for item in page.items:
-                self._apply(item)
+                self._apply_item(item)
             # The store returns an empty page only after the full wait.
             waited_s = 0.0 if page.items else wait_s
             self._age.confirm(min(requested_s + waited_s, suspended_clock_s()))
@@ -264,6 +289,15 @@
         self._position = max(page.position, self._position or 0)
         self._on_page(start, page)
 
+    def _apply_item(self, item: Item) -> None:
+        try:
+            self._apply(item)
+        except Exception as error:
+            # The same item would be read again, and the items after it never.
+            self._log.record(
+                "feed.item_failed", feed=self._name, **describe_error(error)
+            )
+
     def _record_unavailable(self, reason: str) -> None:
         if not self._is_unavailable:
             self._log.record("store.lost", feed=self._name, reason=reason)
