--- a/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
@@ -44,6 +44,8 @@
     LogUnavailable,
     Restored,
     Truncated,
+    check_order,
+    decode_page,
 )
 from cassiaspread_core.base._rate import EventRate
 from cassiaspread_core.base._states import Outcome, TargetKind, VmState
@@ -83,7 +85,9 @@
     "Truncated",
     "VmId",
     "VmState",
+    "check_order",
     "decode_json",
+    "decode_page",
     "decode_with",
     "is_header_value",
     "parse_address",
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_engine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_engine.py
@@ -7,19 +7,29 @@
 
 import msgspec
 
-from cassiaspread_core.base import CassiaspreadError, ModelId, RequestId, TargetId
+from cassiaspread_core.base import (
+    CassiaspreadError,
+    MalformedDocument,
+    ModelId,
+    RequestId,
+    TargetId,
+    decode_json,
+    decode_with,
+)
 from cassiaspread_core.pipeline import (
     EngineReport,
     Plan,
     Restore,
     StageState,
     TokenStep,
+    check_report,
 )
 from cassiaspread_daemon._events import FIELD_LINE, EventBuffer
 from cassiaspread_daemon._exchange import Exchange, ExchangeBroken, fetch
 
 EVENT_PREFIX = b"data: "
 EVENT_END = re.compile(rb"\n\r?\n")
+CONFLICT_STATUS = 409
 N_PREFIX_BYTES = len(EVENT_PREFIX)
 # The attempt after the largest one still has 64 bits, which JSON libraries agree on.
 MAX_NUMBER = 2**62 - 1
@@ -134,10 +144,27 @@
     """
 
     def __init__(self, body: bytes, highest_attempt: int) -> None:
-        super().__init__(409, body)
+        super().__init__(CONFLICT_STATUS, body)
         self.highest_attempt = highest_attempt
 
 
+def refuse_order(status: int, body: bytes, attempt: int) -> EngineStatusError:
+    """Return the error for an order that an engine did not accept.
+
+    A conflict proves itself by an attempt that is not lower than that of the order.
+
+    :param status: HTTP status code of the response.
+    :param body: body of the response.
+    :param attempt: attempt of the order.
+    """
+    if status == CONFLICT_STATUS:
+        with suppress(MalformedDocument):
+            highest_attempt = decode_json(body, _Conflict).attempt
+            if highest_attempt >= attempt:
+                return StaleAttemptError(body, highest_attempt)
+    return EngineStatusError(status, body)
+
+
 class EngineClient:
     """Client of all engines.
 
@@ -155,7 +182,7 @@
         :param timeout_s: longest wait in seconds.
         :raises ConnectFailed: no connection was opened.
         :raises ExchangeBroken: no complete response was received.
-        :raises msgspec.MsgspecError: the response is malformed.
+        :raises MalformedDocument: the response is no usable report.
         """
         response = await fetch(
             address,
@@ -164,7 +191,7 @@
             connect_timeout_s=self._connect_timeout_s,
             timeout_s=timeout_s,
         )
-        return msgspec.json.decode(response.body, type=EngineReport)
+        return check_report(decode_json(response.body, EngineReport))
 
     async def request_state(
         self, address: str, request: RequestId, timeout_s: float
@@ -176,7 +203,7 @@
         :param timeout_s: longest wait in seconds.
         :raises ConnectFailed: no connection was opened.
         :raises ExchangeBroken: no complete response was received.
-        :raises msgspec.MsgspecError: the response is malformed.
+        :raises MalformedDocument: the response is malformed.
         """
         response = await fetch(
             address,
@@ -185,7 +212,7 @@
             connect_timeout_s=timeout_s,
             timeout_s=timeout_s,
         )
-        return msgspec.json.decode(response.body, type=StageState)
+        return decode_json(response.body, StageState)
 
     async def open_stream(
         self,
@@ -215,7 +242,7 @@
             )
             if status != 200:
                 response = await exchange.finish()
-                raise _read_refusal(status, response.body, order.attempt)
+                raise refuse_order(status, response.body, order.attempt)
         except BaseException:
             exchange.close()
             raise
@@ -242,28 +269,19 @@
         self, on_events: Callable[[list[StreamEvent]], None]
     ) -> Callable[[bytes], None]:
         buffer = EventBuffer()
-        decode = self._decoder.decode
+        decoder = self._decoder
 
         def on_data(chunk: bytes) -> None:
-            events = []
-            for event in EVENT_END.split(buffer.feed(chunk)):
-                if event.startswith(EVENT_PREFIX):
-                    try:
-                        events.append(decode(event[N_PREFIX_BYTES:]))
-                    except msgspec.MsgspecError:
-                        raise MalformedEvent(event) from None
-                elif FIELD_LINE.search(event):
-                    raise MalformedEvent(event)
-            on_events(events)
+            events: list[StreamEvent] = []
+            try:
+                for event in EVENT_END.split(buffer.feed(chunk)):
+                    if event.startswith(EVENT_PREFIX):
+                        events.append(decode_with(decoder, event[N_PREFIX_BYTES:]))
+                    elif FIELD_LINE.search(event):
+                        raise MalformedEvent(event)
+            except MalformedDocument:
+                raise MalformedEvent(event) from None
+            finally:
+                on_events(events)
 
         return on_data
-
-
-def _read_refusal(status: int, body: bytes, attempt: int) -> EngineStatusError:
-    """Return the error of a response; a conflict proves itself by its attempt."""
-    if status == 409:
-        with suppress(msgspec.MsgspecError):
-            highest_attempt = msgspec.json.decode(body, type=_Conflict).attempt
-            if highest_attempt >= attempt:
-                return StaleAttemptError(body, highest_attempt)
-    return EngineStatusError(status, body)
