A stray response is not judged by a timer of a process that was held up

What callers saw: found by review, not reported. A request over a kept connection was repeated, or answered 502 where it may not be, and one over a new connection was answered 502, although its own answer had arrived: the process had been held up for longer than 0.25 s while a stray response was in front of it.

Cause: a timer that is late runs in the same pass of the event loop as the read of what arrived meanwhile, before that is parsed. Class: the process's own delay is taken for that of the target.

Change: a timer of a stray response that is over 20 ms late waits once more.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -58,6 +58,9 @@
 # the response to the request has to begin in this time too.
 MAX_STRAY_RESPONSES = 3
 STRAY_TIMEOUT_S = 0.25
+# If the timer of a stray response is later than this, in seconds, the process was held
+# up and has not read yet what arrived meanwhile: it waits once more.
+MAX_TIMER_DELAY_S = 0.02
 # Of an interim and of a final response; tornado takes any three digits.
 MIN_STATUS = 100
 MIN_FINAL_STATUS = 200
@@ -332,9 +335,19 @@
             self._fail(self._strays_error())
             return
         if self._stray_timeout is None:
-            self._stray_timeout = asyncio.get_running_loop().call_later(
-                STRAY_TIMEOUT_S, lambda: self._fail(self._strays_error())
-            )
+            self._await_stray()
+
+    def _await_stray(self, is_repeated: bool = False) -> None:
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + STRAY_TIMEOUT_S
+
+        def check() -> None:
+            if loop.time() - due_s > MAX_TIMER_DELAY_S and not is_repeated:
+                self._await_stray(is_repeated=True)
+            else:
+                self._fail(self._strays_error())
+
+        self._stray_timeout = loop.call_at(due_s, check)
 
     def _end_stray(self) -> None:
         if self._stray_timeout is not None:
--- a/packages/cassiaspread-daemon/tests/test_kept_connections.py
+++ b/packages/cassiaspread-daemon/tests/test_kept_connections.py
@@ -233,6 +233,24 @@
     run(server, main)
 
 
+@pytest.mark.parametrize("n_asked", [0, 1])
+def test_process_that_was_held_up_reads_what_arrived_behind_a_stray(n_asked):
+    server = Server(*[ANSWER] * n_asked, STRAY[:-2])
+
+    async def main(pool, address):
+        for _ in range(n_asked):
+            assert await ask(pool, address) == b"ok"
+        asking = asyncio.create_task(ask(pool, address))
+        await asyncio.sleep(0.05)
+        connection = server.writers[0].transport.get_extra_info("socket")
+        os.write(connection.fileno(), STRAY[-2:] + ANSWER)
+        # The event loop does not run, and the time for the stray response passes.
+        time.sleep(STRAY_TIMEOUT_S + 0.1)
+        assert await asking == b"ok"
+
+    run(server, main)
+
+
 @pytest.mark.parametrize("status", ["000", "042", "099"])
 def test_status_that_is_none_of_http_is_no_response(status):
     server = Server(ANSWER.replace(b"200", status.encode(), 1))
