Idle connections keep no answers in memory

What operators saw: nothing yet, found by review.

Cause: the callback for bytes on an idle connection referred to the exchange, which holds the answer.

Change: it refers to the address only.

test_idle_connection_keeps_no_answer_in_memory failed before.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_pool.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_pool.py
@@ -115,14 +115,14 @@
             self.on_unasked(exchange.address, n_unread)
 
     def _return_connection(self, exchange: Exchange, request_id: RequestId) -> None:
-        headers = exchange.headers
+        address, headers = exchange.address, exchange.headers
         self._report_unread(exchange)
         stream = exchange.release()
         if stream is None:
             return
         now_s = asyncio.get_running_loop().time()
         expires_s = now_s + _idle_time_s(headers.get("Keep-Alive", ""))
-        idle = self._idle.setdefault(exchange.address, [])
+        idle = self._idle.setdefault(address, [])
         stream.record_carried(request_id)
         if (
             expires_s <= now_s
@@ -133,7 +133,8 @@
             return
         entry = (expires_s, stream)
         idle.append(entry)
-        stream.unasked_callback = lambda n: self.on_unasked(exchange.address, n)
+        # The exchange holds its answer, so that no callback may refer to it.
+        stream.unasked_callback = lambda n: self.on_unasked(address, n)
         stream.begin_idle()
         # Setting the callback also makes the stream detect that the peer closes it.
         stream.set_close_callback(lambda: _discard(idle, entry))
--- a/packages/cassiaspread-daemon/tests/test_kept_connections.py
+++ b/packages/cassiaspread-daemon/tests/test_kept_connections.py
@@ -1,10 +1,12 @@
 """Bytes on kept connections that no request asked for."""
 
 import asyncio
+import gc
 import os
 import socket
 import struct
 import time
+import weakref
 
 import pytest
 from tornado.httputil import HTTPHeaders
@@ -89,6 +91,22 @@
     run(server, main)
 
 
+def test_idle_connection_keeps_no_answer_in_memory():
+    server = Server(ANSWER)
+
+    async def main(pool, address):
+        async with pool.exchange(address, 1.0, RequestId("1")) as exchange:
+            await exchange.send("GET", "/", is_expected=is_own)
+            await exchange.finish()
+            exchange = weakref.ref(exchange)
+        gc.collect()
+        assert exchange() is None
+        assert await ask(pool, address) == b"ok"
+        assert server.n_connections == 1
+
+    run(server, main)
+
+
 def test_bytes_on_an_idle_connection_end_it():
     server = Server(ANSWER)
 
