--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_settings.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_settings.py
@@ -42,7 +42,7 @@
 
 
 def check_address(text: str) -> Address:
-    """Parse ``HOST:PORT``, with an IP address as the host.
+    """Parse ``IP:PORT``.
 
     :param text: the setting's value.
     :raises ValueError: the text is not an address.
@@ -54,7 +54,7 @@
 
 
 def check_optional_address(text: str) -> Address | None:
-    """Parse ``HOST:PORT`` or an empty text.
+    """Parse ``IP:PORT`` or an empty text.
 
     :param text: the setting's value, possibly empty.
     :raises ValueError: the text is neither empty nor an address.
@@ -63,7 +63,7 @@
 
 
 def check_addresses(text: str) -> tuple[Address, ...]:
-    """Parse a comma-separated list of ``HOST:PORT``.
+    """Parse a comma-separated list of ``IP:PORT``.
 
     :param text: the setting's value, possibly empty.
     :raises ValueError: an item is not an address.
@@ -146,15 +146,15 @@
     Option("--vm", check_name, None, "name of this VM"),
     Option("--domain", check_name, None, "failure domain of this VM"),
     Option("--region", check_name, "default", "region of the failure domain"),
-    Option("--listen", check_address, None, "HOST:PORT for callers and operators"),
-    Option("--peer-listen", check_address, None, "HOST:PORT for other daemons"),
-    Option("--log", check_address, None, "HOST:PORT of the platform's log service"),
-    Option("--vm-list", check_address, None, "HOST:PORT of the platform's VM list"),
+    Option("--listen", check_address, None, "IP:PORT for callers and operators"),
+    Option("--peer-listen", check_address, None, "IP:PORT for other daemons"),
+    Option("--log", check_address, None, "IP:PORT of the platform's log service"),
+    Option("--vm-list", check_address, None, "IP:PORT of the platform's VM list"),
     Option(
         "--seeds",
         check_addresses,
         "",
-        "peer HOST:PORTs of other daemons, separated by commas",
+        "peer IP:PORTs of other daemons, separated by commas",
     ),
     Option(
         "--log-format", check_log_format, "text", "format of log lines: text or json"
@@ -199,7 +199,7 @@
         "--advertise",
         check_optional_address,
         "",
-        "HOST:PORT at which other daemons reach this one, if not --peer-listen",
+        "IP:PORT at which other daemons reach this one, if not --peer-listen",
     ),
 )
 
