--- a/tests/users_platform/test_foreign_values.py
+++ b/tests/users_platform/test_foreign_values.py
@@ -267,7 +267,7 @@
     def __init__(self, response):
         self.response = response
 
-    def exchange(self, address, connect_timeout_s):
+    def single_exchange(self, address, connect_timeout_s):
         return self
 
     async def __aenter__(self):
