--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_answer_filter.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_answer_filter.py
@@ -2,7 +2,7 @@
 
 from tornado.httputil import HTTPHeaders
 
-from cassiaspread_core.base import RequestId, TargetId
+from cassiaspread_core.base import RequestId, TargetId, shorten
 from cassiaspread_daemon._exchange import AnswerFilter, Exchange
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._protocols import HeaderCodec
@@ -39,7 +39,7 @@
                 request=request_id,
                 target=target,
                 status=status,
-                named=named,
+                named=None if named is None else shorten(named),
                 is_signed=answer.is_signed,
                 is_not_run=answer.is_not_run,
                 n_requests=exchange.n_requests,
--- a/tests/users_platform/test_control_answers.py
+++ b/tests/users_platform/test_control_answers.py
@@ -133,3 +133,16 @@
     wait_for(lambda: deployment.request_stream(GATEWAY, 1).status == 200)
     # No second answer of this test may follow later.
     time.sleep(second_after_s)
+
+
+def test_stalled_row_that_names_no_engine_spoils_no_report(
+    stuttering_engine, call_engine
+):
+    stalled = {"a": OTHER_ADDRESS, "b": "engine-7:80"}
+    stuttering_engine.control(HEAD, stalled=stalled)
+
+    async def calls(client, address):
+        report = await client.report(address, TIMEOUT_S)
+        assert report.stalls == (Stall(RequestId("a"), OTHER_ADDRESS),)
+
+    call_engine(calls)
