The log tells which request's connection brought bytes that nobody asked for

What operators saw: connection.unasked named an address and a number of bytes only, and a connection that was closed with bytes in the kernel had no line, so that a closed connection could not be found from a request's identifier.

Change: the line has the last request that the connection carried and whether the bytes came behind its answer, while the connection was idle or before the next request; the last case was silent before. Three tests of test_kept_connections.py expect more than before, and a test through real processes reads both lines.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange.py
@@ -66,6 +66,8 @@
 # If the timer of a stray response is later than this, in seconds, the process was held
 # up and has not read yet what arrived meanwhile: it waits once more.
 MAX_TIMER_DELAY_S = 0.02
+# Bytes in the kernel are counted up to this number; more of them tell nothing more.
+MAX_COUNTED_BYTES = 4096
 # Of an interim and of a final response; tornado takes any three digits.
 MIN_STATUS = 100
 MIN_FINAL_STATUS = 200
@@ -159,12 +161,20 @@
     @property
     def is_silent(self) -> bool:
         """Whether nothing has arrived that was not read, not even the end."""
-        return not self.closed() and not self.n_unread and peek(self.socket) is None
+        return (
+            not self.closed()
+            and not self._read_buffer_size
+            and peek(self.socket) is None
+        )
 
     @property
     def n_unread(self) -> int:
-        """Number of bytes that were received and belong to no response so far."""
-        return self._read_buffer_size
+        """Number of bytes that have arrived and belong to no response so far.
+
+        At least this number: the kernel may hold more than the largest one counted.
+        """
+        waiting = None if self.closed() else peek(self.socket, MAX_COUNTED_BYTES)
+        return self._read_buffer_size + len(waiting or b"")
 
     def has_carried(self, request_id: RequestId) -> bool:
         """Return whether a request with this identifier may have been sent over it.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_peek.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_peek.py
@@ -3,15 +3,16 @@
 import socket
 
 
-def peek(connection: socket.socket) -> bytes | None:
-    """Return the next byte that waits on a connection.
+def peek(connection: socket.socket, n_bytes: int = 1) -> bytes | None:
+    """Return the next bytes that wait on a connection.
 
     :param connection: a non-blocking socket.
-    :returns: one byte, ``b""`` if the other end has closed or reset the connection,
+    :param n_bytes: largest number of bytes to return.
+    :returns: the bytes, ``b""`` if the other end has closed or reset the connection,
         ``None`` if nothing has arrived.
     """
     try:
-        return connection.recv(1, socket.MSG_PEEK)
+        return connection.recv(n_bytes, socket.MSG_PEEK)
     except BlockingIOError:
         return None
     except OSError:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -40,7 +40,7 @@
 from cassiaspread_daemon.gateway._loads import LoadSharing
 from cassiaspread_daemon.gateway._loop_monitor import LoopMonitor
 from cassiaspread_daemon.gateway._plain import PlainForwarder
-from cassiaspread_daemon.gateway._pool import ConnectionPool
+from cassiaspread_daemon.gateway._pool import ConnectionPool, UnaskedBytes
 from cassiaspread_daemon.gateway._protocols import EngineChange, Platform
 from cassiaspread_daemon.gateway._quarantine import Quarantine
 from cassiaspread_daemon.gateway._retry_limits import RetryLimits
@@ -523,8 +523,14 @@
             lambda job: self._quarantine.check(job, False, unix_time_s())
         )
 
-    def _record_unasked(self, address: str, n_bytes: int) -> None:
-        self._log.record("connection.unasked", address=address, n_bytes=n_bytes)
+    def _record_unasked(self, unasked: UnaskedBytes) -> None:
+        self._log.record(
+            "connection.unasked",
+            request=unasked.request_id,
+            address=unasked.address,
+            n_bytes=unasked.n_bytes,
+            when=unasked.when.value,
+        )
 
     def _handle_renewal(self, target: TargetId) -> None:
         engine = self._routing_state.engines.get(target)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_pool.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_pool.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from enum import Enum
+from typing import NamedTuple
 
 from cassiaspread_core.base import RequestId, parse_count
 from cassiaspread_daemon._exchange import Exchange, ResponseStream
@@ -19,14 +21,56 @@
 MAX_REQUESTS_PER_CONNECTION = 128
 
 
+class UnaskedWhen(Enum):
+    """When bytes that no request asked for were found.
+
+    BEHIND: behind the answer to a request.
+    IDLE: they arrived while no request was in progress.
+    BEFORE: they had arrived when the next request was to be sent.
+    """
+
+    BEHIND = "behind"
+    IDLE = "idle"
+    BEFORE = "before"
+
+
+class UnaskedBytes(NamedTuple):
+    """Bytes that no request asked for, which end their connection.
+
+    :param address: ``host:port`` of their sender.
+    :param request_id: last request that the connection has carried; ``None`` for calls
+        without an identifier.
+    :param n_bytes: how many there are at least.
+    :param when: when they were found.
+    """
+
+    address: str
+    request_id: RequestId | None
+    n_bytes: int
+    when: UnaskedWhen
+
+
+class _Idle(NamedTuple):
+    """Connection on which no request is in progress.
+
+    :param expires_s: until when it may be used, on the event loop's clock in seconds.
+    :param stream: the connection.
+    :param request_id: last request that it has carried.
+    """
+
+    expires_s: float
+    stream: ResponseStream
+    request_id: RequestId
+
+
 class ConnectionPool:
     """Owns idle connections; a context manager."""
 
     def __init__(self) -> None:
-        self._idle: dict[str, list[tuple[float, ResponseStream]]] = {}
+        self._idle: dict[str, list[_Idle]] = {}
         self.n_opened = 0
-        # Called with the address and the number of bytes that no request asked for.
-        self.on_unasked: Callable[[str, int], None] = lambda address, n_bytes: None
+        # Called with bytes that no request asked for.
+        self.on_unasked: Callable[[UnaskedBytes], None] = lambda unasked: None
 
     def __enter__(self) -> "ConnectionPool":
         return self
@@ -84,39 +128,50 @@
             try:
                 yield exchange
             finally:
-                self._report_unread(exchange)
+                self._report_unread(exchange, None)
 
     def drop(self, address: str) -> None:
         """Close the idle connections to an address.
 
         :param address: ``host:port``.
         """
-        for _, stream in self._idle.pop(address, ()):
-            stream.set_close_callback(None)
-            stream.close()
+        for idle in self._idle.pop(address, ()):
+            idle.stream.set_close_callback(None)
+            idle.stream.close()
 
     def _take_idle(self, address: str, request_id: RequestId) -> ResponseStream | None:
         now_s = asyncio.get_running_loop().time()
         idle = self._idle.get(address, [])
         for entry in reversed(idle.copy()):
-            expires_s, stream = entry
+            stream = entry.stream
             if stream.has_carried(request_id):
                 continue
             idle.remove(entry)
             stream.set_close_callback(None)
-            if expires_s > now_s and stream.is_silent:
+            if entry.expires_s > now_s and stream.is_silent:
                 return stream
+            self._report(address, entry.request_id, stream.n_unread, UnaskedWhen.BEFORE)
             stream.close()
         return None
 
-    def _report_unread(self, exchange: Exchange) -> None:
-        n_unread = exchange.n_unread
-        if n_unread:
-            self.on_unasked(exchange.address, n_unread)
+    def _report_unread(self, exchange: Exchange, request_id: RequestId | None) -> None:
+        self._report(
+            exchange.address, request_id, exchange.n_unread, UnaskedWhen.BEHIND
+        )
+
+    def _report(
+        self,
+        address: str,
+        request_id: RequestId | None,
+        n_bytes: int,
+        when: UnaskedWhen,
+    ) -> None:
+        if n_bytes:
+            self.on_unasked(UnaskedBytes(address, request_id, n_bytes, when))
 
     def _return_connection(self, exchange: Exchange, request_id: RequestId) -> None:
         address, headers = exchange.address, exchange.headers
-        self._report_unread(exchange)
+        self._report_unread(exchange, request_id)
         stream = exchange.release()
         if stream is None:
             return
@@ -131,18 +186,18 @@
         ):
             stream.close()
             return
-        entry = (expires_s, stream)
+        entry = _Idle(expires_s, stream, request_id)
         idle.append(entry)
         # The exchange holds its answer, so that no callback may refer to it.
-        stream.unasked_callback = lambda n: self.on_unasked(address, n)
+        stream.unasked_callback = lambda n_bytes: self._report(
+            address, request_id, n_bytes, UnaskedWhen.IDLE
+        )
         stream.begin_idle()
         # Setting the callback also makes the stream detect that the peer closes it.
         stream.set_close_callback(lambda: _discard(idle, entry))
 
 
-def _discard(
-    idle: list[tuple[float, ResponseStream]], entry: tuple[float, ResponseStream]
-) -> None:
+def _discard(idle: list[_Idle], entry: _Idle) -> None:
     if entry in idle:
         idle.remove(entry)
 
--- a/packages/cassiaspread-daemon/tests/test_kept_connections.py
+++ b/packages/cassiaspread-daemon/tests/test_kept_connections.py
@@ -21,7 +21,11 @@
     ExchangeBroken,
 )
 from cassiaspread_daemon.gateway import ConnectionPool
-from cassiaspread_daemon.gateway._pool import MAX_REQUESTS_PER_CONNECTION
+from cassiaspread_daemon.gateway._pool import (
+    MAX_REQUESTS_PER_CONNECTION,
+    UnaskedBytes,
+    UnaskedWhen,
+)
 
 ANSWER = b"HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok"
 STRAY = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
@@ -82,11 +86,13 @@
 
     async def main(pool, address):
         unasked = []
-        pool.on_unasked = lambda *row: unasked.append(row)
-        assert await ask(pool, address) == b"ok"
+        pool.on_unasked = unasked.append
+        assert await ask(pool, address, "first") == b"ok"
         assert await ask(pool, address) == b"ok"
         assert server.n_connections == 2
-        assert unasked == [(address, len(STRAY))]
+        assert unasked == [
+            UnaskedBytes(address, "first", len(STRAY), UnaskedWhen.BEHIND)
+        ]
 
     run(server, main)
 
@@ -112,11 +118,11 @@
 
     async def main(pool, address):
         unasked = []
-        pool.on_unasked = lambda *row: unasked.append(row)
-        assert await ask(pool, address) == b"ok"
+        pool.on_unasked = unasked.append
+        assert await ask(pool, address, "first") == b"ok"
         server.writers[0].write(b"x")
         await asyncio.sleep(0.05)
-        assert unasked == [(address, 1)]
+        assert unasked == [UnaskedBytes(address, "first", 1, UnaskedWhen.IDLE)]
         assert server.writers[0].transport.is_closing()
         assert await ask(pool, address) == b"ok"
         assert server.n_connections == 2
@@ -128,13 +134,18 @@
     server = Server(ANSWER)
 
     async def main(pool, address):
-        assert await ask(pool, address) == b"ok"
+        unasked = []
+        pool.on_unasked = unasked.append
+        assert await ask(pool, address, "first") == b"ok"
         connection = server.writers[0].transport.get_extra_info("socket")
         os.write(connection.fileno(), STRAY)
         # The event loop does not run between the arrival and the next request.
         time.sleep(0.05)
         assert await ask(pool, address) == b"ok"
         assert server.n_connections == 2
+        assert unasked == [
+            UnaskedBytes(address, "first", len(STRAY), UnaskedWhen.BEFORE)
+        ]
 
     run(server, main)
 
@@ -353,7 +364,7 @@
 
     async def main(pool, address):
         unasked = []
-        pool.on_unasked = lambda *row: unasked.append(row)
+        pool.on_unasked = unasked.append
         assert await ask(pool, address) == b"ok"
         for n in range(2, 5):
             async with pool.single_exchange(address, 1.0) as exchange:
@@ -363,7 +374,7 @@
             assert server.n_connections == n
             await asyncio.sleep(0.05)
             assert server.writers[-1].transport.is_closing()
-        assert unasked == [(address, len(STRAY))]
+        assert unasked == [UnaskedBytes(address, None, len(STRAY), UnaskedWhen.BEHIND)]
         # The connection that is kept is still the first one.
         assert await ask(pool, address) == b"ok"
         assert server.n_connections == 4
--- a/tests/users_platform/test_second_answers.py
+++ b/tests/users_platform/test_second_answers.py
@@ -48,6 +48,14 @@
     "short": {"is_signed": True, "names": "earlier", "delimiter": "short"},
     "no id, short": {"status": 404, "delimiter": "short"},
     "headless": {"delimiter": "headless"},
+    "in parts, signed, earlier id": {
+        "is_signed": True,
+        "names": "earlier",
+        "n_parts": 4,
+    },
+    "in parts, 404": {"status": 404, "n_parts": 4},
+    "in parts, 503 not run": {"status": 503, "is_refusal": True, "n_parts": 4},
+    "400 not run": {"status": 400, "is_refusal": True},
 }
 DELAYS_S = (0.0, 0.03)
 
@@ -238,6 +246,31 @@
             assert caller.count_answers() == (1, b"")
 
 
+def test_log_tells_from_a_request_which_answer_was_dropped(second_answers):
+    deployment = second_answers("signed, earlier id", 0.03)
+    # The first connection brings the second answer while it is idle, the other one
+    # while the next request runs on it.
+    deployment.request(GATEWAY, "/stock/log", "GET", Attempt_Id="log-idle")
+    rows = wait_for(
+        lambda: [
+            row
+            for row in deployment.decisions(GATEWAY, "connection.unasked")
+            if row["request"] == "log-idle"
+        ]
+    )
+    assert rows[0]["address"] == f"127.0.0.1:{deployment.ports[PLAIN_ENGINE]}"
+    assert rows[0]["when"] == "idle"
+    deployment.request(GATEWAY, "/stock/log", "GET", Attempt_Id="log-first")
+    deployment.request(GATEWAY, "/stock/log", "GET", Attempt_Id="log-second")
+    (row,) = (
+        row
+        for row in deployment.decisions(GATEWAY, "answer.unproven")
+        if row["request"] == "log-second"
+    )
+    assert (row["target"], row["named"]) == (PLAIN_ENGINE, "log-first")
+    assert (row["status"], row["is_signed"], row["n_requests"]) == (200, True, 2)
+
+
 @pytest.mark.parametrize("kind", ["404", "503 not run", "421"])
 def test_refusal_is_not_taken_from_the_answer_to_another_request(second_answers, kind):
     deployment = second_answers(kind, 0.03)
