Second answers in parts, and refusals with status 400, in the tests through real processes

Guards: a second answer that is written in four parts 20 ms apart, and one with 400 and no identifier.

--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -19,7 +19,8 @@
 ``bad`` for bytes that are no report), ``renews`` (whether the entry is renewed),
 ``listens`` (false: no new connections, those that are open stay),
 ``second`` (fields of a second answer that follows each answer on its connection after
-``second_after_s``, see ``format_answer``; a stream gets it too),
+``second_after_s``, see ``format_answer``, and ``n_parts`` in which it is written; a
+stream gets it too),
 ``continuation`` (fields of the answer to a request with ``Last-Event-Id``, see
 ``format_answer``; such a request is not closed, muted or delayed),
 ``repeats_control`` (a copy of each report and of each answer to an order follows it in
@@ -77,6 +78,8 @@
 }
 
 
+# Pause between two parts of a second answer.
+PART_PAUSE_S = 0.02
 SECOND_BODY = '{"by": "second"}'
 # Marks the reports that one engine requests of another.
 STAGE_HEADER = "Stage-Check"
@@ -170,15 +173,19 @@
         if engine.leaving:
             self.set_header("Server-Leaving", "1")
 
-    def write_later(self, answer):
+    def write_later(self, answer, n_parts=1):
         """Write an answer that nobody asked for, if the connection is still open."""
         stream = self.request.connection.stream
 
-        def write():
+        def write(part):
             if not stream.closed():
-                stream.write(answer)
+                stream.write(part)
 
-        asyncio.get_running_loop().call_later(self.engine.second_after_s, write)
+        n_bytes = -(-len(answer) // n_parts)
+        for n in range(n_parts):
+            part = answer[n * n_bytes : (n + 1) * n_bytes]
+            after_s = self.engine.second_after_s + n * PART_PAUSE_S
+            asyncio.get_running_loop().call_later(after_s, write, part)
 
     async def answer_control(self, body=b""):
         """Answer a report or an order, twice if the engine does so."""
@@ -286,7 +293,9 @@
         if engine.second is None:
             return
         request_id = self.request.headers.get("Attempt-Id", "")
-        self.write_later(format_answer(request_id, **engine.second))
+        fields = dict(engine.second)
+        n_parts = fields.pop("n_parts", 1)
+        self.write_later(format_answer(request_id, **fields), n_parts)
 
     def refuse(self, status):
         self.engine.append_history(kind="refusal", status=status)
