A request without an identifier that its engine refuses gets that refusal at once

What callers saw: 503 with a time to come back, though no engine would ever run a request without Attempt-Id; up to four sound engines were then avoided, each for a refusal that was the request's fault.

Cause: every answer with Not-Executed counted as a lack of capacity of its engine, also the 400 that engines give to a request without an identifier.

Change: such a 400 is passed on, without a retry and without a record of failure, for plain requests and streams. The other tests of test_sound_answers.py guard what passed before: statuses without a body, HEAD, answers that end with their connection, refusals that are true.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_job.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_job.py
@@ -12,12 +12,18 @@
 from cassiaspread_core.routing import Route, Service
 from cassiaspread_daemon._problem import PROBLEM_CONTENT_TYPE, to_problem
 from cassiaspread_daemon.gateway._frontend import InboundRequest
-from cassiaspread_daemon.gateway._protocols import HeaderCodec, RequestParameters
+from cassiaspread_daemon.gateway._protocols import (
+    AnswerParameters,
+    HeaderCodec,
+    RequestParameters,
+)
 
 # Retry times are extended by up to this fraction at random, so that callers refused
 # together do not retry together.
 RETRY_SPREAD = 0.5
 
+BAD_REQUEST = 400
+
 # Organisation of requests without keys.
 NO_ORGANISATION = OrganisationId("")
 
@@ -113,3 +119,15 @@
 def now() -> float:
     """Return the current time on the monotonic clock, in seconds."""
     return time.monotonic()
+
+
+def is_request_refused(job: Job, answer: AnswerParameters) -> bool:
+    """Return whether a target refused a request that any other would refuse as well.
+
+    It has no identifier, which the target requires.
+
+    :param job: the request.
+    :param answer: decoded answer of the target.
+    """
+    is_refusal = answer.is_not_run and answer.status == BAD_REQUEST
+    return is_refusal and not job.parameters.request_id
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -19,6 +19,7 @@
 from cassiaspread_daemon.gateway._job import (
     Job,
     TakeRetry,
+    is_request_refused,
     now,
     target_failed_refusal,
     timeout_refusal,
@@ -229,6 +230,8 @@
                 job, (assignment.head,), attempt.run
             )
             return None
+        if is_request_refused(job, answer.parameters):
+            return answer
         if answer.parameters.is_not_run:
             self._record_failure(job, assignment, answer)
             return None
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -27,6 +27,7 @@
 from cassiaspread_daemon.gateway._job import (
     Job,
     TakeRetry,
+    is_request_refused,
     now,
     target_failed_refusal,
     timeout_refusal,
@@ -357,6 +358,10 @@
     ) -> AttemptResult:
         job = stream.job
         response = await self._read_failed_answer(stream, exchange, answer)
+        is_only = turn.is_granted and stream.second is None and not stream.is_started
+        if is_request_refused(job, answer) and response is not None and is_only:
+            self._pass_on(job, response)
+            return AttemptResult.COMPLETE
         stream.failure_reason = f"the head answered {answer.status}"
         at_fault = self._find_at_fault(assignment, answer)
         if answer.is_not_run:
@@ -379,13 +384,15 @@
             self._quarantine.record_answer(job, unix_time_s())
         if not answer.is_signed or response is None or self._is_repeatable(stream):
             return AttemptResult.FAILED
-        is_only = turn.is_granted and stream.second is None
-        if is_only and not stream.is_started:
-            headers = self._codec.answer_headers(response.headers)
-            job.inbound.answer(answer.status, headers, response.body)
+        if is_only:
+            self._pass_on(job, response)
             return AttemptResult.COMPLETE
         return AttemptResult.FAILED
 
+    def _pass_on(self, job: Job, response: Response) -> None:
+        headers = self._codec.answer_headers(response.headers)
+        job.inbound.answer(response.status, headers, response.body)
+
     async def _read_failed_answer(
         self, stream: StreamState, exchange: Exchange, answer: AnswerParameters
     ) -> Response | None:
--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -11,9 +11,10 @@
 (pause between events), ``answer_bytes`` (length of an answer that is no stream),
 ``mute_after`` (number of events after which a stream gets nothing more), ``mute_body``
 (failures and refusals, too, get headers only),
-``omit_id`` (answers do not name their request), ``spoils`` (answers that are no stream
-are bytes without a head), ``unframed`` (answers have neither a length nor chunks and
-end with the connection),
+``status`` (of answers, which have no body then), ``needs_id`` (a request without an
+identifier is refused with 400), ``omit_id`` (answers do not name their request),
+``spoils`` (answers that are no stream are bytes without a head),
+``unframed`` (answers have neither a length nor chunks and end with the connection),
 ``close_after`` (number of events after which a stream is broken off; other answers
 after their first half), ``lie`` (how reports lie: ``errors``, ``hang``, ``reset``, or
 ``bad`` for bytes that are no report), ``renews`` (whether the entry is renewed),
@@ -102,7 +103,8 @@
         self.mute_body = False
         self.break_text, self.break_how = BREAK_TEXT, "close"
         self.break_after_s = 0.0
-        self.unframed = self.spoils = False
+        self.unframed = self.spoils = self.needs_id = False
+        self.status = None
         self.flood = None
         self.retry_after = None
         self.leaving = False
@@ -272,9 +274,12 @@
 class ServiceHandler(EngineHandler):
     async def run(self, path):
         engine = self.engine
-        if not engine.omit_id:
-            self.set_header("Attempt-Id", self.request.headers.get("Attempt-Id", ""))
-        if self.request.headers.get("Expect-Instance", engine.id) != engine.id:
+        request_id = self.request.headers.get("Attempt-Id", "")
+        if request_id and not engine.omit_id:
+            self.set_header("Attempt-Id", request_id)
+        if engine.needs_id and not request_id:
+            self.refuse(400)
+        elif self.request.headers.get("Expect-Instance", engine.id) != engine.id:
             self.refuse(421)
         elif engine.full:
             self.refuse(503)
@@ -286,7 +291,7 @@
             else:
                 await self.answer()
 
-    get = post = put = delete = run
+    get = head = post = put = delete = run
 
     def on_finish(self):
         engine = self.engine
@@ -377,6 +382,9 @@
         elif engine.spoils:
             self._auto_finish = False
             await self.request.connection.stream.write(SECOND_BODY + b"\r\n\r\n")
+        elif engine.status is not None:
+            self.set_status(engine.status)
+            self.finish()
         elif engine.fail:
             self.set_status(500)
             if engine.mute_body:
