Numbers of policy records have bounds

What callers of cassiaspreadd would see: a record with an odd number, written by another writer of the log, came into force on every daemon: layers of 2^70, a timeout of 10^40 ms, a ratio or an end of 1e308. The command line refused such values, the readers did not; messages to other daemons and requests would then fail.

Change: times, sizes, weights and ratios are at most 10^15, layers at most 65,536, ends within the range of times; other records are rejected on all daemons alike.

--- a/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/policy/_model.py
@@ -5,11 +5,21 @@
 
 import msgspec
 
-from cassiaspread_core.base import ModelId, OrganisationId, ServiceId
+from cassiaspread_core.base import (
+    ModelId,
+    OrganisationId,
+    Seconds,
+    ServiceId,
+)
+from cassiaspread_core.placement import MAX_LAYERS
+
+# Bound on times, sizes, weights and ratios, far above what any of them can be.
+MAX_AMOUNT = 10**15
 
-PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=1)]
-PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
+PositiveFloat = Annotated[float, msgspec.Meta(gt=0, le=MAX_AMOUNT)]
+PositiveInt = Annotated[int, msgspec.Meta(ge=1, le=MAX_AMOUNT)]
+Priority = Annotated[int, msgspec.Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
 TokenHash = Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
 Method = Annotated[str, msgspec.Meta(pattern="^[A-Z]+$")]
 NonBlankText = Annotated[str, msgspec.Meta(pattern=r"\S", max_length=2000)]
@@ -74,7 +84,7 @@
     claim_timeout_ms: PositiveInt = 2_000
     dedupe_window_s: PositiveInt = 86_400
     uses_claim_committers: bool = True
-    priority: int = 0
+    priority: Priority = 0
     slot_ratio: PositiveFloat = 1.25
     quarantine_s: PositiveInt = 3_600
 
@@ -108,7 +118,7 @@
     :param n_layers: number of layers, all of which a plan must cover.
     """
 
-    n_layers: PositiveInt
+    n_layers: Annotated[int, msgspec.Meta(ge=1, le=MAX_LAYERS)]
 
 
 class Service(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -154,7 +164,7 @@
     organisation: OrganisationId | None = None
     model: ModelId | None = None
     service: ServiceId | None = None
-    expires_s: float | None = None
+    expires_s: Seconds | None = None
 
     @property
     def n_selectors(self) -> int:
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -7,7 +7,9 @@
 import pynng
 import pytest
 
+from cassiaspread_core.policy import EntryKind, EntryRecord
 from tests.fleet import Fleet, bearer, read_report, request, wait_for
+from tests.policy_fleet import policy_status
 
 CALLER = bearer("osorno-token")
 OPERATOR = bearer("operator-token")
@@ -193,6 +195,48 @@
     return [record["fingerprint"] for record in report["quarantined"]]
 
 
+ODD_ENTRIES = {
+    "layers": ("model", "odd", '{"n_layers": 1180591620717411303424}'),
+    "layers of 32 bits": ("model", "odd", '{"n_layers": 4294967296}'),
+    "timeout": ("limits", "", '{"request_timeout_ms": 1%s}' % ("0" * 40)),
+    "timeout of 64 bits": (
+        "limits",
+        "",
+        '{"request_timeout_ms": 18446744073709551615}',
+    ),
+    "priority": ("limits", "", '{"priority": -1%s}' % ("0" * 30)),
+    "ratio": ("limits", "", '{"slot_ratio": 1e308}'),
+    "weight": ("organisation", "osorno", '{"token_sha256": [], "weight": 1e308}'),
+    "end": (
+        "exception",
+        "odd",
+        '{"reason": "r", "author": "a", "limits": {"max_tokens": 1}, '
+        '"expires_s": 1e308}',
+    ),
+}
+
+
+@pytest.mark.parametrize("entry", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+def test_odd_number_of_a_policy_record_is_not_in_force(fleet, entry):
+    fleet.start_service("booking-1", "cautin")
+    daemons = [fleet.start_daemon(f"d{n}", "cautin") for n in range(2)]
+    for daemon in daemons:
+        fleet.wait_ready(daemon)
+        wait_for(lambda d=daemon: book(d) == 200)
+    kind, name, value = entry
+    record = EntryRecord(
+        kind=EntryKind(kind), name=name, replaces=None, value={"x": 0}, author="odd"
+    )
+    body = msgspec.json.encode(record).replace(b'{"x":0}', value.encode())
+    append(fleet, "policy", body)
+    fleet.publish(EntryKind.MODEL, "later", {"n_layers": 3})
+    for daemon in daemons:
+        wait_for(lambda d=daemon: policy_status(d)["n_rejected"] == 1, ALIVE_BOUND_S)
+        assert [book(daemon) for _ in range(N_CALLS)] == [200] * N_CALLS
+        assert "Traceback" not in log_of(fleet, daemon)
+        wait_alive(daemon)
+
+
 def test_nested_batch_of_claims_stops_no_reader(fleet):
     fleet.start_service("booking-1", "cautin")
     daemon = fleet.start_daemon("d1", "cautin")
