--- a/tests/users_platform/test_second_answers.py
+++ b/tests/users_platform/test_second_answers.py
@@ -58,6 +58,8 @@
     "400 not run": {"status": 400, "is_refusal": True},
 }
 DELAYS_S = (0.0, 0.03)
+# Time after which an engine writes a refusal once more, in seconds.
+REFUSED_AGAIN_S = 0.4
 
 
 @pytest.fixture(scope="module")
@@ -246,6 +248,56 @@
             assert caller.count_answers() == (1, b"")
 
 
+@pytest.fixture
+def repeated_refusal(stuttering_deployment):
+    """Let both engines refuse one request, and the refusal follow once more, late."""
+    deployment = stuttering_deployment
+    engines = (PLAIN_ENGINE, HEAD)
+
+    def refuse(send, status, names):
+        second = {"status": status, "is_refusal": True, "names": names}
+        for name in engines:
+            deployment.control(
+                name, full=True, second=second, second_after_s=REFUSED_AGAIN_S
+            )
+        refused = send()
+        for name in engines:
+            deployment.control(
+                name, full=False, second=None, begin_s=2 * REFUSED_AGAIN_S
+            )
+        return refused
+
+    yield refuse
+    for name in engines:
+        deployment.control(name, begin_s=RUN_S, second_after_s=0.0)
+
+
+@pytest.mark.parametrize("names", [None, "earlier"])
+@pytest.mark.parametrize("status", [503, 429, 421])
+@pytest.mark.parametrize("kind", ["plain", "stream"])
+def test_request_that_runs_is_not_refused_by_an_earlier_refusal(
+    stuttering_deployment, repeated_refusal, kind, status, names
+):
+    deployment = stuttering_deployment
+
+    def send():
+        if kind == "stream":
+            return deployment.request_stream(GATEWAY, 2, Deadline_Ms="3000")
+        return deployment.request(GATEWAY, "/stock/x", "GET", Deadline_Ms="3000")
+
+    assert send().status == 200
+    assert repeated_refusal(send, status, names).status == 503
+    n_before = len(deployment.history("run"))
+
+    def send_until_it_runs():
+        """Return the answer to a request that ran; its engine is avoided at first."""
+        answer = send()
+        return answer if len(deployment.history("run")) > n_before else None
+
+    assert wait_for(send_until_it_runs, 5.0).status == 200
+    assert len(deployment.history("run")) == n_before + 1
+
+
 def test_log_tells_from_a_request_which_answer_was_dropped(second_answers):
     deployment = second_answers("signed, earlier id", 0.03)
     # The first connection brings the second answer while it is idle, the other one
