Tests read only the lines of a history that are complete

Cause: a line that crosses a page of the file is seen in two steps by a reader, although it is written by one call. No process of the product was at fault.

Histories and logs are now read by one module, which leaves out a last line without an end; a line with an end that is no record is an error as before, and the records are the same as those of a read a moment earlier.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -17,6 +17,7 @@
 from cassiaspread_core.base import MalformedDocument, decode_json
 from cassiaspread_core.policy import EntryKind, EntryRecord, hash_token
 from cassiaspread_core.timeline import Event, merge_events
+from tests.json_lines import decode_lines
 
 START_TIMEOUT_S = 20.0
 POLL_S = 0.02
@@ -210,7 +211,7 @@
     def history(self, name: str) -> list[dict]:
         """Return the records of a stand-in's history file."""
         path = self.directory / f"{name}.history"
-        return [json.loads(line) for line in path.read_text().splitlines()]
+        return decode_lines(path.read_bytes())
 
     def start(self, name: str, address: str, argv: list[str]) -> Process:
         process = Process(name, address, argv, self.directory / f"{name}.log")
--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from tests.fleet import ROOT, free_port
+from tests.json_lines import decode_lines, decode_log
 
 STANDINS = Path(__file__).parent / "standins"
 HOST = "shop.example"
@@ -274,12 +275,11 @@
         return self.request(name, "/draft/x?q=1", **stream_headers)
 
     def history(self, kind):
-        lines = self.history_path.read_text().splitlines()
-        return [row for row in map(json.loads, lines) if row["kind"] == kind]
+        rows = decode_lines(self.history_path.read_bytes())
+        return [row for row in rows if row["kind"] == kind]
 
     def log_lines(self, name):
-        lines = (self.folder / f"{name}.log").read_text().splitlines()
-        return [json.loads(line) for line in lines if line.startswith("{")]
+        return decode_log((self.folder / f"{name}.log").read_bytes())
 
     def decisions(self, name, event):
         return [row for row in self.log_lines(name) if row["event"] == event]
--- a/tests/users_platform/test_odd_entries.py
+++ b/tests/users_platform/test_odd_entries.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tests.json_lines import decode_log
 from tests.users_platform.deployment import (
     MODEL_SERVICE,
     N_LAYERS,
@@ -247,7 +248,7 @@
 
 def any_line(log, event, target=None):
     """Return whether a log has a line on an event, and on a target."""
-    rows = [json.loads(r) for r in log.splitlines() if r.startswith(b"{")]
     return any(
-        row["event"] == event and target in (None, row.get("target")) for row in rows
+        row["event"] == event and target in (None, row.get("target"))
+        for row in decode_log(log)
     )
