The stand-in's spoiled answers are bytes without a head again

Joining text and bytes raised TypeError since the bytes of second answers are built by format_answer, so that the stand-in answered 500 without an identifier instead.

--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -381,7 +381,8 @@
             await self.send_raw(engine.continuation)
         elif engine.spoils:
             self._auto_finish = False
-            await self.request.connection.stream.write(SECOND_BODY + b"\r\n\r\n")
+            text = SECOND_BODY + "\r\n\r\n"
+            await self.request.connection.stream.write(text.encode())
         elif engine.status is not None:
             self.set_status(engine.status)
             self.finish()
