A stream is not repeated at the engine that spoiled its answer

Cause: after a spoiled connection a head is no longer excluded, since the bytes may have been left by an earlier request.

The queue for capacity now takes targets to defer, as the dispatcher does. The test through real processes failed before (head, head) and passes 3 of 3 times.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_capacity_queue.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_capacity_queue.py
@@ -16,9 +16,12 @@
 
 
 class _Waiter:
-    def __init__(self, job: Job, avoid: frozenset[TargetId]) -> None:
+    def __init__(
+        self, job: Job, avoid: frozenset[TargetId], defer: frozenset[TargetId]
+    ) -> None:
         self.job = job
         self.avoid = avoid
+        self.defer = defer
         self.assigned: asyncio.Future[Assignment] = (
             asyncio.get_running_loop().create_future()
         )
@@ -63,18 +66,24 @@
         return sum(map(len, self._queues.values()))
 
     async def assign(
-        self, job: Job, avoid: Iterable[TargetId], max_wait_s: float
+        self,
+        job: Job,
+        avoid: Iterable[TargetId],
+        max_wait_s: float,
+        defer: Iterable[TargetId] = (),
     ) -> Assignment:
         """Wait for capacity and return the assignment of a request.
 
         :param job: the request.
         :param avoid: targets to exclude.
         :param max_wait_s: longest wait in seconds.
+        :param defer: targets to use only if no other healthy ones have capacity.
         :raises Refusal: no capacity became free in time; this attempt was not sent.
         """
         end_s = now() + max_wait_s
         while True:
-            assignment = await self._assign(job, avoid, end_s - now())
+            waiter = _Waiter(job, frozenset(avoid), frozenset(defer))
+            assignment = await self._assign(waiter, end_s - now())
             is_permitted = False
             try:
                 is_permitted = await self._links.acquire(assignment, job)
@@ -84,10 +93,8 @@
             if is_permitted:
                 return assignment
 
-    async def _assign(
-        self, job: Job, avoid: Iterable[TargetId], max_wait_s: float
-    ) -> Assignment:
-        waiter = _Waiter(job, frozenset(avoid))
+    async def _assign(self, waiter: _Waiter, max_wait_s: float) -> Assignment:
+        job = waiter.job
         queue = self._queues.setdefault(job.service.name, _ServiceQueue())
         is_first = not len(queue.waiting)
         if is_first:
@@ -222,4 +229,6 @@
 
     def _try_assign(self, waiter: _Waiter) -> Assignment | None:
         job = waiter.job
-        return self._dispatcher.assign(job.service, job.demand, now(), waiter.avoid)
+        return self._dispatcher.assign(
+            job.service, job.demand, now(), waiter.avoid, waiter.defer
+        )
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
@@ -69,7 +69,10 @@
         self.n_runs = 0
         # Heads that the stream was sent to.
         self.sent_to: set[TargetId] = set()
+        # Targets that are not asked again; and those that are asked again only where no
+        # other one is healthy.
         self.avoided: set[TargetId] = set()
+        self.deferred: set[TargetId] = set()
         self.failure_reason = ""
         # Attempt on another chain, beside one whose engine is silent.
         self.second: SecondStart | None = None
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -211,7 +211,7 @@
             max_wait_s = stream.remaining_s(now())
         try:
             assignment = await self._capacity_queue.assign(
-                job, stream.avoided, max_wait_s
+                job, stream.avoided, max_wait_s, stream.deferred
             )
         except Refusal as refusal:
             raise (refusal if not stream.n_runs else self._refusal(stream)) from None
@@ -248,6 +248,8 @@
         except ConnectionSpoiled as error:
             self._record_head_failure(assignment, error)
             self._record_broken(stream, assignment, str(error), is_sent=True)
+            # The bytes may also be the head's own answer to this request.
+            stream.deferred.add(assignment.head.target)
             stream.avoided.discard(assignment.head.target)
             return AttemptResult.BROKEN
         except MisplacedEvents as error:
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -289,10 +289,10 @@
         await asyncio.sleep(0)
         assign = dispatcher.assign
 
-        def fail(service, demand, now_s, avoid=()):
+        def fail(service, demand, now_s, avoid=(), defer=()):
             if demand is faulty.demand:
                 raise KeyError("layers")
-            return assign(service, demand, now_s, avoid)
+            return assign(service, demand, now_s, avoid, defer)
 
         dispatcher.assign = fail
         for assignment in held:
--- a/packages/cassiaspread-daemon/tests/test_gateway_quarantine.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_quarantine.py
@@ -378,7 +378,7 @@
     def __init__(self):
         self.capacity_callbacks = []
 
-    def assign(self, service, demand, now_s, avoid=()):
+    def assign(self, service, demand, now_s, avoid=(), defer=()):
         return None
 
 
--- a/tests/users_platform/test_second_answers.py
+++ b/tests/users_platform/test_second_answers.py
@@ -13,6 +13,7 @@
     KEY,
     MODEL_SERVICE,
     PLAIN_SERVICE,
+    configuration,
     wait_for,
 )
 
@@ -23,6 +24,7 @@
 RUN_S = 0.12
 N_REQUESTS = 4
 N_EVENTS = 5
+N_SOUND = 8
 SECOND_ANSWERS = {
     "signed, earlier id": {"is_signed": True, "names": "earlier"},
     "signed, no id": {"is_signed": True},
@@ -171,6 +173,49 @@
     assert json.loads(answer.body)["by"] == "far"
 
 
+@pytest.fixture
+def second_head(stuttering_deployment):
+    """Another head of streams, asked only where the first one is no choice."""
+    deployment = stuttering_deployment
+    services = configuration(0)["services"]
+    kinds = services[0]["engine"]["kinds"]
+    kinds.append(kinds[0] | {"name": "slow", "pace": 20.0, "read_factor": 20.0})
+    deployment.publish_configuration(4, services=services)
+    deployment.add_engine("far-head", MODEL_SERVICE, "velenje", "slow")
+    wait_for(lambda: "far-head" in deployment.layered_engines(GATEWAY))
+    yield deployment
+    deployment.kill("far-head")
+    deployment.control(HEAD, spoils=False)
+
+
+def test_stream_is_not_repeated_at_the_engine_that_spoiled_its_answer(second_head):
+    deployment = second_head
+
+    def send_sound():
+        request_id = f"sound-{time.monotonic()}"
+        assert stream(request_id).is_complete
+        return request_id
+
+    def heads_of(request_id):
+        return [
+            row["engine"]
+            for row in deployment.history("run")
+            if row["headers"].get("Attempt-Id") == request_id
+        ]
+
+    def stream(request_id):
+        return deployment.request_stream(GATEWAY, N_EVENTS, Attempt_Id=request_id)
+
+    # A head with recent failures would be suspect after one more.
+    for _ in range(N_SOUND):
+        wait_for(lambda: heads_of(send_sound()) == [HEAD])
+    deployment.control(HEAD, spoils=True)
+    answer = stream("spoiled-stream")
+    assert heads_of("spoiled-stream") == [HEAD, "far-head"]
+    assert answer.is_complete
+    assert answer.event_ids == list(range(1, N_EVENTS + 1))
+
+
 class KeptCaller:
     """A caller that keeps its connection and sees each byte on it."""
 
