Load reports carry what their receiver uses

Cause: each second a daemon sent every daemon of its domain its own load and, in addition, the total load of the domain with a row for each engine, which only daemons of other domains read. Message, peers and encoding each grow with the domain.

Daemons of the own domain now get the own load, those of other domains the total; empty maps stand for the rest, so that daemons of earlier releases read the reports as before. A daemon that does not know yet that its peer is of another domain sends its own load only; that leaves the last total in force.

What is left is the own load, a row for each stage of each stream in progress, sent to each daemon of the domain.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_loads.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_loads.py
@@ -28,8 +28,8 @@
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
     """Load reported by a daemon.
 
-    :param own: load of the daemon itself, by engine.
-    :param domain: load of all daemons of its domain, by engine.
+    :param own: load of the daemon itself, by engine; for daemons of its domain.
+    :param domain: load of all daemons of its domain, by engine; for those of others.
     :param unreachable_ms: time since it found each target unreachable, in milliseconds.
     :param avoided_ms: for how much longer it sends nothing to targets that turned its
         requests away, in milliseconds.
@@ -64,13 +64,23 @@
         self._ledger = ledger
         self._health = health
         self._domain_ledger = LoadLedger()
-        mesh.add_topic(TOPIC, self._produce, LoadReport, self._consume)
+        mesh.add_topic(
+            TOPIC,
+            self._produce,
+            LoadReport,
+            self._consume,
+            self._produce_cross_domain,
+        )
 
     def count_domain_daemons(self) -> int:
         """Return the number of daemons in the domain, including this one."""
         return 1 + self._domain_ledger.n_peers
 
     def _produce(self) -> LoadReport:
+        own = {target: _to_row(load) for target, load in self._ledger.own.items()}
+        return self._to_report(own=own)
+
+    def _produce_cross_domain(self) -> LoadReport:
         own = self._ledger.own
         self._domain_ledger.remove_expired(now(), PEER_TIMEOUT_S)
         self._ledger.remove_expired(now(), PEER_TIMEOUT_S)
@@ -82,11 +92,17 @@
                 load.add(self._domain_ledger.total(target))
                 load.add(own[target])
             domain[target] = _to_row(load)
-        ages_s = self._health.unreachable_ages_s(now())
+        return self._to_report(domain=domain)
+
+    def _to_report(
+        self,
+        own: dict[TargetId, Row] | None = None,
+        domain: dict[TargetId, Row] | None = None,
+    ) -> LoadReport:
         return LoadReport(
-            {t: _to_row(load) for t, load in own.items()},
-            domain,
-            _to_ms(ages_s),
+            own or {},
+            domain or {},
+            _to_ms(self._health.unreachable_ages_s(now())),
             _to_ms(self._health.avoided_s(now())),
         )
 
@@ -102,7 +118,8 @@
             loads = _to_loads(report.own)
             self._domain_ledger.record_peer_load(sender.incarnation, loads, now())
             self._ledger.record_peer_load(sender.incarnation, loads, now())
-        else:
+        elif report.domain or not report.own:
+            # Otherwise the sender did not know yet that this is another domain.
             self._ledger.record_peer_load(
                 sender.domain, _to_loads(report.domain), now()
             )
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_gossip.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_gossip.py
@@ -33,11 +33,14 @@
     :param produce: returns the body to send, ``None`` for nothing.
     :param body_type: type of the body.
     :param consume: receives the body of a peer and its sender.
+    :param produce_cross_domain: returns the body for daemons of other domains; ``None``
+        if they get the same one.
     """
 
     produce: Callable[[], Any]
     body_type: Any
     consume: Callable[[Any, Sender], None]
+    produce_cross_domain: Callable[[], Any] | None = None
 
 
 class TopicState(msgspec.Struct, frozen=True, array_like=True):
@@ -59,7 +62,8 @@
         self._hub = DeltaHub()
         self._states = DeltaTopic(TopicState, None, self._store_body)
         self._hub.add(TOPIC_STATES, self._states)
-        self._produced: dict[str, bytes] = {}
+        # Last encoded body by topic, and whether it is for other domains.
+        self._produced: dict[tuple[str, bool], bytes] = {}
         self._produced_s = float("-inf")
         self._latest_bodies: dict[Incarnation, dict[str, msgspec.Raw]] = {}
 
@@ -125,12 +129,17 @@
 
     def _produce_topic(self, name: str, topic: Topic) -> None:
         body = msgspec.msgpack.encode(topic.produce())
-        if self._produced.get(name) == body:
+        self._put_state(name, body, is_cross_domain=False)
+        if topic.produce_cross_domain is not None:
+            body = msgspec.msgpack.encode(topic.produce_cross_domain())
+        self._put_state(name, body, is_cross_domain=True)
+
+    def _put_state(self, name: str, body: bytes, is_cross_domain: bool) -> None:
+        if self._produced.get((name, is_cross_domain)) == body:
             return
-        self._produced[name] = body
+        self._produced[name, is_cross_domain] = body
         state = TopicState(name, msgspec.Raw(body))
-        self._states.put(name, state)
-        self._states.put(name, state, is_cross_domain=True)
+        self._states.put(name, state, is_cross_domain=is_cross_domain)
 
     def _store_body(self, state: TopicState, sender: Sender) -> None:
         bodies = self._latest_bodies.setdefault(sender.incarnation, {})
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_mesh.py
@@ -220,6 +220,7 @@
         produce: Callable[[], Any],
         body_type: Any,
         consume: Callable[[Any, Sender], None],
+        produce_cross_domain: Callable[[], Any] | None = None,
     ) -> None:
         """Add a topic to the gossip that peers exchange every second.
 
@@ -227,8 +228,11 @@
         :param produce: returns the body to send, ``None`` for nothing.
         :param body_type: type of the body.
         :param consume: receives the body of a peer and its sender.
+        :param produce_cross_domain: returns the body for daemons of other domains;
+            ``None`` if they get the same one.
         """
-        self._topics.add(name, Topic(produce, body_type, consume))
+        topic = Topic(produce, body_type, consume, produce_cross_domain)
+        self._topics.add(name, topic)
 
     def add_delta_topic(self, name: str, topic: DeltaTopic) -> None:
         """Add a topic of which each peer gets only the entries that it lacks.
