--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 docs: setup
 	$(PY) -m cassiaspread_daemon.settings_reference > docs/operators/settings.md
 	$(PY) -m cassiaspread_core.policy_reference > docs/operators/configuration-fields.md
-	$(PY) -m benchmarks.capacity > docs/CAPACITY.md
+	$(PY) -m benchmarks.capacity > docs/design/own-interface-costs.md
 
 clean:
 	rm -rf $(VENV)
--- a/benchmarks/bench_deployment.py
+++ b/benchmarks/bench_deployment.py
@@ -4,8 +4,9 @@
 store, a few engines and that many gateways of three failure domains as real processes
 on the stand-ins for the users' platform, and prints for each number, as TOML, the
 processor time of a start, and that of a second at rest and under requests, by what it
-was spent on. All figures are means over the daemons, in ms. The page docs/CAPACITY.md
-is made from such an output, ``benchmarks/deployment.toml``.
+was spent on. All figures are means over the daemons, in ms. The page
+docs/design/own-interface-costs.md is made from such an output,
+``benchmarks/deployment.toml``.
 """
 
 import argparse
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,4 +1,4 @@
-"""Generates docs/CAPACITY.md from measured slopes: ``make docs``.
+"""Generates docs/design/own-interface-costs.md from measured slopes: ``make docs``.
 
 ``slopes.toml`` contains each slope with its benchmark and commit; from these the cost
 of each role at the design size is computed.
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -11,7 +11,7 @@
 
 def test_page_is_current():
     template = SLOPES_PATH.with_name("capacity.md.in").read_text()
-    page = (ROOT / "docs/CAPACITY.md").read_text()
+    page = (ROOT / "docs/design/own-interface-costs.md").read_text()
     current = render_page(template, read_slopes(), read_deployment_runs())
     assert page == current, "run `make docs`"
 
