A receiver that is not known gets no entries, whose place it could mistake

The receiver confirms their position, which is then taken for one in the log for other domains: what lies before it there is never sent.

Cause: correlation by position again: one number for each peer in two logs.

The first message to an address whose daemon is not known carries no entries; the reply tells who it is. Load reports say whether they are for other domains, and one that is not clears nothing there. Both tests failed before.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_loads.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_loads.py
@@ -33,12 +33,14 @@
     :param unreachable_ms: time since it found each target unreachable, in milliseconds.
     :param avoided_ms: for how much longer it sends nothing to targets that turned its
         requests away, in milliseconds.
+    :param is_total: whether the report is for daemons of other domains.
     """
 
     own: dict[TargetId, Row]
     domain: dict[TargetId, Row]
     unreachable_ms: dict[TargetId, Count] = {}
     avoided_ms: dict[TargetId, Count] = {}
+    is_total: bool = False
 
 
 class LoadSharing:
@@ -104,6 +106,7 @@
             domain or {},
             _to_ms(self._health.unreachable_ages_s(now())),
             _to_ms(self._health.avoided_s(now())),
+            is_total=domain is not None,
         )
 
     def _consume(self, report: LoadReport, sender: Sender) -> None:
@@ -118,8 +121,8 @@
             loads = _to_loads(report.own)
             self._domain_ledger.record_peer_load(sender.incarnation, loads, now())
             self._ledger.record_peer_load(sender.incarnation, loads, now())
-        elif report.domain or not report.own:
-            # Otherwise the sender did not know yet that this is another domain.
+        elif report.is_total:
+            # Otherwise the sender took this daemon for one of its own domain.
             self._ledger.record_peer_load(
                 sender.domain, _to_loads(report.domain), now()
             )
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_deltas.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_deltas.py
@@ -68,10 +68,16 @@
     def produce(self, peer: Incarnation | None, is_cross_domain: bool) -> DeltaBody:
         """Return the entries that a peer lacks.
 
+        A receiver that is not known gets none: a position in the log of one scope
+        means nothing in that of the other, which may be the receiver's. Its reply
+        tells who it is.
+
         :param peer: incarnation of the receiver, if it is known.
         :param is_cross_domain: whether the peer belongs to another domain.
         """
-        cursor = self._cursors.get(peer) if peer else None
+        if peer is None:
+            return DeltaBody(0, 0, 0)
+        cursor = self._cursors.get(peer)
         received, since = (cursor.received, cursor.confirmed) if cursor else (0, 0)
         changes = self.log(is_cross_domain).changes(since)
         full: Entries = {}
--- a/packages/cassiaspread-daemon/tests/test_load_reports.py
+++ b/packages/cassiaspread-daemon/tests/test_load_reports.py
@@ -8,6 +8,7 @@
 from cassiaspread_core.chains import LoadLedger, StageLoad
 from cassiaspread_core.targets import TargetHealth
 from cassiaspread_daemon.gateway._loads import LoadReport, LoadSharing
+from cassiaspread_daemon.mesh import DeltaTopic
 from cassiaspread_daemon.mesh._gossip import Topic, Topics
 from cassiaspread_daemon.mesh._message import Sender
 
@@ -82,12 +83,13 @@
 @in_loop
 def test_totals_of_another_domain_outlast_a_report_that_has_none():
     daemon = Daemon("velenje")
-    total = LoadReport({}, {"e": (4, 40, 4)})
+    total = LoadReport({}, {"e": (4, 40, 4)}, is_total=True)
     daemon.mesh.consume(total, sender("celje"))
-    # Its sender takes this daemon for one of its own domain.
-    daemon.mesh.consume(LoadReport({"e": (1, 10, 1)}, {}), sender("celje", 1))
+    # Their senders take this daemon for one of their own domain.
+    for n, own in enumerate(({"e": (1, 10, 1)}, {}), 1):
+        daemon.mesh.consume(LoadReport(own, {}), sender("celje", n))
     assert daemon.ledger.total("e") == StageLoad(4, 40, 4)
-    daemon.mesh.consume(LoadReport({}, {}), sender("celje"))
+    daemon.mesh.consume(LoadReport({}, {}, is_total=True), sender("celje"))
     assert daemon.ledger.total("e") == StageLoad()
 
 
@@ -97,5 +99,29 @@
     near, far = Topics(), Topics()
     near.add("news", Topic(lambda: 1, int, lambda body, of: None, lambda: 2))
     far.add("news", Topic(lambda: None, int, lambda body, of: received.append(body)))
-    far.consume(near.produce(None, is_cross_domain, {}, 1.0), sender("celje"))
+    far.consume(near.produce("i-far", is_cross_domain, {}, 1.0), sender("celje"))
     assert received == [expected]
+
+
+@pytest.mark.parametrize("n_entries", [0, 300])
+def test_entries_for_other_domains_arrive_after_a_first_message(n_entries):
+    """A position in the log of one domain is not taken for one in the other log."""
+    near, far, received = Topics(), Topics(), []
+    local, notices = DeltaTopic(int, None, None), DeltaTopic(str, None, None)
+    near.add_delta("targets", local)
+    near.add_delta("leaving", notices)
+    far.add_delta("leaving", DeltaTopic(str, None, lambda e, of: received.append(e)))
+    for n in range(n_entries):
+        local.put(n, n)
+    is_known = False
+    for now_s in range(4):
+        peer = "i-velenje-0" if is_known else None
+        message = near.produce(peer, is_known, {}, float(now_s))
+        far.consume(message, sender("celje"))
+        reply = far.produce("i-celje-0", True, {}, float(now_s))
+        near.consume(reply, sender("velenje"))
+        if not is_known:
+            notices.put("e", "e leaves")
+            notices.put("e", "e leaves", is_cross_domain=True)
+        is_known = True
+    assert received == ["e leaves"]
