A second start does not prefer a head that spoiled the stream's answer

By reading, in a review: the search for a second chain did not know the deferred heads of the stream, so that after a spoiled answer and a silent second head the first one was an equal choice.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_chain_search.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_chain_search.py
@@ -42,18 +42,21 @@
         """What to wait for: the search, if one is in progress."""
         return set() if self._task is None else {self._task}
 
-    def start(self, job: Job, avoid: Iterable[TargetId]) -> None:
+    def start(
+        self, job: Job, avoid: Iterable[TargetId], defer: Iterable[TargetId] = ()
+    ) -> None:
         """Search unless such a search is in progress.
 
         :param job: the request.
         :param avoid: targets to exclude.
+        :param defer: targets to use only if no other healthy ones have capacity.
         """
         if self._avoid != frozenset(avoid):
             self.stop()
             self._avoid = frozenset(avoid)
         if self._task is None:
             self._task = asyncio.create_task(
-                self._capacity_queue.assign(job, avoid, job.remaining_s(now()))
+                self._capacity_queue.assign(job, avoid, job.remaining_s(now()), defer)
             )
 
     def stop(self) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
@@ -299,7 +299,7 @@
                 if self._may_start_second():
                     avoid = {*stream.avoided, *self._silent_targets}
                     avoid |= {self._assignment.head.target, silence.of.engine.target}
-                    search.start(stream.job, avoid)
+                    search.start(stream.job, avoid, stream.deferred)
                     await _wait_first({arriving, *search.tasks}, SEARCH_AT_ONCE_S)
                     await self._start_second(search, silence, arriving)
                 if not is_recorded:
