A suspect target is asked where another daemon avoids the healthy one

Seen in a review: of the targets that are healthy, and those that no daemon avoids, the second list was skipped if it was as long as the first, although it may hold others. A stream was then refused or waited while a target had room. The lists are compared themselves. The test failed before.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
@@ -120,12 +120,11 @@
         preferred = [e for e in healthy if e.target not in deferred]
         # A suspect target may be well; one that turns requests away is of no use.
         possible = [e for e in engines if not self._health.is_avoided(e.target, now_s)]
-        n_before = -1
+        before: list[Engine] | None = None
         for candidates in (preferred, healthy, possible):
-            # Each list contains the one before.
-            if len(candidates) == n_before:
+            if candidates == before:
                 continue
-            n_before = len(candidates)
+            before = candidates
             assignment = self._choose(service, demand, candidates, now_s)
             if assignment is not None:
                 for target, load in assignment.loads:
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -120,6 +120,18 @@
     assert select(avoid=["near", "far"], defer=["near"]) is None
 
 
+def test_suspect_target_is_asked_where_the_only_healthy_one_has_no_room(log):
+    dispatcher, _ = make_queue(log)
+    engines = dispatcher._routing_state.engines
+    # Another daemon says that it turns requests away; this one has no layers.
+    full = msgspec.structs.replace(engines["e"], target="full", layers=LayerRange(0, 0))
+    dispatcher._routing_state.apply_change(EngineChange("full", full))
+    dispatcher._health.record_reported_avoidance("full", 3.0, 10.0)
+    dispatcher._health.record_unreachable("e", 10.0)
+    job = make_job()
+    assert dispatcher.assign(job.service, job.demand, 10.1).head.target == "e"
+
+
 class NoQuarantine:
     """Quarantine that records nothing."""
 
