An event within an event is no continuation

Seen in a review: readers of events take a lone carriage return as the end of a line, so that bytes with one identifier, taken as one event, could hold another event, such as an engine's failure. Continuations with a lone carriage return are refused. One of the two cases failed before (the other has two identifiers).

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_events.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_events.py
@@ -16,6 +16,7 @@
 EVENT = re.compile(rb".*?\n\r?\n", re.DOTALL)
 # A line that is neither empty nor a comment, and one that holds an identifier.
 FIELD_LINE = re.compile(rb"(?<![^\r\n])[^:\r\n]")
+LONE_RETURN = re.compile(rb"\r(?!\n)")
 ID_LINE = re.compile(rb"(?<![^\r\n])id(?::([^\r\n]*))?(?![^\r\n])")
 # Identifiers are compared as numbers of 64 bits at most.
 MAX_ID_DIGITS = 18
@@ -164,7 +165,8 @@
         number = self._number
         placed = []
         for event, ids in _split_events(events):
-            if ids != [str(number + 1)]:
+            # Readers of events take a lone carriage return as the end of a line.
+            if ids != [str(number + 1)] or LONE_RETURN.search(event):
                 raise MisplacedEvents(str(number + 1), ids)
             number += 1
             placed.append(event)
--- a/packages/cassiaspread-daemon/tests/test_resumed_events.py
+++ b/packages/cassiaspread-daemon/tests/test_resumed_events.py
@@ -90,3 +90,13 @@
     assert events.feed(following) == following
     with pytest.raises(MisplacedEvents):
         events.fork().feed(following)
+
+
+@pytest.mark.parametrize(
+    "inside", [b"\revent: error\rdata: HTTP/1.1 500\r", b"\rid: 9\r"]
+)
+def test_event_within_an_event_is_no_continuation(inside):
+    # Readers of events take a lone carriage return as the end of a line.
+    events = EventBuffer("3", is_continuation=True)
+    with pytest.raises(MisplacedEvents):
+        events.feed(b"id: 4\rdata: own\r" + inside + b"\n\n")
