A stray response before the end of a kept connection spoils it

Seen in a review: a target that closes a kept connection behind a stray response was taken as gone, and the request was not repeated where it was the only one: 502, though a new connection would have served it. It is treated as other stray responses are now; a reset, and the end of a new connection, count as before. Both cases on kept connections failed before.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange/_reader.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_exchange/_reader.py
@@ -237,10 +237,12 @@
             self.set_result(None)
 
     def on_connection_close(self) -> None:
-        if self._stream.is_ended_by_target or self.started.done():
-            error = ExchangeBroken("connection closed before the response ended")
-        elif self.n_strays:
+        is_stray_last = bool(self.n_strays) and not self.started.done()
+        if is_stray_last and self._stream.error is None:
+            # It may have been closed because of the response that came before.
             error = self._strays_error()
+        elif self._stream.is_ended_by_target or self.started.done():
+            error = ExchangeBroken("connection closed before the response ended")
         else:
             error = self._spoiled_error("bytes that are no response")
         self.set_result(error)
--- a/packages/cassiaspread-daemon/tests/test_kept_connections.py
+++ b/packages/cassiaspread-daemon/tests/test_kept_connections.py
@@ -306,6 +306,27 @@
     run(server, main)
 
 
+@pytest.mark.parametrize("is_announced", [False, True])
+@pytest.mark.parametrize("is_kept", [False, True])
+def test_stray_response_before_the_end_spoils_a_kept_connection(is_kept, is_announced):
+    stray = STRAY
+    if is_announced:
+        stray = STRAY.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1)
+    server = Server(*[ANSWER] * is_kept, stray)
+
+    async def main(pool, address):
+        for _ in range(is_kept):
+            assert await ask(pool, address) == b"ok"
+        asking = asyncio.create_task(ask(pool, address))
+        await asyncio.sleep(0.05)
+        server.writers[0].close()
+        with pytest.raises(ExchangeBroken) as raised:
+            await asking
+        assert isinstance(raised.value, ConnectionSpoiled) == is_kept
+
+    run(server, main)
+
+
 def test_reset_that_is_noticed_while_writing_is_an_end_by_the_target():
     server = Server(ANSWER)
 
