A notice of leaving counts for the process that gave it

Cause: an answer was attributed to a process by the list of targets, which may be out of date. The answer does not name its process; a status report has born and Server-Leaving in one answer.

Change: a notice holds at once for the listed process, as before. The gateway that hears it first also requests one report for each new notice, beside the requests, and records the process named there if it leaves and is another one. Processes that left are kept by target and incarnation, so that the notice of one does not displace that of another. engine.leaving names the incarnation; a notice of a process that is not listed is logged as engine.leaving_unlisted. If there is no report (engine.not_asked), it stays with what the list says.

The soak's check of notices took engine.leaving of any process; now that the others are logged apart, it counts a process that is listed as leaving from its first line on.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -158,6 +158,8 @@
             self._routing_state,
             self._closures,
             self._dispatcher,
+            platform.engine_api,
+            self._supervisor.add_child("notices"),
             self._mesh,
             lambda: self._urgent_gossip.request(MIN_LEAVING_INTERVAL_S, now()),
             log,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
@@ -168,6 +168,7 @@
     :param incarnation: identifies its process; 0 if the engine does not tell.
     :param slowness: its step time relative to what is usual for its accelerator.
     :param stalls: requests that wait for another engine.
+    :param notice: what it says of itself beside its state.
     """
 
     layers: LayerRange
@@ -176,6 +177,7 @@
     incarnation: int = 0
     slowness: float = 1.0
     stalls: tuple[Stall, ...] = ()
+    notice: EngineNotice = NO_NOTICE
 
 
 class EngineApi(Protocol):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
@@ -44,8 +44,8 @@
         self.configuration_age = StateAge(max_configuration_age_s)
         self.engines: dict[TargetId, Engine] = {}
         self.engines_age = StateAge(max_engines_age_s)
-        # Incarnation of each target that left, oldest first.
-        self._left: dict[TargetId, int] = {}
+        # Targets that left, with their incarnation, oldest first.
+        self._left: dict[tuple[TargetId, int], None] = {}
         self.engine_callbacks: list[Callable[[Engine | None, Engine | None], None]] = []
         self.renewal_callbacks: list[Callable[[TargetId], None]] = []
         self.table_callbacks: list[Callable[[RouteTable], None]] = []
@@ -107,7 +107,7 @@
         :param target: the target.
         :param incarnation: its process.
         """
-        return self._left.get(target) == incarnation
+        return (target, incarnation) in self._left
 
     def record_left(self, target: TargetId, incarnation: int) -> None:
         """Record that a target leaves; it takes no more work until its next start.
@@ -115,8 +115,9 @@
         :param target: the target.
         :param incarnation: its process.
         """
-        self._left.pop(target, None)
-        self._left[target] = incarnation
+        process = target, incarnation
+        self._left.pop(process, None)
+        self._left[process] = None
         if len(self._left) > MAX_LEFT:
             del self._left[next(iter(self._left))]
 
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -613,6 +613,9 @@
             elif row["event"] == "engine.seen":
                 leaving_s.pop(target, None)
                 closed_s.pop(target, None)
+                # Its notice may have come before its entry.
+                if row["is_leaving"]:
+                    leaving_s[target] = now_s
             elif row["event"] == "engine.leaving":
                 leaving_s[target] = now_s
             elif row["event"] == "engine.closed":
