Events are counted before their identifiers are read

Cause, not the load: since the identifiers of all events in a received block were read before the number of events was checked, at 4.2 microseconds an event (0.56 before), so that one block took some 18 ms of the loop.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_events.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_events.py
@@ -1,6 +1,7 @@
 """Splitting of an event stream, so that it can resume elsewhere after any event."""
 
 import re
+from collections.abc import Iterator
 
 from cassiaspread_daemon._exchange import AnswerTooLarge, ExchangeBroken
 
@@ -49,6 +50,7 @@
     :param last_id: last event that the caller received, if any.
     :param is_continuation: whether the first event must follow that one; it has no
         effect if ``last_id`` is not a number.
+    :param max_events: largest number of events, if there is one.
 
     >>> events = EventBuffer()
     >>> events.feed(b"id: 1\ndata: a\n\nid: 2\nda")
@@ -62,10 +64,14 @@
     """
 
     def __init__(
-        self, last_id: str | None = None, is_continuation: bool = False
+        self,
+        last_id: str | None = None,
+        is_continuation: bool = False,
+        max_events: int | None = None,
     ) -> None:
         self.last_id = last_id
         self.n_events = 0
+        self._max_events = max_events
         # Last identifier, if it is a number; whether all were and went up one by one;
         # and whether the last event had one.
         self._number = _parse_id(last_id)
@@ -113,7 +119,7 @@
 
     def fork(self) -> "EventBuffer":
         """Return a buffer for another attempt that resumes after the last event."""
-        events = EventBuffer(self.last_id)
+        events = EventBuffer(self.last_id, max_events=self._max_events)
         events._number = self._number
         events._is_continuation = self._is_continuation or self._has_begun
         events.n_events = self.n_events
@@ -125,7 +131,8 @@
 
         :param data: the bytes.
         :returns: the events that are complete now.
-        :raises AnswerTooLarge: an event exceeds its largest size.
+        :raises AnswerTooLarge: an event exceeds its largest size, or there are too
+            many; these are not read any further.
         :raises MisplacedEvents: an event does not follow the one before.
         """
         # A separator may begin in bytes that were received before.
@@ -141,6 +148,8 @@
         if not complete:
             return complete
         n_events = sum(map(complete.count, SEPARATORS))
+        if self._max_events is not None and self.n_events + n_events > self._max_events:
+            raise AnswerTooLarge(f"more than {self._max_events} events")
         if self._is_continuation:
             complete = self._place(complete)
         else:
@@ -177,13 +186,21 @@
         return b"".join(placed)
 
 
-def _split_events(data: bytes) -> list[tuple[bytes, list[str]]]:
-    """Return events without comments between them, each with its identifiers."""
-    usual = USUAL_EVENT.fullmatch(data)
-    if usual is not None:
-        return [(data, [] if usual[1] is None else [usual[1].decode()])]
-    events = EVENT.findall(data)
-    return [(event, _find_ids(event)) for event in events if FIELD_LINE.search(event)]
+def _split_events(data: bytes) -> Iterator[tuple[bytes, list[str]]]:
+    """Yield events without comments between them, each with its identifiers."""
+    begin = 0
+    while begin < len(data):
+        usual = USUAL_EVENT.match(data, begin)
+        if usual is not None:
+            begin = usual.end()
+            yield usual[0], [] if usual[1] is None else [usual[1].decode()]
+            continue
+        other = EVENT.match(data, begin)
+        if other is None:
+            return
+        begin = other.end()
+        if FIELD_LINE.search(other[0]):
+            yield other[0], _find_ids(other[0])
 
 
 def _find_ids(event: bytes) -> list[str]:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
@@ -9,7 +9,6 @@
 from cassiaspread_core.base import TargetId
 from cassiaspread_daemon._events import EventBuffer, MisplacedEvents
 from cassiaspread_daemon._exchange import (
-    AnswerTooLarge,
     Delimiter,
     Exchange,
     ExchangeBroken,
@@ -60,9 +59,12 @@
     def __init__(self, job: Job, take_retry: TakeRetry) -> None:
         self.job = job
         self.take_retry = take_retry
-        # A route that is not resumable need not take the caller's last event.
+        n_tokens = job.parameters.max_answer_tokens
         self.events = EventBuffer(
-            job.parameters.last_event_id, is_continuation=job.route.is_resumable
+            job.parameters.last_event_id,
+            # A route that is not resumable need not take the caller's last event.
+            is_continuation=job.route.is_resumable,
+            max_events=n_tokens + MAX_EVENTS_WITHOUT_TOKENS if n_tokens else None,
         )
         self.is_started = False
         self.n_tried = 0
@@ -233,7 +235,6 @@
                 n_done = self._events.n_open_bytes + len(received)
                 complete = self._events.feed(received)
                 n_done -= self._events.n_open_bytes
-                self._check_event_count()
                 if complete:
                     await self._take_turn()
                     self._start_answer()
@@ -462,14 +463,6 @@
             reason=reason,
         )
 
-    def _check_event_count(self) -> None:
-        n_tokens = self._stream.job.parameters.max_answer_tokens
-        max_events = n_tokens + MAX_EVENTS_WITHOUT_TOKENS
-        if n_tokens and self._events.n_events > max_events:
-            raise AnswerTooLarge(
-                f"more than {max_events} events for at most {n_tokens} tokens"
-            )
-
     def _start_answer(self) -> None:
         stream, tools = self._stream, self._tools
         if stream.is_started:
--- a/packages/cassiaspread-daemon/tests/test_resumed_events.py
+++ b/packages/cassiaspread-daemon/tests/test_resumed_events.py
@@ -3,6 +3,7 @@
 import pytest
 
 from cassiaspread_daemon._events import MAX_ID_DIGITS, EventBuffer, MisplacedEvents
+from cassiaspread_daemon._exchange import AnswerTooLarge
 
 
 def event(event_id, end="\n"):
@@ -100,3 +101,11 @@
     events = EventBuffer("3", is_continuation=True)
     with pytest.raises(MisplacedEvents):
         events.feed(b"id: 4\rdata: own\r" + inside + b"\n\n")
+
+
+def test_more_events_than_allowed_are_not_read():
+    events = EventBuffer(max_events=3)
+    assert events.feed(event(1) + event(2)) == event(1) + event(2)
+    with pytest.raises(AnswerTooLarge):
+        events.fork().feed(event(3) * 10_000)
+    assert events.fork().feed(event(3)) == event(3)
