Logs name the shared parts of prompts under which engines end

Both lines now hold the parts of the prompt but the last, and attempt.broken the events of the attempt that broke. No decision uses them.

--- a/packages/cassiaspread-core/src/cassiaspread_core/base/_ids.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/_ids.py
@@ -11,6 +11,8 @@
 ModelId = NewType("ModelId", str)
 ServiceId = NewType("ServiceId", str)
 RequestId = NewType("RequestId", str)
+# Names one part of a prompt, which requests have in common.
+PromptPartId = NewType("PromptPartId", str)
 IdempotencyKey = NewType("IdempotencyKey", str)
 
 # Identifies one start of a process; a restarted daemon has a new one.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/__init__.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/__init__.py
@@ -4,6 +4,7 @@
 from cassiaspread_daemon.gateway._gateway import Gateway
 from cassiaspread_daemon.gateway._pool import ConnectionPool
 from cassiaspread_daemon.gateway._protocols import (
+    MAX_SHARED_PARTS,
     NO_NOTICE,
     AnswerParameters,
     DutyState,
@@ -20,6 +21,7 @@
 from cassiaspread_daemon.gateway._settings import GatewaySettings
 
 __all__ = [
+    "MAX_SHARED_PARTS",
     "NO_NOTICE",
     "AnswerParameters",
     "ConnectionPool",
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
@@ -11,7 +11,12 @@
 import msgspec
 from tornado.httputil import HTTPHeaders
 
-from cassiaspread_core.base import OrganisationId, RequestId, TargetId
+from cassiaspread_core.base import (
+    OrganisationId,
+    PromptPartId,
+    RequestId,
+    TargetId,
+)
 from cassiaspread_core.chains import Chain
 from cassiaspread_core.placement import Engine, LayerRange
 from cassiaspread_core.quarantine import Fingerprint, SuspectRecord
@@ -19,6 +24,9 @@
 
 Item = TypeVar("Item", covariant=True)
 
+# Bounds what one request may add to the records of the quarantine.
+MAX_SHARED_PARTS = 32
+
 
 class RequestParameters(msgspec.Struct, frozen=True, kw_only=True):
     """Parameters of a request, decoded from the caller's headers.
@@ -30,6 +38,8 @@
     :param max_answer_tokens: longest answer in tokens, 0 if unknown.
     :param answer_hint: the caller's estimate of the answer in tokens, if any.
     :param last_event_id: last event of a stream that the caller received, if any.
+    :param shared_parts: parts of the prompt that other requests may have too, in the
+        order of the prompt and each once; at most ``MAX_SHARED_PARTS``.
     """
 
     request_id: RequestId
@@ -39,6 +49,7 @@
     max_answer_tokens: int = 0
     answer_hint: int | None = None
     last_event_id: str | None = None
+    shared_parts: tuple[PromptPartId, ...] = ()
 
 
 class ForwardParameters(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_quarantine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_quarantine.py
@@ -315,6 +315,7 @@
             incarnation=loss.incarnation,
             round=run.round,
             position=position,
+            shared_parts=job.parameters.shared_parts,
             **_describe(record, now_s),
         )
         self._handle_change(record, Source.OWN, now_s)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -237,6 +237,7 @@
         self, stream: StreamState, assignment: Assignment, turn: Turn
     ) -> AttemptResult:
         run = self._quarantine.begin_run(stream.job)
+        n_events_before = stream.events.n_events
         stream.avoided.add(assignment.head.target)
         try:
             return await self._relay(stream, assignment, turn)
@@ -257,7 +258,10 @@
             return AttemptResult.FAILED
         except ExchangeBroken as error:
             self._record_head_failure(assignment, error)
-            self._record_broken(stream, assignment, str(error), is_sent=True)
+            n_own_events = stream.events.n_events - n_events_before
+            self._record_broken(
+                stream, assignment, str(error), is_sent=True, n_own_events=n_own_events
+            )
             engines = _possibly_lost(assignment, error)
             await self._quarantine.record_interruption(
                 stream.job, engines, run, stream.events.n_events
@@ -440,6 +444,7 @@
         assignment: Assignment,
         reason: str,
         is_sent: bool,
+        n_own_events: int = 0,
     ) -> None:
         stream.failure_reason = reason
         self._log.record(
@@ -450,6 +455,8 @@
             reason=reason,
             is_sent=is_sent,
             n_events=stream.events.n_events,
+            n_own_events=n_own_events,
+            shared_parts=stream.job.parameters.shared_parts,
         )
 
 
--- a/tests/users_platform/test_headers.py
+++ b/tests/users_platform/test_headers.py
@@ -6,6 +6,7 @@
 from tornado.httputil import HTTPHeaders
 
 from cassiaspread_core.base import RequestId, TargetId
+from cassiaspread_daemon.gateway import MAX_SHARED_PARTS
 from cassiaspread_daemon.gateway._answer_filter import answer_filter
 from cassiaspread_platform._headers import PlatformHeaderCodec
 
@@ -78,3 +79,27 @@
     answer = PlatformHeaderCodec().read_answer(200, headers)
     assert answer.notice.is_leaving is is_leaving
     assert not PlatformHeaderCodec().read_answer(200, HTTPHeaders()).notice.is_leaving
+
+
+@pytest.mark.parametrize(
+    ("text", "parts"),
+    [
+        (None, ()),
+        ("", ()),
+        # The last part belongs to the request alone.
+        ("5c1e:250", ()),
+        ("5C1E:800, 91bd:410,e440:250", ("5c1e", "91bd")),
+        ("5c1e:800,5c1e:800,e440:250", ("5c1e",)),
+        ("5c1e,:4,91bd:x,,é:4,a b:1," + "f" * 65 + ":1,e440:250", ("5c1e", "91bd")),
+    ],
+)
+def test_shared_parts_are_all_but_the_last(text, parts):
+    headers = HTTPHeaders() if text is None else HTTPHeaders({"Prompt-Prefix": text})
+    assert PlatformHeaderCodec().read_request(headers).shared_parts == parts
+
+
+def test_number_of_shared_parts_is_bounded():
+    text = ",".join(f"{n:x}:10" for n in range(2000))
+    headers = HTTPHeaders({"Prompt-Prefix": text})
+    parts = PlatformHeaderCodec().read_request(headers).shared_parts
+    assert len(parts) == MAX_SHARED_PARTS
