--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -1,8 +1,11 @@
 """Stand-in for an engine or plain service: entries, orders, reports, requests, faults.
 
 A request whose body contains the text of ``--crash-on`` ends the process as soon as it
-begins to run. A request whose body is that of ``--call-on`` calls the URL of
-``--call-url`` first, as a run that depends on another service does.
+begins to run. A request whose prompt contains one of ``--crash-parts``, separated by
+commas, ends it as ``--crash-at`` says: before the head of its answer (``start``), after
+it (``head``) or inside the first event (``event``). A request whose body is that of
+``--call-on`` calls the URL of ``--call-url`` first, as a run that depends on another
+service does.
 
 ``POST /control`` sets ``full`` (refuse with 503, not run), ``retry_after`` (value of
 ``Retry-After`` beside such a refusal), ``leaving`` (say so in all answers),
@@ -60,6 +63,7 @@
 STALL_POLL_S = 0.1
 LOAD_S = 0.2
 CRASH_STATUS = 70
+CRASH_DELAY_S = 0.02
 # An event that is broken off inside one of its fields.
 BREAK_TEXT = "id: {id}\nda"
 FLOOD_BLOCK_BYTES = 64 * 1024
@@ -364,8 +368,9 @@
         )
         crash_text = engine.arguments.crash_on.encode()
         if crash_text and crash_text in self.request.body:
-            engine.append_history(kind="crash", uri=self.request.uri)
-            os._exit(CRASH_STATUS)
+            self.crash()
+        if self.find_crash_part() and engine.arguments.crash_at == "start":
+            self.crash()
         call_text = engine.arguments.call_on.encode()
         if call_text and call_text in self.request.body:
             await self.call(engine.arguments.call_url)
@@ -448,6 +453,26 @@
         self.engine.append_history(kind="flood", n_bytes=n_bytes)
         stream.close()
 
+    def find_crash_part(self):
+        """Return the part of the prompt that ends this process, if there is one."""
+        entries = self.request.headers.get("Prompt-Prefix", "").split(",")
+        crash_parts = self.engine.arguments.crash_parts.split(",")
+        parts = [entry.partition(":")[0] for entry in entries]
+        return next((part for part in parts if part and part in crash_parts), None)
+
+    def crash(self):
+        part, uri = self.find_crash_part(), self.request.uri
+        self.engine.append_history(kind="crash", uri=uri, part=part)
+        os._exit(CRASH_STATUS)
+
+    async def crash_in_stream(self):
+        self.flush()
+        if self.engine.arguments.crash_at == "event":
+            await self.send(BREAK_TEXT.format(id=1))
+        # What was sent leaves before the process ends.
+        await asyncio.sleep(CRASH_DELAY_S)
+        self.crash()
+
     async def call(self, url):
         """Call another service through a gateway; its failure is ignored."""
         arguments = self.engine.arguments
@@ -468,6 +493,8 @@
         self.set_header("Content-Type", "text/event-stream")
         if engine.unframed:
             self.start_unframed()
+        if self.find_crash_part():
+            await self.crash_in_stream()
         for n_sent, event_id in enumerate(range(begin, n_events + 1)):
             if engine.close_after is not None and n_sent >= engine.close_after:
                 await self.break_off(engine.break_text.format(id=event_id))
@@ -548,8 +575,9 @@
         parser.add_argument(f"--{name}", required=True)
     parser.add_argument("--kind", default="")
     parser.add_argument("--advertise", default="")
-    for name in ("crash-on", "call-on", "call-url", "call-host"):
+    for name in ("crash-on", "crash-parts", "call-on", "call-url", "call-host"):
         parser.add_argument(f"--{name}", default="")
+    parser.add_argument("--crash-at", default="start")
     # Time until the first entry, as a list that lags shows it, in seconds.
     parser.add_argument("--renew-after-s", type=float, default=0.0)
     engine = Engine(parser.parse_args())
