Parts of prompts that crash engines are found and refused

Callers of one service saw all their streams break off and 503 for minutes: prompts with one bad part, no two of them alike, ended one engine after the other.

Cause: the quarantine identified what crashes engines by the whole request (organisation, method, path, body). With new bodies each crash was the first of its fingerprint.

Each shared part of a prompt now has a record of its own, of the same kind as that of a request, exchanged in the same way. The loss of an engine counts for the parts of each request whose answer had not gone on (two events, or its end); an answer that goes on clears all its parts. The decision weighs requests and parts together: the one that explains most losses comes first, and parts with recent answers count half. Parts that were together in all interrupted prompts are refused only together. A part is refused for the organisations that lost engines under it, and for all once there are two. A lost incarnation that was restarted unseen has one number for all fingerprints.

--- a/packages/cassiaspread-core/src/cassiaspread_core/quarantine/_record.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/quarantine/_record.py
@@ -1,6 +1,8 @@
 """Record of one fingerprint: the losses attributed to it and when it was cleared."""
 
 import hashlib
+from collections.abc import Iterable
+from enum import Enum
 from typing import Annotated, NewType
 
 import msgspec
@@ -10,17 +12,26 @@
     ModelId,
     OrganisationId,
     PositiveCount,
+    PromptPartId,
     ServiceId,
     TargetId,
 )
 
-# Common to all requests of one organisation with the same subject and body.
+# Common to all requests of one organisation with the same subject and body, or to all
+# requests whose prompts have one part in common.
 Fingerprint = NewType("Fingerprint", str)
 
 DIGEST_BYTES = 16
 # End of the year 9999; later times cannot be written as dates.
 MAX_UNIX_TIME_S = 253_402_300_799.0
 
+# Separates the incarnation of a lost target from the number of its unseen restarts.
+RESTART_SEPARATOR = "."
+PART_PERSON = b"prompt-part"
+# Number of organisations that a loss names: two are enough to tell that the losses do
+# not belong to one.
+MAX_ORGANISATIONS = 2
+
 # Tokens that an engine may have produced but not yet delivered to the daemon.
 MAX_UNDELIVERED_TOKENS = 4
 
@@ -53,6 +64,20 @@
     return Fingerprint(digest.hexdigest())
 
 
+def part_fingerprint(part: PromptPartId) -> Fingerprint:
+    """Return the fingerprint of all requests whose prompts contain a part.
+
+    :param part: name of the part.
+
+    >>> part_fingerprint("5c1e") == fingerprint_of("", "", b"5c1e")
+    False
+    """
+    digest = hashlib.blake2b(
+        part.encode(), digest_size=DIGEST_BYTES, person=PART_PERSON
+    )
+    return Fingerprint(digest.hexdigest())
+
+
 def call_content(method: str, path: str, body: bytes) -> bytes:
     """Return what a target receives of a plain call, as one string of bytes.
 
@@ -66,6 +91,21 @@
 _UnixTime = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_UNIX_TIME_S)]
 
 
+class SuspectKind(Enum):
+    """What the requests of a record have in common.
+
+    REQUEST: organisation, subject and body.
+    PROMPT_PART: one part of their prompts.
+    """
+
+    REQUEST = "request"
+    PROMPT_PART = "prompt-part"
+
+
+# Target and incarnation.
+LossKey = tuple[TargetId, str]
+
+
 class Loss(msgspec.Struct, frozen=True):
     """Loss of one incarnation of a target with a request in flight.
 
@@ -76,6 +116,10 @@
     :param refuted: whether the incarnation was observed alive afterwards.
     :param round: one more than the highest round among the losses of the fingerprint
         that were known when the lost run began.
+    :param organisations: organisations whose requests it interrupted, the first
+        ``MAX_ORGANISATIONS`` in alphabetical order; only for parts of prompts.
+    :param is_proven: whether answers to requests of the fingerprint had gone on shortly
+        before, as far as the observer knows; only for parts of prompts.
     """
 
     target: TargetId
@@ -84,12 +128,22 @@
     at_s: _UnixTime
     refuted: bool = False
     round: PositiveCount = 1
+    organisations: tuple[OrganisationId, ...] = ()
+    is_proven: bool = False
 
     @property
-    def key(self) -> tuple[TargetId, str]:
+    def key(self) -> LossKey:
         """Identity of the loss, independent of the observer."""
         return self.target, self.incarnation
 
+    @property
+    def listed_key(self) -> LossKey:
+        """Target and incarnation as in the list of targets.
+
+        A target that was restarted unseen is lost again under the same incarnation.
+        """
+        return self.target, self.incarnation.partition(RESTART_SEPARATOR)[0]
+
 
 class SuspectRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Losses attributed to one fingerprint; exchanged and merged by daemons.
@@ -100,6 +154,9 @@
     :param losses: lost targets, oldest first.
     :param cleared_s: time up to which losses no longer count, in seconds since the
         epoch: a request completed, or an operator released the fingerprint.
+    :param kind: what the requests have in common.
+    :param companions: other parts that were in all prompts that contained this one when
+        a target was lost under them; only for parts of prompts.
     """
 
     fingerprint: Fingerprint
@@ -107,6 +164,8 @@
     subject: str
     losses: tuple[Loss, ...] = ()
     cleared_s: _UnixTime = 0.0
+    kind: SuspectKind = SuspectKind.REQUEST
+    companions: tuple[Fingerprint, ...] = ()
 
     @property
     def counted(self) -> tuple[Loss, ...]:
@@ -127,6 +186,16 @@
         """Number of different rounds among the losses that count."""
         return len({loss.round for loss in self.counted})
 
+    @property
+    def is_proven(self) -> bool:
+        """Whether answers had gone on shortly before a loss that counts."""
+        return any(loss.is_proven for loss in self.counted)
+
+    @property
+    def organisations(self) -> frozenset[OrganisationId]:
+        """Organisations whose requests were interrupted by the losses that count."""
+        return frozenset(o for loss in self.counted for o in loss.organisations)
+
     @property
     def is_suspect(self) -> bool:
         """Whether any loss counts against the fingerprint."""
@@ -177,6 +246,7 @@
         left,
         losses=tuple(sorted(losses.values(), key=lambda loss: (loss.at_s, loss.key))),
         cleared_s=max(left.cleared_s, right.cleared_s),
+        companions=tuple(sorted({*left.companions} & {*right.companions})),
     )
 
 
@@ -188,4 +258,19 @@
         min(left.at_s, right.at_s),
         left.refuted or right.refuted,
         min(left.round, right.round),
+        first_organisations((*left.organisations, *right.organisations)),
+        left.is_proven or right.is_proven,
     )
+
+
+def first_organisations(
+    organisations: Iterable[OrganisationId],
+) -> tuple[OrganisationId, ...]:
+    """Return the organisations that a loss names.
+
+    :param organisations: all organisations.
+
+    >>> first_organisations(["osorno", "cautin", "cautin", "valdivia"])
+    ('cautin', 'osorno')
+    """
+    return tuple(sorted(set(organisations))[:MAX_ORGANISATIONS])
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -129,6 +129,7 @@
             lambda engine: self._dispatcher.is_domain_unreachable(engine, now()),
             self._supervisor.add_child("probes"),
             log,
+            random_state.random(),
         )
         self._ledger = LoadLedger()
         self._daemon_peak = PeakCount(COUNTED_DAEMONS_S)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_job.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_job.py
@@ -8,7 +8,7 @@
 
 from cassiaspread_core.base import OrganisationId, Outcome, Refusal
 from cassiaspread_core.chains import RequestDemand
-from cassiaspread_core.quarantine import Fingerprint
+from cassiaspread_core.quarantine import Fingerprint, RequestTraits
 from cassiaspread_core.routing import Route, Service
 from cassiaspread_daemon._problem import PROBLEM_CONTENT_TYPE, to_problem
 from cassiaspread_daemon.gateway._frontend import InboundRequest
@@ -46,6 +46,7 @@
     :param priority: rank, 0 first.
     :param fingerprint: common to all requests of one organisation with the same method,
         path and body.
+    :param part_fingerprints: those of the shared parts of its prompt, in their order.
     """
 
     inbound: InboundRequest
@@ -58,6 +59,17 @@
     organisation: OrganisationId | None
     priority: int
     fingerprint: Fingerprint
+    part_fingerprints: tuple[Fingerprint, ...] = ()
+
+    @property
+    def traits(self) -> RequestTraits:
+        """What it has in common with other requests."""
+        return RequestTraits(
+            self.fingerprint,
+            self.organisation or NO_ORGANISATION,
+            self.service.name,
+            self.part_fingerprints,
+        )
 
     def remaining_s(self, now_s: float) -> float:
         """Return the time left in seconds.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -5,10 +5,12 @@
 import msgspec
 
 from cassiaspread_core.base import Refusal, TargetId
+from cassiaspread_core.quarantine import RunStart
 from cassiaspread_core.targets import TargetHealth
 from cassiaspread_daemon._exchange import (
     ConnectFailed,
     ConnectionSpoiled,
+    Delimiter,
     ExchangeBroken,
     Response,
 )
@@ -31,7 +33,7 @@
     ForwardParameters,
     HeaderCodec,
 )
-from cassiaspread_daemon.gateway._quarantine import Quarantine, RunStart
+from cassiaspread_daemon.gateway._quarantine import Quarantine
 
 # A target in the same region accepts a connection within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.25
@@ -333,6 +335,8 @@
         self._notices.record(head, answer.notice, now())
         if not answer.is_signed and not answer.is_not_run and status < 400:
             raise ExchangeBroken(f"answer {status} without a signature")
+        if status < 400 and exchange.delimiter is not Delimiter.CLOSE:
+            self._quarantine.record_progress(job, unix_time_s())
         return Answer(response, answer)
 
     def _record_silence(
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_quarantine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_quarantine.py
@@ -1,8 +1,8 @@
 """Quarantine of requests that crash the targets that run them.
 
-Each target that ends under a request is recorded under the request's fingerprint. A
-fingerprint under which targets ended again and again is refused by all daemons; see
-``cassiaspread_core.quarantine.find_crashing`` for the rule.
+Each target that ends under a request is recorded under the request's fingerprint, and
+under the shared parts of its prompt if its answer had not gone on. All daemons refuse
+what targets ended under again and again; ``cassiaspread_core.quarantine`` decides.
 """
 
 import asyncio
@@ -15,18 +15,16 @@
 from cassiaspread_core.base import Outcome, Refusal, TargetId
 from cassiaspread_core.placement import Engine
 from cassiaspread_core.quarantine import (
-    N_ROUNDS,
+    CrashJudge,
     Fingerprint,
-    Loss,
+    RunStart,
+    SuspectKind,
     SuspectRecord,
-    SuspectTable,
-    find_crashing,
     is_expired,
 )
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._job import (
-    NO_ORGANISATION,
     Job,
     now,
     unix_time_s,
@@ -39,8 +37,11 @@
 # Time for which a cleared record is kept, so that peers learn of it, in seconds.
 CLEARED_LIFETIME_S = 60.0
 EXPIRY_INTERVAL_S = 5.0
-# About 300 KB; an engine that ends leaves one record for each of its requests.
+# About 600 KB; an engine that ends leaves one record for each of its requests, and one
+# for each part of the prompts of those whose answers had not gone on.
 MAX_RECORDS = 2000
+# Number of lost targets that a log line names.
+MAX_TARGETS_LOGGED = 8
 # A retry waits for the probe of the lost target for this long, in seconds; longer than
 # a connection within a region takes.
 PROBE_WAIT_S = 0.02
@@ -63,17 +64,6 @@
     STORE = "store"
 
 
-class RunStart(msgspec.Struct, frozen=True):
-    """What was known of a request's fingerprint when one of its runs began.
-
-    :param round: round of the losses of the run.
-    :param known: losses recorded so far, refuted and cleared ones included.
-    """
-
-    round: int
-    known: frozenset[tuple[TargetId, str]]
-
-
 class _Renewals(msgspec.Struct):
     """Renewals of a lost target's entry.
 
@@ -95,6 +85,8 @@
         off, so that its silence is no evidence of its end.
     :param supervisor: runs probes.
     :param log: receives a line for each loss, each verdict and each refusal.
+    :param spread: number from 0 to 1, different for each daemon, that delays its trials
+        of what is refused.
     """
 
     def __init__(
@@ -102,16 +94,15 @@
         is_unreachable: Callable[[Engine], bool],
         supervisor: Supervisor,
         log: DecisionLog,
+        spread: float = 0.0,
     ) -> None:
         self._is_unreachable = is_unreachable
         self._supervisor = supervisor
         self._log = log
         self._probe = LossProbe()
-        self._table = SuspectTable(MAX_RECORDS)
-        self._crashing: frozenset[Fingerprint] = frozenset()
-        # Fingerprints with enough rounds to be refused; without any, no verdict can
-        # change.
-        self._candidates: set[Fingerprint] = set()
+        self._judge = CrashJudge(MAX_RECORDS, spread)
+        # Verdicts that callbacks and log have.
+        self._reported: frozenset[Fingerprint] = frozenset()
         self._renewals: dict[tuple[TargetId, str], _Renewals] = {}
         self.change_callbacks: list[ChangeCallback] = []
         self.expiry_callbacks: list[Callable[[Fingerprint], None]] = []
@@ -120,42 +111,37 @@
     @property
     def n_suspects(self) -> int:
         """Records held, cleared ones included."""
-        return len(self._table)
+        return len(self._judge.table)
 
     @property
     def n_crashing(self) -> int:
         """Fingerprints that are refused."""
-        return len(self._crashing)
+        return len(self._judge.crashing)
 
     def records(self) -> list[SuspectRecord]:
         """List all records."""
-        return self._table.suspects()
+        return self._judge.table.suspects()
 
     def find(self, fingerprint: Fingerprint) -> SuspectRecord | None:
         """Return the record of a fingerprint, if there is one.
 
         :param fingerprint: the fingerprint.
         """
-        return self._table.find(fingerprint)
+        return self._judge.table.find(fingerprint)
 
     def begin_run(self, job: Job) -> RunStart:
         """Return what is known of a request as it is sent to a target.
 
         :param job: the request.
         """
-        record = self._table.find(job.fingerprint)
-        losses = () if record is None else record.losses
-        return RunStart(
-            self._table.next_round(job.fingerprint),
-            frozenset(loss.key for loss in losses),
-        )
+        return self._judge.begin_run(job.traits)
 
     def is_refused(self, job: Job) -> bool:
-        """Return whether requests with a fingerprint crash their targets.
+        """Return whether requests like one crash their targets.
 
-        :param job: a request with the fingerprint.
+        :param job: the request.
         """
-        return job.fingerprint in self._crashing
+        return self._judge.find_refusal(job.traits) is not None
 
     def check(self, job: Job, has_run: bool, now_s: float) -> None:
         """Check that a request may be sent to a target.
@@ -163,27 +149,43 @@
         :param job: the request.
         :param has_run: whether an earlier attempt of it may have run.
         :param now_s: current time, in seconds since the epoch.
-        :raises Refusal: requests with its fingerprint crash their targets.
+        :raises Refusal: requests like it crash their targets.
         """
-        if not self.is_refused(job):
+        record = self._judge.find_refusal(job.traits)
+        if record is None:
             return
-        record = self._table.find(job.fingerprint)
-        assert record is not None
-        retry_after_s = max(1.0, record.last_s + QUARANTINE_S - now_s)
+        line = {"request": job.parameters.request_id, **_describe(record, now_s)}
+        is_part = record.kind is SuspectKind.PROMPT_PART
+        if is_part:
+            index = job.part_fingerprints.index(record.fingerprint)
+            line["part"] = job.parameters.shared_parts[index]
+        if self._judge.may_try(record, job.parameters.request_id, now_s):
+            self._log.record("request.tried", **line)
+            return
+        if is_part:
+            end_s = self._judge.next_trial_s(record)
+            what = "requests with one part of this prompt"
+        else:
+            end_s, what = record.last_s + QUARANTINE_S, "this request"
+        retry_after_s = max(1.0, end_s - now_s)
         self._log.record(
             "request.quarantined",
-            request=job.parameters.request_id,
             has_run=has_run,
             retry_after_s=round(retry_after_s),
-            **_describe(record, now_s),
+            **line,
         )
-        detail = f"{len(record.counted)} targets ended while they ran this request."
+        detail = f"{len(record.counted)} targets ended while they ran {what}."
         if has_run:
             raise Refusal(502, "quarantined", detail, Outcome.UNKNOWN)
         raise Refusal(503, "quarantined", detail, retry_after_s=retry_after_s)
 
     async def record_interruption(
-        self, job: Job, engines: Sequence[Engine], run: RunStart, position: int = 0
+        self,
+        job: Job,
+        engines: Sequence[Engine],
+        run: RunStart,
+        position: int = 0,
+        has_gone_on: bool = False,
     ) -> None:
         """Record the targets that ended under a request.
 
@@ -194,6 +196,7 @@
         :param engines: targets that may have ended.
         :param run: start of the interrupted run.
         :param position: events of the answer that had arrived.
+        :param has_gone_on: whether the run's answer had gone on after its beginning.
         """
         is_probed = asyncio.Event()
 
@@ -206,7 +209,9 @@
                 is_probed.set()
             for engine, is_lost in zip(engines, results, strict=True):
                 if is_lost:
-                    self._record_loss(job, engine, run, position)
+                    self._record_loss(
+                        job, engine, run, position, has_gone_on, unix_time_s()
+                    )
 
         self._supervisor.start_once(f"probe-{job.parameters.request_id}-{now()}", probe)
         with suppress(TimeoutError):
@@ -220,15 +225,20 @@
         :param job: the request.
         :param now_s: current time, in seconds since the epoch.
         """
-        record = self._table.clear(job.fingerprint, now_s)
+        record = self._judge.record_answer(job.fingerprint, now_s)
         if record is not None:
-            self._log.record(
-                "suspect.cleared",
-                request=job.parameters.request_id,
-                fingerprint=record.fingerprint,
-                n_losses=len(record.losses),
-            )
-            self._handle_change(record, Source.OWN, now_s)
+            self._record_cleared(job, record, now_s)
+
+    def record_progress(self, job: Job, now_s: float) -> None:
+        """Record that an answer went on after its beginning, or ended.
+
+        A target that crashes on a part of the prompt does so as it begins to answer.
+
+        :param job: the request.
+        :param now_s: current time, in seconds since the epoch.
+        """
+        for record in self._judge.record_progress(job.traits, now_s):
+            self._record_cleared(job, record, now_s)
 
     def record_renewal(self, engine: Engine, read_s: float, now_s: float) -> None:
         """Record that a target renewed its entry in the list of targets.
@@ -247,7 +257,7 @@
             return
         del self._renewals[key]
         self._log.record("target.alive", target=engine.target, incarnation=key[1])
-        for record in self._table.refute([key]):
+        for record in self._judge.refute(*key):
             self._handle_change(record, Source.OWN, now_s)
 
     def merge(self, record: SuspectRecord, source: Source, now_s: float) -> None:
@@ -257,9 +267,9 @@
         :param source: where it came from.
         :param now_s: current time, in seconds since the epoch.
         """
-        if is_record_expired(record, now_s) or not self._table.merge(record):
+        if is_record_expired(record, now_s):
             return
-        merged = self._table.find(record.fingerprint)
+        merged = self._judge.merge(record)
         if merged is not None:
             self._handle_change(merged, source, now_s)
 
@@ -274,13 +284,12 @@
 
         :param now_s: current time, in seconds since the epoch.
         """
-        expired = self._table.expire(now_s, QUARANTINE_S, CLEARED_LIFETIME_S)
+        expired = self._judge.expire(now_s, QUARANTINE_S, CLEARED_LIFETIME_S)
         for record in expired:
             for callback in self.expiry_callbacks:
                 callback(record.fingerprint)
-        if expired:
-            self._judge(Source.OWN, now_s)
-        counted = {loss.key for r in self._table.suspects() for loss in r.counted}
+        self._report_verdicts(Source.OWN, now_s)
+        counted = {loss.listed_key for r in self.records() for loss in r.counted}
         self._renewals = {k: r for k, r in self._renewals.items() if k in counted}
 
     async def _is_lost(self, engine: Engine) -> bool:
@@ -290,33 +299,45 @@
         return result is ProbeResult.REFUSED
 
     def _record_loss(
-        self, job: Job, engine: Engine, run: RunStart, position: int
+        self,
+        job: Job,
+        engine: Engine,
+        run: RunStart,
+        position: int,
+        has_gone_on: bool,
+        now_s: float,
     ) -> None:
-        now_s = unix_time_s()
-        incarnation = str(engine.incarnation)
-        if (engine.target, incarnation) in run.known:
-            # It ended before and ran the request since, so it has been restarted. The
-            # list of targets may not show that yet.
-            incarnation = f"{incarnation}.{len(run.known)}"
-        loss = Loss(engine.target, incarnation, position, now_s, round=run.round)
-        record = SuspectRecord(
-            fingerprint=job.fingerprint,
-            organisation=job.organisation or NO_ORGANISATION,
-            subject=job.service.name,
-            losses=(loss,),
+        changed = self._judge.record_loss(
+            job.traits,
+            engine.target,
+            str(engine.incarnation),
+            run,
+            now_s,
+            position,
+            has_gone_on,
         )
-        if not self._table.merge(record):
-            return
-        record = self._table.find(job.fingerprint) or record
+        for record in changed:
+            if record.kind is SuspectKind.REQUEST:
+                self._log.record(
+                    "target.lost",
+                    request=job.parameters.request_id,
+                    target=engine.target,
+                    incarnation=str(engine.incarnation),
+                    round=run.round,
+                    position=position,
+                    has_gone_on=has_gone_on,
+                    shared_parts=job.parameters.shared_parts,
+                    **_describe(record, now_s),
+                )
+            self._handle_change(record, Source.OWN, now_s)
+
+    def _record_cleared(self, job: Job, record: SuspectRecord, now_s: float) -> None:
         self._log.record(
-            "target.lost",
+            "suspect.cleared",
             request=job.parameters.request_id,
-            target=engine.target,
-            incarnation=loss.incarnation,
-            round=run.round,
-            position=position,
-            shared_parts=job.parameters.shared_parts,
-            **_describe(record, now_s),
+            fingerprint=record.fingerprint,
+            kind=record.kind.value,
+            n_losses=len(record.losses),
         )
         self._handle_change(record, Source.OWN, now_s)
 
@@ -324,38 +345,31 @@
         self, record: SuspectRecord, source: Source, now_s: float
     ) -> None:
         for loss in record.counted:
-            self._renewals.setdefault(loss.key, _Renewals())
-        if record.n_rounds >= N_ROUNDS:
-            self._candidates.add(record.fingerprint)
+            self._renewals.setdefault(loss.listed_key, _Renewals())
         for callback in self.change_callbacks:
             callback(record, source)
-        self._judge(source, now_s)
+        self._report_verdicts(source, now_s)
 
-    def _judge(self, source: Source, now_s: float) -> None:
-        if not self._candidates:
+    def _report_verdicts(self, source: Source, now_s: float) -> None:
+        before, self._reported = self._reported, self._judge.crashing
+        if self._reported == before:
             return
-        before, self._crashing = self._crashing, find_crashing(self._table.suspects())
-        self._candidates = {
-            fingerprint
-            for fingerprint in self._candidates
-            if (record := self._table.find(fingerprint)) is not None
-            and record.n_rounds >= N_ROUNDS
-        }
-        for fingerprint in self._crashing - before:
-            record = self._table.find(fingerprint)
+        for fingerprint in self._reported - before:
+            record = self.find(fingerprint)
             if record is not None:
                 self._log.record(
                     "quarantine.imposed",
                     source=source.value,
+                    organisations=sorted(record.organisations),
+                    companions=record.companions,
                     **_describe(record, now_s),
                 )
-        for fingerprint in before - self._crashing:
+        for fingerprint in before - self._reported:
             self._log.record(
                 "quarantine.lifted", source=source.value, fingerprint=fingerprint
             )
-        if self._crashing != before:
-            for callback in self.verdict_callbacks:
-                callback()
+        for callback in self.verdict_callbacks:
+            callback()
 
 
 def is_record_expired(record: SuspectRecord, now_s: float) -> bool:
@@ -371,7 +385,9 @@
     """Return the fields of a log line that a decision on a record is based on."""
     return {
         "fingerprint": record.fingerprint,
-        "targets": [loss.target for loss in record.counted],
+        "kind": record.kind.value,
+        "targets": [loss.target for loss in record.counted[-MAX_TARGETS_LOGGED:]],
+        "n_losses": len(record.counted),
         "n_rounds": record.n_rounds,
         "last_loss_age_s": round(now_s - record.last_s, 1),
     }
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_relay.py
@@ -45,6 +45,8 @@
 MIN_TIME_WITHOUT_EVENTS_S = 1.0
 # A search that finds room at once takes no longer than this, in seconds.
 SEARCH_AT_ONCE_S = 0.01
+# An engine that crashes as it begins to answer may send the first event.
+MIN_EVENTS_IN_PROGRESS = 2
 # A stream has one event for one or more tokens, and a few that hold none.
 MAX_EVENTS_WITHOUT_TOKENS = 16
 
@@ -148,6 +150,8 @@
     :param timeout: ends the attempt; it is extended once the answer has begun.
     :param may_move: returns whether the stream may be sent to another chain.
     :param begin_second: sends the stream to a second chain, because of an engine.
+    :param record_progress: called once the answer has gone on after its beginning, or
+        has ended.
     """
 
     def __init__(
@@ -161,6 +165,7 @@
         timeout: asyncio.Timeout,
         may_move: Callable[[], bool],
         begin_second: Callable[[Assignment, SilentEngine], None],
+        record_progress: Callable[[], None],
     ) -> None:
         self._tools = tools
         self._stream = stream
@@ -171,6 +176,8 @@
         self._timeout = timeout
         self._may_move = may_move
         self._begin_second = begin_second
+        self._report_progress = record_progress
+        self._has_progressed = False
         self._events = stream.events.fork()
         self._n_events_before = self._events.n_events
         self._is_resumed = self._events.has_begun
@@ -235,6 +242,8 @@
                 n_done = self._events.n_open_bytes + len(received)
                 complete = self._events.feed(received)
                 n_done -= self._events.n_open_bytes
+                if self._n_events >= MIN_EVENTS_IN_PROGRESS:
+                    self._record_progress()
                 if complete:
                     await self._take_turn()
                     self._start_answer()
@@ -258,6 +267,11 @@
         finally:
             finishing.cancel()
 
+    def _record_progress(self) -> None:
+        if not self._has_progressed:
+            self._has_progressed = True
+            self._report_progress()
+
     async def _take_turn(self) -> None:
         """Wait for the permission to write, and end a second start."""
         await self._turn.take()
@@ -496,6 +510,9 @@
         if self._is_resumed and next_id is not None and next_id == events.next_id:
             # The engine before did not end the stream, so it was probably not over.
             raise MisplacedEvents(next_id, None)
+        if delimiter is not Delimiter.CLOSE:
+            # Without a delimiter the engine may also have ended.
+            self._record_progress()
         await self._take_turn()
         self._start_answer()
         if events.remainder:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -11,7 +11,12 @@
     ServiceId,
 )
 from cassiaspread_core.chains import RequestDemand
-from cassiaspread_core.quarantine import Fingerprint, call_content, fingerprint_of
+from cassiaspread_core.quarantine import (
+    Fingerprint,
+    call_content,
+    fingerprint_of,
+    part_fingerprint,
+)
 from cassiaspread_core.routing import (
     Organisation,
     RequestKind,
@@ -185,6 +190,7 @@
             organisation=organisation_id,
             priority=min(LOWEST_PRIORITY, priority),
             fingerprint=_fingerprint_of(inbound, organisation_id),
+            part_fingerprints=tuple(map(part_fingerprint, parameters.shared_parts)),
         )
 
     def _check_end(self, job: Job, now_s: float) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -8,6 +8,7 @@
 
 from cassiaspread_core.base import Refusal, TargetId
 from cassiaspread_core.placement import Engine
+from cassiaspread_core.quarantine import RunStart
 from cassiaspread_core.targets import TargetHealth
 from cassiaspread_daemon._events import MisplacedEvents
 from cassiaspread_daemon._exchange import (
@@ -63,6 +64,18 @@
 MAX_FAILED_ANSWER_S = 0.25
 
 
+class _Run:
+    """One attempt, as far as the quarantine needs to know.
+
+    :param start: what was known as it began.
+    """
+
+    def __init__(self, start: RunStart) -> None:
+        self.start = start
+        # Whether its answer has gone on after its beginning.
+        self.has_gone_on = False
+
+
 class StreamForwarder:
     """Sends streaming requests to chains of engines and relays the events.
 
@@ -236,11 +249,10 @@
     async def _attempt(
         self, stream: StreamState, assignment: Assignment, turn: Turn
     ) -> AttemptResult:
-        run = self._quarantine.begin_run(stream.job)
-        n_events_before = stream.events.n_events
+        run = _Run(self._quarantine.begin_run(stream.job))
         stream.avoided.add(assignment.head.target)
         try:
-            return await self._relay(stream, assignment, turn)
+            return await self._relay(stream, assignment, turn, run)
         except ConnectFailed as error:
             self._dispatcher.record_unreachable(assignment.head, now())
             self._dispatcher.record_rejection(assignment.head.target, now())
@@ -258,13 +270,14 @@
             return AttemptResult.FAILED
         except ExchangeBroken as error:
             self._record_head_failure(assignment, error)
-            n_own_events = stream.events.n_events - n_events_before
-            self._record_broken(
-                stream, assignment, str(error), is_sent=True, n_own_events=n_own_events
-            )
+            self._record_broken(stream, assignment, str(error), is_sent=True)
             engines = _possibly_lost(assignment, error)
             await self._quarantine.record_interruption(
-                stream.job, engines, run, stream.events.n_events
+                stream.job,
+                engines,
+                run.start,
+                stream.events.n_events,
+                run.has_gone_on,
             )
             return AttemptResult.BROKEN
         except TimeoutError:
@@ -273,6 +286,10 @@
         finally:
             self._dispatcher.release(assignment)
 
+    def _record_progress(self, stream: StreamState, run: "_Run") -> None:
+        run.has_gone_on = True
+        self._quarantine.record_progress(stream.job, unix_time_s())
+
     def _record_misplaced(
         self, stream: StreamState, assignment: Assignment, error: MisplacedEvents
     ) -> None:
@@ -300,7 +317,7 @@
             self._health.record_failure(head, now())
 
     async def _relay(
-        self, stream: StreamState, assignment: Assignment, turn: Turn
+        self, stream: StreamState, assignment: Assignment, turn: Turn, run: "_Run"
     ) -> AttemptResult:
         job, head = stream.job, assignment.head
         parameters = ForwardParameters(
@@ -342,6 +359,7 @@
                     # A second start waits for its engine as long as the first does.
                     lambda: turn.is_granted and self._may_move(stream),
                     lambda found, silent: self._begin_second(stream, found, silent),
+                    lambda: self._record_progress(stream, run),
                 )
                 answer = await relay.send(headers)
                 self._notices.record(head, answer.notice, now())
@@ -444,7 +462,6 @@
         assignment: Assignment,
         reason: str,
         is_sent: bool,
-        n_own_events: int = 0,
     ) -> None:
         stream.failure_reason = reason
         self._log.record(
@@ -455,7 +472,6 @@
             reason=reason,
             is_sent=is_sent,
             n_events=stream.events.n_events,
-            n_own_events=n_own_events,
             shared_parts=stream.job.parameters.shared_parts,
         )
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_suspect_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_suspect_sharing.py
@@ -14,7 +14,11 @@
 from typing import Any
 
 from cassiaspread_core.base import LogUnavailable
-from cassiaspread_core.quarantine import Fingerprint, SuspectRecord
+from cassiaspread_core.quarantine import (
+    Fingerprint,
+    SuspectKind,
+    SuspectRecord,
+)
 from cassiaspread_core.routing import StateAge
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
@@ -41,6 +45,9 @@
 # Each engine that ends leaves records with one round, most of which are cleared by the
 # next attempt; they go with the gossip of every second.
 MIN_SHARED_ROUNDS = 2
+# A part of a prompt is kept in the store from the first round on, since each daemon may
+# see it only once. Most are cleared within this time, in seconds.
+PART_DELAY_S = 1.0
 # Delay before a record of another daemon is written, in seconds; by then that daemon
 # has written it if it can.
 OTHERS_DELAY_S = (1.0, 2.5)
@@ -135,11 +142,15 @@
         delay_s = 0.0
         if source is not Source.OWN:
             delay_s = self._random_state.uniform(*OTHERS_DELAY_S)
+        elif _is_part(record) and record.n_rounds < MIN_SHARED_ROUNDS:
+            delay_s = PART_DELAY_S
         self._due_s.setdefault(record.fingerprint, now() + delay_s)
 
     def _publish(self, record: SuspectRecord, source: Source, mesh: Mesh) -> None:
         n_rounds = len({loss.round for loss in record.losses})
-        if n_rounds < MIN_SHARED_ROUNDS and not record.is_suspect:
+        # Peers that share a part with others must know that it is cleared.
+        is_cleared = not record.is_suspect and not _is_part(record)
+        if n_rounds < MIN_SHARED_ROUNDS and is_cleared:
             self._peers_topic.discard(record.fingerprint)
         elif n_rounds >= MIN_SHARED_ROUNDS or source is Source.OWN:
             # Peers do not pass on the many records with one round.
@@ -199,7 +210,7 @@
             return None if is_kept else SuspectChange(fingerprint, None)
         if record == stored:
             return None
-        if stored is None and record.n_rounds < MIN_SHARED_ROUNDS:
+        if stored is None and not _is_stored(record):
             return None
         return SuspectChange(fingerprint, record)
 
@@ -224,3 +235,14 @@
                 self._stored.pop(change.fingerprint, None)
             else:
                 self._stored[change.fingerprint] = change.record
+
+
+def _is_part(record: SuspectRecord) -> bool:
+    return record.kind is SuspectKind.PROMPT_PART
+
+
+def _is_stored(record: SuspectRecord) -> bool:
+    """Return whether a record that the store does not hold is written to it."""
+    if _is_part(record):
+        return record.is_suspect
+    return record.n_rounds >= MIN_SHARED_ROUNDS
--- a/packages/cassiaspread-daemon/tests/test_gateway_quarantine.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_quarantine.py
@@ -11,7 +11,7 @@
 
 from cassiaspread_core.base import LogUnavailable, Refusal
 from cassiaspread_core.placement import Engine
-from cassiaspread_core.quarantine import Loss, SuspectRecord
+from cassiaspread_core.quarantine import Loss, RunStart, SuspectRecord
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.gateway import DecisionLog, FeedPage, SuspectChange
 from cassiaspread_daemon.gateway import _quarantine as quarantine_module
@@ -26,13 +26,12 @@
     N_RENEWALS_ALIVE,
     QUARANTINE_S,
     Quarantine,
-    RunStart,
     Source,
 )
 from cassiaspread_daemon.gateway._suspect_sharing import SuspectSharing
 from tests.gateway_jobs import make_job
 
-FIRST_RUN = RunStart(1, frozenset())
+FIRST_RUN = RunStart(1, 0)
 
 LOSS_TIMEOUT_S = 5.0
 
--- a/packages/cassiaspread-daemon/tests/test_relay.py
+++ b/packages/cassiaspread-daemon/tests/test_relay.py
@@ -72,6 +72,7 @@
                     timeout,
                     lambda: False,
                     lambda *_: None,
+                    lambda: None,
                 )
                 return await relay.send({})
         finally:
@@ -147,6 +148,7 @@
                 timeout,
                 lambda: False,
                 lambda *_: None,
+                lambda: None,
             )
             buffer.put(b"id: 1\ndata: x\n\n")
             await relay.relay_events()
