--- a/tests/standins/_server.py
+++ b/tests/standins/_server.py
@@ -1,7 +1,8 @@
 """Flags, history file and HTTP server that the stand-ins share.
 
 ``POST /control`` sets ``second``, bytes that follow each answer on its connection, at
-once and again after ``SECOND_AFTER_S``.
+once and again after ``SECOND_AFTER_S``, and ``cut_head``, bytes after which services
+and streams of engines close the connection instead of answering.
 """
 
 import argparse
@@ -51,6 +52,16 @@
     def body(self) -> dict:
         return json.loads(self.request.body)
 
+    def cut(self) -> bool:
+        """Break off the answer inside its head; return whether that was asked for."""
+        text = getattr(self.standin, "cut_head", None)
+        if not text:
+            return False
+        stream = self.detach()
+        stream.write(text.encode())
+        stream.close()
+        return True
+
     def reply(self, value: object, status: int = 200) -> None:
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -182,6 +182,8 @@
         await self.send(run, attempt, order["start"])
 
     async def send(self, run: HeadRun, attempt: int, position: int) -> None:
+        if self.cut():
+            return
         self.set_header("Content-Type", "text/event-stream")
         run.n_readers += 1
         try:
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -45,7 +45,8 @@
         if service.lose_answers:
             self.request.connection.stream.close()
             return
-        self.reply({"confirmation": confirmation, "path": path, "key": key})
+        if not self.cut():
+            self.reply({"confirmation": confirmation, "path": path, "key": key})
 
     get = post = put = patch = delete = run
 
--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -17,6 +17,7 @@
 ``status`` (of answers, which have no body then), ``needs_id`` (a request without an
 identifier is refused with 400), ``omit_id`` (answers do not name their request),
 ``spoils`` (answers that are no stream are bytes without a head),
+``cut_head`` (bytes after which the connection closes instead of an answer),
 ``unframed`` (answers have neither a length nor chunks and end with the connection),
 ``close_after`` (number of events after which a stream is broken off; other answers
 after their first half), ``lie`` (how reports lie: ``errors``, ``hang``, ``reset``, or
@@ -107,6 +108,7 @@
         self.mute_body = False
         self.break_text, self.break_how = BREAK_TEXT, "close"
         self.break_after_s = 0.0
+        self.cut_head = None
         self.unframed = self.spoils = self.needs_id = False
         self.status = None
         self.flood = None
@@ -384,6 +386,14 @@
             await self.send_without_end()
         elif engine.continuation is not None and "Last-Event-Id" in headers:
             await self.send_raw(engine.continuation)
+        elif engine.cut_head is not None:
+            self._auto_finish = False
+            stream = self.request.connection.stream
+            head = engine.cut_head.replace("{id}", headers.get("Attempt-Id", ""))
+            await stream.write(head.encode())
+            if engine.break_how == "reset":
+                reset(stream)
+            stream.close()
         elif engine.spoils:
             self._auto_finish = False
             text = SECOND_BODY + "\r\n\r\n"
