The soak sends prompts with a bad part

Four engines of a service of their own end under one part, no two prompts with it alike; sound prompts share their other parts. Checked: few runs later than 3 s after the fifth end, and no more than half of the sound prompts refused from 6 s after it on.

--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -65,6 +65,17 @@
 RESPAWN_S = 1.0
 CONTROL_TIMEOUT_S = 0.2
 N_CRASHES, LEARN_S, N_LATE_RUNS = 3, 3.0, 3
+# Prompts that contain this part end the engines of a service of their own, no two of
+# them alike; sound ones share their organisation and their other parts. From the fifth
+# end on, and after LEARN_S, few of them may run; from twice that time on, sound ones
+# must not be refused for what crashes engines.
+BAD_PART = "bad"
+PART_SERVICE = "part-pool"
+PART_ENGINES = tuple(f"{zone}-part-{n}" for zone in DOMAINS for n in range(2))
+PART_KINDS = ("part", "bad-part")
+SHARED_PARTS = ("51", "52", "53")
+N_PART_CRASHES, N_PART_EVENTS = 5, 8
+MAX_QUARANTINED_RATIO, MIN_PART_CALLS = 0.5, 10
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 GATEWAYS = tuple(f"gateway-{zone}-{n}" for zone in DOMAINS for n in range(2))
 ENGINES = {
@@ -177,6 +188,8 @@
     is_complete: bool = msgspec.field(default=False, name="is_whole")
     body: bytes = b""
     error: str = ""
+    # Shared parts of its prompt.
+    parts: list[str] = []
 
 
 def draw_schedule(seed, length_s):
@@ -313,6 +326,11 @@
         for name in CRASH_ENGINES:
             zone = name.split("-")[0]
             deployment.add_engine(name, CRASH_SERVICE, zone, crash_on=CRASH_TEXT)
+        for name in PART_ENGINES:
+            zone = name.split("-")[0]
+            deployment.add_engine(
+                name, PART_SERVICE, zone, "large", crash_parts=BAD_PART
+            )
         for name in SIDE_ENGINES:
             deployment.add_engine(name, SIDE_SERVICE, name.split("-")[0])
         upstream = f"127.0.0.1:{deployment.store_port}"
@@ -338,7 +356,8 @@
         ]
         base = configuration(self.version)
         crash_route = route("crash", "/crash/", "idempotent", CRASH_SERVICE)
-        routes = [*base["routes"], crash_route]
+        part_route = route("part", "/part/", "streaming", PART_SERVICE, resumable=True)
+        routes = [*base["routes"], crash_route, part_route]
         has_route = "settings-route" not in self.changed
         if has_route:
             routes.append(ONCE_ROUTE)
@@ -352,7 +371,12 @@
                 fields | ({"backends": backends} if fields["name"] == "stock" else {})
                 for fields in routes
             ]
-        added = [{"name": CRASH_SERVICE}, {"name": SIDE_SERVICE}]
+        engine = base["services"][0]["engine"]
+        added = [
+            {"name": CRASH_SERVICE},
+            {"name": SIDE_SERVICE},
+            {"name": PART_SERVICE, "engine": engine},
+        ]
         idle_s = LONG_IDLE_S if IDLE_SETTING in self.changed else SHORT_IDLE_S
         sent_s = time.time()
         self.deployment.publish_configuration(
@@ -377,8 +401,8 @@
 
     def run(self):
         with (
-            ThreadPoolExecutor(N_CALLERS + N_PATIENT_CALLERS + 1) as pool,
-            Respawner(self.deployment, CRASH_ENGINES, RESPAWN_S),
+            ThreadPoolExecutor(N_CALLERS + N_PATIENT_CALLERS + 4) as pool,
+            Respawner(self.deployment, CRASH_ENGINES + PART_ENGINES, RESPAWN_S),
         ):
             callers = [pool.submit(self.run_caller, n) for n in range(N_CALLERS)]
             callers += [
@@ -386,6 +410,7 @@
                 for n in range(N_PATIENT_CALLERS)
             ]
             callers.append(pool.submit(self.run_crashing_caller))
+            callers += [pool.submit(self.run_part_caller, n) for n in range(3)]
             try:
                 self.run_schedule()
                 last_fault_s = time.monotonic()
@@ -554,6 +579,27 @@
             call.end_s = time.time()
             self.calls.append(call)
 
+    def run_part_caller(self, number):
+        """Send prompts of shared parts; the first caller's contain the bad part."""
+        random_state = random.Random(f"{self.seed}-part-{number}")
+        while not self.is_over.wait(random_state.uniform(0.1, 0.5)):
+            parts = ["f0", random_state.choice(SHARED_PARTS)]
+            call = Call(
+                id=os.urandom(8).hex(),
+                kind=PART_KINDS[number == 0],
+                gateway=random_state.choice(GATEWAYS),
+                key=KEY,
+                n_events=N_PART_EVENTS,
+                begin_s=time.time(),
+                parts=[*parts, BAD_PART] if number == 0 else parts,
+            )
+            port = self.deployment.ports[call.gateway]
+            connection = http.client.HTTPConnection("127.0.0.1", port, timeout=9.0)
+            self.send(connection, call)
+            connection.close()
+            call.end_s = time.time()
+            self.calls.append(call)
+
     def send(self, connection, call):
         """Send a call and return whether the connection can be reused."""
         headers = {
@@ -562,12 +608,16 @@
             "Deadline-Ms": str(int(DEADLINE_S * 1000)),
             "Authorization": f"Bearer {call.key}",
         }
-        if call.kind in ("draft", "once"):
+        if call.kind in ("draft", "once", *PART_KINDS):
             headers |= {"Token-Count": f"100,{4 * call.n_events}", "Model": "m"}
         method = "GET" if call.kind == "stock" else "POST"
         path, body = f"/{call.kind}/{call.id}", b""
         if call.kind == "crash":
             path, body = "/crash/same", CRASH_TEXT.encode()
+        if call.kind in PART_KINDS:
+            path, body = f"/part/{call.id}", call.id.encode()
+            entries = [f"{part}:20" for part in (*call.parts, call.id)]
+            headers["Prompt-Prefix"] = ",".join(entries)
         if call.opened_s and is_closed(connection):
             call.error = "closed before the request was sent"
             return False
@@ -601,7 +651,7 @@
             findings += self.check_call(call, runs.get(call.id, []))
         for name in GATEWAYS:
             findings += self.check_notices(name)
-        return [*findings, *self.check_crashes(runs)]
+        return [*findings, *self.check_crashes(runs), *self.check_parts(runs)]
 
     def check_notices(self, gateway):
         """Check that engines which leave or want a pause get no streams."""
@@ -629,7 +679,7 @@
 
     def check_crashes(self, runs):
         """Check that the crashing request is not run again and again."""
-        crashes = sorted(row["at_s"] for row in self.deployment.history("crash"))
+        crashes = self.crash_times(None)
         if len(crashes) < N_CRASHES:
             return
         known_s = crashes[N_CRASHES - 1] + LEARN_S
@@ -644,6 +694,37 @@
         if len(late) > N_LATE_RUNS:
             yield f"the crashing request ran {len(late)} times too late: {late}"
 
+    def crash_times(self, part):
+        """Return when engines ended under a part, or under the crashing request."""
+        rows = self.deployment.history("crash")
+        return sorted(row["at_s"] for row in rows if row["part"] == part)
+
+    def check_parts(self, runs):
+        """Check that the bad part is found, and no other one taken for it."""
+        crashes = self.crash_times(BAD_PART)
+        if len(crashes) < N_PART_CRASHES:
+            return
+        fifth_s = crashes[N_PART_CRASHES - 1]
+        calls = [call for call in self.calls if not self.was_disturbed(call)]
+        late = [
+            call.id
+            for call in calls
+            if call.kind == "bad-part" and call.begin_s > fifth_s + LEARN_S
+            for _ in runs.get(call.id, [])
+        ]
+        if len(late) > N_LATE_RUNS:
+            yield f"prompts with the bad part ran {len(late)} times too late: {late}"
+        sound = [
+            call
+            for call in calls
+            if call.kind == "part" and call.begin_s > fifth_s + 2 * LEARN_S
+        ]
+        refused = [call.id for call in sound if b":quarantined" in call.body]
+        if len(sound) >= MIN_PART_CALLS and (
+            len(refused) > MAX_QUARANTINED_RATIO * len(sound)
+        ):
+            yield f"{len(refused)} of {len(sound)} sound prompts refused: {refused}"
+
     def was_disturbed(self, call):
         """Return whether a fault touched the gateway of a call before it was sent."""
         spans = [
@@ -669,7 +750,7 @@
             yield f"{call.id}: valid request denied with status {call.status}"
         if call.status == 200 and call.is_complete:
             yield from self.check_body(call, runs)
-        elif call.kind != "crash":
+        elif call.kind not in ("crash", *PART_KINDS):
             yield from self.check_end(call, runs)
         for run in runs:
             if run["headers"].get("Tenant") != ORGANISATIONS[call.key]:
@@ -692,7 +773,7 @@
     def check_body(self, call, runs):
         if not runs:
             yield f"{call.id}: successful response without a run"
-        elif call.kind in ("draft", "once"):
+        elif call.kind in ("draft", "once", *PART_KINDS):
             ids = [
                 int(line[4:])
                 for line in call.body.decode().split("\n")
