In a planned stop nothing is passed on that is known not to end in time

Callers whose bookings arrived late in the grace got 502 after their run, or had their streams cut, although the gateway knew that a run of 2.5 s could not end.

Cause: from SIGTERM on, requests were taken for 3 s whatever the grace, and plain ones until its end; nothing compared the time left with the time that requests of a route take.

The latest 64 runs of each route are recorded; from SIGTERM on a request is passed on only if 95 in 100 of them would have ended in time, also one that has waited for room or whose body ended late. What is refused, or was not passed on when the time is up, gets 503 and 'not run'. cassiaspreadd does the same where a drain timeout is set.

--- a/packages/cassiaspread-core/src/cassiaspread_core/admission/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/admission/__init__.py
@@ -6,6 +6,7 @@
     HeldAnswer,
 )
 from cassiaspread_core.admission._budget import RetryBudget
+from cassiaspread_core.admission._durations import RunDurations
 from cassiaspread_core.admission._fair_queue import AdmissionTicket, FairQueue
 from cassiaspread_core.admission._forecast import Forecast
 from cassiaspread_core.admission._gate import AdmissionGate, AdmissionResult, Decision
@@ -36,6 +37,7 @@
     "RetryBudget",
     "RetryUsage",
     "RetryWindow",
+    "RunDurations",
     "Share",
     "WaitingQueue",
     "count_demand",
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -12,7 +12,8 @@
 import uuid6
 from absl import logging
 
-from cassiaspread_core.base import DomainId, Incarnation, Refusal
+from cassiaspread_core.admission import RunDurations
+from cassiaspread_core.base import DomainId, Incarnation, Outcome, Refusal
 from cassiaspread_core.membership import Member
 from cassiaspread_core.policy import CheckpointSchedule, Policy
 from cassiaspread_core.timeline import EventRing
@@ -38,6 +39,8 @@
 # A connection without a request for this long counts as idle.
 CONNECTION_IDLE_S = 1.0
 MILLISECONDS_PER_SECOND = 1000
+# Another daemon can take a request that this one does not accept, in seconds.
+RETRY_AFTER_LEAVING_S = 0.1
 
 
 class NodeState(Enum):
@@ -125,6 +128,9 @@
         )
         self._is_leaving = False
         self._requests = RequestCounter()
+        self._durations = RunDurations()
+        # When the requests in progress are interrupted, on the monotonic clock.
+        self._end_s: float | None = None
         self.settle_callbacks: list[Callable[[], Awaitable[None]]] = [
             self.claims.settle
         ]
@@ -207,6 +213,11 @@
     def leave(self) -> None:
         """Report not ready; requests are accepted until the balancer has noticed."""
         self._is_leaving = True
+        if self.settings.drain_timeout_ms:
+            remaining_ms = (
+                self.settings.balancer_lag_ms + self.settings.drain_timeout_ms
+            )
+            self._end_s = time.monotonic() + remaining_ms / MILLISECONDS_PER_SECOND
         self.claims.leave()
         self.mesh.announce_leaving()
         self.poller.invalidate()
@@ -216,6 +227,32 @@
         """Count a request in progress."""
         self._requests.begin()
 
+    def record_run(self, kind: str, duration_s: float) -> None:
+        """Record a request that was answered.
+
+        :param kind: kind of the request.
+        :param duration_s: time from its arrival to its end, in seconds.
+        """
+        self._durations.record(kind, duration_s)
+
+    def check_end(self, kind: str, now_s: float) -> None:
+        """Check that a request that begins now can end before this daemon does.
+
+        :param kind: kind of the request.
+        :param now_s: current time on the monotonic clock, in seconds.
+        :raises Refusal: it can not.
+        """
+        if self._end_s is None:
+            return
+        if now_s + (self._durations.estimate_s(kind) or 0.0) >= self._end_s:
+            raise Refusal(
+                503,
+                "leaving",
+                "The daemon may end before the answer.",
+                Outcome.NOT_RUN,
+                retry_after_s=RETRY_AFTER_LEAVING_S,
+            )
+
     def end_request(self) -> None:
         """Count a request as ended."""
         self._requests.end()
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_frontend.py
@@ -74,6 +74,8 @@
         self._is_close_announced = False
         # Answers the request instead of its target.
         self.refusal: Refusal | None = None
+        # Whether it was sent to a target, which may have run it.
+        self.is_passed_on = False
         # Answers the request if its task is cancelled.
         self.interruption: Refusal | None = None
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -23,6 +23,7 @@
 from cassiaspread_daemon._listener import Listener
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.gateway._capacity_queue import CapacityQueue
+from cassiaspread_daemon.gateway._closing import Closing
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._dispatch import Dispatcher
 from cassiaspread_daemon.gateway._duty import PlacementDuty
@@ -35,7 +36,7 @@
 from cassiaspread_daemon.gateway._fleet_view import FleetView
 from cassiaspread_daemon.gateway._frontend import Frontend, InboundRequest
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
-from cassiaspread_daemon.gateway._job import now, unix_time_s
+from cassiaspread_daemon.gateway._job import Job, now, unix_time_s
 from cassiaspread_daemon.gateway._link_permits import LinkPermits
 from cassiaspread_daemon.gateway._loads import LoadSharing
 from cassiaspread_daemon.gateway._loop_monitor import LoopMonitor
@@ -167,6 +168,7 @@
             self._metrics,
         )
         platform.engine_api.notice_callbacks.append(self._notices.record_at)
+        self._closing = Closing()
         self._router = self._build_router(random_state)
         self._frontend = Frontend(self._router.handle, log)
         self._duty = PlacementDuty(
@@ -272,6 +274,7 @@
             self._health,
             self._quarantine,
             self._notices,
+            self._closing,
             self._log,
         )
         stalls = StallDetector(
@@ -290,6 +293,7 @@
             self._quarantine,
             stalls,
             self._notices,
+            self._closing,
             self._log,
             self._metrics,
         )
@@ -316,6 +320,7 @@
             self._log,
             self._metrics,
             random_state,
+            self._closing,
         )
 
     def _count_daemons(self) -> int:
@@ -468,22 +473,35 @@
         await self._supervisor.cancel("duty")
         await self._supervisor.cancel("placement")
         self._supervisor.start_once("leave-duty", self._duty.leave)
-        await asyncio.sleep(BALANCER_LAG_S)
         drain_deadline_s = (
             drain_started_s + self._settings.exit_timeout_s - EXIT_MARGIN_S
         )
-        self._router.refuse_late(drain_deadline_s)
+        self._closing.begin(drain_deadline_s)
+        while now() < drain_started_s + BALANCER_LAG_S:
+            await asyncio.sleep(DRAIN_POLL_S)
+            self._refuse_late_waiting()
+        self._closing.refuse_open_ends()
         listener.stop()
         # A request received later on a keep-alive connection could not be completed.
         while now() < drain_deadline_s:
             # The frontend learns of the connections accepted last after this step.
             await asyncio.sleep(DRAIN_POLL_S)
+            self._refuse_late_waiting()
             self._frontend.close_idle(MIN_IDLE_BEFORE_CLOSE_S, now())
             if not self._frontend.n_requests and not self._frontend.n_connections:
                 break
         if self._frontend.n_requests or self._frontend.n_connections:
             await self._interrupt()
 
+    def _refuse_late_waiting(self) -> None:
+        """Refuse the requests that wait for room too long to end in time."""
+
+        def check(job: Job) -> None:
+            if not job.inbound.is_passed_on:
+                self._closing.check(job, now())
+
+        self._capacity_queue.refuse_waiting(check)
+
     async def _interrupt(self) -> None:
         self._log.record(
             "gateway.drain_timeout",
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -15,6 +15,7 @@
     Response,
 )
 from cassiaspread_daemon.gateway._answer_filter import answer_filter
+from cassiaspread_daemon.gateway._closing import Closing
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._dispatch import Assignment, Dispatcher
 from cassiaspread_daemon.gateway._engine_notices import EngineNotices
@@ -69,6 +70,7 @@
 
     assignment: Assignment
     run: RunStart
+    begin_s: float
 
 
 class _Call:
@@ -114,6 +116,7 @@
     :param health: health of the targets.
     :param quarantine: refuses requests that crash their targets.
     :param notices: receives what targets say of themselves.
+    :param closing: decides what is passed on once the daemon leaves.
     :param log: receives a line for each decision.
     """
 
@@ -125,6 +128,7 @@
         health: TargetHealth,
         quarantine: Quarantine,
         notices: EngineNotices,
+        closing: Closing,
         log: DecisionLog,
     ) -> None:
         self._codec = codec
@@ -133,6 +137,7 @@
         self._health = health
         self._quarantine = quarantine
         self._notices = notices
+        self._closing = closing
         self._log = log
 
     async def forward(self, job: Job, take_retry: TakeRetry) -> None:
@@ -174,6 +179,10 @@
         job = call.job
         if not call.may_try or job.remaining_s(now()) <= 0:
             return False
+        if not job.inbound.is_passed_on:
+            self._closing.check(job, now())
+        elif not self._closing.may_end(job, now()):
+            return False
         if not call.pending:
             self._quarantine.check(job, call.n_runs > 0, unix_time_s())
         elif self._quarantine.is_refused(job):
@@ -202,7 +211,7 @@
         task.add_done_callback(lambda _: self._dispatcher.release(assignment))
         # The result of an attempt that is no longer waited for is of no use.
         task.add_done_callback(lambda t: t.cancelled() or t.exception())
-        call.pending[task] = _Attempt(assignment, run)
+        call.pending[task] = _Attempt(assignment, run, now())
         call.recheck_s = now() + self._patience_s(call)
         return True
 
@@ -239,6 +248,7 @@
             return None
         call.n_runs += 1
         self._quarantine.record_answer(job, unix_time_s())
+        self._closing.record_run(job.route, now() - attempt.begin_s)
         if answer.parameters.status < 500:
             self._dispatcher.record_success(assignment, now())
             return answer
@@ -306,6 +316,7 @@
                 ) as exchange,
                 asyncio.timeout(job.remaining_s(now())),
             ):
+                job.inbound.is_passed_on = True
                 status = await exchange.send(
                     job.inbound.method,
                     job.inbound.target,
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -24,6 +24,7 @@
     RouteTable,
     Service,
 )
+from cassiaspread_daemon.gateway._closing import Closing, leaving_refusal
 from cassiaspread_daemon.gateway._decision_log import DecisionLog, describe_error
 from cassiaspread_daemon.gateway._dispatch import Dispatcher
 from cassiaspread_daemon.gateway._frontend import CallerDisconnected, InboundRequest
@@ -52,8 +53,6 @@
 MIN_REFUSAL_LEAD_S = 0.005
 MAX_REFUSAL_LEAD_S = 0.05
 INTERNAL_ERROR = "internal-error"
-# Another daemon can take a request that this one, which leaves, does not accept.
-RETRY_AFTER_LEAVING_S = 0.1
 
 
 class Router:
@@ -70,6 +69,7 @@
     :param log: receives a line for each decision.
     :param metrics: counts requests.
     :param random_state: selects among a route's services and spreads retry times.
+    :param closing: decides what is passed on once the daemon leaves.
     """
 
     def __init__(
@@ -84,6 +84,7 @@
         log: DecisionLog,
         metrics: GatewayMetrics,
         random_state: random.Random,
+        closing: Closing,
     ) -> None:
         self._codec = codec
         self._routing_state = routing_state
@@ -95,19 +96,7 @@
         self._log = log
         self._metrics = metrics
         self._random_state = random_state
-        # When the requests in progress are broken off, once the daemon leaves.
-        self._end_s: float | None = None
-
-    def refuse_late(self, end_s: float) -> None:
-        """Refuse the requests that come from now on and may not end in time.
-
-        An answer that has begun can't be refused any more, so a stream is accepted only
-        if its deadline comes first.
-
-        :param end_s: when the requests in progress are broken off, on the monotonic
-            clock in seconds.
-        """
-        self._end_s = end_s
+        self._closing = closing
 
     async def handle(self, inbound: InboundRequest) -> None:
         """Answer one request.
@@ -128,7 +117,7 @@
                 raise inbound.refusal
             job = self._prepare(inbound, parameters)
             kind, fingerprint = job.route.kind.value, job.fingerprint
-            self._check_end(job, now())
+            self._closing.check(job, now())
             take_retry = self._retries.record_request(
                 job.service.name, parameters.request_id
             )
@@ -151,6 +140,8 @@
                 outcome = "cancelled"
                 raise
             else:
+                if not inbound.is_passed_on:
+                    refusal = leaving_refusal()
                 outcome = refusal.code
                 self._refuse(inbound, parameters, refusal)
         except Exception as error:
@@ -193,13 +184,6 @@
             part_fingerprints=tuple(map(part_fingerprint, parameters.shared_parts)),
         )
 
-    def _check_end(self, job: Job, now_s: float) -> None:
-        if self._end_s is None:
-            return
-        is_stream = job.route.kind is RequestKind.STREAM
-        if (job.answer_end_s if is_stream else now_s) >= self._end_s:
-            raise _leaving_refusal()
-
     def _find_organisation(
         self, table: RouteTable, route: Route, parameters: RequestParameters
     ) -> Organisation | None:
@@ -311,13 +295,6 @@
     return Refusal(500, INTERNAL_ERROR, detail, Outcome.UNKNOWN)
 
 
-def _leaving_refusal() -> Refusal:
-    detail = "The daemon may end before the answer."
-    return Refusal(
-        503, "leaving", detail, Outcome.NOT_RUN, retry_after_s=RETRY_AFTER_LEAVING_S
-    )
-
-
 def _not_known_refusal(detail: str) -> Refusal:
     return Refusal(
         503, "not-known", detail, Outcome.NOT_RUN, retry_after_s=RETRY_AFTER_UNKNOWN_S
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -21,6 +21,7 @@
     Response,
 )
 from cassiaspread_daemon.gateway._capacity_queue import CapacityQueue
+from cassiaspread_daemon.gateway._closing import Closing
 from cassiaspread_daemon.gateway._decision_log import DecisionLog
 from cassiaspread_daemon.gateway._dispatch import Assignment, Dispatcher
 from cassiaspread_daemon.gateway._engine_notices import EngineNotices
@@ -65,13 +66,15 @@
 
 
 class _Run:
-    """One attempt, as far as the quarantine needs to know.
+    """One attempt, as far as it is recorded for later requests.
 
     :param start: what was known as it began.
+    :param begin_s: when it began, on the monotonic clock in seconds.
     """
 
-    def __init__(self, start: RunStart) -> None:
+    def __init__(self, start: RunStart, begin_s: float) -> None:
         self.start = start
+        self.begin_s = begin_s
         # Whether its answer has gone on after its beginning.
         self.has_gone_on = False
 
@@ -87,6 +90,7 @@
     :param quarantine: refuses requests that crash their targets.
     :param stalls: detects the engine that a silent stream waits for.
     :param notices: receives what engines say of themselves.
+    :param closing: decides what is passed on once the daemon leaves.
     :param log: receives a line for each decision.
     :param metrics: counts attempts and records times.
     """
@@ -101,6 +105,7 @@
         quarantine: Quarantine,
         stalls: StallDetector,
         notices: EngineNotices,
+        closing: Closing,
         log: DecisionLog,
         metrics: GatewayMetrics,
     ) -> None:
@@ -111,6 +116,7 @@
         self._health = health
         self._quarantine = quarantine
         self._notices = notices
+        self._closing = closing
         self._log = log
         self._metrics = metrics
         self._tools = RelayTools(
@@ -154,6 +160,8 @@
         try:
             if stream.remaining_s(now()) <= 0:
                 raise self._refusal(stream)
+            if not stream.job.inbound.is_passed_on:
+                self._closing.check(stream.job, now())
             self._check_quarantine(stream)
         except Refusal:
             self._dispatcher.release(assignment)
@@ -249,7 +257,7 @@
     async def _attempt(
         self, stream: StreamState, assignment: Assignment, turn: Turn
     ) -> AttemptResult:
-        run = _Run(self._quarantine.begin_run(stream.job))
+        run = _Run(self._quarantine.begin_run(stream.job), now())
         stream.avoided.add(assignment.head.target)
         try:
             return await self._relay(stream, assignment, turn, run)
@@ -361,6 +369,7 @@
                     lambda found, silent: self._begin_second(stream, found, silent),
                     lambda: self._record_progress(stream, run),
                 )
+                job.inbound.is_passed_on = True
                 answer = await relay.send(headers)
                 self._notices.record(head, answer.notice, now())
                 if answer.status != 200 or not answer.is_signed:
@@ -370,6 +379,8 @@
                 await relay.relay_events()
         self._dispatcher.record_success(assignment, now())
         self._quarantine.record_answer(stream.job, unix_time_s())
+        if not stream.n_runs:
+            self._closing.record_run(job.route, now() - run.begin_s)
         return AttemptResult.COMPLETE
 
     async def _handle_failed_answer(
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_base.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_base.py
@@ -114,6 +114,8 @@
 
     kind = "request"
     request_id = RequestId("")
+    # Kind by which the duration of its run is estimated, once it is handled.
+    run_kind = ""
 
     def set_default_headers(self) -> None:
         """Send the request identity, by which the time line can be queried."""
@@ -147,6 +149,9 @@
         """
         if self.refusal is not None:
             raise self.refusal
+        # The first argument is the service of a call.
+        self.run_kind = "/".join([self.kind, *filter(None, arguments[:1])])
+        self.node.check_end(self.run_kind, time.monotonic())
         await self.answer(*arguments)
 
     async def answer(self, *arguments: Any) -> None:
@@ -185,6 +190,8 @@
         """Count the answered request."""
         self._end_request()
         self.node.metrics.count_request(self.kind, self.get_status())
+        if self.run_kind and self.get_status() < 400:
+            self.node.record_run(self.run_kind, time.monotonic() - self.received_s)
 
     def on_connection_close(self) -> None:
         """Count the request as ended: the caller closed the connection."""
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -102,6 +102,44 @@
             booking.result()
 
 
+def test_requests_that_cannot_end_in_the_drain_are_not_passed_on(fleet):
+    # Guards against daemons that pass on what they will have to interrupt.
+    service = start_targets(fleet, step_ms=30)
+    daemon = start_daemon(fleet, balancer_lag_ms=2_000, drain_timeout_ms=500)
+    service.control(delay_s=1.5)
+    assert book_first(daemon)[0] == 200
+    assert complete(daemon, "measured", 25)[0] == 200
+    daemon.signal(signal.SIGTERM)
+    begin_s = time.monotonic()
+    with ThreadPoolExecutor(32) as pool:
+        answers = []
+        for n in range(8):
+            time.sleep(max(0.0, begin_s + 0.2 * n + 0.1 - time.monotonic()))
+            answers.append(pool.submit(book_first, daemon))
+            answers.append(pool.submit(complete, daemon, f"late {n}", 25))
+        statuses = [answer.result()[0] for answer in answers]
+        bodies = [answer.result()[2] for answer in answers]
+    assert set(statuses) == {200, 503}
+    assert statuses[:2] == [200, 200]
+    assert statuses[-2:] == [503, 503]
+    for status, body in zip(statuses, bodies, strict=True):
+        if status == 503:
+            assert json.loads(body)["outcome"] == "not-run"
+    n_booked = statuses[::2].count(200) + 1
+    n_runs = sum(row["method"] == "POST" for row in fleet.history("booking-1"))
+    assert n_runs == n_booked
+    assert daemon.popen.wait(20.0) == 0
+
+
+def book_first(daemon):
+    path = "/v1/services/booking/slots"
+    headers = CALLER | {
+        "Idempotency-Key": str(uuid7()),
+        "Idempotency-First-Call": "?1",
+    }
+    return request("POST", daemon.address, path, b"{}", headers)
+
+
 def test_open_connection_is_served_until_idle(fleet):
     start_targets(fleet)
     daemon = start_daemon(fleet, balancer_lag_ms=300)
