Records of prompt parts are bounded; tests of the decision and of its log lines

A record keeps its 32 latest losses, 32 companions and two organisations a loss, so that a popular part does not grow one that is sent to all daemons. The line of a refused request names the part, the targets lost under it and the age of the first and the last loss.

--- a/packages/cassiaspread-core/src/cassiaspread_core/quarantine/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/quarantine/__init__.py
@@ -2,8 +2,13 @@
 
 from cassiaspread_core.quarantine._crashing import N_ROUNDS, find_crashing
 from cassiaspread_core.quarantine._judge import CrashJudge, RequestTraits, RunStart
-from cassiaspread_core.quarantine._parts import is_refused_with, next_trial_s
+from cassiaspread_core.quarantine._parts import (
+    MIN_TRIAL_S,
+    is_refused_with,
+    next_trial_s,
+)
 from cassiaspread_core.quarantine._record import (
+    MAX_LOSSES,
     MAX_UNDELIVERED_TOKENS,
     Fingerprint,
     Loss,
@@ -20,7 +25,9 @@
 from cassiaspread_core.quarantine._trial import TrialClaim, TrialClaims
 
 __all__ = [
+    "MAX_LOSSES",
     "MAX_UNDELIVERED_TOKENS",
+    "MIN_TRIAL_S",
     "N_ROUNDS",
     "CrashJudge",
     "Fingerprint",
--- a/packages/cassiaspread-core/src/cassiaspread_core/quarantine/_record.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/quarantine/_record.py
@@ -32,6 +32,10 @@
 # not belong to one.
 MAX_ORGANISATIONS = 2
 
+# The latest losses of a record are kept; a sound part of many prompts collects them.
+MAX_LOSSES = 32
+MAX_COMPANIONS = 32
+
 # Tokens that an engine may have produced but not yet delivered to the daemon.
 MAX_UNDELIVERED_TOKENS = 4
 
@@ -128,7 +132,9 @@
     at_s: _UnixTime
     refuted: bool = False
     round: PositiveCount = 1
-    organisations: tuple[OrganisationId, ...] = ()
+    organisations: Annotated[
+        tuple[OrganisationId, ...], msgspec.Meta(max_length=MAX_ORGANISATIONS)
+    ] = ()
     is_proven: bool = False
 
     @property
@@ -165,7 +171,9 @@
     losses: tuple[Loss, ...] = ()
     cleared_s: _UnixTime = 0.0
     kind: SuspectKind = SuspectKind.REQUEST
-    companions: tuple[Fingerprint, ...] = ()
+    companions: Annotated[
+        tuple[Fingerprint, ...], msgspec.Meta(max_length=MAX_COMPANIONS)
+    ] = ()
 
     @property
     def counted(self) -> tuple[Loss, ...]:
@@ -242,9 +250,10 @@
     for loss in right.losses:
         current = losses.get(loss.key)
         losses[loss.key] = loss if current is None else _merge_losses(current, loss)
+    ordered = sorted(losses.values(), key=lambda loss: (loss.at_s, loss.key))
     return msgspec.structs.replace(
         left,
-        losses=tuple(sorted(losses.values(), key=lambda loss: (loss.at_s, loss.key))),
+        losses=tuple(ordered[-MAX_LOSSES:]),
         cleared_s=max(left.cleared_s, right.cleared_s),
         companions=tuple(sorted({*left.companions} & {*right.companions})),
     )
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_quarantine.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_quarantine.py
@@ -383,11 +383,13 @@
 
 def _describe(record: SuspectRecord, now_s: float) -> dict[str, object]:
     """Return the fields of a log line that a decision on a record is based on."""
+    first_s = min((loss.at_s for loss in record.counted), default=record.last_s)
     return {
         "fingerprint": record.fingerprint,
         "kind": record.kind.value,
         "targets": [loss.target for loss in record.counted[-MAX_TARGETS_LOGGED:]],
         "n_losses": len(record.counted),
         "n_rounds": record.n_rounds,
+        "first_loss_age_s": round(now_s - first_s, 1),
         "last_loss_age_s": round(now_s - record.last_s, 1),
     }
--- a/packages/cassiaspread-daemon/tests/test_gateway_quarantine.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_quarantine.py
@@ -11,7 +11,14 @@
 
 from cassiaspread_core.base import LogUnavailable, Refusal
 from cassiaspread_core.placement import Engine
-from cassiaspread_core.quarantine import Loss, RunStart, SuspectRecord
+from cassiaspread_core.quarantine import (
+    MIN_TRIAL_S,
+    Loss,
+    RunStart,
+    SuspectKind,
+    SuspectRecord,
+    part_fingerprint,
+)
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.gateway import DecisionLog, FeedPage, SuspectChange
 from cassiaspread_daemon.gateway import _quarantine as quarantine_module
@@ -115,6 +122,55 @@
     assert [line["has_run"] for line in refused] == [False, True]
 
 
+def make_prompt_job(number, *parts):
+    """Return a stream with shared parts in its prompt, otherwise like no other."""
+    job = make_job(fingerprint=f"r{number}")
+    return msgspec.structs.replace(
+        job,
+        parameters=msgspec.structs.replace(job.parameters, shared_parts=parts),
+        part_fingerprints=tuple(map(part_fingerprint, parts)),
+    )
+
+
+def test_log_says_which_part_a_request_is_refused_for(quarantine, log, tmp_path):
+    async def run():
+        for number in range(3):
+            engine = make_engine(f"e{number}", free_address())
+            await lose_engine(quarantine, make_prompt_job(number, "5c1e"), engine)
+        quarantine.check(make_prompt_job(8, "91bd"), False, unix_time_s())
+        with pytest.raises(Refusal) as refused:
+            quarantine.check(make_prompt_job(9, "91bd", "5c1e"), False, unix_time_s())
+        assert refused.value.retry_after_s <= 2 * MIN_TRIAL_S
+
+    asyncio.run(run())
+    log.flush()
+    lines = [json.loads(line) for line in (tmp_path / "log").read_text().splitlines()]
+    [line] = [line for line in lines if line["event"] == "request.quarantined"]
+    assert (line["part"], line["kind"]) == ("5c1e", "prompt-part")
+    assert line["targets"] == ["e0", "e1", "e2"]
+    assert 0.0 <= line["last_loss_age_s"] <= line["first_loss_age_s"]
+    lost = [line for line in lines if line["event"] == "target.lost"]
+    assert [line["shared_parts"] for line in lost] == [["5c1e"]] * 3
+
+
+def test_queue_refuses_what_a_verdict_on_a_part_concerns(quarantine):
+    checked = []
+
+    def recheck():
+        for job in (make_prompt_job(1, "5c1e"), make_prompt_job(2, "91bd")):
+            checked.append((job.fingerprint, quarantine.is_refused(job)))
+
+    quarantine.verdict_callbacks.append(recheck)
+
+    async def run():
+        for number in range(3):
+            engine = make_engine(f"e{number}", free_address())
+            await lose_engine(quarantine, make_prompt_job(10 + number, "5c1e"), engine)
+
+    asyncio.run(run())
+    assert checked == [("r1", True), ("r2", False)]
+
+
 async def lose_one_more(quarantine, job):
     await lose_engine(quarantine, job, make_engine("e-last", free_address()))
 
@@ -336,6 +392,33 @@
     run_sharing(quarantine, log, topic, use)
 
 
+def make_part_record(part, at_s):
+    loss = Loss(f"{part}-e", "1", 0, at_s, organisations=("celje",))
+    return SuspectRecord(
+        fingerprint=part_fingerprint(part),
+        organisation="celje",
+        subject="pool",
+        losses=(loss,),
+        kind=SuspectKind.PROMPT_PART,
+    )
+
+
+def test_store_gets_parts_that_are_not_cleared_soon(quarantine, log):
+    # Each daemon may see a part only once.
+    topic = FakeTopic()
+
+    async def use(sharing):
+        now_s = unix_time_s()
+        for part in ("5c1e", "91bd"):
+            quarantine.merge(make_part_record(part, now_s), Source.OWN, now_s)
+        quarantine.record_progress(make_prompt_job(1, "91bd"), unix_time_s())
+        await wait_for(lambda: part_fingerprint("5c1e") in topic.records)
+        await asyncio.sleep(0.5)
+        assert list(topic.records) == [part_fingerprint("5c1e")]
+
+    run_sharing(quarantine, log, topic, use)
+
+
 def test_expired_records_are_removed_from_the_store(quarantine, log):
     topic = FakeTopic()
     old_s = unix_time_s() - QUARANTINE_S - 1.0
