--- a/benchmarks/quarantine_model.py
+++ b/benchmarks/quarantine_model.py
@@ -382,6 +382,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=100)
     parser.add_argument("--workload", choices=WORKLOADS)
+    parser.add_argument("--rule", choices=RULES)
     arguments = parser.parse_args()
     names = [arguments.workload] if arguments.workload else list(WORKLOADS)
     print(
@@ -389,7 +390,9 @@
         f"{'seeds late>3':>13}{'sound refused %':>16}{'later %':>9}{'worst %':>9}"
     )
     for name in names:
-        for rule_name, rule in RULES.items():
+        rules = [arguments.rule] if arguments.rule else list(RULES)
+        for rule_name in rules:
+            rule = RULES[rule_name]
             seeds = range(arguments.seeds)
             results = [simulate(WORKLOADS[name], rule, seed) for seed in seeds]
             crashes = [r.n_crashes() for r in results]
