Review: a request that crashes engines without layers is never refused

With TROUBLE=0 nothing crashes. _possibly_lost names no engine where an assignment has no chain.

The engines of review/lib answer reports now and can end and start again.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,8 +1,10 @@
-"""The store comes back from an older copy just before a machine is added."""
+"""A request crashes each engine that begins to run it, and comes again."""
 
 import asyncio
+import json
 import sys
 import tempfile
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -10,93 +12,206 @@
 
 import platform_stand_in as stand_in  # noqa: E402
 
-KEPT_KEY = "key-of-celje-1"
-REVOKED_KEY = "key-of-velenje-1"
-REVOKE_S = stand_in.BOUNDS["revoke_ms"] / 1000
-# Time from the acknowledgement of the version to the drill, age of the copy then, how
-# long the store is away, and time until the operator's version is written again.
-DRILL_AFTER_S, COPY_AGE_S, AWAY_S, WRITTEN_AGAIN_S = 6.0, 7.0, 1.0, 2.0
-INTERVAL_S = 0.1
-# The rest of the run, after the version was written again.
-REST_S = 4.0
+KEY = "key-of-savinja-1"
+STABILITY_S = stand_in.BOUNDS["stability_ms"] / 1000
+OBJECTIVE_MS, PAUSE_MS, DEADLINE_MS = 500, 250, 20000
+# Time from the start of a run until it ends its engine, and until that one is back.
+CRASH_S, BACK_S = 0.1, 3.0
+POISON = b"crashes its engine"
+POISON_INTERVAL_S, SOUND_INTERVAL_S = 2.0, 0.1
+LENGTH_S = 30.0
+N_ENGINES, N_EVENTS = 8, 10
+# Requests that may reach engines later than STABILITY_S after the third crash.
+N_ALLOWED = 3
+
+
+class CrashingEngine(stand_in.Engine):
+    """It ends as soon as it begins to run one request."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.crashes_s = []
+        self.poisoned_s = []
+
+    async def answer(self, writer, request, headers, body):
+        """Run a request to its end."""
+        if body == POISON:
+            self.poisoned_s.append(self._record.now_s())
+            if stand_in.is_troubled():
+                await asyncio.sleep(CRASH_S)
+                self._revival = asyncio.create_task(self.crash(request))
+                await asyncio.sleep(DEADLINE_MS / 1000)
+                return
+        head = [
+            "HTTP/1.1 200 OK",
+            f"Attempt-Id: {request}",
+            f"Instance-Id: {self.name}",
+            f"Response-Seal: seal-{request}",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+        ]
+        writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+        begin = int(headers.get("last-event-id", 0))
+        for number in range(begin + 1, N_EVENTS + 1):
+            text = f"id: {number}\ndata: token {number}\n\n"
+            writer.write(f"{len(text):x}\r\n{text}\r\n".encode())
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    async def crash(self, request):
+        """End, and start again under the same identifier after some seconds."""
+        if not self.is_running:
+            return
+        self.crashes_s.append(self._record.now_s())
+        self._record.write("crashed", engine=self.name, id=request)
+        self.stop()
+        await asyncio.sleep(BACK_S)
+        await self.start_again()
+
+
+def build_configuration(route, tenants):
+    """Return a configuration whose model isn't split: one engine runs all layers."""
+    document = json.loads(stand_in.configuration(1, [route], [], tenants))
+    engine = {
+        "slots": 96,
+        "kv_capacity_tokens": 50000,
+        "kv_token_bytes": 1180000,
+        "stride": 4,
+        "models": [{"name": "daka510000", "pace": 1.0, "load_s": 14.0}],
+        "step_ms": 1.02,
+        "per_seq_ms": 0.00918,
+        "context_per_k": 0.0123,
+        "read_per_s": 164000.0,
+        "usual": {"prompt": 774, "answer": 210},
+    }
+    document["services"] = [
+        {
+            "name": "lm-pool",
+            "health_path": "/healthz",
+            "max_conns": 908,
+            "engine": engine,
+        }
+    ]
+    return json.dumps(document).encode()
+
+
+async def send_poison(gateways, record, rows):
+    """Send the request again and again, at one machine after the other."""
+    number = 0
+    while True:
+        gateway = gateways[number % len(gateways)]
+        number += 1
+        request, head = stand_in.request_head(
+            "POST", "/draft/1", KEY, DEADLINE_MS, len(POISON)
+        )
+        record.write("sent", id=request, to=gateway.name, poison=True)
+        begin_s = time.monotonic()
+        status = None
+        try:
+            reader, writer = await asyncio.open_connection(gateway.ip, gateway.port)
+            writer.write(head[:-2] + b"Token-Count: 760,40\r\n\r\n" + POISON)
+            async with asyncio.timeout(POISON_INTERVAL_S):
+                start, _, _ = await stand_in.read_message(reader)
+                status = int(start.split(" ")[1])
+        except (OSError, EOFError, TimeoutError):
+            pass
+        writer.close()
+        rows.append(status)
+        record.write("answered", id=request, status=status)
+        left_s = begin_s + POISON_INTERVAL_S - time.monotonic()
+        await asyncio.sleep(max(0.0, left_s))
+
+
+async def send_sound(gateway, record, rows):
+    """Send one sound stream and read it to its end."""
+    body = b"a prompt"
+    request, head = stand_in.request_head(
+        "POST", "/draft/2", KEY, DEADLINE_MS, len(body)
+    )
+    text, is_complete = b"", False
+    try:
+        async with asyncio.timeout(5.0):
+            reader, writer = await asyncio.open_connection(gateway.ip, gateway.port)
+            writer.write(head[:-2] + b"Token-Count: 760,40\r\n\r\n" + body)
+            answer = await reader.readuntil(b"\r\n\r\n")
+            while b"chunked" in answer.lower():
+                length = int(await reader.readuntil(b"\r\n"), 16)
+                text += await reader.readexactly(length + 2)
+                if not length:
+                    is_complete = True
+                    break
+    except (OSError, EOFError, TimeoutError):
+        pass
+    writer.close()
+    rows.append(is_complete and text.count(b"id: ") == N_EVENTS)
+    record.write("sound", id=request, to=gateway.name, whole=rows[-1])
 
 
 async def run(folder):
     """Return whether the rule was broken."""
     record = stand_in.Record(folder)
-    routes = [stand_in.route("stock", "/stock/", "idempotent", "counter")]
-    before = [
-        {"name": "celje", "api_keys": [KEPT_KEY], "priority": 1},
-        {"name": "velenje", "api_keys": [REVOKED_KEY], "priority": 1},
-    ]
-    after = [before[0], {"name": "velenje", "api_keys": [], "priority": 1}]
     with tempfile.TemporaryDirectory() as temporary:
         store = stand_in.Store(record)
         await store.start()
-        version_2 = stand_in.configuration(2, routes, ["counter"], after)
-        store.put(
-            "keyed.op", "config", stand_in.configuration(1, routes, ["counter"], before)
+        draft = stand_in.route(
+            "draft",
+            "/draft/",
+            "streaming",
+            "lm-pool",
+            latency_slo_ms=OBJECTIVE_MS,
+            gap_aim_ms=PAUSE_MS,
+            resumable=True,
         )
+        tenants = [{"name": "savinja", "api_keys": [KEY], "priority": 1}]
+        store.put("keyed.op", "config", build_configuration(draft, tenants))
         engines = []
-        for number in (1, 2, 3):
-            engine = stand_in.Engine(f"e{number}", "counter", "celje", store, record)
+        for number in range(1, N_ENGINES + 1):
+            engine = CrashingEngine(f"lm{number}", "lm-pool", "celje", store, record)
             await engine.start()
             engines.append(engine)
-        peers = []
+        peers, poison_rows, sound_rows, tasks = [], [], [], set()
         gateways = [
             stand_in.Gateway(
                 f"edge-{zone}-1", zone, temporary, store.port, record, peers
             )
-            for zone in ("celje", "velenje", "zalec")
+            for zone in ("celje", "velenje")
         ]
-        added = gateways[-1]
-        late = {gateway.name: [] for gateway in gateways}
         try:
             for gateway in gateways:
                 gateway.write_settings()
-            for gateway in gateways[:-1]:
                 await gateway.start()
-            for gateway in gateways[:-1]:
+            for gateway in gateways:
                 if not await gateway.wait_ready():
                     raise RuntimeError(f"{gateway.name} does not get ready")
-            await asyncio.sleep(5.0)
-            store.put("keyed.op", "config", version_2)
-            acknowledged_s = record.now_s()
-            record.write("configuration.acknowledged", version=2)
-            await asyncio.sleep(DRILL_AFTER_S)
-            # The machine starts while the store is away.
-            await added.start()
-            if stand_in.is_troubled():
-                await store.restore(COPY_AGE_S, AWAY_S)
-                record.write("restored", era=store.era)
-            returned_s = record.now_s()
-            is_written = not stand_in.is_troubled()
-            while record.now_s() < returned_s + WRITTEN_AGAIN_S + REST_S:
-                await asyncio.sleep(INTERVAL_S)
-                if not is_written and record.now_s() >= returned_s + WRITTEN_AGAIN_S:
-                    is_written = True
-                    store.put("keyed.op", "config", version_2)
-                    record.write("configuration.written.again", version=2)
-                for gateway in gateways:
-                    if gateway is added and await gateway.readiness() != 200:
-                        continue
-                    since_s = record.now_s() - acknowledged_s
-                    request, status = await stand_in.call(
-                        gateway, record, REVOKED_KEY, "/stock/1"
-                    )
-                    if since_s > REVOKE_S:
-                        late[gateway.name].append((request, status))
+            await asyncio.sleep(3.0)
+            poison = asyncio.create_task(send_poison(gateways, record, poison_rows))
+            end_s = record.now_s() + LENGTH_S
+            n_sent = 0
+            while record.now_s() < end_s:
+                gateway = gateways[n_sent % len(gateways)]
+                n_sent += 1
+                task = asyncio.create_task(send_sound(gateway, record, sound_rows))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+                await asyncio.sleep(SOUND_INTERVAL_S)
+            poison.cancel()
+            await asyncio.gather(*tasks)
         finally:
             for gateway in gateways:
                 await gateway.close()
-        ran = {request for engine in engines for request, _, _ in engine.runs}
-    n_ran = 0
-    for name, rows in late.items():
-        n = sum(request in ran for request, _ in rows)
-        n_ran += n
-        record.write("result", name=name, n_late=len(rows), n_ran=n)
-        print(f"{name}: {n} of {len(rows)} requests ran whose key had been taken away")
-    return n_ran > 0
+    crashes_s = sorted(at_s for engine in engines for at_s in engine.crashes_s)
+    bound_s = crashes_s[2] + STABILITY_S if len(crashes_s) > 2 else float("inf")
+    late = [at_s for e in engines for at_s in e.poisoned_s if at_s > bound_s]
+    n_broken = sound_rows.count(False)
+    record.write("result", crashes=len(crashes_s), late=len(late), broken=n_broken)
+    print(
+        f"{len(crashes_s)} engines crashed; the request reached engines {len(late)} "
+        f"times later than {STABILITY_S:g} s after the third crash; {n_broken} of "
+        f"{len(sound_rows)} sound streams did not come whole; answers {poison_rows}"
+    )
+    return len(late) > N_ALLOWED
 
 
 if __name__ == "__main__":
--- a/review/lib/platform_stand_in.py
+++ b/review/lib/platform_stand_in.py
@@ -276,17 +276,40 @@
         self._work_s = work_s
         self._born = int(time.time() * 1000)
         self._sequence = 0
+        self._server = None
+        self._port = 0
+        self._writers = set()
         self.runs = []
         self.address = ""
 
     async def start(self):
         """Listen and register in the store."""
-        server = await asyncio.start_server(
-            self._serve, "127.0.0.1", 0, limit=READ_BYTES
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self._port, limit=READ_BYTES
         )
-        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        self._port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self._port}"
         self._beat = asyncio.create_task(self._renew())
 
+    @property
+    def is_running(self):
+        """Whether the process listens."""
+        return self._server is not None
+
+    def stop(self):
+        """End as a crashed process does: all channels close, nothing is said."""
+        self._beat.cancel()
+        self._server.close()
+        self._server = None
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def start_again(self):
+        """Start as a new process under the same identifier and address."""
+        self._born = int(time.time() * 1000)
+        self._sequence = 0
+        await self.start()
+
     async def _renew(self):
         while True:
             self._sequence += 1
@@ -305,9 +328,14 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while True:
-                _, headers, body = await read_message(reader)
+                start, headers, body = await read_message(reader)
+                if start.startswith("GET /-/report "):
+                    writer.write(format_answer(200, {}, self._report()))
+                    await writer.drain()
+                    continue
                 request = headers.get("attempt-id", "")
                 identity = {"Instance-Id": self.name}
                 if request:
@@ -324,8 +352,24 @@
         except (OSError, EOFError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
+    def _report(self):
+        report = {
+            "phase": "unified",
+            "models": [],
+            "busy": False,
+            "sequence": 0,
+            "waiting": 0,
+            "running": 0,
+            "kv_used_tokens": 0,
+            "kv_total_tokens": 1,
+            "request_handles": 0,
+            "born": self._born,
+        }
+        return json.dumps(report).encode()
+
     async def answer(self, writer, request, headers, body):
         """Run a request to its end."""
         await asyncio.sleep(self._work_s)
