Run a booking once where its route is marked resumable

Cause: Route.may_repeat was true for any route with is_resumable, whatever its kind; plain requests and kept connections asked it, streams asked is_resumable.

Change: may_repeat takes is_resumable for streams and the kind for all others, and every place that sends a request again asks it.

--- a/packages/cassiaspread-core/src/cassiaspread_core/routing/_table.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/routing/_table.py
@@ -43,7 +43,8 @@
     :param max_attempts: maximum number of targets that a request is sent to.
     :param priority: rank; 0 is served first.
     :param is_anonymous: whether requests are accepted without a key.
-    :param is_resumable: whether a stream may be resumed at another target.
+    :param is_resumable: whether a stream may be resumed at another target; it has no
+        meaning for requests of another kind.
     """
 
     name: str
@@ -61,8 +62,13 @@
 
     @property
     def may_repeat(self) -> bool:
-        """Whether a request whose outcome is unknown may be sent again."""
-        return self.kind is RequestKind.IDEMPOTENT or self.is_resumable
+        """Whether a request that may have run may be sent to a target again.
+
+        Only a stream can be resumed, so ``is_resumable`` counts for no other kind.
+        """
+        if self.kind is RequestKind.STREAM:
+            return self.is_resumable
+        return self.kind is RequestKind.IDEMPOTENT
 
 
 class Organisation(msgspec.Struct, frozen=True):
--- a/packages/cassiaspread-core/tests/test_routing.py
+++ b/packages/cassiaspread-core/tests/test_routing.py
@@ -1,5 +1,7 @@
 """Look-up of routes and keys, and the age limit of copies of shared state."""
 
+import msgspec
+import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
 
@@ -44,6 +46,22 @@
     assert table.routed_services() == {"pool"}
 
 
+@pytest.mark.parametrize(
+    ("kind", "is_resumable", "may_repeat"),
+    [
+        (RequestKind.IDEMPOTENT, False, True),
+        (RequestKind.IDEMPOTENT, True, True),
+        (RequestKind.NON_IDEMPOTENT, False, False),
+        (RequestKind.NON_IDEMPOTENT, True, False),
+        (RequestKind.STREAM, False, False),
+        (RequestKind.STREAM, True, True),
+    ],
+)
+def test_kind_decides_what_may_run_again(kind, is_resumable, may_repeat):
+    route = make_route("r", "x.example", "/a/", is_resumable=is_resumable)
+    assert msgspec.structs.replace(route, kind=kind).may_repeat is may_repeat
+
+
 def find_linearly(routes, host, path):
     """Return the route as its definition says, without any index."""
     hosts = {route.host.lower() for route in routes}
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -190,7 +190,7 @@
     def _may_resume(self, stream: StreamState) -> bool:
         route = stream.job.route
         return (
-            route.is_resumable
+            route.may_repeat
             and stream.events.may_resume
             and stream.n_runs < route.max_attempts
         )
@@ -200,7 +200,7 @@
         route = stream.job.route
         n_running = 1 if stream.second is None else 2
         return (
-            route.is_resumable
+            route.may_repeat
             and stream.events.may_resume
             and stream.n_runs + n_running < route.max_attempts
             and stream.n_tried < MAX_CHAINS_TRIED
@@ -455,9 +455,8 @@
             return None
 
     def _is_repeatable(self, stream: StreamState) -> bool:
-        return stream.n_runs + 1 < stream.job.route.max_attempts and (
-            stream.job.route.is_resumable
-        )
+        route = stream.job.route
+        return route.may_repeat and stream.n_runs + 1 < route.max_attempts
 
     def _find_at_fault(
         self, assignment: Assignment, answer: AnswerParameters
