Let keys end behind versions that cannot be decoded

Callers saw: a version with a tenant named Žalec never came into force.

Cause: (a) one entry that does not fit refused the whole version; (b) a newest version that cannot be decoded counted as read: FeedFollower confirmed the age of its copy for that page and for each empty page after it, and told peers the same, so that the bound on the age of keys never took effect.

Change: an entry that does not fit concerns its own requests alone: default for an optional field, otherwise 503 unusable-configuration, not run; a route keeps its place, so that a shorter prefix does not take its requests. A page says whether it brings a copy up to its position; without the newest item, whatever the reason, a copy gets older, is not passed on and is confirmed by nobody. A tenant's name is sent as UTF-8 (U+00A0 to U+00FF were sent as Latin-1).

The fixture of test_foreign_messages.py states that its followers have read.

--- a/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
@@ -12,6 +12,7 @@
     SequenceNumber,
     decode_json,
     decode_with,
+    encode_header_text,
     is_header_value,
     parse_address,
     parse_count,
@@ -50,6 +51,7 @@
 )
 from cassiaspread_core.base._rate import EventRate
 from cassiaspread_core.base._states import Outcome, TargetKind, VmState
+from cassiaspread_core.base._usable import convert_usable, load_json
 
 __all__ = [
     "MAX_EXACT_INTEGER",
@@ -88,10 +90,13 @@
     "VmId",
     "VmState",
     "check_order",
+    "convert_usable",
     "decode_json",
     "decode_page",
     "decode_with",
+    "encode_header_text",
     "is_header_value",
+    "load_json",
     "parse_address",
     "parse_count",
     "parse_number",
--- a/packages/cassiaspread-core/src/cassiaspread_core/base/_decode.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/_decode.py
@@ -177,6 +177,28 @@
     return bool(text) and is_sent and text == text.strip()
 
 
+def encode_header_text(text: str) -> str:
+    r"""Return a text as a header holds it: its UTF-8 bytes, one character each.
+
+    :param text: the text.
+    :raises MalformedDocument: a header cannot hold it, or not without changing it.
+
+    >>> encode_header_text("Žalec")
+    'Å½alec'
+    """
+    try:
+        encoded = text.encode().decode("latin-1")
+    except UnicodeEncodeError:
+        encoded = ""
+    if not 0 < len(encoded) <= MAX_NAME_CHARACTERS or text != text.strip():
+        raise MalformedDocument(
+            f'"{shorten(text)}" of {len(text)} characters is no value of a header'
+        )
+    if any(c < " " or "\x7f" <= c <= "\x9f" for c in text):
+        raise MalformedDocument(f'"{shorten(text)}" holds control characters')
+    return encoded
+
+
 def _is_ip_address(host: str) -> bool:
     is_bracketed = host.startswith("[") and host.endswith("]")
     try:
--- a/packages/cassiaspread-core/src/cassiaspread_core/routing/_table.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/routing/_table.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from cassiaspread_core.base import OrganisationId, ServiceId
+from cassiaspread_core.base import Finding, OrganisationId, ServiceId
 from cassiaspread_core.placement import ModelSpec
 
 
@@ -45,6 +45,8 @@
     :param is_anonymous: whether requests are accepted without a key.
     :param is_resumable: whether a stream may be resumed at another target; it has no
         meaning for requests of another kind.
+    :param is_usable: whether its configuration could be decoded; requests are refused
+        otherwise, since a shorter prefix must not take them.
     """
 
     name: str
@@ -59,6 +61,7 @@
     priority: int = 5
     is_anonymous: bool = False
     is_resumable: bool = False
+    is_usable: bool = True
 
     @property
     def may_repeat(self) -> bool:
@@ -77,10 +80,12 @@
     :param name: name of the organisation.
     :param priority: rank that overrides the route's; 0 is served first. ``None`` keeps
         the route's.
+    :param is_usable: whether its configuration could be decoded.
     """
 
     name: OrganisationId
     priority: int | None = None
+    is_usable: bool = True
 
 
 class Service(msgspec.Struct, frozen=True):
@@ -89,11 +94,13 @@
     :param name: name of the service.
     :param health_path: path of the health check.
     :param model: the model, if the targets are engines that hold layers.
+    :param is_usable: whether its configuration could be decoded.
     """
 
     name: ServiceId
     health_path: str = ""
     model: ModelSpec | None = None
+    is_usable: bool = True
 
 
 class ClientLimits(msgspec.Struct, frozen=True):
@@ -145,6 +152,7 @@
     :param organisations: organisation of each key; ``None`` if requests carry no keys.
     :param limits: limits on the requests of callers.
     :param document: what the configuration was decoded from.
+    :param findings: what of it cannot be used; the rest holds.
     """
 
     def __init__(
@@ -155,9 +163,11 @@
         organisations: Mapping[str, Organisation] | None,
         limits: ClientLimits,
         document: bytes = b"",
+        findings: Sequence[Finding] = (),
     ) -> None:
         self.version = version
         self.document = document
+        self.findings = tuple(findings)
         self.services = {service.name: service for service in services}
         self.limits = limits
         self._organisations = organisations
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/__init__.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/__init__.py
@@ -1,6 +1,6 @@
 """The gateway: routes callers' requests to chains of engines and to services."""
 
-from cassiaspread_daemon.gateway._decision_log import DecisionLog
+from cassiaspread_daemon.gateway._decision_log import DecisionLog, describe_error
 from cassiaspread_daemon.gateway._gateway import Gateway
 from cassiaspread_daemon.gateway._pool import ConnectionPool
 from cassiaspread_daemon.gateway._protocols import (
@@ -38,4 +38,5 @@
     "RequestParameters",
     "Stall",
     "SuspectChange",
+    "describe_error",
 ]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -33,7 +33,7 @@
 from cassiaspread_core.membership import Member, rank_members
 from cassiaspread_core.routing import RouteTable, StateAge
 from cassiaspread_daemon._supervisor import Supervisor
-from cassiaspread_daemon.gateway._decision_log import DecisionLog
+from cassiaspread_daemon.gateway._decision_log import DecisionLog, describe_error
 from cassiaspread_daemon.gateway._document_spread import Document, DocumentSpread
 from cassiaspread_daemon.gateway._fleet_view import FleetView
 from cassiaspread_daemon.gateway._job import now
@@ -452,7 +452,7 @@
 
     def _confirm_current(self, current_s: float | None) -> None:
         """Record that this copy is current according to the reader."""
-        if current_s is None:
+        if current_s is None or not self._has_newest:
             return
         self._age.confirm(current_s)
         self._restart_timeout()
@@ -537,7 +537,8 @@
             self._publish(is_forwarded=False)
 
     def _publish(self, is_forwarded: bool) -> None:
-        if self._position is None:
+        if self._position is None or not self._has_newest:
+            # Others may be able to decode what this daemon could not.
             return
         end, document = self._position, self._compress()
         is_spread = len(document) > MAX_UPDATE_BYTES
@@ -562,7 +563,7 @@
 
     def _newest_document(self) -> tuple[int, bytes] | None:
         document = self._compress()
-        if self._position is None or not document:
+        if self._position is None or not self._has_newest or not document:
             return None
         return self._position, document
 
@@ -606,6 +607,7 @@
         self._compressed = table, document
         self._routing_state.apply_table(table)
         self._position = end
+        self._has_newest = True
         return True
 
     async def _wait_until_due(self) -> None:
@@ -632,9 +634,9 @@
     def _decode(self, document: bytes) -> RouteTable | None:
         try:
             return self._configurations.decode(_decompress(document))
-        except (zlib.error, ValueError) as error:
+        except Exception as error:
             # The store has it as well.
-            self._log.record("configuration.unreadable", reason=str(error))
+            self._log.record("configuration.unreadable", **describe_error(error))
             return None
 
     def _forward(self, update: ConfigurationUpdate) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
@@ -231,10 +231,13 @@
 
     :param items: changes, oldest first.
     :param position: position of the next page.
+    :param is_complete: whether a copy with these items is current at the position;
+        false if a newer item could not be decoded.
     """
 
     items: tuple[Item, ...]
     position: int
+    is_complete: bool = True
 
 
 class Feed(Protocol[Item]):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_router.py
@@ -43,6 +43,8 @@
 
 # Retry time while the daemon has not read the configuration yet, or not recently.
 RETRY_AFTER_UNKNOWN_S = 0.5
+# Retry time while an entry of the configuration cannot be used, until its next version.
+RETRY_AFTER_UNUSABLE_S = 5.0
 LOWEST_PRIORITY = 9
 ANY_SERVICE = ServiceId("")
 # Timeout of a request whose caller specifies none, in seconds.
@@ -158,6 +160,7 @@
         if route is None:
             self._check_configuration_age()
             raise Refusal(404, "unknown-route", "No route matches host and path.")
+        _check_usable(route.is_usable, "this route")
         organisation = self._find_organisation(table, route, parameters)
         service = self._choose_service(table, route)
         timeout_s = (
@@ -197,6 +200,7 @@
         if organisation is None:
             self._check_configuration_age()
             raise Refusal(401, "unknown-key", "The key belongs to no organisation.")
+        _check_usable(organisation.is_usable, "the key's organisation")
         return organisation
 
     def _check_configuration_age(self) -> None:
@@ -207,11 +211,18 @@
             )
 
     def _choose_service(self, table: RouteTable, route: Route) -> Service:
-        weights = [backend.weight for backend in route.backends]
+        services = [
+            table.services.get(backend.service, Service(backend.service))
+            for backend in route.backends
+        ]
+        weights = [
+            backend.weight * service.is_usable
+            for backend, service in zip(route.backends, services, strict=True)
+        ]
         if sum(weights) <= 0:
-            weights = [1.0] * len(weights)
-        backend = self._random_state.choices(route.backends, weights)[0]
-        return table.services.get(backend.service, Service(backend.service))
+            weights = [float(service.is_usable) for service in services]
+        _check_usable(any(weights), "the route's service")
+        return self._random_state.choices(services, weights)[0]
 
     def _estimate_demand(
         self, service: Service, parameters: RequestParameters
@@ -295,6 +306,17 @@
     return Refusal(500, INTERNAL_ERROR, detail, Outcome.UNKNOWN)
 
 
+def _check_usable(is_usable: bool, what: str) -> None:
+    """Refuse a request that needs an entry which could not be decoded."""
+    if not is_usable:
+        raise Refusal(
+            503,
+            "unusable-configuration",
+            f"The configuration of {what} cannot be used.",
+            retry_after_s=RETRY_AFTER_UNUSABLE_S,
+        )
+
+
 def _not_known_refusal(detail: str) -> Refusal:
     return Refusal(
         503, "not-known", detail, Outcome.NOT_RUN, retry_after_s=RETRY_AFTER_UNKNOWN_S
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
@@ -18,6 +18,8 @@
 
 # Targets that left are remembered, since their entries may come back.
 MAX_LEFT = 10_000
+# Number of findings in a configuration that a log line states.
+MAX_FINDINGS_LOGGED = 8
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 0.8
 
@@ -71,6 +73,13 @@
             n_bytes=len(table.document),
             apply_ms=round((time.monotonic() - started_s) * 1000, 1),
         )
+        if table.findings:
+            self._log.record(
+                "configuration.partly_usable",
+                version=table.version,
+                n_findings=len(table.findings),
+                findings=[str(f) for f in table.findings[:MAX_FINDINGS_LOGGED]],
+            )
 
     def apply_change(self, change: EngineChange) -> bool:
         """Apply a change of a target's entry.
@@ -238,6 +247,8 @@
         self._interval_s = interval_s
         self._random_state = random_state
         self._position: int | None = None
+        # Whether the newest item up to the position is applied.
+        self._has_newest = False
         self._is_unavailable = False
 
     async def run(self) -> None:
@@ -276,21 +287,33 @@
         start = self._position
         if start is None:
             page: FeedPage[Item] = await self._feed.snapshot()
-            self._replace(page.items)
-            self._age.confirm(requested_s)
+            confirmed_s = requested_s
         else:
             wait_s = self._next_wait_s()
             page = await self._feed.changes(start, wait_s)
-            for item in page.items:
-                self._apply_item(item)
             # The store returns an empty page only after the full wait.
-            waited_s = 0.0 if page.items else wait_s
-            self._age.confirm(min(requested_s + waited_s, suspended_clock_s()))
+            is_empty = page.is_complete and not page.items
+            waited_s = wait_s if is_empty else 0.0
+            confirmed_s = min(requested_s + waited_s, suspended_clock_s())
+        self._apply_page(start, page)
+        # A copy without the newest item gets older, whatever else is read.
+        if self._has_newest:
+            self._age.confirm(confirmed_s)
         # An update of another daemon may have come meanwhile.
         self._position = max(page.position, self._position or 0)
         self._on_page(start, page)
 
-    def _apply_item(self, item: Item) -> None:
+    def _apply_page(self, start: int | None, page: FeedPage[Item]) -> None:
+        if start is None and page.is_complete:
+            self._replace(page.items)
+            self._has_newest = True
+            return
+        are_applied = [self._apply_item(item) for item in page.items]
+        if page.items or not page.is_complete:
+            self._has_newest = page.is_complete and all(are_applied)
+
+    def _apply_item(self, item: Item) -> bool:
+        """Apply an item; return whether that succeeded."""
         try:
             self._apply(item)
         except Exception as error:
@@ -298,6 +321,8 @@
             self._log.record(
                 "feed.item_failed", feed=self._name, **describe_error(error)
             )
+            return False
+        return True
 
     def _record_unavailable(self, reason: str) -> None:
         if not self._is_unavailable:
--- a/packages/cassiaspread-daemon/tests/test_foreign_messages.py
+++ b/packages/cassiaspread-daemon/tests/test_foreign_messages.py
@@ -169,6 +169,7 @@
         sharing, state, None, lambda changes: None, log, 0.0, 1.0, random.Random(1)
     )
     configuration._position = engines._position = 5
+    configuration._has_newest = engines._has_newest = True
     return state, mesh, log
 
 
--- a/packages/cassiaspread-daemon/tests/test_routing_state.py
+++ b/packages/cassiaspread-daemon/tests/test_routing_state.py
@@ -103,3 +103,83 @@
 
     asyncio.run(run())
     assert set(state.engines) == {"a", "b"}
+
+
+class PagedFeed:
+    """Returns given pages, then cancels the follower."""
+
+    def __init__(self, *pages):
+        self.pages = list(pages)
+
+    async def snapshot(self):
+        return self.pages.pop(0)
+
+    async def changes(self, position, wait_s):
+        if not self.pages:
+            raise asyncio.CancelledError
+        return self.pages.pop(0)
+
+
+def follow_configuration(*pages):
+    """Return the state and its age after each page."""
+    state, ages = RoutingState(RecordingLog(), 5.0, 5.0), []
+
+    class Follower(FeedFollower):
+        def _on_page(self, start, page):
+            ages.append(state.configuration_age.current_at_s)
+
+    follower = Follower(
+        "configuration",
+        PagedFeed(*pages),
+        state.apply_table,
+        lambda tables: [state.apply_table(t) for t in tables],
+        state.configuration_age,
+        RecordingLog(),
+        0.0,
+        0.0,
+        random.Random(1),
+    )
+    with suppress(asyncio.CancelledError):
+        asyncio.run(follower.run())
+    return state, ages
+
+
+def test_copy_without_the_newest_version_gets_older():
+    # Guards against a version that cannot be decoded and counts as read.
+    state, ages = follow_configuration(
+        FeedPage((table(1),), 1),
+        FeedPage((), 1),
+        FeedPage((table(2),), 3, is_complete=False),
+        FeedPage((), 3),
+        FeedPage((), 3),
+        FeedPage((table(4),), 4),
+        FeedPage((), 4),
+    )
+    assert state.table.version == 4
+    assert ages[1] > ages[0]
+    # The older version of the page is in force, but does not make the copy current.
+    assert ages[2] == ages[3] == ages[4] == ages[1]
+    assert ages[6] > ages[5] > ages[4]
+
+
+def test_first_copy_without_a_readable_version_is_never_current():
+    state, ages = follow_configuration(
+        FeedPage((), 1, is_complete=False), FeedPage((), 1), FeedPage((), 1)
+    )
+    assert state.table is None
+    assert ages == [None] * 3
+
+
+def test_copy_that_could_not_be_applied_gets_older():
+    broken = table(2)
+    # Fails inside of the state, for a reason that no decoder checks.
+    broken.version = "two"
+    state, ages = follow_configuration(
+        FeedPage((table(1),), 1),
+        FeedPage((broken,), 2),
+        FeedPage((), 2),
+        FeedPage((table(3),), 3),
+    )
+    assert state.table.version == 3
+    assert ages[2] == ages[1] == ages[0]
+    assert ages[3] > ages[2]
