Record the loss of engines that run a stream without layers

Cause: the engines that may have ended under a broken stream were taken from its chain, and an assignment without layers has none. Attempts that ended with bytes that are no answer, with events out of place or at their deadline were not looked at either.

Unit test of each end, with and without a chain.

Change: Assignment.engines names all engines at work, and the end of an attempt that was sent is passed to the quarantine whatever ends it but a cancellation. The fake quarantine of test_gateway_parts.py now lists what it is told, and its tests check that.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_dispatch.py
@@ -41,6 +41,11 @@
     chain: Chain
     loads: tuple[tuple[TargetId, StageLoad], ...]
 
+    @property
+    def engines(self) -> tuple[Engine, ...]:
+        """All targets that are at work for the request once it is sent."""
+        return tuple(stage.engine for stage in self.chain) or (self.head,)
+
     @property
     def targets(self) -> tuple[TargetId, ...]:
         """All targets that the request depends on."""
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_plain.py
@@ -229,6 +229,7 @@
             self._record_broken(job, assignment, str(failure), is_sent=True)
             call.error = failure
             call.n_runs += 1
+            await self._record_interruption(job, attempt)
             # The bytes may also be the target's own answer to this request.
             call.deferred.add(assignment.head.target)
             call.avoided.discard(assignment.head.target)
@@ -237,9 +238,7 @@
             self._record_unreachable(job, assignment, str(failure), is_sent=True)
             call.error = failure
             call.n_runs += 1
-            await self._quarantine.record_interruption(
-                job, (assignment.head,), attempt.run
-            )
+            await self._record_interruption(job, attempt)
             return None
         if is_request_refused(job, answer.parameters):
             return answer
@@ -257,6 +256,10 @@
         is_final = answer.parameters.is_signed and not call.may_try
         return answer if is_final else None
 
+    async def _record_interruption(self, job: Job, attempt: _Attempt) -> None:
+        engines = attempt.assignment.engines
+        await self._quarantine.record_interruption(job, engines, attempt.run)
+
     async def _try_elsewhere(self, call: _Call) -> None:
         """Ask another target beside those that are silent, which may still answer."""
         silent = [task for task in call.pending if task not in call.silent]
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Sequence
 
 from cassiaspread_core.base import Refusal, TargetId
 from cassiaspread_core.placement import Engine
@@ -269,31 +270,38 @@
         except ConnectionSpoiled as error:
             self._record_head_failure(assignment, error)
             self._record_broken(stream, assignment, str(error), is_sent=True)
+            await self._record_interruption(stream, assignment.engines, run)
             # The bytes may also be the head's own answer to this request.
             stream.deferred.add(assignment.head.target)
             stream.avoided.discard(assignment.head.target)
             return AttemptResult.BROKEN
         except MisplacedEvents as error:
             self._record_misplaced(stream, assignment, error)
+            await self._record_interruption(stream, assignment.engines, run)
             return AttemptResult.FAILED
         except ExchangeBroken as error:
             self._record_head_failure(assignment, error)
             self._record_broken(stream, assignment, str(error), is_sent=True)
-            engines = _possibly_lost(assignment, error)
-            await self._quarantine.record_interruption(
-                stream.job,
-                engines,
-                run.start,
-                stream.events.n_events,
-                run.has_gone_on,
-            )
+            engines = assignment.engines
+            if isinstance(error, StreamStalled):
+                engines = (error.engine,)
+            await self._record_interruption(stream, engines, run)
             return AttemptResult.BROKEN
         except TimeoutError:
             self._record_broken(stream, assignment, "deadline", is_sent=True)
+            await self._record_interruption(stream, assignment.engines, run)
             raise timeout_refusal(is_sent=True) from None
         finally:
             self._dispatcher.release(assignment)
 
+    async def _record_interruption(
+        self, stream: StreamState, engines: Sequence[Engine], run: "_Run"
+    ) -> None:
+        """Record the engines that ended under an attempt that was sent."""
+        await self._quarantine.record_interruption(
+            stream.job, engines, run.start, stream.events.n_events, run.has_gone_on
+        )
+
     def _record_progress(self, stream: StreamState, run: "_Run") -> None:
         run.has_gone_on = True
         self._quarantine.record_progress(stream.job, unix_time_s())
@@ -484,10 +492,3 @@
             n_events=stream.events.n_events,
             shared_parts=stream.job.parameters.shared_parts,
         )
-
-
-def _possibly_lost(assignment: Assignment, error: ExchangeBroken) -> list[Engine]:
-    """Return the engines that may have ended when a stream was interrupted."""
-    if isinstance(error, StreamStalled):
-        return [error.engine]
-    return [stage.engine for stage in assignment.chain]
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -7,6 +7,7 @@
 import random
 import socket
 import time
+from contextlib import suppress
 
 import msgspec
 import pytest
@@ -16,7 +17,7 @@
 from cassiaspread_core.placement import Engine, LayerRange
 from cassiaspread_core.routing import Service, StateAge
 from cassiaspread_core.targets import TargetClosures, TargetHealth
-from cassiaspread_daemon._events import MAX_EVENT_BYTES, EventBuffer
+from cassiaspread_daemon._events import MAX_EVENT_BYTES, EventBuffer, MisplacedEvents
 from cassiaspread_daemon._exchange import (
     AnswerTooLarge,
     ConnectFailed,
@@ -133,8 +134,14 @@
     assert dispatcher.assign(job.service, job.demand, 10.1).head.target == "e"
 
 
-class NoQuarantine:
-    """Quarantine that records nothing."""
+class OpenQuarantine:
+    """Quarantine that refuses nothing and lists the targets it is told of."""
+
+    def __init__(self):
+        self.interrupted = []
+
+    async def record_interruption(self, job, engines, *run):
+        self.interrupted += [engine.target for engine in engines]
 
     def begin_run(self, job):
         return None
@@ -150,8 +157,9 @@
 def test_plain_target_that_spoils_connections_becomes_suspect(log):
     async def run():
         health, dispatcher = make_plain_dispatcher(log)
+        quarantine = OpenQuarantine()
         forwarder = PlainForwarder(
-            None, None, dispatcher, health, NoQuarantine(), None, Closing(), log
+            None, None, dispatcher, health, quarantine, None, Closing(), log
         )
         forwarder._send = spoil
         service = Service("stock")
@@ -160,28 +168,33 @@
             with pytest.raises(Refusal):
                 await forwarder.forward(job, None)
         assert health.is_suspect("near", now())
+        assert quarantine.interrupted == ["near", "near"]
         assert dispatcher.assign(service, job.demand, now()).head.target == "far"
 
     asyncio.run(run())
 
 
+def make_stream_forwarder(log, queue, dispatcher, health, quarantine):
+    return StreamForwarder(
+        None,
+        None,
+        dispatcher,
+        queue,
+        health,
+        quarantine,
+        None,
+        None,
+        Closing(),
+        log,
+        FakeMetrics(),
+    )
+
+
 def test_head_that_spoils_connections_becomes_suspect(log):
     async def run():
         dispatcher, queue = make_queue(log)
-        health = TargetHealth()
-        forwarder = StreamForwarder(
-            None,
-            None,
-            dispatcher,
-            queue,
-            health,
-            NoQuarantine(),
-            None,
-            None,
-            Closing(),
-            log,
-            FakeMetrics(),
-        )
+        health, quarantine = TargetHealth(), OpenQuarantine()
+        forwarder = make_stream_forwarder(log, queue, dispatcher, health, quarantine)
         forwarder._relay = spoil
         stream = StreamState(make_job(), lambda: True)
         for _ in range(2):
@@ -189,12 +202,47 @@
             result = await forwarder._attempt(stream, assignment, None)
             assert result is AttemptResult.BROKEN
         assert health.is_suspect("e", now())
+        assert quarantine.interrupted == ["e", "e"]
         # It is the only one.
         assert (await queue.assign(make_job(), (), 1.0)).head.target == "e"
 
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    "error",
+    [
+        ExchangeBroken("closed"),
+        ConnectionSpoiled("no response"),
+        MisplacedEvents("4", ["1"]),
+        TimeoutError(),
+    ],
+    ids=lambda error: type(error).__name__,
+)
+@pytest.mark.parametrize("has_layers", [True, False])
+def test_engine_at_work_is_probed_whatever_ends_its_attempt(log, error, has_layers):
+    # Guards against losses recorded only for chains, or only for broken connections.
+    async def fail(*arguments):
+        raise error
+
+    async def run():
+        dispatcher, queue = make_queue(log)
+        quarantine = OpenQuarantine()
+        forwarder = make_stream_forwarder(
+            log, queue, dispatcher, TargetHealth(), quarantine
+        )
+        forwarder._relay = fail
+        stream = StreamState(make_job(), lambda: True)
+        assignment = await queue.assign(make_job(), (), 1.0)
+        if not has_layers:
+            assignment = msgspec.structs.replace(assignment, chain=())
+        with suppress(Refusal):
+            await forwarder._attempt(stream, assignment, None)
+        assert quarantine.interrupted == ["e"]
+
+    asyncio.run(run())
+
+
 def test_requests_wait_in_fair_order_while_caches_are_full(log):
     async def run():
         dispatcher, queue = make_queue(log)
--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -1,9 +1,11 @@
 """Stand-in for an engine or plain service: entries, orders, reports, requests, faults.
 
 A request whose body contains the text of ``--crash-on`` ends the process as soon as it
-begins to run. A request whose prompt contains one of ``--crash-parts``, separated by
-commas, ends it as ``--crash-at`` says: before the head of its answer (``start``), after
-it (``head``) or inside the first event (``event``). A request whose body is that of
+begins to run, after the bytes of ``--crash-bytes``, in which ``{id}`` stands for the
+request's identifier. A request whose prompt contains one of ``--crash-parts``,
+separated by commas, ends it as ``--crash-at`` says: before the head of its answer
+(``start``), after it (``head``) or inside the first event (``event``). A request whose
+body is that of
 ``--call-on`` calls the URL of ``--call-url`` first, as a run that depends on another
 service does.
 
@@ -370,7 +372,7 @@
         )
         crash_text = engine.arguments.crash_on.encode()
         if crash_text and crash_text in self.request.body:
-            self.crash()
+            await self.crash_with(engine.arguments.crash_bytes)
         if self.find_crash_part() and engine.arguments.crash_at == "start":
             self.crash()
         call_text = engine.arguments.call_on.encode()
@@ -475,6 +477,14 @@
         self.engine.append_history(kind="crash", uri=uri, part=part)
         os._exit(CRASH_STATUS)
 
+    async def crash_with(self, text):
+        if text:
+            text = text.replace("{id}", self.request.headers.get("Attempt-Id", ""))
+            await self.request.connection.stream.write(text.encode())
+            # What was sent leaves before the process ends.
+            await asyncio.sleep(CRASH_DELAY_S)
+        self.crash()
+
     async def crash_in_stream(self):
         self.flush()
         if self.engine.arguments.crash_at == "event":
@@ -585,7 +595,14 @@
         parser.add_argument(f"--{name}", required=True)
     parser.add_argument("--kind", default="")
     parser.add_argument("--advertise", default="")
-    for name in ("crash-on", "crash-parts", "call-on", "call-url", "call-host"):
+    for name in (
+        "crash-on",
+        "crash-bytes",
+        "crash-parts",
+        "call-on",
+        "call-url",
+        "call-host",
+    ):
         parser.add_argument(f"--{name}", default="")
     parser.add_argument("--crash-at", default="start")
     # Time until the first entry, as a list that lags shows it, in seconds.
--- a/tests/users_platform/test_crashing_requests.py
+++ b/tests/users_platform/test_crashing_requests.py
@@ -204,6 +204,97 @@
     assert_refused_at_once(answers[-1])
 
 
+WHOLE_SERVICE = "whole-pool"
+WHOLE_ENGINES = tuple(f"{zone}-whole-{n}" for zone in DOMAINS for n in range(2))
+WHOLE_ROUTES = {
+    "resumable-stream": {"kind": "streaming", "resumable": True},
+    "stream": {"kind": "streaming"},
+    "lookup": {"kind": "idempotent"},
+    "booking": {"kind": "non_idempotent"},
+}
+STREAM_HEAD = (
+    "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: s\r\n"
+    "Content-Type: text/event-stream\r\n\r\n"
+)
+OTHER_ANSWER = "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 0\r\n\r\n"
+# What an engine sends before it ends.
+LAST_BYTES = {
+    "no answer": "no answer\r\n\r\n",
+    "answer to another": OTHER_ANSWER,
+    "head": STREAM_HEAD,
+    "event out of place": STREAM_HEAD + "id: 1\ndata: x\n\n",
+}
+
+
+def whole_service(has_engine_section):
+    """Return a service whose engines run all layers alone."""
+    service = dict(configuration(0)["services"][0], name=WHOLE_SERVICE)
+    engine = dict(service.pop("engine"))
+    del engine["layers"], engine["layer_mb"]
+    return service | ({"engine": engine} if has_engine_section else {})
+
+
+def start_whole_pool(deployment, has_engine_section=True, last_bytes=""):
+    routes = [
+        route(name, f"/{name}/", service=WHOLE_SERVICE, **fields)
+        for name, fields in WHOLE_ROUTES.items()
+    ]
+    service = whole_service(has_engine_section)
+    deployment.publish_configuration(3, routes=routes, services=[service])
+    for name in WHOLE_ENGINES:
+        add_engine(deployment, name, WHOLE_SERVICE, crash_bytes=last_bytes)
+    for name in GATEWAYS:
+        deployment.add_gateway(name, name.split("-")[1], has_peers=True)
+    for name in GATEWAYS:
+        wait_for(lambda name=name: deployment.is_ready(name))
+        wait_for(lambda name=name: send_sound(deployment, name).status == 200)
+    # Daemons discover each other in the second round of gossip.
+    time.sleep(2.0)
+
+
+def send_sound(deployment, gateway, path="/resumable-stream/1"):
+    return deployment.request(gateway, path, Token_Count="100,8", Model="m")
+
+
+def check_crashing_request_is_refused(deployment, path, **headers):
+    def send(deployment, gateway):
+        stream_headers = {"Token_Count": "100,40", "Model": "m", **headers}
+        return send_crashing(deployment, gateway, path, **stream_headers)
+
+    with Respawner(deployment, WHOLE_ENGINES, RESPAWN_S):
+        answers = send_by_turns(deployment, 10.0, send)
+        assert_contained(deployment)
+        assert_refused_at_once(answers[-1])
+        for name in GATEWAYS:
+            wait_for(lambda name=name: send_sound(deployment, name).status == 200)
+
+
+@pytest.mark.parametrize("name", WHOLE_ROUTES)
+def test_request_that_crashes_engines_without_layers_is_not_run_again(
+    bare_deployment, name
+):
+    # Guards against losses that are recorded for chains of engines alone.
+    start_whole_pool(bare_deployment)
+    check_crashing_request_is_refused(bare_deployment, f"/{name}/p")
+
+
+def test_stream_that_crashes_plain_targets_is_not_run_again(bare_deployment):
+    # Guards against losses that are recorded for services with a model alone.
+    start_whole_pool(bare_deployment, has_engine_section=False)
+    check_crashing_request_is_refused(bare_deployment, "/resumable-stream/p")
+
+
+@pytest.mark.parametrize("last", LAST_BYTES)
+def test_engines_that_send_something_before_they_end_are_recorded(
+    bare_deployment, last
+):
+    # Guards against losses that are not recorded for some ends of an attempt.
+    start_whole_pool(bare_deployment, last_bytes=LAST_BYTES[last])
+    check_crashing_request_is_refused(
+        bare_deployment, "/resumable-stream/p", Last_Event_Id="3"
+    )
+
+
 def test_copies_sent_at_the_same_moment_are_not_run_again(fleet):
     with ThreadPoolExecutor(len(GATEWAYS) * 2) as pool:
         for _ in range(16):
