Bound the messages that daemons receive from each other

Operators saw (elsewhere): bytes without end exhausted the memory of the machine that read them, and other clients' requests ended with it.

Found here: one message between daemons may have any size. Four connections to the peer port of a gateway brought it to 4,127 MB in 3 s, one peer that replies to 1,025 MB.

Cause: the sockets of the mesh have no bound on a message; the bound of 4 MB in mesh/_pieces.py concerns messages that come in pieces.

Change: a connection that brings a request of more than 272 KB or a reply of more than 4 MB is closed. Requests beyond 8 KB come in pieces; earlier releases send documents of up to 256 KB whole.

The stand-ins' bytes without end are in one module, which the store uses too.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_transport.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/mesh/_transport.py
@@ -18,6 +18,10 @@
 # Handlers may block on other systems; enough contexts must stay free for gossip.
 N_REPLY_CONTEXTS = 64
 IDLE_SOCKET_S = 60.0
+# Bounds on one message; a connection that brings a larger one is closed. Large requests
+# come in pieces, but earlier releases send documents of up to 256 KB whole.
+MAX_REQUEST_BYTES = 272 * 1024
+MAX_REPLY_BYTES = 4 * 1024 * 1024
 
 Result = TypeVar("Result")
 
@@ -47,7 +51,7 @@
 
 class _Requester:
     def __init__(self, address: str, now_s: float) -> None:
-        self.socket = pynng.Req0(resend_time=-1)
+        self.socket = pynng.Req0(resend_time=-1, recv_max_size=MAX_REPLY_BYTES)
         self.socket.dial(f"tcp://{address}", block=False)
         self.used_s = now_s
 
@@ -73,7 +77,8 @@
         self._traffic = Traffic()
 
     async def __aenter__(self) -> Self:
-        self._replier = pynng.Rep0(listen=f"tcp://{self._listen}")
+        self._replier = pynng.Rep0(recv_max_size=MAX_REQUEST_BYTES)
+        self._replier.listen(f"tcp://{self._listen}")
         for index in range(N_REPLY_CONTEXTS):
             self._supervisor.start(f"reply-{index}", self._reply)
         self._supervisor.start("close-idle", self._close_idle)
--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -9,12 +9,11 @@
 import sys
 import threading
 import time
-from pathlib import Path
 
 from tests.fleet import ROOT, free_port
 from tests.json_lines import decode_lines, decode_log
 
-STANDINS = Path(__file__).parent / "standins"
+STANDINS = "tests.users_platform.standins"
 HOST = "shop.example"
 MODEL_SERVICE = "model-pool"
 PLAIN_SERVICE = "booking-pool"
@@ -113,7 +112,8 @@
         self.store_port = self.ports["store"] = free_port()
         self.history_path = folder / "history.jsonl"
         self.history_path.touch()
-        self.start("store", STANDINS / "store.py", "--port", self.store_port)
+        store = ("-m", f"{STANDINS}.store")
+        self.start("store", *store, "--port", self.store_port)
         wait_for(lambda: self.accepts_connections(self.store_port))
 
     def start(self, name, *command, environment=None):
@@ -173,7 +173,7 @@
         self.start(
             name,
             "-m",
-            "tests.users_platform.standins.engine",
+            f"{STANDINS}.engine",
             "--port",
             self.ports[name],
             "--id",
--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -37,7 +37,8 @@
 ``reset``, or ``end`` for a last chunk) and ``flood``, which sends bytes without end: in
 the ``head`` of an answer, a ``line`` or ``events`` of a stream, one ``chunk``, many
 ``chunks``, many interim responses (``interim``), or a body that ends with the
-connection (``body``).
+connection (``body``); ``flood_block_bytes`` are sent at a time, with a pause of
+``flood_pause_s``, and ``floods_control`` sends them as reports and answers to orders.
 
 One line is appended to the history for each run, each order, each refusal, each report
 to a gateway beside ``retry_after``, each run whose caller disconnected and each answer
@@ -59,6 +60,7 @@
 from tornado.web import Application, RequestHandler
 
 from tests.users_platform.standins.delays import watch_delays
+from tests.users_platform.standins.floods import BLOCK_BYTES, write_without_end
 
 HEARTBEAT_S = 0.4
 # Time for which a request waits for a silent engine of its chain.
@@ -69,22 +71,8 @@
 CRASH_DELAY_S = 0.02
 # An event that is broken off inside one of its fields.
 BREAK_TEXT = "id: {id}\nda"
-FLOOD_BLOCK_BYTES = 64 * 1024
-# A stand-in gives up after this many bytes, so that a daemon without a bound ends.
-MAX_FLOOD_BYTES = 1024 * 1024 * 1024
 # Closing a socket with this option set resets its connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-FLOOD_HEAD = b"HTTP/1.1 200 OK\r\nResponse-Seal: seal\r\nAttempt-Id: %s\r\n"
-FLOODS = {
-    "head": (FLOOD_HEAD + b"X-Filler: ", b"x"),
-    "interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
-    "body": (FLOOD_HEAD + b"\r\n", b"x"),
-    "line": (FLOOD_HEAD + b"\r\nid: 1\ndata: ", b"x"),
-    "events": (FLOOD_HEAD + b"\r\n", b"id: 1\ndata: x\n\n"),
-    "chunk": (FLOOD_HEAD + b"Transfer-Encoding: chunked\r\n\r\n7fffffff\r\n", b"x"),
-    "chunks": (FLOOD_HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"2\r\nxx\r\n"),
-}
-
 
 # Pause between two parts of a second answer.
 PART_PAUSE_S = 0.02
@@ -114,6 +102,8 @@
         self.unframed = self.spoils = self.needs_id = False
         self.status = None
         self.flood = None
+        self.flood_block_bytes, self.flood_pause_s = BLOCK_BYTES, 0.0
+        self.floods_control = False
         self.retry_after = None
         self.leaving = False
         self.begin_s = 0.0
@@ -197,6 +187,17 @@
             after_s = self.engine.second_after_s + n * PART_PAUSE_S
             asyncio.get_running_loop().call_later(after_s, write, part)
 
+    async def send_without_end(self):
+        engine = self.engine
+        n_bytes = await write_without_end(
+            self.request.connection.stream,
+            engine.flood,
+            self.request.headers.get("Attempt-Id", ""),
+            engine.flood_block_bytes,
+            engine.flood_pause_s,
+        )
+        engine.append_history(kind="flood", n_bytes=n_bytes)
+
     async def answer_control(self, body=b""):
         """Answer a report or an order, twice if the engine does so."""
         status = self.get_status()
@@ -217,6 +218,9 @@
 class ReportHandler(EngineHandler):
     async def get(self):
         engine = self.engine
+        if engine.floods_control and STAGE_HEADER not in self.request.headers:
+            await self.send_without_end()
+            return
         if engine.lie is not None and STAGE_HEADER not in self.request.headers:
             await self.lie(engine.lie)
             return
@@ -255,6 +259,9 @@
 class OrderHandler(EngineHandler):
     async def post(self):
         engine, order = self.engine, json.loads(self.request.body)
+        if engine.floods_control:
+            await self.send_without_end()
+            return
         status = self.check_order(order)
         engine.append_history(kind="order", status=status, **order)
         self.set_status(status)
@@ -450,21 +457,6 @@
             await stream.write(format_answer(request_id, **fields))
         stream.close()
 
-    async def send_without_end(self):
-        stream = self.request.connection.stream
-        head, unit = FLOODS[self.engine.flood]
-        if b"%s" in head:
-            head %= self.request.headers["Attempt-Id"].encode()
-        block = unit * (FLOOD_BLOCK_BYTES // len(unit))
-        n_bytes = 0
-        with contextlib.suppress(StreamClosedError):
-            await stream.write(head)
-            while n_bytes < MAX_FLOOD_BYTES:
-                await stream.write(block)
-                n_bytes += len(block)
-        self.engine.append_history(kind="flood", n_bytes=n_bytes)
-        stream.close()
-
     def find_crash_part(self):
         """Return the part of the prompt that ends this process, if there is one."""
         entries = self.request.headers.get("Prompt-Prefix", "").split(",")
--- a/tests/users_platform/standins/store.py
+++ b/tests/users_platform/standins/store.py
@@ -2,8 +2,9 @@
 
 ``POST /control`` sets ``refuse`` (503 to all calls), ``silent`` (no response),
 ``answer_s`` (time until each call is answered), ``copy_after_s`` (each answer comes a
-second time on its connection after so many seconds) and ``first_offset`` (offset before
-which records are removed). ``truncate`` removes all
+second time on its connection after so many seconds), ``flood`` (bytes without end in
+place of each answer, see ``floods.py``) and ``first_offset`` (offset before which
+records are removed). ``truncate`` removes all
 records but the newest of each key; ``restore`` returns to the state of so many seconds
 ago and raises the era; ``rebalance`` starts a new generation of the group.
 ``POST /put?topic=&key=`` appends a record on behalf of the operator or an engine.
@@ -18,6 +19,8 @@
 
 from tornado.web import Application, RequestHandler
 
+from tests.users_platform.standins.floods import write_without_end
+
 
 class Store:
     def __init__(self):
@@ -27,6 +30,7 @@
         self.silent = False
         self.answer_s = 0.0
         self.copy_after_s = None
+        self.flood = None
         self.first_offset = 0
         self.first_offsets = {}
         self.generation = 0
@@ -88,6 +92,10 @@
         if self.store.silent:
             await asyncio.sleep(3600)
         await asyncio.sleep(self.store.answer_s)
+        if self.store.flood is not None:
+            self._finished = True
+            await write_without_end(self.request.connection.stream, self.store.flood)
+            return
         if self.store.refuse:
             self.set_status(503)
             self.finish()
--- a/tests/users_platform/test_answers_behind_configurations.py
+++ b/tests/users_platform/test_answers_behind_configurations.py
@@ -68,7 +68,7 @@
                 name,
                 "celje",
                 has_peers=True,
-                launcher=[STANDINS / "linked_gateway.py"],
+                launcher=("-m", f"{STANDINS}.linked_gateway"),
                 environment={"PEER_LINKS": json.dumps(links)},
                 waits=False,
             )
