--- a/tests/users_platform/test_odd_configurations.py
+++ b/tests/users_platform/test_odd_configurations.py
@@ -91,6 +91,7 @@
     "no prefill": ({"read_per_s": 0}, REFUSED),
     "slots in words": ({"slots": "four"}, REFUSED),
     "no stride": ({"stride": 0}, SERVED),
+    "pace 0": ({"kinds": [{"name": "large", "size_mb": 60_900, "pace": 0}]}, SERVED),
     "usual lengths in words": ({"usual": "short"}, SERVED),
 }
 # Odd values beside the entries.
