--- a/review/lib2/wire.py
+++ b/review/lib2/wire.py
@@ -54,9 +54,17 @@
     :param has_body: whether the message may have a body.
     """
     first, headers = await read_head(reader)
+    body = await read_body(reader, headers) if has_body else b""
+    return Message(first, headers, body)
+
+
+async def read_body(reader, headers) -> bytes:
+    """Read the body of a message to its end.
+
+    :param reader: stream of the connection.
+    :param headers: headers of the message.
+    """
     body = b""
-    if not has_body:
-        return Message(first, headers, body)
     if headers.get("transfer-encoding", "").lower() == "chunked":
         while n_bytes := int(await reader.readline(), 16):
             body += await reader.readexactly(n_bytes)
@@ -64,7 +72,7 @@
         await reader.readexactly(2)
     elif "content-length" in headers:
         body = await reader.readexactly(int(headers["content-length"]))
-    return Message(first, headers, body)
+    return body
 
 
 def format_message(first: bytes, headers: dict[str, str], body: bytes = b"") -> bytes:
@@ -102,6 +110,8 @@
     :param is_run: whether the request runs; otherwise the engine rejects it.
     :param is_signed: whether the answer carries the engine's seal.
     :param delay_s: time that the work takes, in seconds.
+    :param n_events: events of a stream; 0 for an answer with a length.
+    :param event_s: pause after each event, in seconds.
     """
 
     status: int = 200
@@ -109,6 +119,8 @@
     is_run: bool = True
     is_signed: bool = True
     delay_s: float = 0.005
+    n_events: int = 0
+    event_s: float = 0.1
 
 
 Decide = Callable[[Message], Answer]
@@ -182,19 +194,21 @@
             while True:
                 message = await read_message(reader)
                 self.arrivals.append((time.monotonic(), message.first[1].decode()))
-                writer.write(await self._answer(message))
+                await self._answer(message, writer)
                 await writer.drain()
         self._writers.discard(writer)
         writer.close()
 
-    async def _answer(self, message: Message) -> bytes:
+    async def _answer(self, message: Message, writer: asyncio.StreamWriter) -> None:
         request_id = message.headers.get("attempt-id", "")
         headers = {"Attempt-Id": request_id, "Keep-Alive": "timeout=5"}
         if message.first[1] == b"/-/report":
-            return format_message(b"HTTP/1.1 404 Not Found", {})
+            writer.write(format_message(b"HTTP/1.1 404 Not Found", {}))
+            return
         if message.headers.get("expect-instance", self.name) != self.name:
             headers["Not-Executed"] = "1"
-            return format_message(b"HTTP/1.1 421 Misdirected", headers)
+            writer.write(format_message(b"HTTP/1.1 421 Misdirected", headers))
+            return
         answer = self.decide(message)
         if answer.is_run:
             run = Run(time.monotonic(), self.name, request_id, message)
@@ -205,8 +219,30 @@
             headers["Response-Seal"] = f"seal-{self.name}-{request_id}"
         if not answer.is_run:
             headers["Not-Executed"] = "1"
+        first = b"HTTP/1.1 %d Answer" % answer.status
+        if answer.n_events:
+            await self._send_events(writer, first, headers, answer)
+            return
         body = b"confirmed by " + self.name.encode() if answer.status == 200 else b""
-        return format_message(b"HTTP/1.1 %d Answer" % answer.status, headers, body)
+        writer.write(format_message(first, headers, body))
+
+    async def _send_events(
+        self,
+        writer: asyncio.StreamWriter,
+        first: bytes,
+        headers: dict[str, str],
+        answer: Answer,
+    ) -> None:
+        headers["Content-Type"] = "text/event-stream"
+        headers["Transfer-Encoding"] = "chunked"
+        lines = [first] + [f"{n}: {v}".encode() for n, v in headers.items()]
+        writer.write(b"\r\n".join([*lines, b"", b""]))
+        for n in range(1, answer.n_events + 1):
+            event = b"id: %d\ndata: token %d\n\n" % (n, n)
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(answer.event_s)
+        writer.write(b"0\r\n\r\n")
 
 
 def new_id() -> str:
@@ -246,6 +282,53 @@
             writer.close()
 
 
+class Channel:
+    """Connection of a caller, which keeps it for several requests."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def open(cls, address: tuple[str, int]) -> "Channel":
+        """Open a connection.
+
+        :param address: host and port.
+        """
+        return cls(*await asyncio.open_connection(*address))
+
+    def send(self, method: bytes, target: bytes, headers: dict[str, str]) -> None:
+        """Send a request without a body.
+
+        :param method: HTTP method.
+        :param target: path and query.
+        :param headers: headers beside the length.
+        """
+        first = method + b" " + target + b" HTTP/1.1"
+        self._writer.write(format_message(first, headers))
+
+    async def receive(self, timeout_s: float) -> tuple[Message | None, int]:
+        """Read the answer; return it, if it is complete, and its status if any.
+
+        :param timeout_s: longest wait in seconds.
+        """
+        status = 0
+        try:
+            async with asyncio.timeout(timeout_s):
+                first, headers = await read_head(self._reader)
+                status = int(first[1])
+                body = await read_body(self._reader, headers)
+                return Message(first, headers, body), status
+        except (OSError, EOFError, TimeoutError, ValueError):
+            return None, status
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+
+
 async def run_periodically(
     call: Callable[[], Awaitable[object]], interval_s: float
 ) -> None:
