--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -278,6 +278,13 @@
         """
         await engine.start()
         self.engines[engine.name] = engine
+        self.keep_entry(engine)
+
+    def keep_entry(self, engine: Engine) -> None:
+        """Renew the entry of an engine until it is removed.
+
+        :param engine: the engine.
+        """
 
         async def renew() -> None:
             if engine.name in self.engines:
