--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="target/deps:review/lib2" \
+    exec python3 review/10/case.py
--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -161,7 +161,7 @@
         :param command: program and arguments.
         :param environment: variables beside those of the deploy file.
         """
-        self._commands[name] = command, environment
+        self.prepare(name, command, environment)
         variables = {
             **{n: os.environ[n] for n in ("PATH", "HOME", "LANG") if n in os.environ},
             "PYTHONPATH": "target/deps",
@@ -174,8 +174,19 @@
             )
         self.record("started", process=name)
 
+    def prepare(
+        self, name: str, command: list[str], environment: dict[str, str]
+    ) -> None:
+        """Keep the command of a process that is started later.
+
+        :param name: its name.
+        :param command: program and arguments.
+        :param environment: variables beside those of the deploy file.
+        """
+        self._commands[name] = command, environment
+
     def restart(self, name: str) -> None:
-        """Start a process that has ended again.
+        """Start a process that has ended, or was only prepared.
 
         :param name: its name.
         """
@@ -231,6 +242,15 @@
             probe.settimeout(0.5)
             return probe.connect_ex(address) == 0
 
+    async def control_store(self, **fields: object) -> None:
+        """Change how the store behaves.
+
+        :param fields: what its stand-in is told.
+        """
+        address, body = (LOOPBACK, self.store_port), json.dumps(fields).encode()
+        await request(address, b"POST", b"/control", {"Host": "store"}, body)
+        self.record("store", **fields)
+
     async def put(self, topic: str, key: str, value: bytes) -> float:
         """Write to the store as the operator or an engine; return when it was acked.
 
@@ -308,11 +328,14 @@
         del self.engines[engine.name]
         await self.put("keyed.servers", engine.name, b"")
 
-    async def add_gateways(self, n: int, zones: tuple[str, ...] = ZONES) -> None:
+    async def add_gateways(
+        self, n: int, zones: tuple[str, ...] = ZONES, n_spare: int = 0
+    ) -> None:
         """Start gateways in turn in all zones, and wait until they are ready.
 
         :param n: their number.
         :param zones: the zones.
+        :param n_spare: how many of them, the last ones, are not started yet.
         """
         hosts = [f"127.0.1.{i + 1}" for i in range(n)]
         frontend, readiness, control, metrics, internal = (
@@ -355,11 +378,14 @@
             path.write_text(json.dumps(settings))
             command = ["python3", "-m", "cassiaspread_platform", "--metrics-port"]
             command += [str(metrics), "--enable", "moves_streams_early"]
-            self.start(name, command, {"CASSIASPREAD_BOOT": str(path)})
+            self.prepare(name, command, {"CASSIASPREAD_BOOT": str(path)})
             self.gateways[name] = host, frontend
             self.readiness[name] = host, readiness
             self.metrics[name] = host, metrics
-        for name in self.gateways:
+        started = list(self.gateways)[: n - n_spare]
+        for name in started:
+            self.restart(name)
+        for name in started:
             await self.wait_for(lambda name=name: self.is_ready(name))
 
     async def is_ready(self, name: str) -> bool:
@@ -395,6 +421,7 @@
         body: bytes = b"",
         deadline_ms: int = 3000,
         method: bytes = b"POST",
+        key: str = KEY,
     ) -> Message | None:
         """Send a caller's request to a gateway and record it with its answer.
 
@@ -404,12 +431,13 @@
         :param body: the body.
         :param deadline_ms: how long the caller waits, in milliseconds.
         :param method: HTTP method.
+        :param key: the caller's key.
         """
         headers = {
             "Host": HOST,
             "Attempt-Id": request_id,
             "Deadline-Ms": str(deadline_ms),
-            "Authorization": f"Bearer {KEY}",
+            "Authorization": f"Bearer {key}",
         }
         self.record("sent", id=request_id, gateway=gateway, target=target)
         timeout_s = deadline_ms / 1000 + 0.5
