--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -46,7 +46,7 @@
     "revoke_ms": 5000,
     "retry_budget_ratio": 0.2,
     "retry_window_s": 10,
-    "retry_budget_slack": 202,
+    "retry_budget_slack": 200,
     "recover_s": 12,
     "pass_ms": 120,
     "retry_after_s": 0,
