--- a/review/7/case.py
+++ b/review/7/case.py
@@ -36,7 +36,7 @@
 # The engine goes on for a little longer than the bound, then it exits.
 LONGER_S = 0.3
 WORK_S = 0.1
-N_ROUNDS = 8
+N_ROUNDS = 6
 
 
 async def find_reader(deployment: Deployment) -> str:
@@ -70,14 +70,28 @@
         await asyncio.sleep(BUSY_PAUSE_S)
 
 
-async def play_round(deployment: Deployment, runs: list[Run], n: int) -> list[int]:
+async def stop_and_start(deployment: Deployment, name: str) -> None:
+    """Stop a gateway as planned and start it again, so that another one may read.
+
+    :param deployment: the deployment.
+    :param name: the gateway.
+    """
+    deployment.send_signal(name, signal.SIGTERM)
+    await deployment.wait_for(lambda: deployment.processes[name].poll() is not None)
+    deployment.restart(name)
+    await deployment.wait_for(lambda: deployment.is_ready(name))
+
+
+async def play_round(
+    deployment: Deployment, runs: list[Run], n: int, reader: str
+) -> list[int]:
     """Let an engine leave; return the answers to bookings that reached it too late.
 
     :param deployment: the deployment.
     :param runs: receives each run.
     :param n: number of the round.
+    :param reader: the gateway that reads the list of engines.
     """
-    reader = await find_reader(deployment)
     zone = reader.split("-")[1]
     own = [g for g in deployment.gateways if zone in g and g != reader]
     others = [g for g in deployment.gateways if zone not in g]
@@ -85,6 +99,7 @@
     deployment.record("round", n=n, reader=reader, engine=engine.name)
     busy = asyncio.create_task(send_steadily(deployment, reader))
     await asyncio.sleep(0.5)
+    killed_s = time.monotonic()
     if has_trouble():
         for name in own:
             deployment.send_signal(name, signal.SIGKILL)
@@ -94,6 +109,7 @@
     acked_s = await deployment.publish(engine)
     deployment.record("draining", engine=engine.name)
     exiting = asyncio.create_task(exit_at(deployment, engine, acked_s))
+    restarting = asyncio.create_task(restart_later(deployment, own, killed_s))
     await asyncio.sleep(acked_s + DRAIN_S + MARGIN_S - time.monotonic())
     booking = []
     for _ in range(N_LATE):
@@ -102,8 +118,7 @@
         ]
         await asyncio.sleep(LATE_PAUSE_S)
     statuses = dict([await task for task in booking])
-    await exiting
-    restart(deployment, own)
+    await asyncio.gather(exiting, restarting)
     busy.cancel()
     with contextlib.suppress(asyncio.CancelledError):
         await busy
@@ -158,12 +173,16 @@
     await deployment.remove_engine(engine)
 
 
-def restart(deployment: Deployment, names: list[str]) -> None:
-    """Start those processes again that have ended.
+async def restart_later(
+    deployment: Deployment, names: list[str], killed_s: float
+) -> None:
+    """Start those processes again that were killed.
 
     :param deployment: the deployment.
     :param names: their names.
+    :param killed_s: when they were killed, on the monotonic clock.
     """
+    await asyncio.sleep(max(0.0, killed_s + DOWN_S - time.monotonic()))
     for name in names:
         if deployment.processes[name].poll() is not None:
             deployment.restart(name)
@@ -184,10 +203,12 @@
     late: list[int] = []
     for n in range(N_ROUNDS):
         await asyncio.sleep(SETTLE_S)
-        late = await play_round(deployment, runs, n)
+        reader = await find_reader(deployment)
+        late = await play_round(deployment, runs, n, reader)
         deployment.record("round over", n=n, n_late=len(late))
         if late:
             break
+        await stop_and_start(deployment, reader)
         new = Engine(f"i-{n + N_ENGINES}", SERVICE, ENGINE_ZONE, runs)
         await deployment.add_engine(new)
     n_lost = sum(status != 200 for status in late)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,4 +7,4 @@
 cd "$(dirname "$0")/.."
 test -d target/deps/cassiaspread_platform
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="target/deps:.:review/lib2" python3 -c \
-    "import deployment, wire, tests.users_platform.standins.store"
+    "import deployment, engine_process, wire, tests.users_platform.standins.store"
