Review cases 6 to 10: TROUBLE and the record in each script, limits kept, exit 2 for errors

An error that nobody expected, a missing build, a time over 112 s and SIGTERM now end a script with 2 and all its processes.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -9,7 +9,6 @@
 import asyncio
 import signal
 import time
-from pathlib import Path
 
 from deployment import (
     BOUNDS,
@@ -105,9 +104,10 @@
     :param name: the gateway.
     :param channels: connections that callers keep.
     """
-    began_s = time.monotonic()
     if has_trouble():
         deployment.send_signal(name, signal.SIGTERM)
+    # Not before: a time since SIGTERM must not be taken as longer than it is.
+    began_s = time.monotonic()
     times_s = [began_s + FIRST_S + n * STEP_S for n in range(len(channels))]
     return await asyncio.gather(
         *(
@@ -151,4 +151,4 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, play)
+    run_case(play)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,7 +10,6 @@
 import contextlib
 import signal
 import time
-from pathlib import Path
 
 from deployment import BOUNDS, Deployment, has_trouble, route, run_case
 from wire import Answer, Engine, Message, Run, new_id
@@ -18,7 +17,7 @@
 ZONES = ("celje", "velenje")
 N_GATEWAYS = 10
 # All of them are in one zone; otherwise a gateway prefers those of its own.
-N_ENGINES = 2
+N_ENGINES = 4
 ENGINE_ZONE = "celje"
 SERVICE = "counter-app"
 LIST_READS = "/-/log-read keyed.servers"
@@ -36,7 +35,9 @@
 # The engine goes on for a little longer than the bound, then it exits.
 LONGER_S = 0.3
 WORK_S = 0.1
-N_ROUNDS = 6
+N_ROUNDS = 8
+# No round begins later than this, in seconds.
+LAST_ROUND_S = 85.0
 
 
 async def find_reader(deployment: Deployment) -> str:
@@ -201,7 +202,10 @@
     await deployment.configure(3, routes)
     await deployment.add_gateways(N_GATEWAYS, ZONES)
     late: list[int] = []
+    began_s = time.monotonic()
     for n in range(N_ROUNDS):
+        if time.monotonic() - began_s > LAST_ROUND_S:
+            break
         await asyncio.sleep(SETTLE_S)
         reader = await find_reader(deployment)
         late = await play_round(deployment, runs, n, reader)
@@ -218,4 +222,4 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, play)
+    run_case(play)
--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -28,6 +29,8 @@
 ZONES = ("celje", "velenje", "zalec")
 HEARTBEAT_S = 1.2
 START_TIMEOUT_S = 30.0
+# Longest time of a case; its processes are ended within a few seconds after that.
+LIMIT_S = 112.0
 LOOPBACK = "127.0.0.1"
 # Bounds of the sites' sheets.
 BOUNDS = {
@@ -108,11 +111,11 @@
 class Deployment:
     """Owns the processes and engines of one case; an asynchronous context manager.
 
-    :param folder: folder of the case, for its record.
+    :param record: file that receives what happens.
     """
 
-    def __init__(self, folder: Path) -> None:
-        self._record = (folder / "record.txt").open("w")
+    def __init__(self, record: Path) -> None:
+        self._record = record.open("w")
         self._started_s = time.monotonic()
         self._stack = contextlib.ExitStack()
         self._folder = Path(
@@ -128,11 +131,14 @@
         self.engines: dict[str, Engine] = {}
 
     async def __aenter__(self) -> "Deployment":
+        return self
+
+    async def start_store(self) -> None:
+        """Start the store and wait until it listens."""
         self.store_port = free_port(LOOPBACK)
         command = ["python3", "-m", "tests.users_platform.standins.store"]
         self.start("store", [*command, "--port", str(self.store_port)], {})
         await self.wait_for(lambda: self.is_listening((LOOPBACK, self.store_port)))
-        return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         for task in self._tasks:
@@ -456,24 +462,39 @@
         process.wait()
 
 
-def run_case(folder: Path, play: Callable[[Deployment], Awaitable[bool]]) -> None:
+def run_case(play: Callable[[Deployment], Awaitable[bool]]) -> None:
     """Play a case and exit: 1 if the rule was broken, 0 if it held, 2 if not run.
 
-    :param folder: folder of the case.
+    The variable ``RECORD`` holds the path of the record.
+
     :param play: plays the case and returns whether the rule was broken.
     """
 
-    async def main() -> int:
-        async with Deployment(folder) as deployment:
-            deployment.record("begins", trouble=has_trouble())
-            try:
+    async def play_in(deployment: Deployment) -> int:
+        deployment.record("begins", trouble=has_trouble())
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                await deployment.start_store()
                 is_broken = await play(deployment)
-            except CannotRunError as error:
-                deployment.record("not run", reason=str(error))
-                return NOT_RUN
-            deployment.record("ends", is_broken=is_broken)
-            return BROKEN if is_broken else HELD
+        except Exception as error:
+            # Also what nobody expected is no broken rule.
+            traceback.print_exc()
+            deployment.record("not run", reason=repr(error))
+            return NOT_RUN
+        deployment.record("ends", is_broken=is_broken)
+        return BROKEN if is_broken else HELD
 
-    status = asyncio.run(main())
+    async def main() -> int:
+        # A signal ends the case and all that it started.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        async with Deployment(ROOT / os.environ["RECORD"]) as deployment:
+            return await play_in(deployment)
+
+    try:
+        status = asyncio.run(main())
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt):
+        traceback.print_exc()
+        status = NOT_RUN
     print({HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[status])
     sys.exit(status)
