--- a/review/10/case.py
+++ b/review/10/case.py
@@ -11,7 +11,6 @@
 import time
 
 from deployment import (
-    BOUNDS,
     HOST,
     KEY,
     ZONES,
@@ -27,9 +26,8 @@
 N_ENGINES = 3
 N_GATEWAYS = 3
 ACCEPTED_S = 3.0
-GRACE_S = BOUNDS["grace_s"]
-# Pause between the stops of two gateways.
-GAP_S = 2.0
+# Pause between the return of one gateway and the stop of the next.
+GAP_S = 4.0
 # Times after SIGTERM at which the callers of kept connections send their next request.
 FIRST_S, LAST_S, STEP_S = 2.8, 3.3, 0.005
 # A stream of 60 events with the usual pause of a loaded engine.
@@ -64,12 +62,12 @@
     await asyncio.sleep(at_s - time.monotonic())
     request_id = new_id()
     sent_s = time.monotonic() - began_s
+    deployment.record("sent", id=request_id, sent_after_s=round(sent_s, 4))
     channel.send(b"GET", b"/note/1", headers_of(request_id))
     answer, status = await channel.receive(TIMEOUT_MS / 1000)
     deployment.record(
         "answered",
         id=request_id,
-        sent_after_s=round(sent_s, 4),
         ended_after_s=round(time.monotonic() - began_s, 3),
         status=status,
         is_complete=answer is not None,
@@ -95,26 +93,32 @@
     return channels
 
 
-async def stop(
-    deployment: Deployment, name: str, channels: list[Channel]
+async def stop_and_start(
+    deployment: Deployment, name: str
 ) -> list[tuple[float, str, int, bool]]:
-    """Send SIGTERM to a gateway, and streams around three seconds after it.
+    """Stop a gateway, send streams around three seconds later, and start it again.
 
     :param deployment: the deployment.
     :param name: the gateway.
-    :param channels: connections that callers keep.
     """
+    channels = await open_channels(deployment, name)
     if has_trouble():
         deployment.send_signal(name, signal.SIGTERM)
     # Not before: a time since SIGTERM must not be taken as longer than it is.
     began_s = time.monotonic()
     times_s = [began_s + FIRST_S + n * STEP_S for n in range(len(channels))]
-    return await asyncio.gather(
+    results = await asyncio.gather(
         *(
             send_at(deployment, channel, at_s, began_s)
             for channel, at_s in zip(channels, times_s, strict=True)
         )
     )
+    if has_trouble():
+        process = deployment.processes[name]
+        await deployment.wait_for(lambda: process.poll() is not None)
+        deployment.restart(name)
+        await deployment.wait_for(lambda: deployment.is_ready(name))
+    return results
 
 
 async def play(deployment: Deployment) -> bool:
@@ -132,12 +136,15 @@
     await deployment.add_engine(Engine("j-0", "counter-app", ZONES[0], runs))
     await deployment.configure(3, [note | {"max_attempts": 1}, ping])
     await deployment.add_gateways(N_GATEWAYS)
-    stops = []
+    first = await Channel.open(deployment.gateways[next(iter(deployment.gateways))])
+    _, _, status, is_complete = await send_at(deployment, first, 0.0, time.monotonic())
+    if status != 200 or not is_complete:
+        raise CannotRunError("a stream before SIGTERM was not answered")
+    results = []
     for name in deployment.gateways:
-        channels = await open_channels(deployment, name)
-        stops.append(asyncio.create_task(stop(deployment, name, channels)))
+        results += await stop_and_start(deployment, name)
         await asyncio.sleep(GAP_S)
-    results = [result for task in stops for result in await task]
+    deployment.record_runs(runs)
     ran = {run.request_id for run in runs}
     lost = [
         request_id
--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,5 @@
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}" RECORD=review/10/record.txt
 export PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps:review/lib2
+python3 -c 'import deployment, wire' || exit 2
 exec python3 review/10/case.py
