--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Checks that all that the scripts of cases 6 to 10 start can be started after the build
+# Checks that all that the scripts of cases 7 to 10 start can be started after the build
 # of the deploy file. They are Python programs, so nothing is compiled: the project's
 # stand-in for the store runs on the libraries in target/deps, and the other stand-ins
 # need the standard library alone.
