Tests: the respawner waits for processes that are started after it

Callers saw: nothing; this is a fault of the tests.

Cause: Respawner looks at its processes 50 ms after its context began. The fixture begins the context before add_engines has started the engines; a name that isn't there yet ended the thread with a KeyError, which pytest only printed as a warning, and no engine came back for the rest of the test.

Evidence: test_respawner.py plays that order without processes; all three of its tests failed before. With the change they pass, and so do the 32 tests of test_crashing_prompt_parts.py and test_crashing_requests.py.

Why it works: a process is looked at once it has been started. As strict as before and stricter: a name that was never started, and any failure of the thread, now fails the test at the end of the context. Its other users (soak, test_lost_answers.py, test_crashing_requests.py) start the processes first.

--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -9,6 +9,7 @@
 import sys
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 from tests.fleet import ROOT, free_port
 from tests.json_lines import decode_lines, decode_log
@@ -307,7 +308,7 @@
     """Restarts ended processes, as a platform does; a context manager.
 
     :param deployment: owner of the processes.
-    :param names: names of the processes.
+    :param names: names of the processes, each started at the latest within the context.
     :param delay_s: time between the end of a process and its restart, in seconds.
     """
 
@@ -316,22 +317,26 @@
         self._names = names
         self._delay_s = delay_s
         self._is_over = threading.Event()
-        self._thread = threading.Thread(target=self._run)
+        self._pool = ThreadPoolExecutor(1)
 
     def __enter__(self):
-        self._thread.start()
+        self._result = self._pool.submit(self._run)
         return self
 
-    def __exit__(self, *exc_info):
+    def __exit__(self, exc_type, *exc_info):
         self._is_over.set()
-        self._thread.join()
+        self._pool.shutdown()
+        if exc_type is None:
+            self._result.result()
+            assert self._deployment.processes.keys() >= set(self._names)
 
     def _run(self):
         due_s = {}
         while not self._is_over.wait(RESPAWN_POLL_S):
             now_s = time.monotonic()
             for name in self._names:
-                if self._deployment.processes[name].poll() is None:
+                process = self._deployment.processes.get(name)
+                if process is None or process.poll() is None:
                     continue
                 if now_s >= due_s.setdefault(name, now_s + self._delay_s):
                     del due_s[name]
