Leaving gateway: judge late streams by the clock, from the signal on

Cause: streams that may outlast the process were refused by a flag. A loop with pauses of 50 ms set it, counted from when SIGTERM was handled. Both are late, and a process that gets no processor as the signal comes makes the window as long as that delay.

The new test_stream_sent_after_the_balancer_lag_is_not_cut failed before, without a pause of the gateway around SIGTERM and with one of 0.4 s.

Why it works: Closing gets both bounds as the signal is handled and compares them with the time at which a request is passed on, so no timer takes part. They count from the earliest time at which the signal can have been sent: the monitor of the event loop knows up to when all signals have been handled (test_signal_was_sent_after_the_time_up_to_which_all_are_handled, with real signals and a blocked loop). The drain ends earlier if the signal was handled over 0.4 s late, so that refusals leave before SIGKILL.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_closing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_closing.py
@@ -15,7 +15,7 @@
     def __init__(self) -> None:
         self._durations = RunDurations()
         self._end_s: float | None = None
-        self._refuses_open_ends = False
+        self._open_until_s = float("inf")
 
     def record_run(self, route: Route, duration_s: float) -> None:
         """Record a run that ended with a complete answer.
@@ -25,22 +25,20 @@
         """
         self._durations.record(route.name, duration_s)
 
-    def begin(self, end_s: float) -> None:
+    def begin(self, open_until_s: float, end_s: float) -> None:
         """Refuse from now on what is not expected to end in time.
 
-        :param end_s: when the requests in progress are broken off, on the monotonic
+        An answer that has begun can't be refused any more. A stream that is passed on
+        late is therefore accepted only if its deadline comes before the end, however
+        short the streams before it were.
+
+        :param open_until_s: until when other streams are accepted too, on the monotonic
             clock in seconds.
+        :param end_s: when the requests in progress are broken off, on the same clock.
         """
+        self._open_until_s = open_until_s
         self._end_s = end_s
 
-    def refuse_open_ends(self) -> None:
-        """Refuse from now on also the streams that may last longer than expected.
-
-        An answer that has begun can't be refused any more, so a stream is accepted only
-        if its deadline comes first.
-        """
-        self._refuses_open_ends = True
-
     def may_end(self, job: Job, now_s: float) -> bool:
         """Return whether a request that is passed on now can end in time.
 
@@ -54,8 +52,9 @@
             duration_s = job.route.objective_s
         if now_s + duration_s >= self._end_s:
             return False
-        is_open = self._refuses_open_ends and job.route.kind is RequestKind.STREAM
-        return not is_open or job.answer_end_s < self._end_s
+        if job.route.kind is not RequestKind.STREAM or now_s < self._open_until_s:
+            return True
+        return job.answer_end_s < self._end_s
 
     def check(self, job: Job, now_s: float) -> None:
         """Check that a request that has not been passed on can end in time.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -81,8 +81,10 @@
 # The load balancer checks readiness once a second and stops sending requests after two
 # failed checks.
 BALANCER_LAG_S = 3.0
-# Part of the exit timeout that is reserved for the shutdown itself.
+# Part of the exit timeout that is reserved for the shutdown itself, counted from when
+# SIGTERM was handled, and its least part, counted from when it can have been sent.
 EXIT_MARGIN_S = 0.7
+MIN_EXIT_MARGIN_S = 0.3
 DRAIN_POLL_S = 0.05
 # Heads above this size close the connection; those that only exceed the configured
 # limit are read to their end and refused.
@@ -139,6 +141,7 @@
         self._platform = platform
         self._metrics = GatewayMetrics(settings.domain)
         self._supervisor = Supervisor("gateway")
+        self._loop_monitor = LoopMonitor(log, self._metrics.record_loop_delay)
         self._routing_state = RoutingState(
             log, settings.max_configuration_age_s, settings.max_configuration_age_s
         )
@@ -483,8 +486,7 @@
 
     async def __aenter__(self) -> Self:
         self._supervisor.start("log", self._log.run)
-        monitor = LoopMonitor(self._log, self._metrics.record_loop_delay)
-        self._supervisor.start("loop-monitor", monitor.run)
+        self._supervisor.start("loop-monitor", self._loop_monitor.run)
         if self._mesh is not None:
             await self._mesh.__aenter__()
         for index, follower in enumerate(self._followers):
@@ -525,10 +527,15 @@
 
         :param reload_signal: SIGHUP of this process.
         """
-        stop = asyncio.Event()
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, stop.set)
-        loop.add_signal_handler(signal.SIGINT, stop.set)
+        stop: asyncio.Future[float] = loop.create_future()
+
+        def handle_stop() -> None:
+            if not stop.done():
+                stop.set_result(self._loop_monitor.signals_handled_s)
+
+        loop.add_signal_handler(signal.SIGTERM, handle_stop)
+        loop.add_signal_handler(signal.SIGINT, handle_stop)
         # The frontend has timeouts and bounds of its own.
         server = HTTPServer(self._frontend, **READ_PARAMETERS)
         server.conn_params.header_timeout = None
@@ -561,8 +568,7 @@
                 domain=self._settings.domain,
                 listen=str(self._settings.listen),
             )
-            await stop.wait()
-            await self._leave(listener)
+            await self._leave(listener, await stop)
         self._log.record("gateway.stopped", n_open=self._frontend.n_requests)
         self._log.flush()
 
@@ -571,23 +577,35 @@
         frontend = Frontend(handler, memory=self._request_memory)
         return HTTPServer(frontend, **READ_PARAMETERS)
 
-    async def _leave(self, listener: Listener) -> None:
+    async def _leave(self, listener: Listener, sent_after_s: float) -> None:
+        """End the requests in progress, and accept only what can end as well.
+
+        :param listener: the callers' connections.
+        :param sent_after_s: earliest time at which the signal can have been sent, on
+            the monotonic clock in seconds.
+        """
         drain_started_s = now()
+        exit_timeout_s = self._settings.exit_timeout_s
+        drain_deadline_s = min(
+            drain_started_s + exit_timeout_s - EXIT_MARGIN_S,
+            sent_after_s + exit_timeout_s - MIN_EXIT_MARGIN_S,
+        )
+        self._closing.begin(sent_after_s + BALANCER_LAG_S, drain_deadline_s)
         self._is_leaving = True
-        self._log.record("gateway.leaving", n_open=self._frontend.n_requests)
+        self._log.record(
+            "gateway.leaving",
+            n_open=self._frontend.n_requests,
+            sent_before_ms=round((drain_started_s - sent_after_s) * 1000),
+        )
         self._frontend.leave()
         # Further renewals could return the duty to this daemon, which is about to exit.
         await self._supervisor.cancel("duty")
         await self._supervisor.cancel("placement")
         self._supervisor.start_once("leave-duty", self._duty.leave)
-        drain_deadline_s = (
-            drain_started_s + self._settings.exit_timeout_s - EXIT_MARGIN_S
-        )
-        self._closing.begin(drain_deadline_s)
-        while now() < drain_started_s + BALANCER_LAG_S:
+        listen_until_s = min(drain_started_s + BALANCER_LAG_S, drain_deadline_s)
+        while now() < listen_until_s:
             await asyncio.sleep(DRAIN_POLL_S)
             self._refuse_late_waiting()
-        self._closing.refuse_open_ends()
         listener.stop()
         # A request received later on a keep-alive connection could not be completed.
         while now() < drain_deadline_s:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_loop_monitor.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_loop_monitor.py
@@ -9,6 +9,9 @@
 CHECK_INTERVAL_S = 0.1
 # Shorter delays are only counted, in seconds.
 MIN_LOGGED_DELAY_S = 0.1
+# Steps of the loop after which a signal that was sent before the first of them has been
+# handled: one finds it, the next one calls its handler.
+N_SIGNAL_STEPS = 3
 
 
 class LoopMonitor:
@@ -24,6 +27,16 @@
     def __init__(self, log: DecisionLog, record_delay: Callable[[float], None]) -> None:
         self._log = log
         self._record_delay = record_delay
+        self._signals_handled_s = time.monotonic()
+
+    @property
+    def signals_handled_s(self) -> float:
+        """Time before which no signal was sent that has not been handled yet.
+
+        A signal may be handled long after it was sent, if the loop was busy or the
+        process was paused. In seconds, on the monotonic clock.
+        """
+        return self._signals_handled_s
 
     def check(self, due_s: float, now_s: float, busy_s: float) -> None:
         """Record one run of the timer.
@@ -49,4 +62,8 @@
             due_s = time.monotonic() + CHECK_INTERVAL_S
             await asyncio.sleep(CHECK_INTERVAL_S)
             busy_before_s, busy_s = busy_s, time.thread_time()
-            self.check(due_s, time.monotonic(), busy_s - busy_before_s)
+            now_s = time.monotonic()
+            self.check(due_s, now_s, busy_s - busy_before_s)
+            for _ in range(N_SIGNAL_STEPS):
+                await asyncio.sleep(0)
+            self._signals_handled_s = now_s
--- a/packages/cassiaspread-daemon/tests/test_loop_monitor.py
+++ b/packages/cassiaspread-daemon/tests/test_loop_monitor.py
@@ -1,6 +1,8 @@
 """Lines on an event loop that ran nothing for a time."""
 
 import asyncio
+import os
+import signal
 import time
 
 import pytest
@@ -54,3 +56,30 @@
     monitor.check(5.0, 4.9, 0.0)
     assert log.rows == []
     assert delays_s == [pytest.approx(MIN_LOGGED_DELAY_S / 2), 0.0]
+
+
+@pytest.mark.parametrize("begin_s", [n * CHECK_INTERVAL_S / 5 for n in range(6)])
+@pytest.mark.parametrize("blocked_s", [0.0, 0.15, BLOCKED_S])
+def test_signal_was_sent_after_the_time_up_to_which_all_are_handled(begin_s, blocked_s):
+    # Counted from when a signal is handled, bounds on its effects are late.
+    async def run():
+        loop, monitor = asyncio.get_running_loop(), LoopMonitor(RecordingLog(), float)
+        handled = loop.create_future()
+        loop.add_signal_handler(
+            signal.SIGUSR1, lambda: handled.set_result(monitor.signals_handled_s)
+        )
+        first_s = monitor.signals_handled_s
+        task = asyncio.create_task(monitor.run())
+        while monitor.signals_handled_s == first_s:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        await asyncio.sleep(begin_s)
+        sent_s = time.monotonic()
+        os.kill(os.getpid(), signal.SIGUSR1)
+        # The monitor may be the first to run after a pause.
+        time.sleep(blocked_s)
+        bound_s = await handled
+        task.cancel()
+        loop.remove_signal_handler(signal.SIGUSR1)
+        assert first_s < bound_s <= sent_s
+
+    asyncio.run(run())
--- a/tests/users_platform/test_planned_stop.py
+++ b/tests/users_platform/test_planned_stop.py
@@ -20,6 +20,8 @@
 )
 
 GATEWAY = "gateway-celje"
+# Time in which the load balancer goes on sending requests to a gateway that leaves.
+BALANCER_LAG_S = 3.0
 RUN_S = 2.5
 PLAIN_ENGINES = tuple(f"{zone}-plain" for zone in DOMAINS)
 MODEL_ENGINES = tuple(f"{zone}-large" for zone in DOMAINS)
@@ -138,6 +140,28 @@
     assert calls[-1].status == 503
 
 
+@pytest.mark.parametrize("paused_s", [0.0, 0.4])
+def test_stream_sent_after_the_balancer_lag_is_not_cut(start, paused_s):
+    # Streams sent just after the third second were accepted and cut at the end, the
+    # more the later the signal was handled.
+    deployment = start(8)
+    for name in MODEL_ENGINES:
+        deployment.control(name, event_s=6.0 / N_EVENTS)
+    kept = keep_connections(deployment, 80)
+    deployment.kill(GATEWAY, signal.SIGSTOP)
+    begin_s, calls = stop(deployment), []
+    time.sleep(paused_s)
+    deployment.kill(GATEWAY, signal.SIGCONT)
+    for n, connection in enumerate(kept):
+        time.sleep(max(0.0, begin_s + BALANCER_LAG_S + 0.005 * n - time.monotonic()))
+        calls.append(Call(deployment, "stream", connection))
+    for call in calls:
+        call.join()
+    deployment.processes[GATEWAY].wait()
+    assert_none_cut(deployment, calls)
+    assert calls[0].status == 503
+
+
 def keep_connections(deployment, n_connections):
     """Return connections that have carried a request."""
     connections = []
