List of engines: updates follow from the list, not from what was heard

Callers saw: bookings sent to an engine 2.15 s after the store had acknowledged that it leaves, some of them lost as it ended (502).

Cause: a page was compared with the routing state, where the list is merged with what engines say of themselves. The reader had heard that the engine leaves before it read the entry, so the update to the other daemons lacked it. They confirmed the position all the same and did not read the store; only gossip told them, which stops between zones if both delegates are dead.

Why it works: the follower keeps the entries as listed apart and compares pages with these, so that each receiver that confirms a position has the list at that position.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -31,6 +31,7 @@
     parse_address,
 )
 from cassiaspread_core.membership import Member, rank_members
+from cassiaspread_core.placement import Engine
 from cassiaspread_core.routing import RouteTable, StateAge
 from cassiaspread_daemon._supervisor import Supervisor
 from cassiaspread_daemon.gateway._decision_log import DecisionLog, describe_error
@@ -67,10 +68,6 @@
 # Time for which the choice of the reader is kept, in seconds. Meanwhile two daemons may
 # read, or none before the timeout.
 READER_LIFETIME_S = 0.5
-# Changes contained in a snapshot may appear again after its position. After reading a
-# snapshot, a reader publishes complete pages for this long, in seconds, instead of only
-# the changes that are new to it.
-FULL_PAGES_S = 5.0
 # Up to this size a configuration is part of the updates, which go to all daemons of a
 # domain at once. Larger ones are passed on from daemon to daemon.
 MAX_UPDATE_BYTES = 2 * 1024
@@ -692,7 +689,7 @@
 
     :param start: position of the page.
     :param page: the page, which was applied.
-    :param changed: targets whose entry differs from the one before.
+    :param changed: targets that had another entry since the position than before.
     :param listed: all targets on the list.
     """
     changes = tuple(c for c in page.items if c.target in changed)
@@ -707,6 +704,9 @@
 class EngineFollower(SharedFeedFollower[EngineChange]):
     """Keeps the list of targets current; updates contain its changes.
 
+    What targets say of themselves changes the routing state, but not the content of an
+    update: its receivers take what it leaves out as unchanged on the list.
+
     :param feed_sharing: distributes updates.
     :param routing_state: holds the targets.
     :param feed: the list.
@@ -745,7 +745,10 @@
         )
         self._routing_state = routing_state
         self._replace_all = replace
-        self._snapshot_s = float("-inf")
+        # Entries as the store has them at the position of the feed.
+        self._listed: dict[TargetId, Engine] = {}
+        # A snapshot may contain changes that follow its position, up to this one.
+        self._latest_position = 0
         self._changed_targets: set[TargetId] = set()
         feed_sharing.subscribe(
             self._name,
@@ -756,20 +759,27 @@
         )
 
     def _apply_change(self, change: EngineChange) -> None:
-        is_new = self._routing_state.apply_change(change)
-        if is_new or now() - self._snapshot_s < FULL_PAGES_S:
+        if change.has_varied or self._listed.get(change.target) != change.engine:
             self._changed_targets.add(change.target)
+        if change.engine is None:
+            self._listed.pop(change.target, None)
+        else:
+            self._listed[change.target] = change.engine
+        self._routing_state.apply_change(change)
 
     def _apply_snapshot(self, changes: tuple[EngineChange, ...]) -> None:
+        self._listed = {c.target: c.engine for c in changes if c.engine is not None}
         self._replace_all(changes)
-        self._snapshot_s = now()
 
     def _on_page(self, start: int | None, page: FeedPage[EngineChange]) -> None:
         changed_targets, self._changed_targets = self._changed_targets, set()
         if start is None:
+            self._latest_position = page.latest_position
             return
-        listed = self._routing_state.engines
-        update = build_engine_update(start, page, changed_targets, listed)
+        if start < self._latest_position:
+            # This daemon may have known some changes before those that it informs.
+            changed_targets = {change.target for change in page.items}
+        update = build_engine_update(start, page, changed_targets, self._listed)
         self._publish(update, is_forwarded=False)
 
     def _publish(self, update: EngineUpdate, is_forwarded: bool) -> None:
@@ -783,7 +793,7 @@
         if position is not None and update.start <= position <= update.end:
             for change in update.changes:
                 self._apply_change(self._checked(change))
-            for target in update.find_renewed(self._routing_state.engines):
+            for target in update.find_renewed(self._listed):
                 self._routing_state.record_renewed(target)
             self._changed_targets.clear()
             self._position = update.end
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
@@ -233,11 +233,14 @@
     :param position: position of the next page.
     :param is_complete: whether a copy with these items is current at the position;
         false if a newer item could not be decoded.
+    :param latest_position: position up to which a snapshot may contain changes that
+        follow its own position.
     """
 
     items: tuple[Item, ...]
     position: int
     is_complete: bool = True
+    latest_position: int = 0
 
 
 class Feed(Protocol[Item]):
@@ -271,15 +274,17 @@
         """
 
 
-class EngineChange(msgspec.Struct, frozen=True):
+class EngineChange(msgspec.Struct, frozen=True, omit_defaults=True):
     """Change of a target's entry.
 
     :param target: identifier of the target.
     :param engine: the entry; ``None`` if it was removed or is unreadable.
+    :param has_varied: whether the page contained a different entry before this one.
     """
 
     target: TargetId
     engine: Engine | None
+    has_varied: bool = False
 
 
 class SuspectChange(msgspec.Struct, frozen=True):
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
@@ -295,11 +295,16 @@
             is_empty = page.is_complete and not page.items
             waited_s = wait_s if is_empty else 0.0
             confirmed_s = min(requested_s + waited_s, suspended_clock_s())
+            if self._position is not None and self._position > start:
+                # An update of another daemon came meanwhile. Changes that precede it
+                # would undo it.
+                start = self._position
+                if page.position <= start:
+                    page = FeedPage((), start)
         self._apply_page(start, page)
         # A copy without the newest item gets older, whatever else is read.
         if self._has_newest:
             self._age.confirm(confirmed_s)
-        # An update of another daemon may have come meanwhile.
         self._position = max(page.position, self._position or 0)
         self._on_page(start, page)
 
--- a/tests/users_platform/test_foreign_values.py
+++ b/tests/users_platform/test_foreign_values.py
@@ -339,11 +339,12 @@
 def test_newest_records_of_the_store_are_checked_whole(body, era):
     store = answering_store(200, body, era)
     try:
-        records, position = asyncio.run(store.read_newest("keyed.op"))
+        newest = asyncio.run(store.read_newest("keyed.op"))
     except LogUnavailable:
         return
-    check_numbers(position)
-    assert all(isinstance(record.value, bytes) for record in records)
+    check_numbers(newest.position)
+    check_numbers(newest.latest_position)
+    assert all(isinstance(record.value, bytes) for record in newest.records)
 
 
 @plays
--- a/tests/users_platform/test_store_second_answers.py
+++ b/tests/users_platform/test_store_second_answers.py
@@ -42,7 +42,7 @@
 
 def test_page_is_not_a_copy_of_an_earlier_page(stuttering_store):
     async def calls(store):
-        _, position = await store.read_newest("keyed.status")
+        position = (await store.read_newest("keyed.status")).position
         for n in range(N_CALLS):
             # A page without records, of which a copy looks like the next one.
             assert await store.read_keyed("keyed.status", position, 0.0) == (
@@ -65,8 +65,8 @@
         stuttering_store.put_record("keyed.status", key, b"value")
 
     async def calls(store):
-        records, _ = await store.read_newest("keyed.status")
-        assert [record.key for record in records] == keys
+        newest = await store.read_newest("keyed.status")
+        assert [record.key for record in newest.records] == keys
 
     run(stuttering_store, calls)
 
