Soak: streams of all lengths around each step of a stop

Each gateway now has a caller that keeps connections and sends streams of 1, 40 and 400 events (8 s) around SIGTERM, the third second and the last sixth of the grace. A stream that was sent after the third second, accepted and cut at the end is a finding, whatever happens to its engines.

Times of SIGTERM are kept with their process now, the first one of each.

--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -144,6 +144,23 @@
 IDLE_STEP_S = 0.1
 # Requests that are in progress in the last part of the grace may be cut.
 GRACE_RATIO = 5 / 6
+# Time after SIGTERM for which the load balancer sends requests, and steps of a stop.
+BALANCER_LAG_S = 3.0
+STOP_STEPS_S = (0.0, BALANCER_LAG_S, GRACE_RATIO * GRACE_S)
+# Streams of all lengths that are sent around each step of a stop, on connections that
+# are kept for it, and how long before or after the step, in seconds.
+N_STOP_STREAMS, STEP_RANGE_S = 5, 0.05
+MAX_STOP_EVENTS = 400
+# Their route has a timeout of its own.
+STOP_TIMEOUT_S = 15.0
+STOP_ROUTE = route(
+    "stop",
+    "/stop/",
+    "streaming",
+    MODEL_SERVICE,
+    resumable=True,
+    timeout_ms=1000 * STOP_TIMEOUT_S,
+)
 # Route whose streams run at most once, and a service that shares a route's requests.
 ONCE_ROUTE = route("once", "/once/", "streaming", MODEL_SERVICE, max_attempts=1)
 SIDE_SERVICE = "side-pool"
@@ -191,6 +208,14 @@
     # Shared parts of its prompt.
     parts: list[str] = []
 
+    @property
+    def deadline_s(self):
+        return STOP_TIMEOUT_S if self.kind == "stop" else DEADLINE_S
+
+    @property
+    def is_stream(self):
+        return self.kind in ("draft", "once", "stop", *PART_KINDS)
+
 
 def draw_schedule(seed, length_s):
     """Return the faults of a seed, earliest first."""
@@ -293,8 +318,8 @@
         self.changed = set()
         self.published = []
         self.is_over = threading.Event()
-        # Time of SIGTERM by process, on the monotonic clock.
-        self.sigterm_s = {}
+        # Processes that got SIGTERM, and when, on the monotonic clock.
+        self.stopped = {}
         self.restart_locks = {name: threading.Lock() for name in (*GATEWAYS, *ENGINES)}
         # Time of each start of a process after the first, in Unix seconds.
         self.restarts = []
@@ -364,6 +389,7 @@
         is_short = "settings-timeout" in self.changed
         timeout_ms = 1000 * (SHORT_TIMEOUT_S if is_short else LONG_TIMEOUT_S)
         routes = [fields | {"timeout_ms": timeout_ms} for fields in routes]
+        routes.append(STOP_ROUTE)
         if "settings-service" in self.changed:
             weights = {PLAIN_SERVICE: 1, SIDE_SERVICE: 3}
             backends = [{"service": s, "weight": w} for s, w in weights.items()]
@@ -402,6 +428,7 @@
     def run(self):
         with (
             ThreadPoolExecutor(N_CALLERS + N_PATIENT_CALLERS + 4) as pool,
+            ThreadPoolExecutor(len(GATEWAYS)) as stop_pool,
             Respawner(self.deployment, CRASH_ENGINES + PART_ENGINES, RESPAWN_S),
         ):
             callers = [pool.submit(self.run_caller, n) for n in range(N_CALLERS)]
@@ -411,6 +438,7 @@
             ]
             callers.append(pool.submit(self.run_crashing_caller))
             callers += [pool.submit(self.run_part_caller, n) for n in range(3)]
+            callers += [stop_pool.submit(self.run_stop_caller, g) for g in GATEWAYS]
             try:
                 self.run_schedule()
                 last_fault_s = time.monotonic()
@@ -511,15 +539,16 @@
             "hup": signal.SIGHUP,
         }
         process.send_signal(signals[action])
-        if action == "term":
-            self.sigterm_s[name] = time.monotonic()
+        if action == "term" and self.stopped.get(name, (None,))[0] is not process:
+            self.stopped[name] = process, time.monotonic()
 
     def restart_if_ended(self, name):
         """Restart a process that has ended; kill a leaving one that exceeds GRACE_S."""
         with self.restart_locks[name]:
             process = self.deployment.processes[name]
-            if name in self.sigterm_s:
-                left_s = self.sigterm_s.pop(name) + GRACE_S - time.monotonic()
+            stopped, stop_s = self.stopped.get(name, (None, 0.0))
+            if stopped is process:
+                left_s = stop_s + GRACE_S - time.monotonic()
                 try:
                     process.wait(max(0.0, left_s))
                 except subprocess.TimeoutExpired:
@@ -579,6 +608,67 @@
             call.end_s = time.time()
             self.calls.append(call)
 
+    def run_stop_caller(self, gateway):
+        """Send streams of all lengths around each step of the stops of a gateway."""
+        random_state = random.Random(f"{self.seed}-stop-{gateway}")
+        n_streams, handled_s = N_STOP_STREAMS * len(STOP_STEPS_S), None
+        kept = []
+        with ThreadPoolExecutor(n_streams) as pool:
+            while not self.is_over.wait(0.02):
+                _, stop_s = self.stopped.get(gateway, (None, None))
+                if stop_s is None or stop_s == handled_s:
+                    kept = self.keep_connections(gateway, kept, n_streams)
+                    continue
+                handled_s = stop_s
+                for step_s in STOP_STEPS_S:
+                    at_s = stop_s + step_s
+                    at_s += random_state.uniform(-STEP_RANGE_S, STEP_RANGE_S)
+                    for _ in range(N_STOP_STREAMS):
+                        if kept:
+                            call = self.draw_stop_call(gateway, random_state)
+                            pool.submit(self.send_at, at_s, *kept.pop(), call)
+                        at_s += random_state.uniform(0.0, 0.02)
+
+    def keep_connections(self, gateway, kept, n_connections):
+        """Return connections that carried a request a short time ago.
+
+        :param kept: connections, each with the time at which it was opened.
+        """
+        found = [each for each in kept if not is_closed(each[0])]
+        port = self.deployment.ports[gateway]
+        with suppress(OSError, http.client.HTTPException):
+            while len(found) < n_connections:
+                connection = http.client.HTTPConnection("127.0.0.1", port, timeout=20.0)
+                connection.connect()
+                opened_s = time.time()
+                connection.request("GET", "/nowhere", headers={"Host": HOST})
+                response = connection.getresponse()
+                response.read()
+                if response.will_close:
+                    break
+                found.append((connection, opened_s))
+        return found
+
+    def draw_stop_call(self, gateway, random_state):
+        return Call(
+            id=os.urandom(8).hex(),
+            kind="stop",
+            gateway=gateway,
+            key=KEY,
+            n_events=random_state.choice((1, 40, MAX_STOP_EVENTS)),
+            begin_s=0.0,
+        )
+
+    def send_at(self, at_s, connection, opened_s, call):
+        """Send a call at a time of the monotonic clock."""
+        time.sleep(max(0.0, at_s - time.monotonic()))
+        call.begin_s = time.time()
+        call.opened_s = call.idle_since_s = opened_s
+        self.send(connection, call)
+        connection.close()
+        call.end_s = time.time()
+        self.calls.append(call)
+
     def run_part_caller(self, number):
         """Send prompts of shared parts; the first caller's contain the bad part."""
         random_state = random.Random(f"{self.seed}-part-{number}")
@@ -605,10 +695,10 @@
         headers = {
             "Host": HOST,
             "Attempt-Id": call.id,
-            "Deadline-Ms": str(int(DEADLINE_S * 1000)),
+            "Deadline-Ms": str(int(call.deadline_s * 1000)),
             "Authorization": f"Bearer {call.key}",
         }
-        if call.kind in ("draft", "once", *PART_KINDS):
+        if call.is_stream:
             headers |= {"Token-Count": f"100,{4 * call.n_events}", "Model": "m"}
         method = "GET" if call.kind == "stock" else "POST"
         path, body = f"/{call.kind}/{call.id}", b""
@@ -738,6 +828,8 @@
         )
 
     def check_call(self, call, runs):
+        if call.status == 200 and not call.is_complete:
+            yield from self.check_cut(call)
         if call.kind in ("book", "once") and len(runs) > 1:
             yield f"{call.id}: non-idempotent request ran {len(runs)} times"
         if call.kind == "book" and call.status in NOT_RUN_STATUSES and runs:
@@ -762,18 +854,44 @@
             layers = [
                 layer for _, begin, end in run["hops"] for layer in range(begin, end)
             ]
-            if call.kind in ("draft", "once") and layers != list(range(N_LAYERS)):
+            if call.kind in ("draft", "once", "stop") and layers != list(
+                range(N_LAYERS)
+            ):
                 yield f"{call.id}: ran layers {layers}"
         if runs and not call.status and self.is_affected_by_sigterm_alone(call):
             yield f"{call.id}: interrupted by SIGTERM of {call.gateway} ({call.error})"
         duration_s = call.end_s - call.begin_s
-        if duration_s > DEADLINE_S + ANSWER_SLACK_S and not self.may_be_paused(call):
+        if duration_s > call.deadline_s + ANSWER_SLACK_S and not self.may_be_paused(
+            call
+        ):
             yield f"{call.id}: not completed after {duration_s:.1f} s ({call.error})"
 
+    def check_cut(self, call):
+        """Check that a stopping gateway did not accept late what it cut at its end."""
+        for fault, stop_s, _ in self.injected.values():
+            after_s = call.begin_s - stop_s
+            if (fault.kind, fault.on) != ("gateway-term", call.gateway) or not (
+                BALANCER_LAG_S < after_s < GRACE_S
+                and call.end_s > stop_s + GRACE_RATIO * GRACE_S
+            ):
+                continue
+            is_other = any(
+                name == call.gateway and stop_s < at_s < call.begin_s
+                for name, at_s in self.restarts
+            )
+            is_killed = any(
+                kill.kind == "gateway-kill"
+                and kill.on == call.gateway
+                and call.begin_s < kill_s < call.end_s
+                for kill, kill_s, _ in self.injected.values()
+            )
+            if not is_other and not is_killed:
+                yield f"{call.id}: accepted {after_s:.3f} s after SIGTERM and cut"
+
     def check_body(self, call, runs):
         if not runs:
             yield f"{call.id}: successful response without a run"
-        elif call.kind in ("draft", "once", *PART_KINDS):
+        elif call.is_stream:
             ids = [
                 int(line[4:])
                 for line in call.body.decode().split("\n")
@@ -827,7 +945,8 @@
 
     def are_targets_sound(self, call, runs):
         """Return whether the engines that ran a call had no fault but silences."""
-        if call.end_s - call.begin_s > SHORT_TIMEOUT_S - ANSWER_SLACK_S:
+        timeout_s = STOP_TIMEOUT_S if call.kind == "stop" else SHORT_TIMEOUT_S
+        if call.end_s - call.begin_s > timeout_s - ANSWER_SLACK_S:
             return False
         names = {address: name for name, address in self.addresses.items()}
         engines = {run["engine"] for run in runs}
