Leaving daemon: begin no late stream that may outlast the drain

Cause: check_end compares a request with the durations of earlier ones, and with nothing if there was none. A stream that is longer passes, and once its answer has begun it can't be refused.

Evidence: test_stream_that_may_outlast_the_drain_is_not_begun_after_the_lag failed before (200) and passes; the other 9 tests of test_leaving.py pass.

Why it works: after the lag a stream is begun only if its deadline comes before the end of the drain; else it gets 503, not run. The bounds are times that leave() sets, and each stream is compared with the clock.

Open: a stream that waits for a slot is judged as it arrives only.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/_node.py
@@ -140,8 +140,10 @@
         self._is_leaving = False
         self._requests = RequestCounter()
         self._durations = RunDurations()
-        # When the requests in progress are interrupted, on the monotonic clock.
+        # When the requests in progress are interrupted, and until when streams are
+        # accepted that may last longer, on the monotonic clock.
         self._end_s: float | None = None
+        self._open_until_s = float("inf")
         self.settle_callbacks: list[Callable[[], Awaitable[None]]] = [
             self.claims.settle
         ]
@@ -226,10 +228,10 @@
         """Report not ready; requests are accepted until the balancer has noticed."""
         self._is_leaving = True
         if self.settings.drain_timeout_ms:
-            remaining_ms = (
-                self.settings.balancer_lag_ms + self.settings.drain_timeout_ms
-            )
-            self._end_s = time.monotonic() + remaining_ms / MILLISECONDS_PER_SECOND
+            lag_s = self.settings.balancer_lag_ms / MILLISECONDS_PER_SECOND
+            drain_s = self.settings.drain_timeout_ms / MILLISECONDS_PER_SECOND
+            self._open_until_s = time.monotonic() + lag_s
+            self._end_s = self._open_until_s + drain_s
         self.claims.leave()
         self.mesh.announce_leaving()
         self.poller.invalidate()
@@ -257,13 +259,26 @@
         if self._end_s is None:
             return
         if now_s + (self._durations.estimate_s(kind) or 0.0) >= self._end_s:
-            raise Refusal(
-                503,
-                "leaving",
-                "The daemon may end before the answer.",
-                Outcome.NOT_RUN,
-                retry_after_s=RETRY_AFTER_LEAVING_S,
-            )
+            raise _leaving_refusal()
+
+    def check_stream_end(self, kind: str, deadline_s: float, now_s: float) -> None:
+        """Check that a stream that begins now can end before this daemon does.
+
+        An answer that has begun can't be refused any more. Once the balancer has
+        noticed, its deadline must therefore come before the end, however short the
+        streams before it were.
+
+        :param kind: kind of the request.
+        :param deadline_s: when it ends at the latest, on the monotonic clock in
+            seconds.
+        :param now_s: current time on the same clock.
+        :raises Refusal: it can not.
+        """
+        self.check_end(kind, now_s)
+        if self._end_s is None or now_s < self._open_until_s:
+            return
+        if deadline_s >= self._end_s:
+            raise _leaving_refusal()
 
     def end_request(self) -> None:
         """Count a request as ended."""
@@ -296,3 +311,13 @@
                 logging.error("settle callback failed", exc_info=result)
                 self.events.record("node.settle_failed", error=type(result).__name__)
         self.events.record("node.settled", n_callbacks=len(results))
+
+
+def _leaving_refusal() -> Refusal:
+    return Refusal(
+        503,
+        "leaving",
+        "The daemon may end before the answer.",
+        Outcome.NOT_RUN,
+        retry_after_s=RETRY_AFTER_LEAVING_S,
+    )
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
@@ -54,6 +54,8 @@
         """Answer with one JSON object or a stream of events."""
         body = decode_body(self.body, self.body_type)
         self.body = b""
+        if body.stream:
+            self._check_stream_end()
         request = self._build_request(body)
         # Characters of a prompt may take more bytes than in the body.
         await self.hold(COPIES * sys.getsizeof(request.prompt))
@@ -128,6 +130,9 @@
         )
         self.finish(answer)
 
+    def _check_stream_end(self) -> None:
+        self.node.check_stream_end(self.run_kind, self.deadline_s, time.monotonic())
+
     async def _answer_stream(self, request: GenerationRequest) -> None:
         format_event = build_event_formatter(
             self.event_name, request.model, self.build_event_choice
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -131,6 +131,24 @@
     assert daemon.popen.wait(20.0) == 0
 
 
+def test_stream_that_may_outlast_the_drain_is_not_begun_after_the_lag(fleet):
+    # Guards against streams that are longer than those before them and are cut.
+    start_targets(fleet)
+    daemon = start_daemon(fleet, balancer_lag_ms=500, drain_timeout_ms=1_500)
+    assert complete(daemon, "measured", 2, True)[0] == 200
+    connection = http.client.HTTPConnection(daemon.address, timeout=10)
+    connection.request("GET", "/healthz")
+    connection.getresponse().read()
+    daemon.signal(signal.SIGTERM)
+    wait_for(lambda: refuses_connections(daemon), 5.0)
+    body = {"model": "draft", "prompt": "loin", "max_tokens": N_TOKENS, "stream": True}
+    connection.request("POST", "/v1/completions", json.dumps(body), CALLER)
+    answer = connection.getresponse()
+    assert answer.status == 503
+    assert json.loads(answer.read())["outcome"] == "not-run"
+    assert daemon.popen.wait(20.0) == 0
+
+
 def book_first(daemon):
     path = "/v1/services/booking/slots"
     headers = CALLER | {
