Pauses: kept while an engine's entry goes and comes back

Cause: the pause was deleted with the entry, although it names the process and does not apply to another one.

Evidence: test_gateway_keeps_the_pause_of_an_engine_whose_entry_comes_back failed before and passes.

If the process does not tell its start it is still deleted, since the next one can't be told from it.

--- a/packages/cassiaspread-core/src/cassiaspread_core/targets/_closures.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/targets/_closures.py
@@ -65,9 +65,19 @@
             return 0.0
         return self._closures[engine.target].until_s - now_s
 
-    def forget(self, target: TargetId) -> None:
-        """Delete the closure of a target that was removed or restarted.
+    def record_removal(self, engine: Engine, now_s: float) -> None:
+        """Record that the entry of a target was removed or names another process.
 
-        :param target: the target.
+        The closure of the process is kept until it ends, since its entry may come back,
+        unless the process can't be told from the next one.
+
+        :param engine: the target before.
+        :param now_s: current time, in seconds.
         """
-        self._closures.pop(target, None)
+        if not engine.incarnation:
+            self._closures.pop(engine.target, None)
+        self._closures = {
+            target: closure
+            for target, closure in self._closures.items()
+            if now_s < closure.until_s
+        }
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -690,8 +690,8 @@
         if is_new or before.incarnation != after.incarnation:
             engine = before or after
             self._health.forget(engine.target)
-            self._closures.forget(engine.target)
             if before is not None:
+                self._closures.record_removal(before, now())
                 self._pool.drop(before.address)
         if self._paces is not None:
             self._paces.record_change(before, after, self._has_list, now())
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -8,6 +8,7 @@
 import socket
 import time
 from contextlib import suppress
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -34,6 +35,7 @@
 from cassiaspread_daemon.gateway._closing import Closing
 from cassiaspread_daemon.gateway._dispatch import Dispatcher
 from cassiaspread_daemon.gateway._fleet_view import FleetView
+from cassiaspread_daemon.gateway._gateway import Gateway
 from cassiaspread_daemon.gateway._gateway_metrics import GatewayMetrics
 from cassiaspread_daemon.gateway._job import now
 from cassiaspread_daemon.gateway._link_permits import LinkPermits
@@ -758,3 +760,20 @@
             server.close()
 
     asyncio.run(run())
+
+
+def test_gateway_keeps_the_pause_of_an_engine_whose_entry_comes_back():
+    # Its requests were sent on in the pause: the removal of the entry had ended it.
+    gateway = Gateway.__new__(Gateway)
+    gateway._health, gateway._closures = TargetHealth(), TargetClosures()
+    gateway._pool = SimpleNamespace(drop=lambda address: None)
+    gateway._paces = None
+    gateway._dispatcher = SimpleNamespace(record_targets_changed=lambda: None)
+    engine = Engine(target="t", service="s", address="t:1", domain="d", incarnation=1)
+    gateway._closures.close(engine, 5.0, now())
+    gateway._handle_engine_change(engine, None)
+    gateway._handle_engine_change(None, engine)
+    assert gateway._closures.is_closed(engine, now())
+    restarted = msgspec.structs.replace(engine, incarnation=2)
+    gateway._handle_engine_change(engine, restarted)
+    assert not gateway._closures.is_closed(restarted, now())
