Leaving gateway: judge a rejected stream again before it goes on

Callers saw: a stream that an engine had rejected without a run was sent to another engine by a gateway that leaves, however little time was left, and could be cut.

Cause: a stream was compared with the end of the drain only until it had been sent to an engine for the first time.

Evidence: test_stream_that_an_engine_rejected_is_judged_again_as_the_gateway_leaves failed before (four attempts) and passes.

Why it works: until an engine has run any of it, a refusal as not run is true, so the stream is judged before each attempt.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_stream.py
@@ -164,7 +164,7 @@
         try:
             if stream.remaining_s(now()) <= 0:
                 raise self._refusal(stream)
-            if not stream.job.inbound.is_passed_on:
+            if not stream.n_runs:
                 self._closing.check(stream.job, now())
             self._check_quarantine(stream)
         except Refusal:
--- a/packages/cassiaspread-daemon/tests/test_gateway_parts.py
+++ b/packages/cassiaspread-daemon/tests/test_gateway_parts.py
@@ -13,7 +13,13 @@
 import msgspec
 import pytest
 
-from cassiaspread_core.base import LogUnavailable, Refusal, RequestId, Truncated
+from cassiaspread_core.base import (
+    LogUnavailable,
+    Outcome,
+    Refusal,
+    RequestId,
+    Truncated,
+)
 from cassiaspread_core.chains import LoadLedger, StageLoad
 from cassiaspread_core.placement import Engine, LayerRange
 from cassiaspread_core.routing import Service, StateAge
@@ -211,6 +217,38 @@
     asyncio.run(run())
 
 
+def test_stream_that_an_engine_rejected_is_judged_again_as_the_gateway_leaves(log):
+    # It was passed on to another engine, however late, and cut at the end.
+    async def run():
+        dispatcher, queue = make_queue(log)
+        forwarder = make_stream_forwarder(
+            log, queue, dispatcher, TargetHealth(), OpenQuarantine()
+        )
+        n_attempts = 0
+
+        async def reject(stream, assignment, turn):
+            nonlocal n_attempts
+            n_attempts += 1
+            stream.job.inbound.is_passed_on = True
+            dispatcher.release(assignment)
+            forwarder._closing.begin(now(), now() + 5.0)
+            return AttemptResult.NOT_RUN
+
+        async def take_retry():
+            return True
+
+        forwarder._attempt = reject
+        with pytest.raises(Refusal) as refused:
+            await forwarder.forward(make_job(), take_retry)
+        assert n_attempts == 1
+        assert (refused.value.code, refused.value.outcome) == (
+            "leaving",
+            Outcome.NOT_RUN,
+        )
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(
     "error",
     [
@@ -539,6 +577,9 @@
     def record_wait(self, waited_s):
         pass
 
+    def record_attempt(self, result):
+        pass
+
 
 def test_log_does_not_block_when_its_reader_stops(tmp_path):
     reading, writing = os.pipe()
