--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -689,7 +689,8 @@
 
     :param start: position of the page.
     :param page: the page, which was applied.
-    :param changed: targets that had another entry since the position than before.
+    :param changed: targets whose entry at some time within the page differed from that
+        at its position.
     :param listed: all targets on the list.
     """
     changes = tuple(c for c in page.items if c.target in changed)
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -82,7 +82,8 @@
 # failed checks.
 BALANCER_LAG_S = 3.0
 # Part of the exit timeout that is reserved for the shutdown itself, counted from when
-# SIGTERM was handled, and its least part, counted from when it can have been sent.
+# SIGTERM was handled; and the least that is left of it if the signal may have been sent
+# much earlier.
 EXIT_MARGIN_S = 0.7
 MIN_EXIT_MARGIN_S = 0.3
 DRAIN_POLL_S = 0.05
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
@@ -279,7 +279,8 @@
 
     :param target: identifier of the target.
     :param engine: the entry; ``None`` if it was removed or is unreadable.
-    :param has_varied: whether the page contained a different entry before this one.
+    :param has_varied: whether the page also contained a different entry, before this
+        one.
     """
 
     target: TargetId
