Tests: an engine in use is sought once load reports are over

Cause: a race of the test. The test takes the engine of one stream for the one that its gateway prefers. Between chains of equal cost a gateway takes the one whose engine comes first in its list; the load that another gateway reported moves it to the other engine until the next report, at most 3 s later. A stream of the other gateway that is in progress as the report leaves is enough. The engine that is asked for a pause is then the one that is preferred no longer, with or without a pause.

The test now waits until such a report is no longer counted. All that it asserts is as before.

--- a/tests/users_platform/test_engine_notices.py
+++ b/tests/users_platform/test_engine_notices.py
@@ -19,6 +19,8 @@
 # Requests that are on their way when an engine asks for a pause.
 SLACK_S = 0.5
 GOSSIP_S = 1.5
+# A load report that is older than this is no longer counted, as in `_loads.py`.
+LOAD_REPORT_S = 3.0
 # A gateway serves for longer than a test without reaching the store.
 LONG_REVOKE_MS = 60_000
 
@@ -90,6 +92,9 @@
 
 def engine_in_use(deployment, kind, gateway):
     """Return the engine that runs the requests of a gateway; others are its equals."""
+    # The last stream of the other gateway counts as load on its engine until the next
+    # report, and moves requests away from the engine that this gateway prefers.
+    time.sleep(LOAD_REPORT_S)
     assert SENDERS[kind](deployment, gateway).status == 200
     return deployment.history("run")[-1]["engine"]
 
