Leaving daemon: judge requests that wait for a slot again

Cause: a request was compared with the end of the drain as it arrived only. Those that wait arrive before SIGTERM, when there is no end yet.

Evidence: test_waiting_stream_that_may_outlast_the_drain_is_refused_after_the_lag failed 3 of 3 times before (200, 3,737 bytes, no end); with the change it passes, as do the other tests of test_leaving.py, test_load.py and test_queued_requests.py, whose two new cases play it without processes.

Why it works: admission calls the check of a request when it gets its slot, so that none is begun too late whatever timers do, and every 0.25 s while it waits, so that it is refused (503, not run) as soon as it can't begin any more and not when a slot becomes free. Bookings and look-ups don't wait for slots.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/handlers/_completions.py
@@ -45,6 +45,7 @@
 
     _running: asyncio.Future[None] | None = None
     _has_first_step = False
+    _is_stream = False
 
     async def post(self) -> None:
         """Answer with one JSON object or a stream of events."""
@@ -54,8 +55,8 @@
         """Answer with one JSON object or a stream of events."""
         body = decode_body(self.body, self.body_type)
         self.body = b""
-        if body.stream:
-            self._check_stream_end()
+        self._is_stream = body.stream
+        self._check_end(time.monotonic())
         request = self._build_request(body)
         # Characters of a prompt may take more bytes than in the body.
         await self.hold(COPIES * sys.getsizeof(request.prompt))
@@ -130,8 +131,11 @@
         )
         self.finish(answer)
 
-    def _check_stream_end(self) -> None:
-        self.node.check_stream_end(self.run_kind, self.deadline_s, time.monotonic())
+    def _check_end(self, now_s: float) -> None:
+        if self._is_stream:
+            self.node.check_stream_end(self.run_kind, self.deadline_s, now_s)
+        else:
+            self.node.check_end(self.run_kind, now_s)
 
     async def _answer_stream(self, request: GenerationRequest) -> None:
         format_event = build_event_formatter(
@@ -171,6 +175,7 @@
             request.max_tokens,
             request.deadline_s,
             is_resumed=request.start > 0,
+            check=self._check_end,
         ) as slot:
 
             def accept_steps(steps: list[TokenStep]) -> None:
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_admission.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/load/_admission.py
@@ -45,6 +45,9 @@
 
 Demands = dict[ModelId, DaemonDemand]
 
+# Refuses a request that can't begin at a time in seconds on the monotonic clock.
+BeginCheck = Callable[[float], None]
+
 
 class _PeerDemands(msgspec.Struct, frozen=True):
     domain: DomainId
@@ -52,6 +55,13 @@
     received_s: float
 
 
+class _Waiting(msgspec.Struct, frozen=True):
+    gate: AdmissionGate
+    ticket: AdmissionTicket
+    check: BeginCheck
+    decision: asyncio.Future[AdmissionResult]
+
+
 class Slot:
     """Slot of an admitted request, with the progress of its answer.
 
@@ -114,7 +124,7 @@
         self._budgets: dict[ModelId, RetryBudget] = {}
         self._capacities: dict[ModelId, tuple[float, float]] = {}
         self._received: dict[Incarnation, _PeerDemands] = {}
-        self._waiting: dict[int, asyncio.Future[AdmissionResult]] = {}
+        self._waiting: dict[int, _Waiting] = {}
         self._n_tickets = 0
         mesh.add_topic(TOPIC, self._produce, Demands, self._consume)
 
@@ -130,6 +140,7 @@
         while True:
             for model in list(self._gates):
                 self._update_share(model)
+            self._refuse_waiting(time.monotonic())
             await asyncio.sleep(SHARE_INTERVAL_S)
 
     def take_retry(self, model: ModelId) -> bool:
@@ -149,6 +160,7 @@
         n_tokens: int,
         deadline_s: float,
         is_resumed: bool = False,
+        check: BeginCheck = lambda now_s: None,
     ) -> AsyncIterator[Slot]:
         """Wait for a slot and hold it for the duration of the context.
 
@@ -158,7 +170,9 @@
         :param n_tokens: maximum number of tokens of the answer.
         :param deadline_s: its deadline, on the monotonic clock in seconds.
         :param is_resumed: whether it was running before; it is then admitted at once.
-        :raises Refusal: it can't be completed before its deadline.
+        :param check: refuses it if it can't begin at a time; called while it waits and
+            when it gets the slot.
+        :raises Refusal: it can't be completed before its deadline, or can't begin.
         """
         gate = self._gate(model)
         self._n_tickets += 1
@@ -171,21 +185,26 @@
         if is_resumed:
             gate.admit_resumed(ticket)
         else:
-            await self._admit(gate, ticket, request)
+            await self._admit(gate, ticket, request, check)
         slot = Slot(ticket, n_tokens, gate)
         admitted_s = time.monotonic()
         try:
+            check(admitted_s)
             yield slot
         finally:
             self._release(model, slot, admitted_s)
 
     async def _admit(
-        self, gate: AdmissionGate, ticket: AdmissionTicket, request: RequestId
+        self,
+        gate: AdmissionGate,
+        ticket: AdmissionTicket,
+        request: RequestId,
+        check: BeginCheck,
     ) -> None:
         result = gate.submit(ticket, time.monotonic())
         if result.decision is Decision.QUEUED:
             self._events.record("admission.queued", request, n_waiting=gate.n_waiting)
-            result = await self._wait_in_queue(gate, ticket)
+            result = await self._wait_in_queue(gate, ticket, check)
         if result.decision is Decision.REFUSED:
             self._events.record(
                 "admission.refused",
@@ -197,16 +216,19 @@
             raise self._refusal(result)
 
     async def _wait_in_queue(
-        self, gate: AdmissionGate, ticket: AdmissionTicket
+        self, gate: AdmissionGate, ticket: AdmissionTicket, check: BeginCheck
     ) -> AdmissionResult:
+        future: asyncio.Future[AdmissionResult]
         future = asyncio.get_running_loop().create_future()
-        self._waiting[ticket.number] = future
+        self._waiting[ticket.number] = _Waiting(gate, ticket, check, future)
         try:
             return await self._wait_until_decided(gate, ticket, future)
         except asyncio.CancelledError:
             if future.done():
-                # It was admitted in the iteration of the event loop that cancelled it.
-                if future.result().decision is Decision.ADMITTED:
+                # It was decided in the iteration of the event loop that cancelled it.
+                if not future.exception() and (
+                    future.result().decision is Decision.ADMITTED
+                ):
                     self._deliver(gate.finish(ticket, time.monotonic()))
             else:
                 gate.abandon(ticket)
@@ -237,9 +259,20 @@
 
     def _deliver(self, results: list[AdmissionResult]) -> None:
         for result in results:
-            future = self._waiting.get(result.ticket.number)
-            if future is not None and not future.done():
-                future.set_result(result)
+            waiting = self._waiting.get(result.ticket.number)
+            if waiting is not None and not waiting.decision.done():
+                waiting.decision.set_result(result)
+
+    def _refuse_waiting(self, now_s: float) -> None:
+        """Refuse the queued requests that can't begin any more."""
+        for waiting in list(self._waiting.values()):
+            if waiting.decision.done():
+                continue
+            try:
+                waiting.check(now_s)
+            except Refusal as refusal:
+                waiting.gate.abandon(waiting.ticket)
+                waiting.decision.set_exception(refusal)
 
     def _refusal(self, result: AdmissionResult) -> Refusal:
         factor = 1.0 + RETRY_SPREAD * self._random_state.random()
--- a/packages/cassiaspread-daemon/tests/test_queued_requests.py
+++ b/packages/cassiaspread-daemon/tests/test_queued_requests.py
@@ -54,9 +54,11 @@
             random.Random(0),
         )
 
-    def acquire_slot(self, request: str, left_s: float):
+    def acquire_slot(self, request: str, left_s: float, check=lambda now_s: None):
         deadline_s = time.monotonic() + left_s
-        return self.admission.acquire_slot(MODEL, ORGANISATION, request, 1, deadline_s)
+        return self.admission.acquire_slot(
+            MODEL, ORGANISATION, request, 1, deadline_s, check=check
+        )
 
     async def refuse(self, left_s: float) -> tuple[Refusal, float]:
         """Return the refusal of a queued request and how late it was, in seconds."""
@@ -144,3 +146,44 @@
             return n_before, daemon.demand.total
 
     assert asyncio.run(run()) == (2, 1)
+
+
+def test_queued_request_that_can_no_longer_begin_is_refused():
+    # Guards against requests that wait for a slot in a daemon that leaves, and are then
+    # begun and cut.
+    def check(now_s):
+        if is_leaving:
+            raise Refusal(503, "leaving", "leaving", Outcome.NOT_RUN)
+
+    async def run():
+        nonlocal is_leaving
+        daemon = Daemon()
+        updates = asyncio.ensure_future(daemon.admission.run())
+        async with daemon.acquire_slot("running", 60.0):
+            queued = daemon.acquire_slot("queued", 60.0, check)
+            waiting = asyncio.ensure_future(queued.__aenter__())
+            await asyncio.sleep(0.05)
+            n_before, is_leaving = daemon.demand.total, True
+            async with asyncio.timeout(NEVER_ENDS_S):
+                with pytest.raises(Refusal, match="leaving"):
+                    await waiting
+            n_after = daemon.demand.total
+        updates.cancel()
+        return n_before, n_after
+
+    is_leaving = False
+    assert asyncio.run(run()) == (2, 1)
+
+
+def test_request_that_can_no_longer_begin_does_not_get_its_slot():
+    def check(now_s):
+        raise Refusal(503, "leaving", "leaving", Outcome.NOT_RUN)
+
+    async def run():
+        daemon = Daemon()
+        with pytest.raises(Refusal, match="leaving"):
+            async with daemon.acquire_slot("late", 60.0, check):
+                pass
+        return daemon.demand.total
+
+    assert asyncio.run(run()) == 0
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -9,6 +9,7 @@
 import pytest
 from uuid6 import uuid7
 
+from cassiaspread_daemon.load._admission import SHARE_INTERVAL_S
 from tests.fleet import Fleet, bearer, read_report, request, wait_for
 from tests.standins.engine import expected_token
 
@@ -149,6 +150,37 @@
     assert daemon.popen.wait(20.0) == 0
 
 
+def test_waiting_stream_that_may_outlast_the_drain_is_refused_after_the_lag(fleet):
+    # Guards against streams that get their slot late in the drain and are cut.
+    for name, begin, end in ("e1", 0, 4), ("e2", 4, 8):
+        fleet.start_engine(name, "cautin", begin, end, step_ms=20, n_slots=1)
+    fleet.start_service("booking-1", "cautin")
+    daemon = start_daemon(fleet, balancer_lag_ms=500, drain_timeout_ms=4_000)
+    time.sleep(2 * SHARE_INTERVAL_S)
+    with ThreadPoolExecutor(3) as pool:
+        n_running = len(requests_on(fleet, "e1")) + 2
+        running = [
+            pool.submit(complete, daemon, f"running {i}", N_TOKENS, True)
+            for i in range(2)
+        ]
+        wait_for(lambda: len(requests_on(fleet, "e1")) == n_running)
+        waiting = pool.submit(complete, daemon, "waiting", 4 * N_TOKENS, True)
+        wait_for(lambda: has_event(daemon, "admission.queued"))
+        daemon.signal(signal.SIGTERM)
+        status, _, body = waiting.result()
+        is_refused_early = not any(stream.done() for stream in running)
+        assert status == 503
+        assert json.loads(body)["outcome"] == "not-run"
+        assert is_refused_early
+        for stream in running:
+            assert stream.result()[2].endswith(b"data: [DONE]\n\n")
+    assert daemon.popen.wait(20.0) == 0
+
+
+def has_event(daemon, kind):
+    return any(event["kind"] == kind for event in read_report(daemon, "events"))
+
+
 def book_first(daemon):
     path = "/v1/services/booking/slots"
     headers = CALLER | {
