Soak: kills of those that pass updates on, as an engine leaves

With more than two gateways in a zone (--gateways) the gateway that reads the list of engines is found by its calls to the store. In series, all others of its zone are killed as the engine in use begins to leave; the other zone gets no requests meanwhile, in whose answers it would hear of it. Checked: each gateway in touch knows of the leaving engine within the bound after the store's ack, and no request reaches the engine later. Crowds of gateways are possible now: addresses for 64 of them.

--- a/tests/users_platform/deployment.py
+++ b/tests/users_platform/deployment.py
@@ -23,7 +23,7 @@
 DOMAINS = ("celje", "velenje")
 DEFAULT_TIMEOUT_S = 15.0
 # Addresses at which gateways that communicate listen for each other; all use one port.
-PEER_IPS = tuple(f"127.0.0.{n}" for n in range(2, 9))
+PEER_IPS = tuple(f"127.0.0.{n}" for n in range(2, 66))
 RESPAWN_POLL_S = 0.05
 
 
--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -77,7 +77,7 @@
 N_PART_CRASHES, N_PART_EVENTS = 5, 8
 MAX_QUARANTINED_RATIO, MIN_PART_CALLS = 0.5, 10
 NOT_RUN_STATUSES = {408, 421, 429, 503}
-GATEWAYS = tuple(f"gateway-{zone}-{n}" for zone in DOMAINS for n in range(2))
+N_GATEWAYS = 2
 ENGINES = {
     f"{zone}-{name}": (service, zone, kind)
     for zone in DOMAINS
@@ -119,6 +119,21 @@
     "notice-pause": {"full": True, "retry_after": "1.5"},
 }
 N_NOTICES = 3
+# Where a zone has more gateways than N_GATEWAYS, those beside the one that reads the
+# list of engines for all others are killed, in series, at about the moment at which the
+# engine in use begins to leave. Gateways of the other zone get no requests, in whose
+# answers they would hear of it, until the bound on its leaving has passed.
+HERD_INTERVAL_S = 5.0
+HERD_FOR_S, HERD_RANGE_S = 2.0, 0.2
+# An engine renews its entry within this time, and ends so long after the bound.
+RENEWAL_S, DRAIN_LEFT_S = 0.5, 0.8
+DRAIN_S = 2.0
+DRAIN_NOTICE = "notice-draining"
+DRAINING = {"state": "draining", "leaving": True}
+READS = 'kind="/-/log-read keyed.servers"'
+READER_POLL_S = 1.0
+# A request that was sent within the bound may reach the engine later.
+DRAIN_SLACK_S = 0.15
 # A request may be on its way when an engine asks for none.
 NOTICE_SLACK_S = 0.5
 SOUND_ANSWERS = {"close_after": None, "break_how": "close", "flood": None}
@@ -217,16 +232,22 @@
         return self.kind in ("draft", "once", "stop", *PART_KINDS)
 
 
-def draw_schedule(seed, length_s):
+def gateway_names(n_gateways):
+    """Return the names of the gateways, with that number in each zone."""
+    return [f"gateway-{zone}-{n}" for zone in DOMAINS for n in range(n_gateways)]
+
+
+def draw_schedule(seed, length_s, n_gateways=N_GATEWAYS):
     """Return the faults of a seed, earliest first."""
+    gateways = gateway_names(n_gateways)
     random_state = random.Random(seed)
     schedule, at_s = [], 0.5
     while at_s < length_s:
         kind = random_state.choices(list(FAULTS), list(FAULTS.values()))[0]
         if kind.startswith("gateway"):
-            on = random_state.choice(GATEWAYS)
+            on = random_state.choice(gateways)
         elif kind.startswith("path"):
-            on = random_state.choice([*ENGINES, *(f"{g}/store" for g in GATEWAYS)])
+            on = random_state.choice([*ENGINES, *(f"{g}/store" for g in gateways)])
         else:
             on = random_state.choice(list(ENGINES))
         for_s = random_state.uniform(0.3, 3.0)
@@ -254,9 +275,25 @@
         on = random_state.choice(list(ENGINES))
         at_s, for_s = random_state.uniform(0, length_s), random_state.uniform(0.5, 2)
         schedule.append(Fault(at_s, for_s, kind, on))
+    if n_gateways > N_GATEWAYS:
+        schedule += draw_herds(seed, length_s)
     return schedule + draw_silences(seed, length_s)
 
 
+def draw_herds(seed, length_s):
+    """Return kills of those that pass updates on, each as an engine leaves."""
+    random_state = random.Random(f"{seed}-herds")
+    herds, begin_s = [], 2 * READER_POLL_S
+    while begin_s < length_s:
+        at_s = begin_s + random_state.uniform(0.0, 0.2 * HERD_INTERVAL_S)
+        begin_s += HERD_INTERVAL_S
+        herds.append(Fault(at_s, HERD_FOR_S, "herd-kill", "reader"))
+        left_s = at_s + random_state.uniform(-HERD_RANGE_S, HERD_RANGE_S)
+        for_s = RENEWAL_S + DRAIN_S + DRAIN_LEFT_S
+        herds.append(Fault(left_s, for_s, "herd-drain", "engine"))
+    return herds
+
+
 def draw_silences(seed, length_s):
     """Return silences of sound targets, with changed settings beside them."""
     random_state = random.Random(f"{seed}-silences")
@@ -307,9 +344,17 @@
 class Soak:
     """A deployment behind a proxy, with callers and injected faults."""
 
-    def __init__(self, folder, seed, length_s):
+    def __init__(self, folder, seed, length_s, n_gateways=N_GATEWAYS):
         self.deployment = Deployment(folder)
-        self.schedule = draw_schedule(seed, length_s)
+        self.schedule = draw_schedule(seed, length_s, n_gateways)
+        self.gateways = gateway_names(n_gateways)
+        self.has_herds = n_gateways > N_GATEWAYS
+        # The gateway that reads the list of engines for all others.
+        self.reader = None
+        # Time until which gateways get no requests, on the monotonic clock.
+        self.quiet_until_s = {}
+        # Notices to the engines in use, by the identity of the fault.
+        self.drained = {}
         self.seed = seed
         self.calls = []
         self.revoked_s = None
@@ -320,7 +365,8 @@
         self.is_over = threading.Event()
         # Processes that got SIGTERM, and when, on the monotonic clock.
         self.stopped = {}
-        self.restart_locks = {name: threading.Lock() for name in (*GATEWAYS, *ENGINES)}
+        names = (*self.gateways, *ENGINES)
+        self.restart_locks = {name: threading.Lock() for name in names}
         # Time of each start of a process after the first, in Unix seconds.
         self.restarts = []
         # Addresses of the engines behind the proxy.
@@ -359,13 +405,17 @@
         for name in SIDE_ENGINES:
             deployment.add_engine(name, SIDE_SERVICE, name.split("-")[0])
         upstream = f"127.0.0.1:{deployment.store_port}"
-        for name in GATEWAYS:
+        for name in self.gateways:
             port = free_port()
             self.configure_route(f"{name}-store", listen=port, upstream=upstream)
             deployment.add_gateway(
-                name, name.split("-")[1], store_port=port, has_peers=True
+                name,
+                name.split("-")[1],
+                metrics=self.has_herds,
+                store_port=port,
+                has_peers=True,
             )
-        for name in GATEWAYS:
+        for name in self.gateways:
             wait_for(lambda name=name: self.serves(name), 30.0)
 
     def configure_route(self, name, **values):
@@ -427,8 +477,8 @@
 
     def run(self):
         with (
-            ThreadPoolExecutor(N_CALLERS + N_PATIENT_CALLERS + 4) as pool,
-            ThreadPoolExecutor(len(GATEWAYS)) as stop_pool,
+            ThreadPoolExecutor(N_CALLERS + N_PATIENT_CALLERS + 5) as pool,
+            ThreadPoolExecutor(len(self.gateways)) as stop_pool,
             Respawner(self.deployment, CRASH_ENGINES + PART_ENGINES, RESPAWN_S),
         ):
             callers = [pool.submit(self.run_caller, n) for n in range(N_CALLERS)]
@@ -438,11 +488,15 @@
             ]
             callers.append(pool.submit(self.run_crashing_caller))
             callers += [pool.submit(self.run_part_caller, n) for n in range(3)]
-            callers += [stop_pool.submit(self.run_stop_caller, g) for g in GATEWAYS]
+            callers += [
+                stop_pool.submit(self.run_stop_caller, g) for g in self.gateways
+            ]
+            if self.has_herds:
+                callers.append(pool.submit(self.watch_reader))
             try:
                 self.run_schedule()
                 last_fault_s = time.monotonic()
-                for name in GATEWAYS:
+                for name in self.gateways:
                     left_s = last_fault_s + RECOVERY_BOUND_S - time.monotonic()
                     wait_for(lambda name=name: self.serves(name), max(0.1, left_s))
             finally:
@@ -457,7 +511,7 @@
         for at_s, _, fault, is_begin in sorted(events, key=lambda event: event[:2]):
             time.sleep(max(0.0, start_s + at_s - time.monotonic()))
             self.apply(fault, is_begin)
-        for name in GATEWAYS:
+        for name in self.gateways:
             self.restart_if_ended(name)
 
     def apply(self, fault, is_begin):
@@ -477,6 +531,10 @@
                 self.deployment.control(fault.on, timeout_s=CONTROL_TIMEOUT_S, **values)
         elif family == "notice":
             self.give_notice(fault, is_begin)
+        elif fault.kind == "herd-drain":
+            self.drain_engine_in_use(fault, is_begin)
+        elif fault.kind == "herd-kill" and is_begin:
+            self.kill_herd(now_s)
         elif family == "path":
             name = fault.on.replace("/", "-")
             if action == "delay":
@@ -500,15 +558,86 @@
         elif action == "truncate" and is_begin:
             self.deployment.control("store", truncate=True)
 
+    def drain_engine_in_use(self, fault, is_begin):
+        """Let the engine leave that got a request last, and end it later."""
+        if is_begin:
+            used = [r["engine"] for r in self.deployment.history("run")]
+            # Both zones use the same engines with layers.
+            layered = {name for name, (_, _, kind) in ENGINES.items() if kind}
+            on = next((name for name in reversed(used) if name in layered), None)
+            if on is None:
+                return
+            self.drained[id(fault)] = Fault(fault.at_s, fault.for_s, DRAIN_NOTICE, on)
+        notice = self.drained.get(id(fault))
+        if notice is not None:
+            self.apply(notice, is_begin)
+        if not is_begin:
+            self.drained.pop(id(fault), None)
+
+    def kill_herd(self, now_s):
+        """Kill the gateways beside the reader; those of the other zone get quiet."""
+        if self.reader is None:
+            return
+        zone = self.reader.split("-")[1]
+        killed = [g for g in self.gateways if zone in g and g != self.reader]
+        for name in killed:
+            self.deployment.processes[name].kill()
+            kill = Fault(0.0, HERD_FOR_S, "gateway-kill", name)
+            self.injected[id(kill)] = kill, now_s, now_s + HERD_FOR_S
+        quiet_s = HERD_RANGE_S + RENEWAL_S + DRAIN_S + DRAIN_SLACK_S
+        until_s = time.monotonic() + quiet_s
+        others = [g for g in self.gateways if zone not in g]
+        self.quiet_until_s |= dict.fromkeys(others, until_s)
+        restart = threading.Timer(HERD_FOR_S, self.restart_all, (killed,))
+        restart.start()
+
+    def send_once(self, call):
+        """Send a call over a new connection."""
+        call.begin_s = time.time()
+        port = self.deployment.ports[call.gateway]
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=9.0)
+        self.send(connection, call)
+        connection.close()
+        call.end_s = time.time()
+        self.calls.append(call)
+
+    def restart_all(self, names):
+        for name in names:
+            self.restart_if_ended(name)
+
+    def watch_reader(self):
+        """Find the gateway with the most reads of the list of engines."""
+        before = {}
+        while not self.is_over.wait(READER_POLL_S):
+            counts = {name: self.count_reads(name) for name in self.gateways}
+            grown = {name: counts[name] - before.get(name, 0.0) for name in counts}
+            before = counts
+            self.reader = max(grown, key=grown.get)
+
+    def count_reads(self, name):
+        """Return how often a gateway has read the list of engines; 0 if it is down."""
+        port = self.deployment.ports[f"{name}/metrics"]
+        with suppress(OSError, http.client.HTTPException):
+            body = self.deployment.call(port, "GET", "/metrics", timeout_s=0.5).body
+            for line in body.decode().splitlines():
+                if "store_calls" in line and READS in line:
+                    return float(line.rsplit(" ", 1)[1])
+        return 0.0
+
+    def is_quiet(self, gateway):
+        return time.monotonic() < self.quiet_until_s.get(gateway, 0.0)
+
     def give_notice(self, fault, is_begin):
-        if fault.kind == "notice-leaving" and not is_begin:
+        if fault.kind in ("notice-leaving", DRAIN_NOTICE) and not is_begin:
             # The process may have ended before.
             self.deployment.kill(fault.on)
             # One that has not ended yet is not started again.
             self.deployment.processes[fault.on].wait()
             threading.Thread(target=self.restart_if_ended, args=(fault.on,)).start()
             return
-        values = NOTICES[fault.kind] if is_begin else {"full": False}
+        values = (NOTICES | {DRAIN_NOTICE: DRAINING})[fault.kind]
+        if not is_begin:
+            values = {"full": False}
         with suppress(OSError, http.client.HTTPException):
             self.deployment.control(fault.on, timeout_s=CONTROL_TIMEOUT_S, **values)
 
@@ -517,7 +646,7 @@
             self.changed ^= {kind}
             self.publish_configuration()
             return
-        for name in GATEWAYS:
+        for name in self.gateways:
             # The signal would end a process that does not listen yet.
             if self.deployment.accepts_connections(self.deployment.ports[name]):
                 self.deployment.kill(name, signal.SIGHUP)
@@ -564,7 +693,11 @@
         connection, gateway, opened_s, idle_since_s = None, "", 0.0, 0.0
         while not self.is_over.is_set():
             if connection is None:
-                gateway = random_state.choice(GATEWAYS)
+                gateway = random_state.choice(self.gateways)
+            if self.is_quiet(gateway):
+                self.is_over.wait(0.05)
+                continue
+            if connection is None:
                 port = self.deployment.ports[gateway]
                 connection = http.client.HTTPConnection("127.0.0.1", port, timeout=9.0)
                 opened_s = 0.0
@@ -596,17 +729,12 @@
             call = Call(
                 id=os.urandom(8).hex(),
                 kind="crash",
-                gateway=random_state.choice(GATEWAYS),
+                gateway=random_state.choice(self.gateways),
                 key=KEY,
                 n_events=0,
-                begin_s=time.time(),
+                begin_s=0.0,
             )
-            port = self.deployment.ports[call.gateway]
-            connection = http.client.HTTPConnection("127.0.0.1", port, timeout=9.0)
-            self.send(connection, call)
-            connection.close()
-            call.end_s = time.time()
-            self.calls.append(call)
+            self.send_once(call)
 
     def run_stop_caller(self, gateway):
         """Send streams of all lengths around each step of the stops of a gateway."""
@@ -677,18 +805,13 @@
             call = Call(
                 id=os.urandom(8).hex(),
                 kind=PART_KINDS[number == 0],
-                gateway=random_state.choice(GATEWAYS),
+                gateway=random_state.choice(self.gateways),
                 key=KEY,
                 n_events=N_PART_EVENTS,
-                begin_s=time.time(),
+                begin_s=0.0,
                 parts=[*parts, BAD_PART] if number == 0 else parts,
             )
-            port = self.deployment.ports[call.gateway]
-            connection = http.client.HTTPConnection("127.0.0.1", port, timeout=9.0)
-            self.send(connection, call)
-            connection.close()
-            call.end_s = time.time()
-            self.calls.append(call)
+            self.send_once(call)
 
     def send(self, connection, call):
         """Send a call and return whether the connection can be reused."""
@@ -739,10 +862,76 @@
         findings = []
         for call in self.calls:
             findings += self.check_call(call, runs.get(call.id, []))
-        for name in GATEWAYS:
+        for name in self.gateways:
             findings += self.check_notices(name)
+        findings += self.check_drains(runs)
         return [*findings, *self.check_crashes(runs), *self.check_parts(runs)]
 
+    def check_drains(self, runs):
+        """Check that engines get no requests after the bound on their leaving."""
+        for row in self.deployment.history("draining"):
+            name, acked_s = row["engine"], row["at_s"]
+            late_s = acked_s + DRAIN_S + DRAIN_SLACK_S
+            ends = [at_s for on, at_s in self.restarts if on == name and at_s > acked_s]
+            end_s = min(ends, default=float("inf"))
+            for gateway in self.gateways:
+                if (
+                    late_s < end_s
+                    and self.must_know_drain(gateway, acked_s, late_s)
+                    and not any(
+                        acked_s - SETTLE_S < known_s < late_s
+                        for known_s in self.leaving_times(gateway, name)
+                    )
+                ):
+                    yield f"{gateway}: did not know in time that {name} leaves"
+            for call in self.calls:
+                for run in runs.get(call.id, []):
+                    reached = [run["engine"], *(hop[0] for hop in run["hops"])]
+                    if (
+                        late_s < run["at_s"] < end_s
+                        and {name, self.addresses[name]} & set(reached)
+                        and self.must_know_drain(call.gateway, acked_s, run["at_s"])
+                        and not self.holds_requests(name, acked_s, run["at_s"])
+                    ):
+                        after_s = run["at_s"] - acked_s
+                        yield f"{call.id}: reached {name} {after_s:.3f} s after its ack"
+
+    def must_know_drain(self, gateway, acked_s, until_s):
+        """Return whether a gateway is in touch from the ack of an entry to a time."""
+        names = {gateway, f"{gateway}/store", "store"}
+        return not any(
+            (fault.on in names or fault.kind.startswith("store"))
+            and begin_s < until_s
+            and end_s + SETTLE_S > acked_s
+            for fault, begin_s, end_s in self.injected.values()
+        ) and not any(
+            name == gateway and acked_s - SETTLE_S < at_s < until_s
+            for name, at_s in self.restarts
+        )
+
+    def holds_requests(self, engine, begin_s, end_s):
+        """Return whether requests may have waited at an engine or on its path."""
+        return any(
+            fault.on == engine
+            and fault.kind != DRAIN_NOTICE
+            and fault_begin_s < end_s
+            and fault_end_s + SETTLE_S > begin_s
+            for fault, fault_begin_s, fault_end_s in self.injected.values()
+        )
+
+    def leaving_times(self, gateway, engine):
+        """Return when a gateway took an engine for one that leaves, or for gone."""
+        return [
+            row["time_s"]
+            for row in self.deployment.log_lines(gateway)
+            if row.get("target") == engine
+            and (
+                row["event"].startswith("engine.leaving")
+                or row["event"] == "engine.gone"
+                or row.get("is_leaving")
+            )
+        ]
+
     def check_notices(self, gateway):
         """Check that engines which leave or want a pause get no streams."""
         leaving_s, closed_s = {}, {}
@@ -1024,14 +1213,15 @@
         )
 
 
-def run_seed(seed, length_s, folder):
+def run_seed(seed, length_s, folder, n_gateways=N_GATEWAYS):
     """Run one seed and return the violated guarantees.
 
     :param seed: seed of the schedule and of the callers.
     :param length_s: time during which faults begin, in seconds.
     :param folder: folder for logs and the history.
+    :param n_gateways: number of gateways in each zone.
     """
-    with Soak(folder, seed, length_s) as soak:
+    with Soak(folder, seed, length_s, n_gateways) as soak:
         soak.set_up()
         try:
             soak.run()
@@ -1058,13 +1248,20 @@
     parser.add_argument(
         "--jobs", type=int, default=2, help="number of seeds run at the same time"
     )
+    parser.add_argument(
+        "--gateways",
+        type=int,
+        default=N_GATEWAYS,
+        help="number of gateways in each zone; if larger than the default, those that "
+        "pass updates on are killed together",
+    )
     arguments = parser.parse_args()
     parent = Path(tempfile.mkdtemp(prefix="soak-"))
 
     def run_and_print(seed):
         folder = parent / str(seed)
         folder.mkdir()
-        findings = run_seed(seed, arguments.length, folder)
+        findings = run_seed(seed, arguments.length, folder, arguments.gateways)
         print(f"seed {seed}: {len(findings)} findings ({folder})", flush=True)
         for line in findings:
             print(f"  {line}", flush=True)
--- a/tests/users_platform/standins/engine.py
+++ b/tests/users_platform/standins/engine.py
@@ -42,8 +42,8 @@
 ``flood_pause_s``, and ``floods_control`` sends them as reports and answers to orders.
 
 One line is appended to the history for each run, each order, each refusal, each report
-to a gateway beside ``retry_after``, each run whose caller disconnected and each answer
-without end.
+to a gateway beside ``retry_after``, each run whose caller disconnected, each answer
+without end and the first entry in the state ``draining`` that the store acknowledged.
 """
 
 import argparse
@@ -160,13 +160,18 @@
 
     async def renew_entry(self):
         target = f"http://{self.arguments.store}/put?topic=keyed.servers&key={self.id}"
+        is_acked = False
         await asyncio.sleep(self.arguments.renew_after_s)
         while True:
             if self.renews:
+                entry = self.build_entry()
                 with contextlib.suppress(OSError, HTTPClientError):
                     await AsyncHTTPClient().fetch(
-                        target, method="POST", body=json.dumps(self.build_entry())
+                        target, method="POST", body=json.dumps(entry)
                     )
+                    if entry["state"] == "draining" and not is_acked:
+                        is_acked = True
+                        self.append_history(kind="draining")
             await asyncio.sleep(HEARTBEAT_S)
 
 
--- a/tests/users_platform/test_soak.py
+++ b/tests/users_platform/test_soak.py
@@ -27,3 +27,11 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_guarantees_hold_under_random_faults(tmp_path, seed):
     assert run_seed(seed, length_s=8.0, folder=tmp_path) == []
+
+
+def test_guarantees_hold_while_those_that_pass_updates_on_are_killed(tmp_path):
+    # On a copy whose updates leave out what the reader has heard otherwise, gateways of
+    # the other zone knew 0.16 and 0.33 s too late that an engine leaves, once in eight
+    # seeds of 20 s, this one among them.
+    findings = run_seed(9507, length_s=10.0, folder=tmp_path, n_gateways=5)
+    assert findings == []
