Review case 15: gateways don't follow the store to another address

A script: the settings of two gateways name another address of the store, one gets SIGHUP, the old address ends 3 s later.

--- a/review/lib3/case.py
+++ b/review/lib3/case.py
@@ -73,6 +73,7 @@
         self._tasks = []
         self._servers = []
         self._temporary = Path(tempfile.mkdtemp())
+        self._settings = {}
         self.processes = {}
         self.ports = {}
         self.peer_port = free_port()
@@ -92,8 +93,10 @@
         self._tasks.append(asyncio.ensure_future(awaitable))
 
     async def serve(self, handle, port, write=None):
-        """Serve a stand-in on the loopback address."""
-        self._servers.append(await web.serve(handle, port, write))
+        """Serve a stand-in on the loopback address; return the server."""
+        server = await web.serve(handle, port, write)
+        self._servers.append(server)
+        return server
 
     def start_gateway(self, name, ip, store_port, link_mbps=1000, bounds=()):
         """Start a gateway with the command of the deploy file."""
@@ -155,8 +158,8 @@
                 "ttl_min_ms": 1000,
             },
         }
-        path = self._temporary / f"{name}.json"
-        path.write_text(json.dumps(settings))
+        self._settings[name] = settings
+        path = self._write_settings(name)
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         words = deploy["roles"]["gateway"]["run"].split()
         # Several gateways share one machine here, so each gets a port of its own.
@@ -176,6 +179,17 @@
                 },
             )
 
+    def _write_settings(self, name):
+        """Write the settings file of a machine; return its path."""
+        path = self._temporary / f"{name}.json"
+        path.write_text(json.dumps(self._settings[name]))
+        return path
+
+    def move_store(self, name, store_port):
+        """Change the store's address in the settings file of a machine."""
+        self._settings[name]["platform"]["address"] = f"127.0.0.1:{store_port}"
+        self._write_settings(name)
+
     def find_machine(self, port):
         """Return the gateway that has a connection with a local port."""
         rows = [
