--- a/review/lib3/case.py
+++ b/review/lib3/case.py
@@ -248,6 +248,8 @@
         return self
 
     async def __aexit__(self, *exc_info):
+        # Connections that the end of the case interrupts are no errors.
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         for task in self._tasks:
             task.cancel()
         for server in self._servers:
