--- a/review/lib3/crowd.py
+++ b/review/lib3/crowd.py
@@ -41,9 +41,9 @@
 
 
 def chunks_without_end():
-    """Return a chunked body of the largest size that lacks its end."""
-    n_chunks = MAX_BODY_BYTES // CHUNK_BYTES
-    return [head("Transfer-Encoding: chunked"), *itertools.repeat(CHUNK, n_chunks)]
+    """Return a body of two large chunks that lacks the last byte of the second."""
+    missing = len(b"\r\n") + 1
+    return [head("Transfer-Encoding: chunked"), CHUNK, CHUNK[:-missing]]
 
 
 def body_without_end():
