--- a/tests/users_platform/test_store_client.py
+++ b/tests/users_platform/test_store_client.py
@@ -38,6 +38,7 @@
     "body",
     [
         b'{"items":[{"key":"k","value":"abc","offset":1}],"has_more":false,"end_offset":2}',
+        b'{"items":[],"has_more":true,"end_offset":2}',
         b"no page",
     ],
 )
