A cut page of a feed no longer counts as the whole

Cause: the store ends a page of log-read at max_kb, 1,024 KB. read_keyed checked the end of the partition that the page states and dropped it, so that a page that ended before it made the copy count as current at the time of the call, and the reader passed that time on to all others. A reader that was behind then downloaded each version of the storm, 261 KB each, only to replace it by the next.

Change: a page says where the feed ended when it was read (FeedPage.end_position). A copy that has not reached that position is not confirmed, and is read on without a pause. All three feeds use the same code. Log lines feed.cut and feed.not_updated, and the source in configuration.in_force, tell who fetched a version and who gave up waiting.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -46,6 +46,7 @@
 )
 from cassiaspread_daemon.gateway._routing_state import (
     FeedFollower,
+    FeedSource,
     RoutingState,
     suspended_clock_s,
 )
@@ -391,6 +392,7 @@
     :param timeouts_s: time without updates after which this daemon reads the store, in
         seconds: if it passes updates on, and otherwise.
     :param random_state: spreads the retries of many daemons.
+    :param is_superseding: whether each item replaces all items before it.
     """
 
     def __init__(
@@ -406,16 +408,26 @@
         interval_s: float,
         timeouts_s: tuple[float, float],
         random_state: random.Random,
+        is_superseding: bool = False,
     ) -> None:
         super().__init__(
-            kind, feed, apply, replace, age, log, wait_s, interval_s, random_state
+            kind,
+            feed,
+            apply,
+            replace,
+            age,
+            log,
+            wait_s,
+            interval_s,
+            random_state,
+            is_superseding,
         )
         self._feed_sharing = feed_sharing
         self._domain_timeout_s, self._timeout_s = timeouts_s
         # Of several daemons without updates, one reads before the others.
         self._timeout_factor = 1.0
         self._updated_s = float("-inf")
-        self._is_behind = False
+        self._must_read = False
 
     @property
     def _role(self) -> ReaderRole:
@@ -424,7 +436,16 @@
     async def _wait_until_due(self) -> None:
         while not self._is_due():
             await asyncio.sleep(UPDATE_CHECK_INTERVAL_S)
-        self._is_behind = False
+        if self._position is not None and self._role is not ReaderRole.FLEET:
+            self._log.record(
+                "feed.not_updated",
+                feed=self._name,
+                role=self._role.value,
+                position=self._position,
+                age_s=round(self._age.age_s(suspended_clock_s()), 2),
+                without_update_s=round(now() - self._updated_s, 2),
+            )
+        self._must_read = False
         # A daemon that is not the reader does not read continuously while updates are
         # missing.
         self._restart_timeout()
@@ -435,7 +456,7 @@
 
     def _is_due(self) -> bool:
         role = self._role
-        if self._position is None or self._is_behind:
+        if self._position is None or self._must_read or self._is_cut:
             return True
         if role is ReaderRole.FLEET and not self._is_unavailable:
             return True
@@ -502,6 +523,7 @@
             0.0,
             CONFIGURATION_TIMEOUTS_S,
             random_state,
+            is_superseding=True,
         )
         self._routing_state = routing_state
         self._configurations = feed
@@ -530,7 +552,8 @@
             self._routing_state.apply_table(table)
 
     def _on_page(self, start: int | None, page: FeedPage[RouteTable]) -> None:
-        if start is not None:
+        # Each daemon reads a snapshot at its start, which the others do not need.
+        if start is not None or self._published_end is not None:
             self._publish(is_forwarded=False)
 
     def _publish(self, is_forwarded: bool) -> None:
@@ -582,13 +605,13 @@
         elif is_newer and update.is_coming:
             self._awaited_since_s.setdefault(update.end, now())
         elif is_newer:
-            self._is_behind = True
+            self._must_read = True
 
     def _receive_document(self, document: Document, sender: Sender) -> bool:
         if self._position is not None and document.end <= self._position:
             return False
         if not self._apply_document(document.end, document.data):
-            self._is_behind = True
+            self._must_read = True
             return False
         self._spread_end = document.end
         # Its reader is at work, so that a confirmation follows.
@@ -602,7 +625,7 @@
         if table is None:
             return False
         self._compressed = table, document
-        self._routing_state.apply_table(table)
+        self._routing_state.apply_table(table, FeedSource.PEER)
         self._position = end
         self._has_newest = True
         return True
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_protocols.py
@@ -233,6 +233,8 @@
     :param position: position of the next page.
     :param is_complete: whether a copy with these items is current at the position;
         false if a newer item could not be decoded.
+    :param end_position: position of the end of the feed when the page was read. Where
+        it is higher than the position of the next page, the page was cut off.
     :param latest_position: position up to which a snapshot may contain changes that
         follow its own position.
     """
@@ -240,6 +242,7 @@
     items: tuple[Item, ...]
     position: int
     is_complete: bool = True
+    end_position: int = 0
     latest_position: int = 0
 
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
@@ -4,6 +4,7 @@
 import random
 import time
 from collections.abc import Callable, Sequence
+from enum import Enum
 from typing import Generic, TypeVar
 
 import msgspec
@@ -29,6 +30,13 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+class FeedSource(Enum):
+    """Where a daemon has an item of a feed from."""
+
+    STORE = "store"
+    PEER = "peer"
+
+
 class RoutingState:
     """The configuration in force and the current list of targets.
 
@@ -52,10 +60,13 @@
         self.renewal_callbacks: list[Callable[[TargetId], None]] = []
         self.table_callbacks: list[Callable[[RouteTable], None]] = []
 
-    def apply_table(self, table: RouteTable) -> None:
+    def apply_table(
+        self, table: RouteTable, source: FeedSource = FeedSource.STORE
+    ) -> None:
         """Put a configuration into force unless it is outdated.
 
         :param table: the configuration.
+        :param source: where this daemon has it from.
         """
         if self.table is not None and table.version <= self.table.version:
             return
@@ -69,6 +80,7 @@
             "configuration.in_force",
             version=table.version,
             before=before,
+            source=source.value,
             n_routes=table.n_routes,
             n_bytes=len(table.document),
             apply_ms=round((time.monotonic() - started_s) * 1000, 1),
@@ -223,6 +235,8 @@
     :param wait_s: how long the store may wait for changes, in seconds.
     :param interval_s: pause between two reads, in seconds.
     :param random_state: spreads the retries of many daemons.
+    :param is_superseding: whether each item replaces all items before it, so that a
+        follower that is behind reads a snapshot and leaves the items between out.
     """
 
     def __init__(
@@ -236,6 +250,7 @@
         wait_s: float,
         interval_s: float,
         random_state: random.Random,
+        is_superseding: bool = False,
     ) -> None:
         self._name = name
         self._feed = feed
@@ -246,11 +261,20 @@
         self._wait_s = wait_s
         self._interval_s = interval_s
         self._random_state = random_state
+        self._is_superseding = is_superseding
         self._position: int | None = None
         # Whether the newest item up to the position is applied.
         self._has_newest = False
+        # End of the feed according to the last page that was read here.
+        self._read_end = 0
+        self._has_left_items_out = False
         self._is_unavailable = False
 
+    @property
+    def _is_cut(self) -> bool:
+        """Whether the last page ended before the feed, and nothing came since."""
+        return self._position is not None and self._position < self._read_end
+
     async def run(self) -> None:
         """Read until cancelled."""
         delay_s = MIN_RETRY_DELAY_S
@@ -269,7 +293,7 @@
                 continue
             delay_s = MIN_RETRY_DELAY_S
             self._record_available()
-            if self._interval_s:
+            if self._interval_s and not self._is_cut:
                 await asyncio.sleep(self._interval_s)
 
     async def _wait_until_due(self) -> None:
@@ -284,7 +308,11 @@
 
     async def _read(self) -> None:
         requested_s = suspended_clock_s()
-        start = self._position
+        # If the snapshot fails, the next read is one of a page again.
+        self._has_left_items_out = (
+            self._is_superseding and self._is_cut and not self._has_left_items_out
+        )
+        start = None if self._has_left_items_out else self._position
         if start is None:
             page: FeedPage[Item] = await self._feed.snapshot()
             confirmed_s = requested_s
@@ -295,19 +323,35 @@
             is_empty = page.is_complete and not page.items
             waited_s = wait_s if is_empty else 0.0
             confirmed_s = min(requested_s + waited_s, suspended_clock_s())
+            self._log_cut(start, page)
+            if page.position == start < page.end_position:
+                # The next item does not fit into a page, but into a snapshot.
+                self._position = None
+                return
             if self._position is not None and self._position > start:
                 # An update of another daemon came meanwhile. Changes that precede it
                 # would undo it.
                 start = self._position
                 if page.position <= start:
-                    page = FeedPage((), start)
+                    page = FeedPage((), start, end_position=page.end_position)
         self._apply_page(start, page)
+        self._position = max(page.position, self._position or 0)
+        self._read_end = max(page.position, page.end_position)
         # A copy without the newest item gets older, whatever else is read.
-        if self._has_newest:
+        if self._has_newest and not self._is_cut:
             self._age.confirm(confirmed_s)
-        self._position = max(page.position, self._position or 0)
         self._on_page(start, page)
 
+    def _log_cut(self, start: int, page: FeedPage[Item]) -> None:
+        if page.position < page.end_position:
+            self._log.record(
+                "feed.cut",
+                feed=self._name,
+                start=start,
+                position=page.position,
+                end=page.end_position,
+            )
+
     def _apply_page(self, start: int | None, page: FeedPage[Item]) -> None:
         if start is None and page.is_complete:
             self._replace(page.items)
--- a/tests/users_platform/standins/store.py
+++ b/tests/users_platform/standins/store.py
@@ -3,8 +3,10 @@
 ``POST /control`` sets ``refuse`` (503 to all calls), ``silent`` (no response),
 ``answer_s`` (time until each call is answered), ``copy_after_s`` (each answer comes a
 second time on its connection after so many seconds), ``flood`` (bytes without end in
-place of each answer, see ``floods.py``) and ``first_offset`` (offset before which
-records are removed). ``truncate`` removes all
+place of each answer, see ``floods.py``), ``first_offset`` (offset before which
+records are removed), ``link_bytes_per_s`` (rate at which pages are sent) and
+``cut_seed`` (pages end anywhere behind their first record, chosen by a random generator
+with this seed; without it only as their size demands). ``truncate`` removes all
 records but the newest of each key; ``restore`` returns to the state of so many seconds
 ago and raises the era; ``rebalance`` starts a new generation of the group.
 ``POST /put?topic=&key=`` appends a record on behalf of the operator or an engine.
@@ -14,6 +16,7 @@
 import asyncio
 import base64
 import json
+import random
 import struct
 import time
 
@@ -21,6 +24,10 @@
 
 from tests.users_platform.standins.floods import write_without_end
 
+DEFAULT_MAX_KB = 1024
+# Interval between two parts of a page over a slow link, in seconds.
+LINK_INTERVAL_S = 0.01
+
 
 class Store:
     def __init__(self):
@@ -31,6 +38,8 @@
         self.answer_s = 0.0
         self.copy_after_s = None
         self.flood = None
+        self.link_bytes_per_s = None
+        self.cut_random_state = None
         self.first_offset = 0
         self.first_offsets = {}
         self.generation = 0
@@ -106,6 +115,20 @@
             self.write_copy(body)
         return super().finish(body)
 
+    async def send_page(self, body):
+        """Send an answer at the rate of the link, and end it."""
+        rate = self.store.link_bytes_per_s
+        if rate is None:
+            self.finish(body)
+            return
+        self.set_header("Content-Length", str(len(body)))
+        n_bytes = max(1, int(rate * LINK_INTERVAL_S))
+        for begin in range(0, len(body), n_bytes):
+            self.write(body[begin : begin + n_bytes])
+            await self.flush()
+            await asyncio.sleep(LINK_INTERVAL_S)
+        super().finish()
+
     def write_copy(self, body):
         stream = self.request.connection.stream
         era = f"Store-Era: {self.store.era}\r\n" if self.store.era else ""
@@ -144,10 +167,20 @@
                     await self.store.changed.wait()
             except TimeoutError:
                 pass
-        body = struct.pack(">QQ", len(records), first_offset)
-        for record in records[start:]:
-            body += struct.pack(">I", len(record)) + record
-        self.finish(body)
+        await self.send_page(self.build_page(records, start, first_offset))
+
+    def build_page(self, records, start, first_offset):
+        """Return a page, which has at least one record if there is one."""
+        max_bytes = int(self.get_argument("max_kb", DEFAULT_MAX_KB)) * 1024
+        n_most = len(records) - start
+        if self.store.cut_random_state is not None and n_most:
+            n_most = self.store.cut_random_state.randint(1, n_most)
+        page = struct.pack(">QQ", len(records), first_offset)
+        for n, record in enumerate(records[start : start + n_most]):
+            if n and len(page) + 4 + len(record) > max_bytes:
+                break
+            page += struct.pack(">I", len(record)) + record
+        return page
 
 
 class AppendHandler(StoreHandler):
@@ -165,7 +198,7 @@
 
 
 class NewestHandler(StoreHandler):
-    def get(self):
+    async def get(self):
         records = self.store.topics.get(self.get_argument("topic"), [])
         newest = {}
         for offset, record in enumerate(records):
@@ -181,13 +214,12 @@
         keys = [item["key"] for item in items]
         begin = keys.index(after) + 1 if after in keys else 0
         page = items[begin : begin + 2]
-        self.finish(
-            {
-                "items": page,
-                "has_more": begin + 2 < len(items),
-                "end_offset": len(records),
-            }
-        )
+        answer = {
+            "items": page,
+            "has_more": begin + 2 < len(items),
+            "end_offset": len(records),
+        }
+        await self.send_page(json.dumps(answer).encode())
 
 
 class JoinHandler(StoreHandler):
@@ -228,6 +260,8 @@
                 self.store.members = dict(reversed(self.store.members.items()))
             elif name == "restore":
                 self.store.restore(value)
+            elif name == "cut_seed":
+                self.store.cut_random_state = random.Random(value)
             elif name == "truncate":
                 for topic, records in self.store.topics.items():
                     self.store.first_offsets[topic] = len(records)
--- a/tests/users_platform/test_foreign_values.py
+++ b/tests/users_platform/test_foreign_values.py
@@ -262,7 +262,7 @@
             (None, json.dumps(configuration(3)).encode()),
             (1, data),
         ):
-            page = feed._decode_page([KeyedRecord("config", version)], 1)
+            page = feed._decode_page([KeyedRecord("config", version)], 1, 1)
             follower._apply_page(start, page)
         log.flush()
     assert state.table is not None
@@ -356,10 +356,11 @@
 def test_pages_of_the_store_are_checked_whole(status, body, era):
     store = answering_store(status, body, era)
     try:
-        _, position = asyncio.run(store.read_keyed("keyed.op", 5, 0.0))
+        page = asyncio.run(store.read_keyed("keyed.op", 5, 0.0))
     except (LogUnavailable, Truncated):
         return
-    check_numbers(position)
+    check_numbers(page.position)
+    check_numbers(page.end_position)
 
 
 @plays
@@ -416,7 +417,7 @@
         sound = json.dumps(configuration(3)).encode()
         odd = replaced(configuration(4), ("routes", 0, "timeout_ms"), "[" * 50_000)
         page = feed._decode_page(
-            [KeyedRecord("config", sound), KeyedRecord("config", odd.encode())], 2
+            [KeyedRecord("config", sound), KeyedRecord("config", odd.encode())], 2, 2
         )
         log.flush()
     assert [table.version for table in page.items] == [3]
--- a/tests/users_platform/test_shared_engine_lists.py
+++ b/tests/users_platform/test_shared_engine_lists.py
@@ -16,7 +16,7 @@
 from cassiaspread_daemon.gateway._protocols import EngineChange
 from cassiaspread_daemon.gateway._routing_state import RoutingState
 from cassiaspread_platform._engines import EngineFeed, decode_entry
-from cassiaspread_platform._store import KeyedRecord, NewestRecords
+from cassiaspread_platform._store import KeyedPage, KeyedRecord, NewestRecords
 
 TARGETS = ("a", "b", "c")
 N_DAEMONS = 3
@@ -71,7 +71,8 @@
     async def read_keyed(self, topic, start, wait_s):
         records = self._store.log[start:]
         await self._may_answer.wait()
-        return records, start + len(records)
+        end = start + len(records)
+        return KeyedPage(records, end, end)
 
     def answer(self):
         self._may_answer.set()
--- a/tests/users_platform/test_store_client.py
+++ b/tests/users_platform/test_store_client.py
@@ -59,8 +59,8 @@
     store = Store("a:1", FakePool(200, page, Store_Era="3"))
     with pytest.raises(Restored, match="era 3, 2 before"):
         asyncio.run(store.read_keyed("keyed.op", pack_position(2, 7), 0.0))
-    _, end = asyncio.run(store.read_keyed("keyed.op", pack_position(3, 7), 0.0))
-    assert end == pack_position(3, 7)
+    page = asyncio.run(store.read_keyed("keyed.op", pack_position(3, 7), 0.0))
+    assert page.position == page.end_position == pack_position(3, 7)
 
 
 def test_era_that_is_no_number_is_an_outage():
@@ -87,9 +87,18 @@
         asyncio.run(store.read_keyed("keyed.op", 7, 0.0))
 
 
+def test_page_that_ends_before_the_partition_says_so():
+    # Guards against a page that is cut off and counts as the whole.
+    record = b"\x01kvalue"
+    page = PAGE_HEADER.pack(9, 7) + RECORD_LENGTH.pack(len(record)) + record
+    store = Store("a:1", FakePool(200, page))
+    page = asyncio.run(store.read_keyed("keyed.op", 7, 0.0))
+    assert (page.position, page.end_position) == (8, 9)
+
+
 def test_page_up_to_the_end_of_the_partition_is_read():
     record = b"\x01kvalue"
     page = PAGE_HEADER.pack(8, 7) + RECORD_LENGTH.pack(len(record)) + record
     store = Store("a:1", FakePool(200, page))
-    _, end = asyncio.run(store.read_keyed("keyed.op", 7, 0.0))
-    assert end == 8
+    page = asyncio.run(store.read_keyed("keyed.op", 7, 0.0))
+    assert page.position == page.end_position == 8
--- a/tests/users_platform/test_store_second_answers.py
+++ b/tests/users_platform/test_store_second_answers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cassiaspread_daemon.gateway import ConnectionPool
-from cassiaspread_platform._store import KeyedRecord, Store
+from cassiaspread_platform._store import KeyedPage, KeyedRecord, Store
 from tests.users_platform.deployment import PLAIN_SERVICE, wait_for
 
 GATEWAY = "gateway"
@@ -45,16 +45,15 @@
         position = (await store.read_newest("keyed.status")).position
         for n in range(N_CALLS):
             # A page without records, of which a copy looks like the next one.
-            assert await store.read_keyed("keyed.status", position, 0.0) == (
-                [],
-                position,
-            )
+            empty = KeyedPage([], position, position)
+            assert await store.read_keyed("keyed.status", position, 0.0) == empty
             value = str(n).encode()
             await asyncio.to_thread(
                 stuttering_store.put_record, "keyed.status", "key", value
             )
-            records, position = await store.read_keyed("keyed.status", position, 0.0)
-            assert records == [KeyedRecord("key", value)]
+            page = await store.read_keyed("keyed.status", position, 0.0)
+            assert page.records == [KeyedRecord("key", value)]
+            position = page.position
 
     run(stuttering_store, calls)
 
@@ -78,8 +77,8 @@
 
     async def calls(store):
         for topic in topics * 2:
-            records, _ = await store.read_keyed(topic, 0, 0.0)
-            assert [record.key for record in records] == [topic]
+            page = await store.read_keyed(topic, 0, 0.0)
+            assert [record.key for record in page.records] == [topic]
 
     run(stuttering_store, calls)
 
@@ -89,8 +88,8 @@
         for n in range(N_CALLS):
             record = KeyedRecord(f"key-{n}", b"value")
             await store.append_keyed("keyed.status", [record])
-            records, _ = await store.read_keyed("keyed.status", n, 0.0)
-            assert records == [record]
+            page = await store.read_keyed("keyed.status", n, 0.0)
+            assert page.records == [record]
 
     run(stuttering_store, calls)
 
