The time at which a page arrived is not taken for that of its content

A copy counted as current up to a second too late, so that a key that had been taken away could be accepted for that much longer than allowed.

Cause: a page without items counted as one for which the store had waited in vain. One that holds records of other keys alone is returned at once, and was confirmed as current at the time of its arrival, however long it had been on its way. Now the full wait counts only if the page has no records at all and arrives after the wait; the time of the request counts otherwise.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
@@ -319,10 +319,12 @@
         else:
             wait_s = self._next_wait_s()
             page = await self._feed.changes(start, wait_s)
-            # The store returns an empty page only after the full wait.
-            is_empty = page.is_complete and not page.items
-            waited_s = wait_s if is_empty else 0.0
-            confirmed_s = min(requested_s + waited_s, suspended_clock_s())
+            # The time at which a page was made is known only of one that the store
+            # returned after the full wait, for lack of records.
+            has_waited = (
+                page.position == start and suspended_clock_s() >= requested_s + wait_s
+            )
+            confirmed_s = requested_s + wait_s if has_waited else requested_s
             self._log_cut(start, page)
             if page.position == start < page.end_position:
                 # The next item does not fit into a page, but into a snapshot.
--- a/tests/users_platform/test_cut_pages.py
+++ b/tests/users_platform/test_cut_pages.py
@@ -253,6 +253,13 @@
         await asyncio.sleep(random_state.uniform(0.0, 1.5))
 
 
+async def write_other_keys(store, random_state):
+    """Write records beside the configurations until cancelled."""
+    while True:
+        store.write("keyed.op", "other", b"value")
+        await asyncio.sleep(random_state.uniform(0.05, 0.8))
+
+
 async def write_entries(store, random_state):
     """Write and remove entries of engines and suspects until cancelled."""
     n = 0
@@ -389,7 +396,7 @@
                 Daemon(s, senders, network, store, fleet.add_child(s.vm), log, clock)
                 for s in senders
             ]
-            for write in (write_configurations, write_entries):
+            for write in (write_configurations, write_other_keys, write_entries):
                 fleet.start(
                     write.__name__, lambda w=write: w(store, random.Random(seed))
                 )
