Daemons do not wait for a reader whose copy gets older

While the reader of a feed was behind, each of its updates put off the own reads of all daemons, although none made their copies younger; their keys would have been refused at the end of the age limit without a try of their own.

Cause: each update that stated when its content was current restarted the time after which a daemon reads the store itself. Only one that states a later time than before does so now.

Evidence: test_updates_of_a_reader_that_is_behind_are_no_reason_to_wait failed before.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -472,8 +472,12 @@
         """Record that this copy is current according to the reader."""
         if current_s is None or not self._has_newest:
             return
+        before_s = self._age.current_at_s
         self._age.confirm(current_s)
-        self._restart_timeout()
+        # While the reader is behind, its updates do not make this copy younger. They
+        # are no reason to wait for the next one.
+        if self._age.current_at_s != before_s:
+            self._restart_timeout()
 
 
 class ConfigurationUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/cassiaspread-daemon/tests/test_configuration_follower.py
+++ b/packages/cassiaspread-daemon/tests/test_configuration_follower.py
@@ -16,6 +16,7 @@
 from cassiaspread_daemon.gateway import _feed_sharing as feed_sharing
 from cassiaspread_daemon.gateway._document_spread import Document
 from cassiaspread_daemon.gateway._feed_sharing import (
+    CONFIGURATION_TIMEOUTS_S,
     DOCUMENT_TIMEOUT_S,
     MAX_DOCUMENT_BYTES,
     MAX_UPDATE_BYTES,
@@ -206,9 +207,9 @@
     run_fleet(tmp_path, use, first_lost_kinds=("offer-configuration",))
 
 
-def test_older_document_does_not_put_off_reading_the_one_that_is_awaited(
-    tmp_path, monkeypatch
-):
+def run_follower(tmp_path, monkeypatch, use):
+    """Run a test with a follower that is not the reader, and with a clock to set."""
+
     async def main():
         log = DecisionLog("d", os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT))
         times = {"now_s": 100.0}
@@ -238,17 +239,43 @@
                 for mesh in meshes
             ]
             follower = next(f for f in followers if f._role is ReaderRole.NONE)
-            mesh = meshes[followers.index(follower)]
-            follower._position = 1
+            follower._apply_document(1, zlib.compress(document(1, 9)))
             follower._restart_timeout()
-            follower._receive(ConfigurationUpdate(2, is_coming=True), None)
-            follower._receive(ConfigurationUpdate(3, is_coming=True), None)
-            times["now_s"] += DOCUMENT_TIMEOUT_S / 2
-            older = Document(2, senders[0].incarnation, zlib.compress(document(2, 9)))
-            follower._receive_document(older, mesh.sender)
-            times["now_s"] += DOCUMENT_TIMEOUT_S / 4
-            assert not follower._is_due()
-            times["now_s"] += DOCUMENT_TIMEOUT_S / 2
-            assert follower._is_due()
+            use(follower, times, meshes[followers.index(follower)].sender)
 
     asyncio.run(main())
+
+
+def test_older_document_does_not_put_off_reading_the_one_that_is_awaited(
+    tmp_path, monkeypatch
+):
+    def use(follower, times, sender):
+        follower._receive(ConfigurationUpdate(2, is_coming=True), None)
+        follower._receive(ConfigurationUpdate(3, is_coming=True), None)
+        times["now_s"] += DOCUMENT_TIMEOUT_S / 2
+        older = Document(2, Incarnation("a0"), zlib.compress(document(2, 9)))
+        follower._receive_document(older, sender)
+        times["now_s"] += DOCUMENT_TIMEOUT_S / 4
+        assert not follower._is_due()
+        times["now_s"] += DOCUMENT_TIMEOUT_S / 2
+        assert follower._is_due()
+
+    run_follower(tmp_path, monkeypatch, use)
+
+
+def test_updates_of_a_reader_that_is_behind_are_no_reason_to_wait(
+    tmp_path, monkeypatch
+):
+    # Guards against daemons that wait for a reader whose copy gets older and older.
+    def use(follower, times, sender):
+        n_updates = 5
+        for _ in range(n_updates):
+            follower._receive(ConfigurationUpdate(1), 99.0)
+            assert not follower._is_due()
+            times["now_s"] += CONFIGURATION_TIMEOUTS_S[1] / n_updates
+        times["now_s"] += (TIMEOUT_SPREAD[1] - 1) * CONFIGURATION_TIMEOUTS_S[1]
+        assert follower._is_due()
+        follower._receive(ConfigurationUpdate(1), 99.5)
+        assert not follower._is_due()
+
+    run_follower(tmp_path, monkeypatch, use)
