A configuration known to be replaced is used for its delay only

Callers: after a storm that ended soon, a gateway that knew of a newer version and could not get it went on with the keys of the older one for 0.96 of revoke_ms (4.8 s), as if the store were silent. A gateway that reads page after page is in touch and has to have the version in force within config_apply_ms, or to refuse.

Cause: the age limit did not distinguish a copy that may be outdated from one that is. Each follower now keeps the highest position of which it has heard, from its own pages and from other daemons; while its copy ends before it, the limit is the configuration's delay, counted from the time at which it was last current. Positions heard of before the store was read again do not count any more, so that those of a store that has come back from an older copy are forgotten.

Evidence: test_configuration_that_was_replaced_is_used_only_for_its_delay (failed before: no such limit); in test_cut_pages.py no play without faults refuses a key.

--- a/packages/cassiaspread-core/src/cassiaspread_core/routing/_age.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/routing/_age.py
@@ -13,10 +13,15 @@
     :param bound_s: maximum age at which the copy may be used, in seconds.
     :param current_at_s: last time at which the copy was confirmed to be current;
         ``None`` before the first confirmation.
+    :param behind_bound_s: maximum age while the copy is known to lack newer content,
+        in seconds.
+    :param is_behind: whether it is known to lack newer content.
     """
 
     bound_s: float
     current_at_s: float | None = None
+    behind_bound_s: float = float("inf")
+    is_behind: bool = False
 
     def confirm(self, at_s: float) -> None:
         """Record that the copy was current; earlier times are ignored.
@@ -47,4 +52,7 @@
         >>> age.is_valid(14.0), age.is_valid(15.0)
         (True, False)
         """
-        return self.age_s(now_s) < self.bound_s * USABLE_BOUND_RATIO
+        bound_s = self.bound_s
+        if self.is_behind:
+            bound_s = min(bound_s, self.behind_bound_s)
+        return self.age_s(now_s) < bound_s * USABLE_BOUND_RATIO
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_feed_sharing.py
@@ -442,6 +442,7 @@
                 feed=self._name,
                 role=self._role.value,
                 position=self._position,
+                known_end=self._known_end,
                 age_s=round(self._age.age_s(suspended_clock_s()), 2),
                 without_update_s=round(now() - self._updated_s, 2),
             )
@@ -602,6 +603,7 @@
 
     def _receive(self, update: ConfigurationUpdate, current_s: float | None) -> None:
         is_newer = self._position is None or update.end > self._position
+        self._record_end(update.end)
         if is_newer and update.document:
             self._apply_document(update.end, update.document)
         if self._position == update.end:
@@ -614,6 +616,7 @@
     def _receive_document(self, document: Document, sender: Sender) -> bool:
         if self._position is not None and document.end <= self._position:
             return False
+        self._record_end(document.end)
         if not self._apply_document(document.end, document.data):
             self._must_read = True
             return False
@@ -632,6 +635,7 @@
         self._routing_state.apply_table(table, FeedSource.PEER)
         self._position = end
         self._has_newest = True
+        self._update_behind()
         return True
 
     async def _wait_until_due(self) -> None:
@@ -817,6 +821,7 @@
 
     def _receive(self, update: EngineUpdate, current_s: float | None) -> None:
         position = self._position
+        self._record_end(update.end)
         # Each change has the newest entry, so that a part of them may be known already.
         if position is not None and update.start <= position <= update.end:
             for change in update.changes:
@@ -825,6 +830,7 @@
                 self._routing_state.record_renewed(target)
             self._changed_targets.clear()
             self._position = update.end
+            self._update_behind()
         if self._position == update.end:
             # An update that ends at another position confirms nothing; without a
             # confirmation this daemon reads the feed itself.
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_gateway.py
@@ -144,7 +144,10 @@
         self._supervisor = Supervisor("gateway")
         self._loop_monitor = LoopMonitor(log, self._metrics.record_loop_delay)
         self._routing_state = RoutingState(
-            log, settings.max_configuration_age_s, settings.max_configuration_age_s
+            log,
+            settings.max_configuration_age_s,
+            settings.max_configuration_age_s,
+            settings.configuration_delay_s,
         )
         self._health = TargetHealth()
         self._closures = TargetClosures()
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/gateway/_routing_state.py
@@ -44,14 +44,22 @@
     :param max_configuration_age_s: longest time in seconds that a configuration may be
         used after it was last confirmed to be current.
     :param max_engines_age_s: the same for the list of targets, in seconds.
+    :param max_behind_age_s: the same for a configuration that is known to have been
+        replaced by a newer one, in seconds.
     """
 
     def __init__(
-        self, log: DecisionLog, max_configuration_age_s: float, max_engines_age_s: float
+        self,
+        log: DecisionLog,
+        max_configuration_age_s: float,
+        max_engines_age_s: float,
+        max_behind_age_s: float = float("inf"),
     ) -> None:
         self._log = log
         self.table: RouteTable | None = None
-        self.configuration_age = StateAge(max_configuration_age_s)
+        self.configuration_age = StateAge(
+            max_configuration_age_s, behind_bound_s=max_behind_age_s
+        )
         self.engines: dict[TargetId, Engine] = {}
         self.engines_age = StateAge(max_engines_age_s)
         # Targets that left, with their incarnation, oldest first.
@@ -265,8 +273,12 @@
         self._position: int | None = None
         # Whether the newest item up to the position is applied.
         self._has_newest = False
-        # End of the feed according to the last page that was read here.
+        # End of the feed according to the last page that was read here, and according
+        # to all that is known.
         self._read_end = 0
+        self._known_end = 0
+        # The latter as far as it was heard since the last read began.
+        self._heard_end = 0
         self._has_left_items_out = False
         self._is_unavailable = False
 
@@ -285,6 +297,8 @@
             except Truncated as error:
                 self._log.record("feed.truncated", feed=self._name, reason=str(error))
                 self._position = None
+                # Items that followed the position are gone.
+                self._age.is_behind = True
                 continue
             except LogUnavailable as error:
                 self._record_unavailable(str(error))
@@ -307,6 +321,7 @@
         """Handle a page that was read and applied; a hook for subclasses."""
 
     async def _read(self) -> None:
+        self._heard_end = 0
         requested_s = suspended_clock_s()
         # If the snapshot fails, the next read is one of a page again.
         self._has_left_items_out = (
@@ -329,6 +344,7 @@
             if page.position == start < page.end_position:
                 # The next item does not fit into a page, but into a snapshot.
                 self._position = None
+                self._age.is_behind = True
                 return
             if self._position is not None and self._position > start:
                 # An update of another daemon came meanwhile. Changes that precede it
@@ -339,6 +355,8 @@
         self._apply_page(start, page)
         self._position = max(page.position, self._position or 0)
         self._read_end = max(page.position, page.end_position)
+        self._known_end = max(self._read_end, self._heard_end)
+        self._update_behind()
         # A copy without the newest item gets older, whatever else is read.
         if self._has_newest and not self._is_cut:
             self._age.confirm(confirmed_s)
@@ -354,6 +372,19 @@
                 end=page.end_position,
             )
 
+    def _record_end(self, end: int) -> None:
+        """Record that the feed has items up to a position.
+
+        :param end: the position.
+        """
+        self._heard_end = max(self._heard_end, end)
+        self._known_end = max(self._known_end, end)
+        self._update_behind()
+
+    def _update_behind(self) -> None:
+        """Compare the position with the known end of the feed."""
+        self._age.is_behind = (self._position or 0) < self._known_end
+
     def _apply_page(self, start: int | None, page: FeedPage[Item]) -> None:
         if start is None and page.is_complete:
             self._replace(page.items)
--- a/packages/cassiaspread-daemon/tests/test_configuration_follower.py
+++ b/packages/cassiaspread-daemon/tests/test_configuration_follower.py
@@ -35,6 +35,7 @@
 DOMAINS = ("a", "b")
 N_DAEMONS = 6
 WAIT_S = 0.2
+BEHIND_S = 3.0
 TIMEOUT_S = 5.0
 # Each daemon may need this long to be scheduled, with a loaded machine.
 MARGIN_S = 1.0
@@ -231,7 +232,7 @@
                         log,
                     ),
                     FakeFeed(store, mesh.sender.vm),
-                    RoutingState(log, 60.0, 60.0),
+                    RoutingState(log, 60.0, 60.0, BEHIND_S),
                     log,
                     WAIT_S,
                     random.Random(0),
@@ -279,3 +280,22 @@
         assert not follower._is_due()
 
     run_follower(tmp_path, monkeypatch, use)
+
+
+def test_configuration_that_was_replaced_is_used_only_for_its_delay(
+    tmp_path, monkeypatch
+):
+    # Guards against a daemon that knows of a newer version, cannot get it, and uses the
+    # keys of the older one for as long as if the store were silent.
+    def use(follower, times, sender):
+        age = follower._age
+        follower._receive(ConfigurationUpdate(1), 100.0)
+        assert age.is_valid(100.0 + 2 * BEHIND_S)
+        follower._receive(ConfigurationUpdate(2, is_coming=True), 101.0)
+        assert age.is_valid(100.0 + 0.9 * BEHIND_S)
+        assert not age.is_valid(100.0 + BEHIND_S)
+        newer = Document(2, Incarnation("a0"), zlib.compress(document(2, 9)))
+        follower._receive_document(newer, sender)
+        assert age.is_valid(100.0 + 2 * BEHIND_S)
+
+    run_follower(tmp_path, monkeypatch, use)
--- a/tests/users_platform/test_cut_pages.py
+++ b/tests/users_platform/test_cut_pages.py
@@ -289,7 +289,7 @@
             sender.domain, mesh, FleetView(mesh, -100.0), supervisor, log
         )
         self.store = store
-        self.state = RoutingState(log, REVOKE_S, REVOKE_S)
+        self.state = RoutingState(log, REVOKE_S, REVOKE_S, CONFIG_APPLY_S)
         self.suspects = {}
         self.suspects_age = StateAge(float("inf"))
         followers = [
