Own interface: a page of the log without the records it owes is an outage

A page of a stream without records that ends before the stream was taken for its end by the search for a checkpoint, in the daemon and in the operators' client, which then said that there is none; other readers asked for it again and again without a pause, and the client's `policy show` did not end.

Cause: nobody compared such a page with the end that it states. Daemon and client now decode answers by one function, which raises LogUnavailable; both had copies of its checks of the status.

--- a/packages/cassiaspread-cli/src/cassiaspread_cli/_log.py
+++ b/packages/cassiaspread-cli/src/cassiaspread_cli/_log.py
@@ -14,7 +14,7 @@
     LogUnavailable,
     Offset,
     Truncated,
-    decode_page,
+    decode_read,
 )
 from cassiaspread_core.policy import (
     CheckpointAssembler,
@@ -155,20 +155,10 @@
         )
         try:
             response = await self._fetch("GET", path, None, wait_s)
-            if response.code not in (200, 410):
-                raise LogUnavailable(f"the log answered {response.code}")
-            page = decode_page(response.body, start)
-        except (HTTPError, OSError, ValueError) as error:
+            return decode_read(response.code, response.body, start)
+        except (HTTPError, LogUnavailable, OSError, ValueError) as error:
             # ValueError: the page is malformed, or the address is no part of a URL.
             raise LogUnavailable(f"{self._context.log}: {error}") from None
-        if response.code == 410:
-            if page.earliest <= start:
-                raise LogUnavailable(
-                    f"{self._context.log}: offset {start} is refused as removed, but "
-                    f"the earliest is {page.earliest}"
-                )
-            raise Truncated(page.earliest)
-        return page
 
     async def _fetch(
         self, method: str, path: str, body: bytes | None, wait_s: float = 0.0
--- a/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/__init__.py
@@ -48,6 +48,7 @@
     Truncated,
     check_order,
     decode_page,
+    decode_read,
 )
 from cassiaspread_core.base._rate import RATE_WINDOW_S, EventRate
 from cassiaspread_core.base._states import Outcome, TargetKind, VmState
@@ -94,6 +95,7 @@
     "convert_usable",
     "decode_json",
     "decode_page",
+    "decode_read",
     "decode_with",
     "encode_header_text",
     "is_header_value",
--- a/packages/cassiaspread-core/src/cassiaspread_core/base/_log.py
+++ b/packages/cassiaspread-core/src/cassiaspread_core/base/_log.py
@@ -8,6 +8,9 @@
 from cassiaspread_core.base._errors import CassiaspreadError
 from cassiaspread_core.base._ids import Offset
 
+# Status of an answer to a read of records that have been removed.
+TRUNCATED_STATUS = 410
+
 
 class LogRecord(msgspec.Struct, frozen=True):
     """One record of a stream.
@@ -52,6 +55,34 @@
     return page
 
 
+def decode_read(status: int, data: bytes, start: Offset) -> LogPage:
+    """Decode what the log answered to a read of a stream.
+
+    :param status: HTTP status code of the answer.
+    :param data: its body.
+    :param start: offset of the first record that was requested.
+    :raises Truncated: records from ``start`` on have been removed.
+    :raises LogUnavailable: the log returned no page, or one without any of the records
+        that the stream has by its own account, from which no reader could go on.
+    :raises MalformedDocument: the body is no page.
+    """
+    if status not in (200, TRUNCATED_STATUS):
+        raise LogUnavailable(f"the log answered {status}")
+    page = decode_page(data, start)
+    if status == TRUNCATED_STATUS:
+        if page.earliest <= start:
+            raise LogUnavailable(
+                f"offset {start} is refused as removed, but the earliest is "
+                f"{page.earliest}"
+            )
+        raise Truncated(page.earliest)
+    if not page.records and start < page.end:
+        raise LogUnavailable(
+            f"no record from offset {start} on, but the stream ends at {page.end}"
+        )
+    return page
+
+
 def check_order(records: tuple[LogRecord, ...], start: Offset) -> None:
     """Check that records follow each other.
 
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/__init__.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/__init__.py
@@ -1,6 +1,13 @@
 """Clients of external systems, one module for each."""
 
-from cassiaspread_core.base import LogPage, LogRecord
+from cassiaspread_core.base import (
+    AppendAmbiguous,
+    AppendNotSent,
+    LogPage,
+    LogRecord,
+    LogUnavailable,
+    Truncated,
+)
 from cassiaspread_daemon.adapters._engine import (
     CancelOrder,
     EngineClient,
@@ -11,13 +18,7 @@
     StaleAttemptError,
     StreamEvent,
 )
-from cassiaspread_daemon.adapters._log import (
-    AppendAmbiguous,
-    AppendNotSent,
-    LogClient,
-    LogUnavailable,
-    Truncated,
-)
+from cassiaspread_daemon.adapters._log import LogClient
 from cassiaspread_daemon.adapters._vm_list import ListedVm, VmListClient
 
 __all__ = [
--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_log.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/adapters/_log.py
@@ -11,14 +11,12 @@
     LogUnavailable,
     MalformedDocument,
     Offset,
-    Truncated,
     decode_json,
-    decode_page,
+    decode_read,
 )
 from cassiaspread_daemon._exchange import ConnectFailed, ExchangeBroken, fetch
 
 CONNECT_TIMEOUT_S = 1.0
-TRUNCATED_STATUS = 410
 
 
 class _Appended(msgspec.Struct):
@@ -98,16 +96,11 @@
                 connect_timeout_s=CONNECT_TIMEOUT_S,
                 timeout_s=wait_s + timeout_s,
             )
-            if response.status not in (200, TRUNCATED_STATUS):
-                raise LogUnavailable(f"the log answered {response.status}")
-            page = decode_page(response.body, start)
-        except (ConnectFailed, ExchangeBroken, MalformedDocument) as error:
+            return decode_read(response.status, response.body, start)
+        except (
+            ConnectFailed,
+            ExchangeBroken,
+            LogUnavailable,
+            MalformedDocument,
+        ) as error:
             raise LogUnavailable(f"{stream}: {error}") from None
-        if response.status == TRUNCATED_STATUS:
-            if page.earliest <= start:
-                raise LogUnavailable(
-                    f"{stream}: offset {start} is refused as removed, but the earliest "
-                    f"is {page.earliest}"
-                )
-            raise Truncated(page.earliest)
-        return page
