Own interface: a daemon behind cut pages of its configuration lags

A daemon that read page after page of policy records and did not reach the end of the stream stayed ready with an old configuration for as long as no peer was ahead of it, and did not ask peers for it.

Cause: lag was counted against peers alone, although each page states the end of the stream. That end counts as known now, so that the daemon is not ready after MAX_LAG_S and catches up from peers.

--- a/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_policy.py
+++ b/packages/cassiaspread-daemon/src/cassiaspread_daemon/fleet/_policy.py
@@ -65,6 +65,8 @@
         self._assembler = CheckpointAssembler()
         self._is_current = False
         self._peer_offset = Offset(0)
+        # End of the stream by the last page, which may have been cut off before it.
+        self._log_end = Offset(0)
         self._lagging_since_s: float | None = None
         self._log_error = "the log was not read yet"
         self._source = ""
@@ -98,11 +100,11 @@
 
     @property
     def known_offset(self) -> Offset:
-        """Highest offset up to which this daemon or a peer has the stream."""
-        return max(self._peer_offset, self._state.next_offset)
+        """Highest offset up to which this daemon, a peer or the log has the stream."""
+        return max(self._peer_offset, self._log_end, self._state.next_offset)
 
     def lag_s(self) -> float:
-        """Return for how long this daemon has been behind a peer, in seconds."""
+        """Return for how long this daemon has been behind, in seconds."""
         if self._lagging_since_s is None:
             return 0.0
         return time.monotonic() - self._lagging_since_s
@@ -115,9 +117,11 @@
         if not self._is_current:
             reasons.append(f"the configuration was not read yet ({self._progress()})")
         if self.lag_s() > MAX_LAG_S and self._state.halt_reason is None:
+            is_peer_ahead = self._peer_offset >= self._log_end
             reasons.append(
-                f"the configuration is at offset {self._state.next_offset}, a peer "
-                f"has it up to {self._peer_offset}"
+                f"the configuration is at offset {self._state.next_offset}, "
+                f"{'a peer' if is_peer_ahead else 'the log'} has it up to "
+                f"{self.known_offset}"
             )
         return reasons
 
@@ -224,6 +228,7 @@
                 self._apply_page(start, page)
 
     def _apply_page(self, start: Offset, page: LogPage) -> None:
+        self._log_end = page.end
         self.apply_records(start, page.records, "log")
         if page.end < start:
             self._record_log_error(
@@ -231,7 +236,7 @@
             )
             return
         self._log_error = ""
-        if max(page.end, self._peer_offset) <= self._state.next_offset:
+        if self.known_offset <= self._state.next_offset:
             self._record_current()
 
     async def _recover_from_checkpoint(self, earliest: Offset) -> None:
@@ -293,7 +298,7 @@
             )
 
     def _update_lag(self) -> None:
-        if self._peer_offset <= self._state.next_offset:
+        if self.known_offset <= self._state.next_offset:
             self._lagging_since_s = None
         elif self._lagging_since_s is None:
             self._lagging_since_s = time.monotonic()
--- a/packages/cassiaspread-daemon/tests/test_policy_follower.py
+++ b/packages/cassiaspread-daemon/tests/test_policy_follower.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from cassiaspread_core.base import LogRecord
+from cassiaspread_core.base import LogPage, LogRecord
 from cassiaspread_core.policy import (
     CheckpointSchedule,
     EntryKind,
@@ -82,6 +82,20 @@
     assert status.rejected[0].reason == "ana changed model draft at offset 1"
 
 
+def test_lag_behind_pages_that_are_cut_off_is_reported(follower, now):
+    # Guards against a daemon that reads page after page, never reaches the end of the
+    # stream and stays ready with an old configuration.
+    follower._apply_page(0, LogPage(0, 1, (model_record(0),)))
+    assert follower.not_ready_reasons() == []
+    follower._apply_page(1, LogPage(0, 9, (model_record(1, 0),)))
+    now[0] += MAX_LAG_S + 1.0
+    follower._apply_page(2, LogPage(0, 9, (model_record(2, 1),)))
+    (reason,) = follower.not_ready_reasons()
+    assert reason == "the configuration is at offset 3, the log has it up to 9"
+    follower._apply_page(3, LogPage(0, 4, (model_record(3, 2),)))
+    assert follower.not_ready_reasons() == []
+
+
 def test_older_or_invalid_snapshots_are_not_applied(follower):
     follower.apply_records(0, (model_record(0), model_record(1, 0)), "log")
     older = Snapshot(covered=1, rules=1, entries=())
