--- a/packages/cassiaspread-daemon/tests/test_routing_state.py
+++ b/packages/cassiaspread-daemon/tests/test_routing_state.py
@@ -4,6 +4,7 @@
 import random
 from contextlib import suppress
 
+from cassiaspread_core.base import LogUnavailable
 from cassiaspread_core.placement import Engine, LayerRange
 from cassiaspread_core.routing import ClientLimits, RouteTable
 from cassiaspread_daemon.gateway._protocols import EngineChange, FeedPage
@@ -110,19 +111,29 @@
 
     def __init__(self, *pages):
         self.pages = list(pages)
+        self.calls = []
 
     async def snapshot(self):
-        return self.pages.pop(0)
+        self.calls.append("snapshot")
+        return self._next_page()
 
     async def changes(self, position, wait_s):
+        self.calls.append(position)
         if not self.pages:
             raise asyncio.CancelledError
-        return self.pages.pop(0)
+        return self._next_page()
 
+    def _next_page(self):
+        page = self.pages.pop(0)
+        if isinstance(page, Exception):
+            raise page
+        return page
 
-def follow_configuration(*pages):
+
+def follow_configuration(*pages, feed=None, **options):
     """Return the state and its age after each page."""
     state, ages = RoutingState(RecordingLog(), 5.0, 5.0), []
+    feed = PagedFeed(*pages) if feed is None else feed
 
     class Follower(FeedFollower):
         def _on_page(self, start, page):
@@ -130,7 +141,7 @@
 
     follower = Follower(
         "configuration",
-        PagedFeed(*pages),
+        feed,
         state.apply_table,
         lambda tables: [state.apply_table(t) for t in tables],
         state.configuration_age,
@@ -138,6 +149,7 @@
         0.0,
         0.0,
         random.Random(1),
+        **options,
     )
     with suppress(asyncio.CancelledError):
         asyncio.run(follower.run())
@@ -183,3 +195,42 @@
     assert state.table.version == 3
     assert ages[2] == ages[1] == ages[0]
     assert ages[3] > ages[2]
+
+
+def test_copy_behind_a_cut_page_gets_older_until_it_is_read_on():
+    # Guards against a page that is cut off and counts as the whole.
+    state, ages = follow_configuration(
+        FeedPage((table(1),), 1),
+        FeedPage((table(2),), 2, end_position=4),
+        FeedPage((table(3),), 3, end_position=5),
+        FeedPage((table(5),), 5, end_position=5),
+    )
+    assert state.table.version == 5
+    assert ages[0] == ages[1] == ages[2] < ages[3]
+
+
+def test_cut_page_is_followed_by_the_newest_item_if_that_replaces_the_others():
+    feed = PagedFeed(
+        FeedPage((table(1),), 1),
+        FeedPage((table(2),), 2, end_position=9),
+        LogUnavailable("no answer"),
+        FeedPage((table(3),), 3, end_position=9),
+        FeedPage((table(9),), 9),
+    )
+    state, ages = follow_configuration(feed=feed, is_superseding=True)
+    assert state.table.version == 9
+    # A snapshot that fails is followed by a page, so that the copy gets on.
+    assert feed.calls == ["snapshot", 1, "snapshot", 2, "snapshot", 9]
+    assert ages[0] == ages[1] == ages[2] < ages[3]
+
+
+def test_record_that_fits_into_no_page_is_read_in_a_snapshot():
+    feed = PagedFeed(
+        FeedPage((table(1),), 1),
+        FeedPage((), 1, end_position=2),
+        FeedPage((table(2),), 2),
+    )
+    state, ages = follow_configuration(feed=feed)
+    assert state.table.version == 2
+    assert feed.calls == ["snapshot", 1, "snapshot", 2]
+    assert ages[0] < ages[1]
