--- a/tests/users_platform/test_cut_pages.py
+++ b/tests/users_platform/test_cut_pages.py
@@ -1,8 +1,10 @@
 """Copies of the store's topics behind pages that are cut off, in virtual time.
 
 The store cuts pages anywhere, puts records of other keys between those that matter and
-returns them over slow links, beside writers in series. A copy that counts as current at
-some time must hold each record that was acknowledged before.
+returns them over slow links, beside writers in series. With faults, calls fail or are
+answered late, records are removed before they are read, snapshots have empty pages and
+messages between daemons are lost. A copy that counts as current at some time must hold
+each record that was acknowledged before.
 """
 
 import asyncio
@@ -72,6 +74,8 @@
         self.clock = clock
         self.fails = fails
         self.topics = {}
+        # Offset before which the records of a topic were removed.
+        self.first_offsets = {}
         self.histories = {}
         self.changed = asyncio.Event()
 
@@ -98,8 +102,10 @@
                     await self.changed.wait()
             except TimeoutError:
                 break
-        records = self.topics.get(topic, [])
-        page = struct.pack(">QQ", len(records), 0)
+        records, first = self.topics.get(topic, []), self.first_offsets.get(topic, 0)
+        if start < first:
+            return 410, json.dumps({"first_offset": first}).encode()
+        page = struct.pack(">QQ", len(records), first)
         new = [record for *_, record in records[start:]]
         n_most = self.random_state.choice((1, 2, 3, len(new)))
         for n, record in enumerate(new[:n_most]):
@@ -114,6 +120,8 @@
             newest[key] = offset, value
         keys = sorted(k for k, (_, value) in newest.items() if value and k > after)
         n_most = self.random_state.randint(1, 3)
+        if self.fails and self.random_state.random() < 0.1:
+            n_most = 0
         items = [
             {
                 "key": key,
@@ -134,6 +142,10 @@
             return 503, b""
         parts = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if self.fails and self.random_state.random() < 0.05:
+            self.first_offsets[query["topic"]] = len(
+                self.topics.get(query["topic"], ())
+            )
         if parts.path == "/-/log-newest":
             return await self.newest(query["topic"], query.get("after", ""))
         return await self.read(
