--- a/tests/policy_fleet.py
+++ b/tests/policy_fleet.py
@@ -109,9 +109,15 @@
 
 
 def read_stream(fleet: Fleet, start: int = 0) -> list[tuple[int, bytes]]:
-    path = f"/streams/policy?start={start}&n_records=1000000"
-    page = json.loads(request("GET", fleet.log.address, path)[2])
-    return [(r["offset"], base64.b64decode(r["value"])) for r in page["records"]]
+    records: list[tuple[int, bytes]] = []
+    while True:
+        path = f"/streams/policy?start={start + len(records)}&n_records=1000000"
+        page = json.loads(request("GET", fleet.log.address, path)[2])
+        records += [
+            (r["offset"], base64.b64decode(r["value"])) for r in page["records"]
+        ]
+        if not page["records"] or records[-1][0] + 1 >= page["end"]:
+            return records
 
 
 def copy_stream(fleet: Fleet, copy: list[tuple[int, bytes]], stop) -> None:
--- a/tests/standins/log.py
+++ b/tests/standins/log.py
@@ -2,13 +2,15 @@
 
 ``POST /control`` sets faults: ``available`` (if false, responses are 503),
 ``lose_answers`` (appends take effect, but the connection is closed without a response),
-``delay_s`` (time until an append takes effect), ``retention_s`` (0 keeps all records)
-and ``truncate`` (``{stream: earliest}``).
+``delay_s`` (time until an append takes effect), ``retention_s`` (0 keeps all records),
+``truncate`` (``{stream: earliest}``) and ``cut_seed`` (pages end anywhere behind their
+first record, chosen by a random generator with this seed).
 """
 
 import asyncio
 import base64
 import contextlib
+import random
 import time
 
 from tests.standins._server import JsonHandler, parser, serve
@@ -51,6 +53,7 @@
         self.delay_s = 0.0
         self.retention_s = 0.0
         self.n_appends = 0
+        self.cut_random_state: random.Random | None = None
 
     def stream(self, name: str) -> Stream:
         return self.streams.setdefault(name, Stream())
@@ -88,7 +91,10 @@
             return
         first = start - stream.earliest
         count = int(self.get_query_argument("n_records", "500"))
-        page["records"] = stream.records[first : first + count]
+        n_new = min(count, len(stream.records) - first)
+        if self.standin.cut_random_state is not None and n_new > 0:
+            n_new = self.standin.cut_random_state.randint(1, n_new)
+        page["records"] = stream.records[first : first + n_new]
         self.reply(page)
 
 
@@ -100,7 +106,9 @@
 
     def post(self) -> None:
         for name, value in self.body().items():
-            if name == "truncate":
+            if name == "cut_seed":
+                self.standin.cut_random_state = random.Random(value)
+            elif name == "truncate":
                 for stream, earliest in value.items():
                     self.standin.stream(stream).truncate(earliest)
             else:
--- a/tests/test_at_most_once_history.py
+++ b/tests/test_at_most_once_history.py
@@ -155,6 +155,7 @@
 def test_history_of_concurrent_bookings(tmp_path):
     with Fleet(tmp_path) as fleet:
         world = World(fleet)
+        fleet.log.control(cut_seed=SEED)
         callers = Callers(world)
         with ThreadPoolExecutor(N_CALLERS) as pool:
             for index in range(N_CALLERS):
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -376,7 +376,7 @@
             thread.start()
         # A configuration that the log drops before any daemon has read it is lost.
         wait_for(lambda: all(map(self.has_configuration, self.running_daemons())))
-        self.fleet.log.control(retention_s=RETENTION_S)
+        self.fleet.log.control(retention_s=RETENTION_S, cut_seed=SEED)
         try:
             self.inject_faults()
             wait_for(self.has_rejected, REJECTION_BOUND_S)
