--- a/tests/users_platform/soak.py
+++ b/tests/users_platform/soak.py
@@ -404,8 +404,7 @@
             )
         for name in SIDE_ENGINES:
             deployment.add_engine(name, SIDE_SERVICE, name.split("-")[0])
-        # Pages of the store end anywhere.
-        deployment.control("store", cut_seed=self.seed)
+        deployment.control("store", liberties_seed=self.seed)
         upstream = f"127.0.0.1:{deployment.store_port}"
         for name in self.gateways:
             port = free_port()
--- a/tests/users_platform/standins/store.py
+++ b/tests/users_platform/standins/store.py
@@ -5,10 +5,12 @@
 second time on its connection after so many seconds), ``flood`` (bytes without end in
 place of each answer, see ``floods.py``), ``first_offset`` (offset before which
 records are removed), ``link_bytes_per_s`` (rate at which pages are sent) and
-``cut_seed`` (pages end anywhere behind their first record, chosen by a random generator
-with this seed; without it only as their size demands). ``truncate`` removes all
-records but the newest of each key; ``restore`` returns to the state of so many seconds
-ago and raises the era; ``rebalance`` starts a new generation of the group.
+``liberties_seed`` (what the pages leave to a sound store is chosen by a random
+generator with this seed: pages end anywhere behind their first record, come without one
+before the wait is over, and those of the newest records have any number of keys, none
+too). ``truncate`` removes all records but the newest of each key; ``restore`` returns
+to the state of so many seconds ago and raises the era; ``rebalance`` starts a new
+generation of the group.
 ``POST /put?topic=&key=`` appends a record on behalf of the operator or an engine.
 """
 
@@ -27,6 +29,8 @@
 DEFAULT_MAX_KB = 1024
 # Interval between two parts of a page over a slow link, in seconds.
 LINK_INTERVAL_S = 0.01
+# Share of the calls in which a liberty is taken that costs another call.
+RARE_SHARE = 0.1
 
 
 class Store:
@@ -39,7 +43,7 @@
         self.copy_after_s = None
         self.flood = None
         self.link_bytes_per_s = None
-        self.cut_random_state = None
+        self.liberties = None
         self.first_offset = 0
         self.first_offsets = {}
         self.generation = 0
@@ -77,6 +81,10 @@
         self.members = {}
         self.era += 1
 
+    def takes_rare_liberty(self):
+        """Return whether a liberty is taken that costs the caller another call."""
+        return self.liberties is not None and self.liberties.random() < RARE_SHARE
+
     def begin_generation(self):
         self.generation += 1
         self.generations.append((time.monotonic(), self.generation))
@@ -146,7 +154,10 @@
     async def get(self):
         topic = self.get_argument("topic")
         start = int(self.get_argument("from"))
-        deadline = time.monotonic() + int(self.get_argument("wait_ms", "0")) / 1000
+        wait_s = int(self.get_argument("wait_ms", "0")) / 1000
+        if self.store.takes_rare_liberty():
+            wait_s *= self.store.liberties.random()
+        deadline = time.monotonic() + wait_s
         while True:
             if self.store.refuse:
                 self.set_status(503)
@@ -173,8 +184,8 @@
         """Return a page, which has at least one record if there is one."""
         max_bytes = int(self.get_argument("max_kb", DEFAULT_MAX_KB)) * 1024
         n_most = len(records) - start
-        if self.store.cut_random_state is not None and n_most:
-            n_most = self.store.cut_random_state.randint(1, n_most)
+        if self.store.liberties is not None and n_most:
+            n_most = self.store.liberties.randint(1, n_most)
         page = struct.pack(">QQ", len(records), first_offset)
         for n, record in enumerate(records[start : start + n_most]):
             if n and len(page) + 4 + len(record) > max_bytes:
@@ -209,14 +220,19 @@
             for k, (o, v) in newest.items()
             if v
         ]
-        # Pages of two items, so that readers must request further pages.
+        # Small pages, so that readers must request further ones.
+        n_most = 2
+        if self.store.takes_rare_liberty():
+            n_most = 0
+        elif self.store.liberties is not None:
+            n_most = self.store.liberties.randint(1, 3)
         after = self.get_argument("after", None)
         keys = [item["key"] for item in items]
         begin = keys.index(after) + 1 if after in keys else 0
-        page = items[begin : begin + 2]
+        page = items[begin : begin + n_most]
         answer = {
             "items": page,
-            "has_more": begin + 2 < len(items),
+            "has_more": begin + n_most < len(items),
             "end_offset": len(records),
         }
         await self.send_page(json.dumps(answer).encode())
@@ -260,8 +276,8 @@
                 self.store.members = dict(reversed(self.store.members.items()))
             elif name == "restore":
                 self.store.restore(value)
-            elif name == "cut_seed":
-                self.store.cut_random_state = random.Random(value)
+            elif name == "liberties_seed":
+                self.store.liberties = random.Random(value)
             elif name == "truncate":
                 for topic, records in self.store.topics.items():
                     self.store.first_offsets[topic] = len(records)
