Tests of crashing prompt parts wait for the answers that they judge by

By the gateways' logs four engines ended, the part was refused at 10.4 s and all sound requests were answered with 200; the play, of a fixed length, ended before ten of them had been sent for one of the parts.

The plays of this file go on until each kind of sound request has been answered ten times before the crashes and ten times after the time to settle, for 30 s at most. What is asserted is unchanged.

--- a/tests/users_platform/test_crashing_prompt_parts.py
+++ b/tests/users_platform/test_crashing_prompt_parts.py
@@ -34,6 +34,10 @@
 # From this time after the fifth crash on, sound requests must be served at least half
 # as often as before.
 SETTLE_S = 2 * LEARN_S
+# Answers by which each kind of sound request is judged, and the time for them beyond
+# that of a play: a slow machine sends fewer requests in the same time.
+N_SAMPLES = 10
+SAMPLES_TIMEOUT_S = 30.0
 MIN_SERVED_RATIO = 0.5
 KEYS = ("key-of-celje", "key-of-velenje")
 numbers = itertools.count(1)
@@ -150,6 +154,23 @@
             self._threads.append(thread)
             thread.start()
 
+    def wait_for_samples(self, find_begin_s=lambda: 0.0, bad_parts=BAD_PARTS):
+        """Wait until each kind of sound request was answered often enough to judge.
+
+        :param find_begin_s: returns the time from which requests count.
+        :param bad_parts: parts that no sound request has.
+        """
+
+        def has_samples():
+            begin_s = find_begin_s()
+            groups = group_sound(list(self.answers), bad_parts).values()
+            return all(
+                sum(a.begin_s > begin_s for a in answers) >= N_SAMPLES
+                for answers in groups
+            )
+
+        wait_for(has_samples, SAMPLES_TIMEOUT_S)
+
     def _run(self, draw_parts, interval_s, keys, gateway, random_state):
         while not self._is_over.wait(interval_s):
             name = gateway or random_state.choice(self.gateways)
@@ -208,16 +229,20 @@
     return sum(a.is_served for a in answers) / len(answers)
 
 
-def assert_sound_served(answers, crashing_s, settled_s, bad_parts=BAD_PARTS):
-    """Check sound requests by each of their parts and by their key."""
+def group_sound(answers, bad_parts=BAD_PARTS):
+    """Return the answers to sound requests by each of their parts and by their key."""
     sound = [a for a in answers if not set(a.parts) & set(bad_parts)]
     groups = {part for a in sound for part in a.parts} | set(KEYS)
-    for group in groups:
-        of_group = [a for a in sound if group in (*a.parts, a.key)]
+    return {g: [a for a in sound if g in (*a.parts, a.key)] for g in groups}
+
+
+def assert_sound_served(answers, crashing_s, settled_s, bad_parts=BAD_PARTS):
+    """Check sound requests by each of their parts and by their key."""
+    for group, of_group in group_sound(answers, bad_parts).items():
         before = [a for a in of_group if a.begin_s < crashing_s]
         after = [a for a in of_group if a.begin_s > settled_s]
-        assert len(before) >= 10
-        assert len(after) >= 10
+        assert len(before) >= N_SAMPLES
+        assert len(after) >= N_SAMPLES
         ratios = served_ratio(before), served_ratio(after)
         assert ratios[1] >= MIN_SERVED_RATIO * ratios[0], (
             f"{group}: {ratios[0]:.2f} served before, {ratios[1]:.2f} after"
@@ -234,16 +259,23 @@
     return [a for a in answers if set(a.parts) & set(bad_parts)]
 
 
-def play(fleet, draws, length_s, gateways=GATEWAYS):
-    """Send sound prompts, then crashing ones beside them; return all answers."""
+def play(fleet, draws, length_s, gateways=GATEWAYS, find_settled_s=settled_s):
+    """Send sound prompts, then crashing ones beside them; return all answers.
+
+    :param find_settled_s: returns the time after which sound requests are judged;
+        ``None`` if they are not.
+    """
     with Load(fleet, gateways) as load:
         load.start(draw_sound, N_CALLERS)
         time.sleep(SOUND_S)
+        load.wait_for_samples()
         crashing_s = time.time()
         for gateway in gateways:
             for draw in draws:
                 load.start(draw, 1, SEND_INTERVAL_S, gateway=gateway)
         time.sleep(length_s)
+        if find_settled_s is not None:
+            load.wait_for_samples(lambda: find_settled_s(fleet))
     return load.answers, crashing_s
 
 
@@ -270,7 +302,7 @@
 def test_gateway_that_starts_later_knows_a_crashing_part(bare_fleet, has_peers):
     add_engines(bare_fleet)
     add_gateways(bare_fleet)
-    play(bare_fleet, [drawer_of_crashing("bad0")], 6.0)
+    play(bare_fleet, [drawer_of_crashing("bad0")], 6.0, find_settled_s=None)
     bare_fleet.add_gateway("gateway-late", "celje", has_peers=has_peers)
     wait_served(bare_fleet, "gateway-late")
     n_before = len(crash_times(bare_fleet))
@@ -286,10 +318,14 @@
     add_engines(bare_fleet)
     add_gateways(bare_fleet)
     draws = [drawer_of_crashing(part) for part in BAD_PARTS]
-    answers, crashing_s = play(bare_fleet, draws, 15.0)
+
+    def find_settled_s(fleet):
+        last_s = [crash_times(fleet, p)[:N_CRASHES][-1:] for p in BAD_PARTS]
+        return max(sum(last_s, [0.0])) + SETTLE_S
+
+    answers, crashing_s = play(bare_fleet, draws, 15.0, find_settled_s=find_settled_s)
     assert_contained(bare_fleet, *BAD_PARTS)
-    last_s = max(crash_times(bare_fleet, p)[:N_CRASHES][-1] for p in BAD_PARTS)
-    assert_sound_served(answers, crashing_s, last_s + SETTLE_S)
+    assert_sound_served(answers, crashing_s, find_settled_s(bare_fleet))
 
 
 def test_repeats_of_one_crashing_request_do_not_hide_the_part(bare_fleet):
@@ -314,10 +350,12 @@
     with Load(bare_fleet) as load:
         load.start(draw_sound, N_CALLERS)
         time.sleep(SOUND_S)
+        load.wait_for_samples()
         crashing_s = time.time()
         for number in range(1, 12):
             send_repeatedly(number)
         time.sleep(2.0)
+        load.wait_for_samples(lambda: settled_s(bare_fleet))
     assert_contained(bare_fleet, "bad0")
     assert_sound_served(load.answers, crashing_s, settled_s(bare_fleet))
 
@@ -330,12 +368,14 @@
     with Load(bare_fleet) as load:
         load.start(lambda _: popular, 2 * N_CALLERS)
         time.sleep(SOUND_S)
+        load.wait_for_samples()
         crashing_s = time.time()
         for gateway in GATEWAYS:
             load.start(
                 lambda _: (*popular, "bad0"), 1, SEND_INTERVAL_S, gateway=gateway
             )
         time.sleep(14.0)
+        load.wait_for_samples(lambda: settled_s(bare_fleet))
     assert_contained(bare_fleet, "bad0")
     assert_sound_served(load.answers, crashing_s, settled_s(bare_fleet))
     sound = [a for a in load.answers if "bad0" not in a.parts]
@@ -349,12 +389,14 @@
     with Load(bare_fleet) as load:
         load.start(draw_sound, N_CALLERS)
         time.sleep(SOUND_S)
+        load.wait_for_samples()
         crashing_s = time.time()
         for n in range(16):
             bare_fleet.kill(ENGINES[n * 3 % len(ENGINES)])
             time.sleep(0.5)
         settled_s = time.time() + 2.0
         time.sleep(5.0)
+        load.wait_for_samples(lambda: settled_s)
     assert [a.parts for a in load.answers if a.is_quarantined] == []
     assert_sound_served(load.answers, crashing_s, settled_s)
 
