--- a/tests/users_platform/test_store_client.py
+++ b/tests/users_platform/test_store_client.py
@@ -43,6 +43,7 @@
     ],
 )
 def test_malformed_snapshot_is_an_outage(body):
+    # Guards, too, against an empty page that is taken for the end of the snapshot.
     store = Store("a:1", FakePool(200, body))
     with pytest.raises(LogUnavailable):
         asyncio.run(store.read_newest("keyed.op"))
